Lay out the workspace, core types and protocols

Cause: the repository was empty. Everything later grows on one module tree, so the tree, the checked style, the core types and what crosses process boundaries come first.

No figure of load yet.

--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/config/Assignment.java
@@ -0,0 +1,26 @@
+package org.cyclamenpaddle.core.config;
+
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.ServiceName;
+
+/**
+ * What a preset asks of one backend server.
+ *
+ * @param backend the backend server
+ * @param service the service that it serves
+ * @param role what it does for that service
+ */
+public record Assignment(BackendId backend, ServiceName service, BackendRole role) {
+
+    public Assignment {
+        if (backend == null || service == null || role == null) {
+            throw new IllegalArgumentException(
+                    "assignment needs backend, service and role: "
+                            + backend
+                            + ", "
+                            + service
+                            + ", "
+                            + role);
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/config/ConfigurationChecks.java
@@ -0,0 +1,92 @@
+package org.cyclamenpaddle.core.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.PresetName;
+import org.cyclamenpaddle.core.id.ServiceName;
+
+/**
+ * Checks of references between configuration objects, made before a change is accepted.
+ *
+ * <p>Each method returns what is wrong, or empty if the change may be written.
+ */
+public final class ConfigurationChecks {
+
+    private ConfigurationChecks() {}
+
+    /** Checks that every backend server and service of a preset exists and that they fit. */
+    public static Optional<String> preset(ConfigurationView view, PresetSpec preset) {
+        return preset.assignments().stream()
+                .map(assignment -> assignment(view, preset.name(), assignment))
+                .flatMap(Optional::stream)
+                .findFirst();
+    }
+
+    /** Checks that the preset to put in force exists and still passes its own checks. */
+    public static Optional<String> inForce(ConfigurationView view, InForceSpec spec) {
+        PresetSpec preset = view.presets().get(spec.preset());
+        if (preset == null) {
+            return Optional.of("preset " + spec.preset() + " does not exist");
+        }
+        return preset(view, preset);
+    }
+
+    /** Checks that no preset still names a service that is to be deleted or change its kind. */
+    public static Optional<String> removeService(ConfigurationView view, ServiceName service) {
+        return usedBy("service " + service, presetsWhere(view, a -> a.service().equals(service)));
+    }
+
+    /** Checks that no preset still names a backend server that is to be deleted. */
+    public static Optional<String> removeBackend(ConfigurationView view, BackendId backend) {
+        return usedBy(
+                "backend server " + backend, presetsWhere(view, a -> a.backend().equals(backend)));
+    }
+
+    /** Checks that a preset to be deleted is not the one in force. */
+    public static Optional<String> removePreset(ConfigurationView view, PresetName preset) {
+        return view.inForce().filter(preset::equals).map(name -> "preset " + name + " is in force");
+    }
+
+    private static Optional<String> assignment(
+            ConfigurationView view, PresetName preset, Assignment assignment) {
+        ServiceSpec service = view.services().get(assignment.service());
+        if (service == null) {
+            return Optional.of(
+                    "preset " + preset + " names unknown service " + assignment.service());
+        }
+        if (!view.backends().containsKey(assignment.backend())) {
+            return Optional.of(
+                    "preset " + preset + " names unknown backend server " + assignment.backend());
+        }
+        if (!service.kind().accepts(assignment.role())) {
+            return Optional.of(
+                    "preset "
+                            + preset
+                            + " gives role "
+                            + assignment.role().code()
+                            + " to "
+                            + assignment.backend()
+                            + ", which service "
+                            + service.name()
+                            + " has no use for");
+        }
+        return Optional.empty();
+    }
+
+    private static List<PresetName> presetsWhere(
+            ConfigurationView view, java.util.function.Predicate<Assignment> test) {
+        return view.presets().values().stream()
+                .filter(preset -> preset.assignments().stream().anyMatch(test))
+                .map(PresetSpec::name)
+                .sorted()
+                .collect(Collectors.toList());
+    }
+
+    private static Optional<String> usedBy(String what, List<PresetName> presets) {
+        return presets.isEmpty()
+                ? Optional.empty()
+                : Optional.of(what + " is named by presets " + presets);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/config/ConfigurationView.java
@@ -0,0 +1,62 @@
+package org.cyclamenpaddle.core.config;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.PresetName;
+import org.cyclamenpaddle.core.id.ServiceName;
+
+/**
+ * All configuration objects as one immutable value, parsed and ready to decide by.
+ *
+ * @param services declared services
+ * @param backends declared backend servers
+ * @param presets declared presets
+ * @param inForce name of the preset in force, if one was ever chosen
+ */
+public record ConfigurationView(
+        Map<ServiceName, ServiceSpec> services,
+        Map<BackendId, BackendSpec> backends,
+        Map<PresetName, PresetSpec> presets,
+        Optional<PresetName> inForce) {
+
+    /** A view without any object. */
+    public static final ConfigurationView EMPTY =
+            new ConfigurationView(Map.of(), Map.of(), Map.of(), Optional.empty());
+
+    public ConfigurationView {
+        services = Map.copyOf(services);
+        backends = Map.copyOf(backends);
+        presets = Map.copyOf(presets);
+    }
+
+    /** Returns the preset in force, if it is known to this view. */
+    public Optional<PresetSpec> presetInForce() {
+        return inForce.map(presets::get);
+    }
+
+    /** Returns what the preset in force asks, by backend server. */
+    public Map<BackendId, Assignment> assignments() {
+        return presetInForce().stream()
+                .flatMap(preset -> preset.assignments().stream())
+                .collect(Collectors.toMap(Assignment::backend, Function.identity()));
+    }
+
+    /**
+     * Returns the backend servers that may get new work for a service in a role, in id order.
+     *
+     * <p>Those that the operator asked to drain are left out.
+     */
+    public List<BackendSpec> serving(ServiceName service, BackendRole role) {
+        return presetInForce().stream()
+                .flatMap(preset -> preset.assignments().stream())
+                .filter(a -> a.service().equals(service) && a.role() == role)
+                .map(a -> backends.get(a.backend()))
+                .filter(backend -> backend != null && !backend.leaving())
+                .sorted((a, b) -> a.id().compareTo(b.id()))
+                .collect(Collectors.toList());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration kinds that operators declare, and the checks made before one is accepted. */
+package org.cyclamenpaddle.core.config;
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/FailureDomain.java
@@ -0,0 +1,23 @@
+package org.cyclamenpaddle.core.id;
+
+/**
+ * Name of a failure domain.
+ *
+ * @param value text of the identifier, 1 to 128 letters, digits, '.', '_', ':' or '-'
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+
+    public FailureDomain {
+        Identifiers.check("failure domain", value);
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/HostId.java
@@ -0,0 +1,23 @@
+package org.cyclamenpaddle.core.id;
+
+/**
+ * Name of an entry host, stable over restarts of its process.
+ *
+ * @param value text of the identifier, 1 to 128 letters, digits, '.', '_', ':' or '-'
+ */
+public record HostId(String value) implements Comparable<HostId> {
+
+    public HostId {
+        Identifiers.check("host", value);
+    }
+
+    @Override
+    public int compareTo(HostId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/TeamName.java
@@ -0,0 +1,23 @@
+package org.cyclamenpaddle.core.id;
+
+/**
+ * Name of the team that a caller belongs to; limits are fair between teams.
+ *
+ * @param value text of the identifier, 1 to 128 letters, digits, '.', '_', ':' or '-'
+ */
+public record TeamName(String value) implements Comparable<TeamName> {
+
+    public TeamName {
+        Identifiers.check("team", value);
+    }
+
+    @Override
+    public int compareTo(TeamName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/ClaimAnswer.java
@@ -0,0 +1,33 @@
+package org.cyclamenpaddle.core.message;
+
+import java.util.Optional;
+
+/**
+ * Answer to {@link ClaimAsk}.
+ *
+ * @param state what the claimer knows
+ * @param answer the kept answer, if {@code state} is {@link State#RAN}
+ */
+public record ClaimAnswer(State state, Optional<KeptAnswer> answer) implements PeerMessage {
+
+    /** What a claimer knows of the call under a key. */
+    public enum State {
+        /** The call is running. */
+        RUNNING,
+        /** The call ran, and its answer is kept. */
+        RAN,
+        /** Provably no byte of the call left. */
+        NOT_RUN,
+        /** It may have run, or the claimer has no memory of it. */
+        UNKNOWN
+    }
+
+    /**
+     * An answer kept for resends.
+     *
+     * @param status HTTP status
+     * @param contentType its media type
+     * @param body its body
+     */
+    public record KeptAnswer(int status, String contentType, String body) {}
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between entry hosts; durations cross hosts, clock readings never do. */
+package org.cyclamenpaddle.core.message;
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RunOutcome.java
@@ -0,0 +1,22 @@
+package org.cyclamenpaddle.core.outcome;
+
+/** What became of a call, as said to its caller. */
+public enum RunOutcome {
+    /** It provably did not run: no byte of it left for any backend server. */
+    NOT_RUN("not-run"),
+    /** It ran, and its answer is known. */
+    RAN("ran"),
+    /** It may or may not have run. */
+    UNKNOWN("unknown");
+
+    private final String mCode;
+
+    RunOutcome(String code) {
+        mCode = code;
+    }
+
+    /** Returns the wire form, as in the {@code outcome} member of a problem document. */
+    public String code() {
+        return mCode;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/package-info.java
@@ -0,0 +1,2 @@
+/** Clock, identifiers, outcomes, invariants, blackboard tables and configuration kinds. */
+package org.cyclamenpaddle.core;
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/Table.java
@@ -0,0 +1,73 @@
+package org.cyclamenpaddle.core.table;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.cyclamenpaddle.core.invariant.Invariants;
+
+/**
+ * One blackboard table: a value that is read and written only under its lock.
+ *
+ * <p>Taking the lock asserts the lock order of {@link TableOrder}. A wrong order is found by the
+ * first thread that takes it, not by the rare pair of threads that would block each other.
+ *
+ * @param <T> type of the guarded value
+ */
+public final class Table<T> {
+
+    private static final ThreadLocal<Deque<TableOrder>> HELD =
+            ThreadLocal.withInitial(ArrayDeque::new);
+
+    private final TableOrder mOrder;
+    private final T mValue;
+    private final ReentrantLock mLock = new ReentrantLock();
+
+    /**
+     * Creates a table.
+     *
+     * @param order place in the lock order
+     * @param value the guarded value; must not be reached but through this table
+     */
+    public Table(TableOrder order, T value) {
+        mOrder = order;
+        mValue = value;
+    }
+
+    /**
+     * Runs {@code work} on the value under the lock and returns its result.
+     *
+     * @param work must not keep the value, block or call out
+     * @param <R> type of the result
+     */
+    public <R> R read(Function<T, R> work) {
+        Deque<TableOrder> held = HELD.get();
+        TableOrder last = held.peek();
+        boolean reentrant = mLock.isHeldByCurrentThread();
+        Invariants.require(
+                reentrant || last == null || last.compareTo(mOrder) < 0,
+                () -> "lock of table " + mOrder + " taken while holding " + last);
+        mLock.lock();
+        held.push(mOrder);
+        try {
+            return work.apply(mValue);
+        } finally {
+            held.pop();
+            mLock.unlock();
+        }
+    }
+
+    /**
+     * Runs {@code work} on the value under the lock.
+     *
+     * @param work must not keep the value, block or call out
+     */
+    public void write(Consumer<T> work) {
+        read(
+                value -> {
+                    work.accept(value);
+                    return null;
+                });
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/text/package-info.java
@@ -0,0 +1,2 @@
+/** Text of prompts: token estimates and hashes of prompt blocks. */
+package org.cyclamenpaddle.core.text;
--- /dev/null
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Command line for operators. */
+package org.cyclamenpaddle.ctl;
--- /dev/null
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Client of engines and plain services. */
+package org.cyclamenpaddle.engine;
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Pure state machines: membership, ownership, configuration replica, drain, recovery, claims. */
+package org.cyclamenpaddle.fleet;
--- /dev/null
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/package-info.java
@@ -0,0 +1,2 @@
+/** TCP frames with MessagePack between entry hosts. */
+package org.cyclamenpaddle.peer;
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/package-info.java
@@ -0,0 +1,2 @@
+/** Entry host process. */
+package org.cyclamenpaddle.router;
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions on requests: admission, placement, grants, limits, retries, quarantine. */
+package org.cyclamenpaddle.routing;
