--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/configuration/ConfigurationSyncSettings.java
@@ -0,0 +1,35 @@
+package org.cyclamenpaddle.fleet.configuration;
+
+/**
+ * Timings of {@link ConfigurationSync}.
+ *
+ * @param watchersPerDomain how many hosts of a failure domain watch the platform
+ * @param peerTimeoutMillis after which another peer may be asked
+ * @param retryMillis first wait after a failed platform call; doubles up to {@code maxRetryMillis}
+ * @param maxRetryMillis longest wait after a failed platform call
+ */
+public record ConfigurationSyncSettings(
+        int watchersPerDomain, long peerTimeoutMillis, long retryMillis, long maxRetryMillis) {
+
+    /** Settings that meet the bounds named in {@link ConfigurationSync}. */
+    public static final ConfigurationSyncSettings DEFAULTS =
+            new ConfigurationSyncSettings(2, 500, 100, 1_000);
+
+    public ConfigurationSyncSettings {
+        if (watchersPerDomain < 1 || peerTimeoutMillis <= 0) {
+            throw new IllegalArgumentException(
+                    "watchers "
+                            + watchersPerDomain
+                            + " and peer timeout "
+                            + peerTimeoutMillis
+                            + " ms must be above 0");
+        }
+        if (retryMillis <= 0 || maxRetryMillis < retryMillis) {
+            throw new IllegalArgumentException(
+                    "retry wait must be above 0 and at most "
+                            + maxRetryMillis
+                            + " ms: "
+                            + retryMillis);
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Membership: heartbeats, suspicion, confirmation and gossip between entry hosts. */
+package org.cyclamenpaddle.fleet.membership;
