--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEvent.java
@@ -0,0 +1,76 @@
+package org.cyclamenpaddle.fleet.claim;
+
+import java.util.Optional;
+import org.cyclamenpaddle.core.message.ClaimAnswer;
+import org.cyclamenpaddle.core.message.ClaimAnswer.KeptAnswer;
+
+/** What may happen to a {@link BookingMachine}. */
+public sealed interface BookingEvent {
+
+    /** The platform keeps the claim of this attempt. */
+    record ClaimWritten() implements BookingEvent {}
+
+    /**
+     * The key is claimed already.
+     *
+     * @param existing the claim that stands
+     */
+    record ClaimConflict(ClaimRecord existing) implements BookingEvent {}
+
+    /** The claim was sent, and no answer came. */
+    record ClaimAnswerLost() implements BookingEvent {}
+
+    /**
+     * The claim under the key was read back.
+     *
+     * @param existing the claim that stands, if any
+     */
+    record ClaimRead(Optional<ClaimRecord> existing) implements BookingEvent {}
+
+    /**
+     * No claim can be had now: the platform is away.
+     *
+     * <p>Whoever tells this frees a claim that may have been sent, unless it told {@link
+     * ClaimAnswerLost} before.
+     */
+    record PlatformAway() implements BookingEvent {}
+
+    /** A connection to a backend server is open and nothing was written on it yet. */
+    record Connected() implements BookingEvent {}
+
+    /** No connection was had; provably no byte of the call left. */
+    record ConnectFailedBeforeFirstByte() implements BookingEvent {}
+
+    /**
+     * The first byte is about to be written.
+     *
+     * <p>To be told before the byte is handed to the socket. Not needed after {@link Connected}.
+     */
+    record FirstByteWritten() implements BookingEvent {}
+
+    /**
+     * The whole response came.
+     *
+     * @param answer the response
+     */
+    record ResponseComplete(KeptAnswer answer) implements BookingEvent {}
+
+    /** The call failed after its first byte may have left. */
+    record FailedAfterFirstByte() implements BookingEvent {}
+
+    /**
+     * The host that holds the claim said what became of the call.
+     *
+     * @param answer what it said
+     */
+    record ClaimerAnswered(ClaimAnswer answer) implements BookingEvent {}
+
+    /** The host that holds the claim did not answer, or is dead. */
+    record ClaimerUnreachable() implements BookingEvent {}
+
+    /** The time named by {@link BookingEffect.WakeAt} has come. */
+    record Wake() implements BookingEvent {}
+
+    /** The caller's deadline passed. */
+    record Timeout() implements BookingEvent {}
+}
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingMachine.java
@@ -0,0 +1,360 @@
+package org.cyclamenpaddle.fleet.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.invariant.Invariants;
+import org.cyclamenpaddle.core.message.ClaimAnswer;
+import org.cyclamenpaddle.core.message.ClaimAnswer.KeptAnswer;
+import org.cyclamenpaddle.core.message.ClaimAsk;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.Abort;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.AskClaimer;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.Dispatch;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.ReadClaim;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.RecordOutcome;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.Reply;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.SendCall;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.WakeAt;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.WriteClaim;
+
+/**
+ * Course of one keyed call through this host, from its claim to its outcome.
+ *
+ * <p>At most one run by key rests on three rules. A call is dispatched only after the platform
+ * keeps the claim of this very attempt. A claim is never taken over by another attempt. And the one
+ * mark that frees the key, {@link ClaimState#NOT_RUN}, is made by this machine alone, after which
+ * it never dispatches. None of them reads a clock, so a pause of this host can break none.
+ *
+ * <p>Not thread-safe: a caller feeds the events of one call one by one, and carries out the effects
+ * of one before it feeds the next.
+ */
+public final class BookingMachine {
+
+    private enum State {
+        NEW,
+        CLAIMING,
+        READING_BACK,
+        ASKING,
+        DISPATCHING,
+        ABORTING,
+        SENT,
+        RAN,
+        NOT_RUN,
+        UNKNOWN,
+        /** Another attempt holds the key. */
+        FOREIGN
+    }
+
+    private final ClaimRecord mClaim;
+    private final BookingSettings mSettings;
+    private final long mDeadlineMillis;
+    private State mState = State.NEW;
+    private int mTries;
+    private boolean mReplied;
+    private Optional<ClaimRecord> mForeign = Optional.empty();
+    private Optional<KeptAnswer> mAnswer = Optional.empty();
+
+    /**
+     * Creates the machine of a call that has not started.
+     *
+     * @param claim the claim to make, in state {@link ClaimState#CLAIMED}
+     * @param settings limits
+     * @param deadlineMillis reading of this host's clock after which nothing is dispatched
+     */
+    public BookingMachine(ClaimRecord claim, BookingSettings settings, long deadlineMillis) {
+        if (claim.state() != ClaimState.CLAIMED) {
+            throw new IllegalArgumentException("claim to make is already " + claim.state());
+        }
+        mClaim = claim;
+        mSettings = settings;
+        mDeadlineMillis = deadlineMillis;
+    }
+
+    /** Starts the call by its claim. */
+    public List<BookingEffect> start() {
+        Invariants.require(mState == State.NEW, () -> "booking started in state " + mState);
+        mState = State.CLAIMING;
+        return List.of(new WriteClaim(mClaim));
+    }
+
+    /**
+     * Takes an event in.
+     *
+     * @param event what happened
+     * @param nowMillis reading of this host's clock
+     */
+    public List<BookingEffect> on(BookingEvent event, long nowMillis) {
+        List<BookingEffect> effects = new ArrayList<>();
+        if (event instanceof BookingEvent.ClaimWritten) {
+            held(nowMillis, effects);
+        } else if (event instanceof BookingEvent.ClaimConflict conflict) {
+            standing(Optional.of(conflict.existing()), nowMillis, effects);
+        } else if (event instanceof BookingEvent.ClaimAnswerLost) {
+            readBack(effects);
+        } else if (event instanceof BookingEvent.ClaimRead read) {
+            standing(read.existing(), nowMillis, effects);
+        } else if (event instanceof BookingEvent.PlatformAway) {
+            withoutClaim(effects);
+        } else if (event instanceof BookingEvent.ClaimerAnswered answered) {
+            claimerAnswered(answered.answer(), nowMillis, effects);
+        } else if (event instanceof BookingEvent.ClaimerUnreachable) {
+            claimerUnreachable(effects);
+        } else if (event instanceof BookingEvent.Wake) {
+            wake(effects);
+        } else if (event instanceof BookingEvent.Timeout) {
+            timeout(effects);
+        } else {
+            onBackend(event, nowMillis, effects);
+        }
+        return effects;
+    }
+
+    /** Returns the claim of this attempt. */
+    public ClaimRecord claim() {
+        return mClaim;
+    }
+
+    /** Returns whether nothing more can happen to this call. */
+    public boolean finished() {
+        return switch (mState) {
+            case RAN, NOT_RUN, UNKNOWN, FOREIGN -> true;
+            default -> false;
+        };
+    }
+
+    /** Returns what this host answers to {@link ClaimAsk} about its own attempt. */
+    public ClaimAnswer answer() {
+        ClaimAnswer.State state =
+                switch (mState) {
+                    case RAN -> ClaimAnswer.State.RAN;
+                    case NOT_RUN -> ClaimAnswer.State.NOT_RUN;
+                    case UNKNOWN, FOREIGN -> ClaimAnswer.State.UNKNOWN;
+                    default -> ClaimAnswer.State.RUNNING;
+                };
+        return new ClaimAnswer(state, mAnswer);
+    }
+
+    private void onBackend(BookingEvent event, long nowMillis, List<BookingEffect> effects) {
+        if (event instanceof BookingEvent.Connected) {
+            connected(nowMillis, effects);
+        } else if (event instanceof BookingEvent.FirstByteWritten) {
+            firstByte();
+        } else if (event instanceof BookingEvent.ConnectFailedBeforeFirstByte) {
+            connectFailed(nowMillis, effects);
+        } else if (event instanceof BookingEvent.ResponseComplete complete) {
+            complete(complete.answer(), effects);
+        } else if (event instanceof BookingEvent.FailedAfterFirstByte) {
+            failed(effects);
+        }
+    }
+
+    private void held(long nowMillis, List<BookingEffect> effects) {
+        if (mState == State.CLAIMING || mState == State.READING_BACK) {
+            dispatch(nowMillis, effects);
+        }
+    }
+
+    private void readBack(List<BookingEffect> effects) {
+        if (mState == State.CLAIMING) {
+            // The claim may stand although its answer was lost. Refusing would be true but would
+            // leave the key claimed; dispatching without knowing could be a second run.
+            mState = State.READING_BACK;
+            effects.add(new ReadClaim(mClaim.key()));
+        }
+    }
+
+    private void standing(
+            Optional<ClaimRecord> existing, long nowMillis, List<BookingEffect> effects) {
+        if (mState != State.CLAIMING && mState != State.READING_BACK) {
+            return;
+        }
+        if (existing.isEmpty() || freedByOther(existing.get())) {
+            mState = State.CLAIMING;
+            effects.add(new WriteClaim(mClaim));
+        } else if (existing.get().sameAttempt(mClaim)) {
+            dispatch(nowMillis, effects);
+        } else {
+            foreign(existing.get(), effects);
+        }
+    }
+
+    private boolean freedByOther(ClaimRecord existing) {
+        return existing.state().frees() && !existing.sameAttempt(mClaim);
+    }
+
+    private void foreign(ClaimRecord existing, List<BookingEffect> effects) {
+        mForeign = Optional.of(existing);
+        if (!existing.fingerprint().equals(mClaim.fingerprint())) {
+            finishForeign(RefusalReason.KEY_REUSED, effects);
+        } else if (existing.state() == ClaimState.UNKNOWN) {
+            finishForeign(RefusalReason.BACKEND_FAILED, effects);
+        } else {
+            ask(existing, effects);
+        }
+    }
+
+    private void ask(ClaimRecord existing, List<BookingEffect> effects) {
+        mState = State.ASKING;
+        Optional<Incarnation> holder = existing.attempt().holder();
+        if (holder.isEmpty()) {
+            claimerUnreachable(effects);
+            return;
+        }
+        ClaimAsk ask = new ClaimAsk(mClaim.key().service(), mClaim.key().key());
+        effects.add(new AskClaimer(holder.get(), ask));
+    }
+
+    private void claimerAnswered(ClaimAnswer answer, long nowMillis, List<BookingEffect> effects) {
+        if (mState != State.ASKING) {
+            return;
+        }
+        switch (answer.state()) {
+            case RAN -> replay(answer.answer(), effects);
+            case RUNNING, NOT_RUN -> effects.add(new WakeAt(nowMillis + mSettings.askMillis()));
+            default -> claimerUnreachable(effects);
+        }
+    }
+
+    private void replay(Optional<KeptAnswer> answer, List<BookingEffect> effects) {
+        if (answer.isEmpty()) {
+            finishForeign(RefusalReason.ANSWER_EXPIRED, effects);
+            return;
+        }
+        mState = State.FOREIGN;
+        reply(new BookingReply.Answered(answer.get(), true), effects);
+    }
+
+    private void claimerUnreachable(List<BookingEffect> effects) {
+        if (mState != State.ASKING) {
+            return;
+        }
+        boolean ran = mForeign.filter(claim -> claim.state() == ClaimState.RAN).isPresent();
+        finishForeign(ran ? RefusalReason.ANSWER_EXPIRED : RefusalReason.CLAIM_BUSY, effects);
+    }
+
+    private void wake(List<BookingEffect> effects) {
+        if (mState == State.ASKING) {
+            // The holder may have freed the key or ended the call since: the claim itself says.
+            mState = State.CLAIMING;
+            effects.add(new WriteClaim(mClaim));
+        }
+    }
+
+    private void dispatch(long nowMillis, List<BookingEffect> effects) {
+        Invariants.require(
+                mState != State.NOT_RUN,
+                () -> "dispatch of " + mClaim.attempt() + " after its key was freed");
+        if (nowMillis >= mDeadlineMillis) {
+            notRun(RefusalReason.PLATFORM_AWAY, effects);
+            return;
+        }
+        mState = State.DISPATCHING;
+        mTries++;
+        effects.add(new Dispatch(mClaim.attempt(), mTries));
+    }
+
+    private void connected(long nowMillis, List<BookingEffect> effects) {
+        if (mState != State.DISPATCHING) {
+            return;
+        }
+        if (nowMillis >= mDeadlineMillis) {
+            mState = State.ABORTING;
+            effects.add(new Abort());
+            return;
+        }
+        mState = State.SENT;
+        effects.add(new SendCall());
+    }
+
+    private void firstByte() {
+        Invariants.require(
+                mState == State.DISPATCHING || mState == State.ABORTING || mState == State.SENT,
+                () -> "first byte of " + mClaim.attempt() + " written in state " + mState);
+        mState = State.SENT;
+    }
+
+    private void connectFailed(long nowMillis, List<BookingEffect> effects) {
+        if (mState == State.ABORTING) {
+            notRun(RefusalReason.NO_BACKEND, effects);
+        } else if (mState == State.DISPATCHING) {
+            if (mTries < mSettings.backendTries() && nowMillis < mDeadlineMillis) {
+                dispatch(nowMillis, effects);
+            } else {
+                notRun(RefusalReason.NO_BACKEND, effects);
+            }
+        }
+    }
+
+    private void complete(KeptAnswer answer, List<BookingEffect> effects) {
+        if (mState != State.SENT && mState != State.UNKNOWN) {
+            return;
+        }
+        mState = State.RAN;
+        mAnswer = Optional.of(answer);
+        effects.add(new RecordOutcome(mClaim, ClaimState.RAN));
+        reply(new BookingReply.Answered(answer, false), effects);
+    }
+
+    private void failed(List<BookingEffect> effects) {
+        if (mState == State.SENT || mState == State.ABORTING) {
+            // A byte may have left, so the call may have run. Trying again could run it twice,
+            // and calling it not run would make the caller do so.
+            mState = State.UNKNOWN;
+            effects.add(new RecordOutcome(mClaim, ClaimState.UNKNOWN));
+            refuse(RefusalReason.BACKEND_FAILED, effects);
+        }
+    }
+
+    private void withoutClaim(List<BookingEffect> effects) {
+        if (mState == State.READING_BACK) {
+            notRun(RefusalReason.PLATFORM_AWAY, effects);
+        } else if (mState == State.CLAIMING) {
+            // No claim was had, so there is none to free. Marking each would fill memory with the
+            // refused calls of a long outage.
+            mState = State.NOT_RUN;
+            refuse(RefusalReason.PLATFORM_AWAY, effects);
+        }
+    }
+
+    private void timeout(List<BookingEffect> effects) {
+        switch (mState) {
+            case CLAIMING, READING_BACK -> notRun(RefusalReason.PLATFORM_AWAY, effects);
+            case ASKING -> finishForeign(RefusalReason.CLAIM_BUSY, effects);
+            case DISPATCHING -> {
+                // Not run yet as far as is known, but a byte may be leaving this very moment: only
+                // the one who writes can say, so it is asked before anything is said.
+                mState = State.ABORTING;
+                effects.add(new Abort());
+            }
+            case ABORTING, SENT -> refuse(RefusalReason.DEADLINE_PASSED, effects);
+            default -> {
+                // Already answered.
+            }
+        }
+    }
+
+    private void notRun(RefusalReason reason, List<BookingEffect> effects) {
+        mState = State.NOT_RUN;
+        effects.add(new RecordOutcome(mClaim, ClaimState.NOT_RUN));
+        refuse(reason, effects);
+    }
+
+    private void finishForeign(RefusalReason reason, List<BookingEffect> effects) {
+        mState = State.FOREIGN;
+        refuse(reason, effects);
+    }
+
+    private void refuse(RefusalReason reason, List<BookingEffect> effects) {
+        reply(new BookingReply.Refused(Refusal.of(reason, "")), effects);
+    }
+
+    private void reply(BookingReply reply, List<BookingEffect> effects) {
+        if (!mReplied) {
+            mReplied = true;
+            effects.add(new Reply(reply));
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingSettings.java
@@ -0,0 +1,24 @@
+package org.cyclamenpaddle.fleet.claim;
+
+/**
+ * Limits of one keyed call.
+ *
+ * @param backendTries how many backend servers are tried before the first byte
+ * @param askMillis interval at which the holder of a claim is asked while the call runs there
+ */
+public record BookingSettings(int backendTries, long askMillis) {
+
+    /** Settings in common use. */
+    public static final BookingSettings DEFAULTS = new BookingSettings(3, 200);
+
+    public BookingSettings {
+        if (backendTries < 1 || askMillis <= 0) {
+            throw new IllegalArgumentException(
+                    "tries "
+                            + backendTries
+                            + " and ask interval "
+                            + askMillis
+                            + " ms must be above 0");
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/ClaimVerdict.java
@@ -0,0 +1,43 @@
+package org.cyclamenpaddle.fleet.claim;
+
+import org.cyclamenpaddle.fleet.claim.BookingEvent.ClaimConflict;
+import org.cyclamenpaddle.fleet.claim.BookingEvent.ClaimWritten;
+import org.cyclamenpaddle.fleet.claim.BookingEvent.PlatformAway;
+
+/** What became of a claim. */
+public sealed interface ClaimVerdict {
+
+    /** Returns the event that tells the call. */
+    BookingEvent event();
+
+    /** The platform keeps it. */
+    record Held() implements ClaimVerdict {
+
+        @Override
+        public BookingEvent event() {
+            return new ClaimWritten();
+        }
+    }
+
+    /**
+     * Another attempt holds the key.
+     *
+     * @param existing its claim
+     */
+    record Taken(ClaimRecord existing) implements ClaimVerdict {
+
+        @Override
+        public BookingEvent event() {
+            return new ClaimConflict(existing);
+        }
+    }
+
+    /** It could not be had: the platform is away, or the shard is full. */
+    record Unavailable() implements ClaimVerdict {
+
+        @Override
+        public BookingEvent event() {
+            return new PlatformAway();
+        }
+    }
+}
