--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Confirmation.java
@@ -0,0 +1,162 @@
+package org.cyclamenpaddle.fleet.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.core.message.ProbeAsk;
+import org.cyclamenpaddle.fleet.membership.MembershipEffect.ProbeByNewConnection;
+import org.cyclamenpaddle.fleet.membership.MembershipEffect.SendTo;
+
+/** Turns silence into a confirmed death, or into a sign of life. */
+final class Confirmation {
+
+    private static final int PAUSE_TICKS = 4;
+
+    private final MemberView mView;
+    private final MembershipSettings mSettings;
+    private final HeartbeatWriter mWriter;
+    private final UniformRandomProvider mRandom;
+
+    Confirmation(
+            MemberView view,
+            MembershipSettings settings,
+            HeartbeatWriter writer,
+            UniformRandomProvider random) {
+        mView = view;
+        mSettings = settings;
+        mWriter = writer;
+        mRandom = random;
+    }
+
+    /** Takes in that {@code gapMillis} passed since the last tick. */
+    void forgiveOwnPause(long gapMillis, long nowMillis) {
+        if (gapMillis > PAUSE_TICKS * mSettings.tickMillis()) {
+            // This process was paused, so all others look silent and its probes look failed.
+            // Without this it would call every host dead at once on waking up. What it missed is
+            // not held against them, and rounds of confirmation start afresh.
+            long retry =
+                    nowMillis - mSettings.suspectAfterMillis() + mSettings.probeTimeoutMillis();
+            mView.table().members().forEach(member -> member.forgive(gapMillis, retry));
+        }
+    }
+
+    /** Suspects the hosts that this one watches and that are silent. */
+    void suspectSilent(long nowMillis, List<MembershipEffect> effects) {
+        List<Member> silent =
+                mView.table().members().stream()
+                        .filter(member -> !member.dead() && member.suspicion().isEmpty())
+                        .filter(m -> nowMillis - m.heardMillis() >= mSettings.suspectAfterMillis())
+                        .filter(m -> m.state() == HostState.SUSPECT || mView.watches(m))
+                        .filter(member -> !member.unreachableHere() || retryDue(member, nowMillis))
+                        .collect(Collectors.toList());
+        silent.forEach(member -> suspect(member, true, nowMillis, effects));
+    }
+
+    /** Judges all suspects. */
+    void judgeAll(long nowMillis, List<MembershipEffect> effects) {
+        List<Member> suspects =
+                mView.table().members().stream()
+                        .filter(member -> member.suspicion().isPresent())
+                        .collect(Collectors.toList());
+        suspects.forEach(member -> judge(member, nowMillis, effects));
+    }
+
+    /**
+     * Starts a round of confirmation.
+     *
+     * @param firstHand whether this host itself noticed the silence; else only its own connection
+     *     is tried, as whoever told of the death has asked others already
+     */
+    void suspect(Member member, boolean firstHand, long nowMillis, List<MembershipEffect> effects) {
+        List<HostRecord> helpers = firstHand ? helpers(member) : List.of();
+        long deadline = nowMillis + mSettings.probeTimeoutMillis();
+        if (member.suspect(new Suspicion(deadline, helpers.size(), firstHand), nowMillis)) {
+            mView.changed(member, effects);
+        }
+        effects.add(new ProbeByNewConnection(member.record()));
+        ProbeAsk ask = new ProbeAsk(member.record());
+        helpers.forEach(helper -> effects.add(new SendTo(helper, ask)));
+    }
+
+    /** Takes in what a host that was asked found out. */
+    void answer(Member member, boolean reachable, long nowMillis, List<MembershipEffect> effects) {
+        member.suspicion().ifPresent(suspicion -> suspicion.answer(reachable));
+        judge(member, nowMillis, effects);
+    }
+
+    /** Takes in the result of this host's own new connection. */
+    void ownResult(
+            Member member, boolean reachable, long nowMillis, List<MembershipEffect> effects) {
+        if (reachable) {
+            heard(member, nowMillis, effects);
+        } else {
+            member.suspicion().ifPresent(suspicion -> suspicion.ownResult(false));
+            judge(member, nowMillis, effects);
+        }
+    }
+
+    /** Takes in a sign of life; a host that was dead is told what it missed. */
+    void heard(Member member, long nowMillis, List<MembershipEffect> effects) {
+        boolean wasDead = member.dead();
+        if (member.heard(nowMillis)) {
+            mView.changed(member, effects);
+        }
+        if (wasDead) {
+            effects.add(mWriter.introduction(member.record()));
+        }
+    }
+
+    /** Tries to reach a dead host unless that was done lately. */
+    void retryDead(Member member, long nowMillis, List<MembershipEffect> effects) {
+        if (member.dead() && retryDue(member, nowMillis)) {
+            member.probed(nowMillis);
+            effects.add(new ProbeByNewConnection(member.record()));
+        }
+    }
+
+    private void judge(Member member, long nowMillis, List<MembershipEffect> effects) {
+        if (member.suspicion().isEmpty()) {
+            return;
+        }
+        Suspicion suspicion = member.suspicion().get();
+        if (suspicion.overdue(nowMillis, mSettings.retryMillis())) {
+            suspect(member, suspicion.firstHand(), nowMillis, effects);
+        } else if (suspicion.settled(nowMillis)) {
+            settle(member, suspicion, nowMillis, effects);
+        }
+    }
+
+    private void settle(
+            Member member, Suspicion suspicion, long nowMillis, List<MembershipEffect> effects) {
+        if (suspicion.reachedByOthers()) {
+            // Only the way from here to the host is broken. Calling it dead would cancel streams
+            // that it serves well; not using it from here is enough.
+            member.unreachable(nowMillis);
+            mView.changed(member, effects);
+            return;
+        }
+        member.die(nowMillis);
+        mView.changed(member, effects);
+        if (suspicion.firstHand()) {
+            List<HostRecord> targets = mView.plan().newsTargets(mView.self());
+            effects.addAll(mWriter.to(targets, List.of(member.record())));
+        }
+    }
+
+    private List<HostRecord> helpers(Member suspect) {
+        List<HostRecord> candidates =
+                mView.table().records(m -> m.state() == HostState.ALIVE && m != suspect);
+        List<HostRecord> chosen = new ArrayList<>();
+        while (chosen.size() < mSettings.probeHelpers() && !candidates.isEmpty()) {
+            chosen.add(candidates.remove(mRandom.nextInt(candidates.size())));
+        }
+        return chosen;
+    }
+
+    private boolean retryDue(Member member, long nowMillis) {
+        return nowMillis - member.probedMillis() >= mSettings.retryMillis();
+    }
+}
