--- /dev/null
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/order/WeightLoadBudget.java
@@ -0,0 +1,29 @@
+package org.cyclamenpaddle.fleet.order;
+
+/**
+ * How many engines may load weights at a time, so that each load ends within its order's time.
+ *
+ * @param storeBytesPerSecond rate of the weight store, shared by all loads
+ * @param loadBytesPerSecond rate that one load needs to end in time
+ */
+public record WeightLoadBudget(long storeBytesPerSecond, long loadBytesPerSecond) {
+
+    /** Key of the slots in the platform. */
+    public static final String PATH = "status/weight-loads";
+
+    public WeightLoadBudget {
+        if (storeBytesPerSecond <= 0 || loadBytesPerSecond <= 0) {
+            throw new IllegalArgumentException(
+                    "rates must be above 0: " + storeBytesPerSecond + ", " + loadBytesPerSecond);
+        }
+    }
+
+    /** Returns the limit for {@link SharedSlots#acquire}, at least 1. */
+    public int limit() {
+        return (int) Math.max(1, Math.min(Integer.MAX_VALUE, ratio()));
+    }
+
+    private long ratio() {
+        return storeBytesPerSecond / loadBytesPerSecond;
+    }
+}
