Let hosts say that they have no record of a key, and that a claim is unreadable

Cause: with the platform away, a resend of a call that ran through another host would be refused as not run. To tell the two apart the peers are asked; one that has no memory of the key must not say that it may have run, and a refusal that cannot rule a run out must not say not run.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/ClaimAnswer.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/ClaimAnswer.java
@@ -18,8 +18,10 @@
         RAN,
         /** Provably no byte of the call left. */
         NOT_RUN,
-        /** It may have run, or the claimer has no memory of it. */
-        UNKNOWN
+        /** It may have run. */
+        UNKNOWN,
+        /** The host asked has no memory of the key. */
+        NO_RECORD
     }
 
     /**
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
@@ -29,6 +29,7 @@
     RETRY_BUDGET_EMPTY(503, UNKNOWN, true, "An attempt failed and no retry is left."),
     QUARANTINED(422, NOT_RUN, true, "Requests like this one crashed backend servers."),
     PLATFORM_AWAY(503, NOT_RUN, true, "No claim could be had for the key."),
+    CLAIM_UNREADABLE(503, UNKNOWN, true, "No claim could be had, and the key may be in use."),
     CLAIM_BUSY(409, UNKNOWN, true, "The key is claimed and its answer is not known yet."),
     BACKEND_FAILED(502, UNKNOWN, true, "The backend server failed during the call."),
     DEADLINE_PASSED(504, UNKNOWN, true, "The answer did not come in time."),
