--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEffect.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEffect.java
@@ -46,6 +46,14 @@
      */
     record AskClaimer(Incarnation holder, ClaimAsk ask) implements BookingEffect {}
 
+    /**
+     * Ask every host of the view, this one too, what it knows of the key; report by {@link
+     * BookingEvent.PeersAnswered} within a fraction of a second.
+     *
+     * @param ask the ask
+     */
+    record AskPeers(ClaimAsk ask) implements BookingEffect {}
+
     /**
      * Have the outcome written by {@link ClaimShard#outcome}, in the background until it is kept.
      *
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEvent.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEvent.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.fleet.claim;
 
+import java.util.List;
 import java.util.Optional;
 import org.cyclamenpaddle.core.message.ClaimAnswer;
 import org.cyclamenpaddle.core.message.ClaimAnswer.KeptAnswer;
@@ -68,6 +69,20 @@
     /** The host that holds the claim did not answer, or is dead. */
     record ClaimerUnreachable() implements BookingEvent {}
 
+    /**
+     * The peers said what they know of the key.
+     *
+     * @param states what each host asked knows, this one's other calls among them
+     * @param complete whether every host of the view answered, in the life in which the view has
+     *     it, and no host was lost lately ({@code Membership.lostLately})
+     */
+    record PeersAnswered(List<ClaimAnswer.State> states, boolean complete) implements BookingEvent {
+
+        public PeersAnswered {
+            states = List.copyOf(states);
+        }
+    }
+
     /** The time named by {@link BookingEffect.WakeAt} has come. */
     record Wake() implements BookingEvent {}
 
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingMachine.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingMachine.java
@@ -12,6 +12,7 @@
 import org.cyclamenpaddle.core.outcome.RefusalReason;
 import org.cyclamenpaddle.fleet.claim.BookingEffect.Abort;
 import org.cyclamenpaddle.fleet.claim.BookingEffect.AskClaimer;
+import org.cyclamenpaddle.fleet.claim.BookingEffect.AskPeers;
 import org.cyclamenpaddle.fleet.claim.BookingEffect.Dispatch;
 import org.cyclamenpaddle.fleet.claim.BookingEffect.ReadClaim;
 import org.cyclamenpaddle.fleet.claim.BookingEffect.RecordOutcome;
@@ -38,6 +39,7 @@
         CLAIMING,
         READING_BACK,
         ASKING,
+        ASKING_PEERS,
         DISPATCHING,
         ABORTING,
         SENT,
@@ -102,6 +104,8 @@
             claimerAnswered(answered.answer(), nowMillis, effects);
         } else if (event instanceof BookingEvent.ClaimerUnreachable) {
             claimerUnreachable(effects);
+        } else if (event instanceof BookingEvent.PeersAnswered answered) {
+            peersAnswered(answered, effects);
         } else if (event instanceof BookingEvent.Wake) {
             wake(effects);
         } else if (event instanceof BookingEvent.Timeout) {
@@ -125,12 +129,16 @@
         };
     }
 
-    /** Returns what this host answers to {@link ClaimAsk} about its own attempt. */
+    /**
+     * Returns what this host answers to {@link ClaimAsk} about its own attempt.
+     *
+     * <p>A call whose claim is still open counts as running, since it may yet be had.
+     */
     public ClaimAnswer answer() {
         ClaimAnswer.State state =
                 switch (mState) {
                     case RAN -> ClaimAnswer.State.RAN;
-                    case NOT_RUN -> ClaimAnswer.State.NOT_RUN;
+                    case NOT_RUN, ASKING_PEERS -> ClaimAnswer.State.NOT_RUN;
                     case UNKNOWN, FOREIGN -> ClaimAnswer.State.UNKNOWN;
                     default -> ClaimAnswer.State.RUNNING;
                 };
@@ -203,8 +211,7 @@
             claimerUnreachable(effects);
             return;
         }
-        ClaimAsk ask = new ClaimAsk(mClaim.key().service(), mClaim.key().key());
-        effects.add(new AskClaimer(holder.get(), ask));
+        effects.add(new AskClaimer(holder.get(), ask()));
     }
 
     private void claimerAnswered(ClaimAnswer answer, long nowMillis, List<BookingEffect> effects) {
@@ -310,18 +317,56 @@
 
     private void withoutClaim(List<BookingEffect> effects) {
         if (mState == State.READING_BACK) {
-            notRun(RefusalReason.PLATFORM_AWAY, effects);
-        } else if (mState == State.CLAIMING) {
-            // No claim was had, so there is none to free. Marking each would fill memory with the
-            // refused calls of a long outage.
-            mState = State.NOT_RUN;
-            refuse(RefusalReason.PLATFORM_AWAY, effects);
+            effects.add(new RecordOutcome(mClaim, ClaimState.NOT_RUN));
+        }
+        // Where no claim was sent there is none to free. Marking each would fill memory with the
+        // refused calls of a long outage.
+        if (mState == State.CLAIMING || mState == State.READING_BACK) {
+            askPeers(effects);
+        }
+    }
+
+    private void askPeers(List<BookingEffect> effects) {
+        if (mForeign.isPresent()) {
+            mState = State.ASKING;
+            claimerUnreachable(effects);
+            return;
         }
+        // This attempt will not run, but the request may be a resend of one that ran through
+        // another host. Saying not run would make the caller book again under a new key.
+        mState = State.ASKING_PEERS;
+        effects.add(new AskPeers(ask()));
+    }
+
+    private void peersAnswered(BookingEvent.PeersAnswered answered, List<BookingEffect> effects) {
+        if (mState != State.ASKING_PEERS) {
+            return;
+        }
+        mState = State.NOT_RUN;
+        boolean unused =
+                answered.complete()
+                        && answered.states().stream().allMatch(BookingMachine::provesNotRun);
+        refuse(unused ? RefusalReason.PLATFORM_AWAY : RefusalReason.CLAIM_UNREADABLE, effects);
+    }
+
+    private static boolean provesNotRun(ClaimAnswer.State state) {
+        return state == ClaimAnswer.State.NO_RECORD || state == ClaimAnswer.State.NOT_RUN;
+    }
+
+    private ClaimAsk ask() {
+        return new ClaimAsk(mClaim.key().service(), mClaim.key().key());
     }
 
     private void timeout(List<BookingEffect> effects) {
         switch (mState) {
-            case CLAIMING, READING_BACK -> notRun(RefusalReason.PLATFORM_AWAY, effects);
+            case CLAIMING, READING_BACK -> {
+                effects.add(new RecordOutcome(mClaim, ClaimState.NOT_RUN));
+                askPeers(effects);
+            }
+            case ASKING_PEERS -> {
+                mState = State.NOT_RUN;
+                refuse(RefusalReason.CLAIM_UNREADABLE, effects);
+            }
             case ASKING -> finishForeign(RefusalReason.CLAIM_BUSY, effects);
             case DISPATCHING -> {
                 // Not run yet as far as is known, but a byte may be leaving this very moment: only
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Member.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Member.java
@@ -41,6 +41,11 @@
         return !mLeaving && !dead() && !mUnreachableHere;
     }
 
+    /** Returns whether it is neither known to live nor known to be dead. */
+    boolean inDoubt() {
+        return state() == HostState.SUSPECT;
+    }
+
     boolean unreachableHere() {
         return mUnreachableHere;
     }
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MemberView.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MemberView.java
@@ -17,6 +17,7 @@
     private final MemberTable mTable = new MemberTable();
     private HostRecord mSelf;
     private Optional<WatchPlan> mPlan = Optional.empty();
+    private Optional<Long> mSupersededMillis = Optional.empty();
     private Set<HostId> mWatched = Set.of();
 
     MemberView(HostRecord self, MembershipSettings settings) {
@@ -42,6 +43,9 @@
     }
 
     Member add(HostRecord record, long nowMillis, List<MembershipEffect> effects) {
+        if (mTable.member(id(record)).isPresent()) {
+            mSupersededMillis = Optional.of(nowMillis);
+        }
         HostRecord unsuspected =
                 record.state() == HostState.SUSPECT ? record.in(HostState.ALIVE) : record;
         Member member = mTable.put(unsuspected, nowMillis);
@@ -78,6 +82,18 @@
         return mPlan.get();
     }
 
+    /**
+     * Returns whether some life of a host ended, or is in doubt, so that its memory may be lost.
+     *
+     * @param sinceMillis from when on an end counts
+     */
+    boolean lostSince(long sinceMillis) {
+        boolean superseded = mSupersededMillis.filter(at -> at >= sinceMillis).isPresent();
+        return superseded
+                || mTable.members().stream()
+                        .anyMatch(m -> m.inDoubt() || m.dead() && m.changedMillis() >= sinceMillis);
+    }
+
     /** Returns whether it is on this host to notice the silence of a member. */
     boolean watches(Member member) {
         plan();
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Membership.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Membership.java
@@ -238,6 +238,16 @@
                 .orElse(Standing.UNKNOWN);
     }
 
+    /**
+     * Returns whether some host died, was restarted or fell silent within a span of time, so that
+     * what it knew may be lost. Ends from before this host's own start are not known to it.
+     *
+     * @param spanMillis the span that ends now
+     */
+    public boolean lostLately(long spanMillis, long nowMillis) {
+        return mView.lostSince(nowMillis - spanMillis);
+    }
+
     /** Returns what the latest heartbeats of living hosts heard directly said of their replicas. */
     public Map<HostId, PeerDigest> peerDigests() {
         return Map.copyOf(mDigests);
