--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Confirmation.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Confirmation.java
@@ -14,6 +14,7 @@
 final class Confirmation {
 
     private static final int PAUSE_TICKS = 4;
+    private static final int NEIGHBOURS = 2;
 
     private final MemberView mView;
     private final MembershipSettings mSettings;
@@ -105,6 +106,7 @@
             mView.changed(member, effects);
         }
         if (wasDead) {
+            mView.replan();
             effects.add(mWriter.introduction(member.record()));
         }
     }
@@ -139,10 +141,32 @@
             return;
         }
         member.die(nowMillis);
+        mView.replan();
         mView.changed(member, effects);
         if (suspicion.firstHand()) {
             List<HostRecord> targets = mView.plan().newsTargets(mView.self());
             effects.addAll(mWriter.to(targets, List.of(member.record())));
+            suspectNeighbours(member, nowMillis, effects);
+        }
+    }
+
+    /**
+     * Tries a few more hosts of a dead host's domain.
+     *
+     * <p>A rack, a domain or the way to it fails as a whole, and most of its hosts are watched from
+     * inside it. Without this a side of a partition would keep them as alive until its watch plan
+     * has come round to each. Every death so found leads to more, every sign of life ends it.
+     */
+    private void suspectNeighbours(Member dead, long nowMillis, List<MembershipEffect> effects) {
+        List<Member> silent =
+                mView.table().members().stream()
+                        .filter(m -> m.record().domain().equals(dead.record().domain()))
+                        .filter(m -> !m.dead() && m.suspicion().isEmpty())
+                        .filter(m -> nowMillis - m.heardMillis() >= mSettings.suspectAfterMillis())
+                        .collect(Collectors.toList());
+        for (int i = 0; i < NEIGHBOURS && !silent.isEmpty(); i++) {
+            Member next = silent.remove(mRandom.nextInt(silent.size()));
+            suspect(next, true, nowMillis, effects);
         }
     }
 
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MemberView.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MemberView.java
@@ -39,7 +39,7 @@
 
     void leave() {
         mSelf = mSelf.in(HostState.LEAVING);
-        mPlan = Optional.empty();
+        replan();
     }
 
     Member add(HostRecord record, long nowMillis, List<MembershipEffect> effects) {
@@ -49,12 +49,17 @@
         HostRecord unsuspected =
                 record.state() == HostState.SUSPECT ? record.in(HostState.ALIVE) : record;
         Member member = mTable.put(unsuspected, nowMillis);
+        replan();
         changed(member, effects);
         return member;
     }
 
-    void changed(Member member, List<MembershipEffect> effects) {
+    /** Has the watch plan worked out anew, as the hosts that take part changed. */
+    void replan() {
         mPlan = Optional.empty();
+    }
+
+    void changed(Member member, List<MembershipEffect> effects) {
         effects.add(new HostChanged(member.record()));
     }
 
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MembershipSettings.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MembershipSettings.java
@@ -16,8 +16,9 @@
  *   <li>the owner lists the engine's attempts and cancels: two round trips.
  * </ul>
  *
- * <p>This leaves about 400 ms for the hops and the engine's round trips. A live host that is silent
- * for less than 1,100 ms is never called dead, as its watchers' connections still get through.
+ * <p>This leaves about 400 ms for the hops and the engine's round trips. A live host that is paused
+ * for less than 600 ms is never called dead: at most 500 ms after its last heartbeat, so 1,100 ms
+ * of silence, a watcher's new connection still gets through.
  *
  * @param heartbeatMillis interval between heartbeats
  * @param suspectAfterMillis silence after which a watcher suspects a host
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/MembershipRun.java
@@ -0,0 +1,188 @@
+package org.cyclamenpaddle.fleet.simulation;
+
+import static org.cyclamenpaddle.core.invariant.Invariants.require;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.fleet.simulation.MembershipFleet.Host;
+
+/**
+ * Random faults on a fleet, one or two a round, each round ended by healing and a check.
+ *
+ * <p>Invariants: after healing every live host sees every other as alive and every killed life as
+ * ended; a killed host is seen as dead by all within {@value #DETECTION_MILLIS} ms if nothing else
+ * fails; a host paused for less than {@value #HARMLESS_PAUSE_MILLIS} ms is never seen as dead.
+ */
+final class MembershipRun {
+
+    static final long DETECTION_MILLIS = 1_700;
+    static final long HARMLESS_PAUSE_MILLIS = 550;
+    private static final long SETTLE_MILLIS = 20_000;
+
+    private final MembershipFleet mFleet;
+    private final int mHosts;
+    private long mSlowestDetection;
+
+    MembershipRun(int hosts, int domains, long seed) {
+        mHosts = hosts;
+        mFleet = new MembershipFleet(hosts, domains, seed);
+        mFleet.mQueue.runFor(SETTLE_MILLIS);
+        checkSettled("start");
+    }
+
+    void rounds(int rounds) {
+        for (int i = 0; i < rounds; i++) {
+            Fault fault = Fault.values()[mFleet.mRandom.nextInt(Fault.values().length)];
+            fault.inflict(this);
+            heal();
+            mFleet.mQueue.runFor(SETTLE_MILLIS);
+            checkSettled(fault + " in round " + i);
+        }
+    }
+
+    long slowestDetection() {
+        return mSlowestDetection;
+    }
+
+    long messagesPerHostSecond(long seconds) {
+        long before = mFleet.mMessages;
+        mFleet.mQueue.runFor(seconds * 1_000);
+        return (mFleet.mMessages - before) / seconds / mHosts;
+    }
+
+    void kill(boolean machine) {
+        Host victim = anyHost();
+        victim.mUp = false;
+        victim.mMachineDown = machine;
+        List<Host> others = mFleet.up();
+        long killed = mFleet.mQueue.now();
+        while (others.stream().anyMatch(host -> host.view(victim) != HostState.DEAD)) {
+            mFleet.mQueue.runFor(10);
+            long passed = mFleet.mQueue.now() - killed;
+            require(passed <= DETECTION_MILLIS, () -> victim.mRecord + " unnoticed: " + passed);
+            mSlowestDetection = Math.max(mSlowestDetection, passed);
+        }
+    }
+
+    private Host anyHost() {
+        List<Host> up = mFleet.up();
+        return up.get(mFleet.mRandom.nextInt(up.size()));
+    }
+
+    private void heal() {
+        mFleet.mConnected = (a, b) -> true;
+        mFleet.mLoss = 0;
+        List<Host> down =
+                mFleet.mHosts.values().stream().filter(h -> !h.mUp).collect(Collectors.toList());
+        down.forEach(mFleet::restart);
+    }
+
+    private void checkSettled(String after) {
+        for (Host a : mFleet.up()) {
+            for (Host b : mFleet.up()) {
+                require(
+                        a.view(b) == HostState.ALIVE,
+                        () -> a.mRecord + " sees " + b.mRecord + " as " + a.view(b) + " " + after);
+            }
+        }
+    }
+
+    /** What goes wrong in a round. */
+    private enum Fault {
+        PROCESS_KILLED {
+            @Override
+            void inflict(MembershipRun run) {
+                run.kill(false);
+            }
+        },
+        MACHINE_DOWN {
+            @Override
+            void inflict(MembershipRun run) {
+                run.kill(true);
+            }
+        },
+        RESTART {
+            @Override
+            void inflict(MembershipRun run) {
+                run.mFleet.restart(run.anyHost());
+                run.mFleet.restart(run.anyHost());
+            }
+        },
+        SHORT_PAUSE {
+            @Override
+            void inflict(MembershipRun run) {
+                Host host = run.anyHost();
+                MembershipFleet fleet = run.mFleet;
+                host.mPausedUntil = fleet.mQueue.now() + HARMLESS_PAUSE_MILLIS;
+                for (int i = 0; i < 200; i++) {
+                    fleet.mQueue.runFor(10);
+                    for (Host other : fleet.up()) {
+                        require(
+                                other.view(host) != HostState.DEAD
+                                        && host.view(other) != HostState.DEAD,
+                                () -> "pause of " + host.mRecord + " taken for a death");
+                    }
+                }
+            }
+        },
+        LONG_PAUSE {
+            @Override
+            void inflict(MembershipRun run) {
+                Host host = run.anyHost();
+                MembershipFleet fleet = run.mFleet;
+                host.mPausedUntil = fleet.mQueue.now() + 2_000 + fleet.mRandom.nextInt(30_000);
+                fleet.mQueue.runFor(host.mPausedUntil - fleet.mQueue.now() + 200);
+                for (Host other : fleet.up()) {
+                    require(
+                            host.view(other) != HostState.DEAD,
+                            () -> host.mRecord + " woke up and called " + other.mRecord + " dead");
+                }
+            }
+        },
+        PARTITION {
+            @Override
+            void inflict(MembershipRun run) {
+                int cut = run.mFleet.mRandom.nextInt(2);
+                run.mFleet.mConnected =
+                        (a, b) ->
+                                a.domain().value().endsWith(Integer.toString(cut))
+                                        == b.domain().value().endsWith(Integer.toString(cut));
+                run.mFleet.mQueue.runFor(5_000);
+                for (Host a : run.mFleet.up()) {
+                    for (Host b : run.mFleet.up()) {
+                        boolean together = run.mFleet.mConnected.test(a.mRecord, b.mRecord);
+                        require(
+                                together == (a.view(b) != HostState.DEAD),
+                                () -> a.mRecord + " sees " + b.mRecord + " as " + a.view(b));
+                    }
+                }
+            }
+        },
+        LINK_CUT {
+            @Override
+            void inflict(MembershipRun run) {
+                Host one = run.anyHost();
+                Host two = run.anyHost();
+                run.mFleet.mConnected =
+                        (a, b) -> !(a.equals(one.mRecord) && b.equals(two.mRecord)) || one == two;
+                run.mFleet.mQueue.runFor(10_000);
+                require(
+                        one.view(two) != HostState.DEAD && two.view(one) != HostState.DEAD,
+                        () -> "cut link taken for the death of " + two.mRecord);
+            }
+        },
+        LOSS {
+            @Override
+            void inflict(MembershipRun run) {
+                run.mFleet.mLoss = 0.3;
+                run.mFleet.mQueue.runFor(10_000);
+                Host victim = run.anyHost();
+                run.mFleet.restart(victim);
+                run.mFleet.mQueue.runFor(5_000);
+            }
+        };
+
+        abstract void inflict(MembershipRun run);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded random runs of each state machine over small fakes, in virtual time. */
+package org.cyclamenpaddle.fleet.simulation;
