--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingTable.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingTable.java
@@ -61,13 +61,17 @@
      *
      * @param key the key
      * @param asking attempt of this host that asks and is left out, if any
+     * @param lostLately whether the memory of another host was lost within the time in which
+     *     callers send a call again ({@code Membership.lostLately}); a host that was started since
+     *     asks this one because it can't know of that loss
      */
-    public ClaimAnswer answer(ClaimKey key, Optional<AttemptId> asking, long nowMillis) {
+    public ClaimAnswer answer(
+            ClaimKey key, Optional<AttemptId> asking, boolean lostLately, long nowMillis) {
         return mByKey.getOrDefault(key, List.of()).stream()
                 .filter(call -> asking.filter(call.claim().attempt()::equals).isEmpty())
                 .map(BookingMachine::answer)
                 .min(Comparator.comparing(BookingTable::rank))
-                .orElseGet(() -> withoutRecord(nowMillis));
+                .orElseGet(() -> withoutRecord(lostLately, nowMillis));
     }
 
     /** Returns how many calls are kept. */
@@ -75,11 +79,13 @@
         return mCalls.size();
     }
 
-    private ClaimAnswer withoutRecord(long nowMillis) {
+    private ClaimAnswer withoutRecord(boolean lostLately, long nowMillis) {
         boolean maybeDropped =
                 mNewestDroppedMillis.filter(at -> nowMillis - at < mResendMillis).isPresent();
         return new ClaimAnswer(
-                maybeDropped ? ClaimAnswer.State.UNKNOWN : ClaimAnswer.State.NO_RECORD,
+                lostLately || maybeDropped
+                        ? ClaimAnswer.State.UNKNOWN
+                        : ClaimAnswer.State.NO_RECORD,
                 Optional.empty());
     }
 
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/HeartbeatWriter.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/HeartbeatWriter.java
@@ -36,7 +36,7 @@
 
     /** Returns the heartbeats that are due at each interval. */
     List<MembershipEffect> regular(long nowMillis) {
-        Set<HostRecord> targets = new HashSet<>(mView.plan().watchersOf(mView.self()));
+        Set<HostRecord> targets = new HashSet<>(mView.watchers());
         gossipPartner().ifPresent(targets::add);
         Heartbeat heartbeat = heartbeat(gossip(nowMillis));
         return targets.stream()
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MemberView.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/MemberView.java
@@ -19,6 +19,7 @@
     private Optional<WatchPlan> mPlan = Optional.empty();
     private Optional<Long> mSupersededMillis = Optional.empty();
     private Set<HostId> mWatched = Set.of();
+    private List<HostRecord> mWatchers = List.of();
 
     MemberView(HostRecord self, MembershipSettings settings) {
         mSelf = self;
@@ -82,7 +83,8 @@
             List<HostRecord> taking = withSelf(true, mTable.records(m -> !m.dead()));
             WatchPlan plan = new WatchPlan(mSettings, taking);
             mPlan = Optional.of(plan);
-            mWatched = plan.watchedBy(mSelf, taking);
+            mWatched = plan.watchedBy(mSelf);
+            mWatchers = plan.watchersOf(mSelf);
         }
         return mPlan.get();
     }
@@ -99,6 +101,12 @@
                         .anyMatch(m -> m.inDoubt() || m.dead() && m.changedMillis() >= sinceMillis);
     }
 
+    /** Returns the hosts to which this one sends its heartbeats. */
+    List<HostRecord> watchers() {
+        plan();
+        return mWatchers;
+    }
+
     /** Returns whether it is on this host to notice the silence of a member. */
     boolean watches(Member member) {
         plan();
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/WatchPlan.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/WatchPlan.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.FailureDomain;
@@ -19,13 +21,19 @@
  */
 final class WatchPlan {
 
-    private static final String DOMAIN_WATCHER = "domain-watcher:";
-    private static final String OTHER_WATCHER = "other-watcher:";
     private static final String DELEGATE = "delegate:";
     private static final int DELEGATES = 2;
 
+    private record Candidate(HostRecord host, long hash) {
+
+        boolean in(FailureDomain domain) {
+            return host.domain().equals(domain);
+        }
+    }
+
     private final MembershipSettings mSettings;
-    private final Collection<HostRecord> mHosts;
+    private final List<Candidate> mHosts;
+    private final Map<FailureDomain, Long> mDomainSizes;
 
     /**
      * Creates the plan of a view.
@@ -35,74 +43,81 @@
      */
     WatchPlan(MembershipSettings settings, Collection<HostRecord> hosts) {
         mSettings = settings;
-        mHosts = hosts;
+        mHosts =
+                hosts.stream()
+                        .map(host -> new Candidate(host, Rendezvous.hash(host)))
+                        .collect(Collectors.toList());
+        mDomainSizes =
+                hosts.stream()
+                        .map(HostRecord::domain)
+                        .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
     }
 
     /** Returns the hosts to which {@code watched} sends its heartbeats. */
     List<HostRecord> watchersOf(HostRecord watched) {
-        List<HostRecord> others =
-                mHosts.stream()
-                        .filter(host -> !host.incarnation().host().equals(id(watched)))
-                        .collect(Collectors.toList());
-        if (others.size() < mSettings.fullMeshHosts()) {
-            return others;
-        }
-        List<HostRecord> local = in(others, watched.domain(), true);
-        List<HostRecord> remote = in(others, watched.domain(), false);
-        int missing = Math.max(0, mSettings.domainWatchers() - local.size());
-        return Stream.concat(
-                        top(DOMAIN_WATCHER, watched, local, mSettings.domainWatchers()),
-                        top(OTHER_WATCHER, watched, remote, mSettings.otherWatchers() + missing))
+        Candidate subject = new Candidate(watched, Rendezvous.hash(watched));
+        return mHosts.stream()
+                .filter(watcher -> watches(watcher, subject))
+                .map(Candidate::host)
                 .collect(Collectors.toList());
     }
 
     /** Returns the hosts whose silence {@code watcher} has to notice. */
-    Set<HostId> watchedBy(HostRecord watcher, Collection<HostRecord> candidates) {
-        return candidates.stream()
-                .filter(host -> !id(host).equals(id(watcher)))
-                .filter(host -> watchersOf(host).stream().anyMatch(w -> id(w).equals(id(watcher))))
-                .map(WatchPlan::id)
+    Set<HostId> watchedBy(HostRecord watcher) {
+        Candidate self = new Candidate(watcher, Rendezvous.hash(watcher));
+        return mHosts.stream()
+                .filter(watched -> watches(self, watched))
+                .map(watched -> MemberView.id(watched.host()))
                 .collect(Collectors.toSet());
     }
 
     /** Returns whom to tell urgent news: the own domain and the delegates of each other one. */
     List<HostRecord> newsTargets(HostRecord self) {
         Stream<HostRecord> delegates =
-                mHosts.stream()
-                        .map(HostRecord::domain)
+                mDomainSizes.keySet().stream()
                         .filter(domain -> !domain.equals(self.domain()))
-                        .distinct()
-                        .flatMap(
-                                domain ->
-                                        Rendezvous.top(
-                                                DELEGATE + domain,
-                                                in(mHosts, domain, true),
-                                                DELEGATES)
-                                                .stream());
+                        .sorted()
+                        .flatMap(d -> Rendezvous.top(DELEGATE + d, in(d), DELEGATES).stream());
         return Stream.concat(relayTargets(self).stream(), delegates).collect(Collectors.toList());
     }
 
     /** Returns whom a delegate tells news from another domain. */
     List<HostRecord> relayTargets(HostRecord self) {
-        return mHosts.stream()
-                .filter(host -> host.domain().equals(self.domain()))
-                .filter(host -> !id(host).equals(id(self)))
+        return in(self.domain()).stream()
+                .filter(host -> !MemberView.id(host).equals(MemberView.id(self)))
                 .collect(Collectors.toList());
     }
 
-    private static Stream<HostRecord> top(
-            String prefix, HostRecord subject, List<HostRecord> candidates, int count) {
-        return Rendezvous.top(prefix + id(subject), candidates, count).stream();
+    private boolean watches(Candidate watcher, Candidate watched) {
+        if (MemberView.id(watcher.host()).equals(MemberView.id(watched.host()))) {
+            return false;
+        }
+        if (mHosts.size() <= mSettings.fullMeshHosts()) {
+            return true;
+        }
+        boolean local = watcher.in(watched.host().domain());
+        long weight = Rendezvous.weight(watched.hash(), watcher.hash());
+        long ahead =
+                mHosts.stream()
+                        .filter(other -> other.in(watched.host().domain()) == local)
+                        .filter(other -> other.hash() != watched.hash())
+                        .filter(o -> Rendezvous.weight(watched.hash(), o.hash()) > weight)
+                        .limit(mSettings.domainWatchers() + mSettings.otherWatchers())
+                        .count();
+        return ahead < (local ? mSettings.domainWatchers() : remoteWatchers(watched));
     }
 
-    private static List<HostRecord> in(
-            Collection<HostRecord> hosts, FailureDomain domain, boolean inside) {
-        return hosts.stream()
-                .filter(host -> host.domain().equals(domain) == inside)
-                .collect(Collectors.toList());
+    /** Returns how many hosts of other domains watch a host; more if its own domain has few. */
+    private long remoteWatchers(Candidate watched) {
+        long local = mDomainSizes.getOrDefault(watched.host().domain(), 1L) - 1;
+        long missing = Math.max(0, mSettings.domainWatchers() - local);
+        return mSettings.otherWatchers() + missing;
     }
 
-    private static HostId id(HostRecord host) {
-        return host.incarnation().host();
+    private List<HostRecord> in(FailureDomain domain) {
+        return mHosts.stream()
+                .filter(candidate -> candidate.in(domain))
+                .map(Candidate::host)
+                .collect(Collectors.toList());
     }
 }
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/MembershipFleet.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/MembershipFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiPredicate;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -36,6 +37,8 @@
     BiPredicate<HostRecord, HostRecord> mConnected = (a, b) -> true;
     double mLoss;
     long mMessages;
+    long mBytes;
+    long mNanos;
 
     MembershipFleet(int hosts, int domains, long seed) {
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
@@ -88,7 +91,6 @@
         boolean mMachineDown;
         long mPausedUntil;
         long mDigest;
-        Runnable mOnDigest = () -> {};
 
         Host(HostRecord record) {
             mRecord = record;
@@ -103,7 +105,7 @@
             return known.map(HostRecord::state).orElse(HostState.DEAD);
         }
 
-        void handle(java.util.function.Supplier<List<MembershipEffect>> event) {
+        void handle(Supplier<List<MembershipEffect>> event) {
             if (!mUp) {
                 return;
             }
@@ -111,7 +113,10 @@
                 mQueue.after(mPausedUntil - mQueue.now(), () -> handle(event));
                 return;
             }
-            event.get().forEach(this::apply);
+            long start = System.nanoTime();
+            List<MembershipEffect> effects = event.get();
+            mNanos += System.nanoTime() - start;
+            effects.forEach(this::apply);
         }
 
         private void tickAfter(long millis) {
@@ -135,6 +140,7 @@
 
         private void send(HostRecord to, PeerMessage message) {
             mMessages++;
+            mBytes += MessageSize.of(message);
             boolean lost = mRandom.nextDouble() < mLoss || !connected(mRecord, to);
             if (!lost) {
                 mQueue.after(
@@ -148,10 +154,7 @@
 
         private List<MembershipEffect> receive(HostRecord from, PeerMessage message) {
             if (message instanceof Heartbeat heartbeat) {
-                if (heartbeat.configurationDigest() > mDigest) {
-                    mDigest = heartbeat.configurationDigest();
-                    mOnDigest.run();
-                }
+                mDigest = Math.max(mDigest, heartbeat.configurationDigest());
                 return mMembership.onHeartbeat(heartbeat, mQueue.now());
             }
             if (message instanceof ProbeAsk ask) {
