--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingHost.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingHost.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.HostId;
@@ -32,7 +32,7 @@
     static final long DEADLINE_MILLIS = 1_500;
     static final long RESEND_MILLIS = 25_000;
     private static final long CLAIMER_GRACE_MILLIS = 300;
-    private static final ClaimCodec CODEC = new ClaimLines();
+    static final ClaimCodec CODEC = new ClaimLines();
 
     final int mIndex;
     final Incarnation mLife;
@@ -42,7 +42,7 @@
     private final Map<Integer, Incarnation> mKnown = new HashMap<>();
     private final Map<Integer, ClaimShard> mShards = new HashMap<>();
     private final BookingTable mTable = new BookingTable(100_000, RESEND_MILLIS);
-    private final Map<AttemptId, Consumer<BookingReply>> mCallers = new HashMap<>();
+    private final Map<AttemptId, BiConsumer<AttemptId, BookingReply>> mCallers = new HashMap<>();
     private long mAttempts;
     private long mLostAt = Long.MIN_VALUE / 2;
 
@@ -63,7 +63,7 @@
         }
     }
 
-    void book(ClaimKey key, String fingerprint, Consumer<BookingReply> caller) {
+    void book(ClaimKey key, String fingerprint, BiConsumer<AttemptId, BookingReply> caller) {
         mAttempts++;
         AttemptId attempt = AttemptId.of(mLife, mAttempts);
         long now = mRun.mQueue.now();
@@ -127,13 +127,14 @@
             } else if (effect instanceof BookingEffect.WakeAt wake) {
                 feedAfter(wake.millis() - mRun.mQueue.now(), call, new BookingEvent.Wake());
             } else if (effect instanceof BookingEffect.Reply reply) {
-                mCallers.remove(call.claim().attempt()).accept(reply.reply());
+                AttemptId attempt = call.claim().attempt();
+                mCallers.remove(attempt).accept(attempt, reply.reply());
             }
         }
     }
 
     private void dispatch(BookingMachine call) {
-        boolean connects = mRun.mRandom.nextInt(100) >= 15;
+        boolean connects = mRun.mRandom.nextInt(100) >= 40;
         feedAfter(
                 2,
                 call,
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingRun.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingRun.java
@@ -23,6 +23,7 @@
 import org.cyclamenpaddle.fleet.claim.ClaimKey;
 import org.cyclamenpaddle.fleet.claim.ClaimRecord;
 import org.cyclamenpaddle.fleet.claim.ClaimShardSettings;
+import org.cyclamenpaddle.fleet.claim.ClaimState;
 
 /**
  * Bookings whose callers send again through other hosts, while hosts die and pause and the platform
@@ -72,6 +73,26 @@
         mPlatform.mAway = false;
         mPlatform.mLoss = 0;
         mQueue.runFor(60_000);
+        requireSettled();
+    }
+
+    /** Requires that no key is left claimed by a host that lives and has ended the call. */
+    private void requireSettled() {
+        mPlatform.objects().stream()
+                .flatMap(
+                        o ->
+                                BookingHost.CODEC
+                                        .decode(o.value().get())
+                                        .get()
+                                        .claims()
+                                        .values()
+                                        .stream())
+                .filter(claim -> claim.state() == ClaimState.CLAIMED)
+                .filter(
+                        c ->
+                                mHosts.stream()
+                                        .anyMatch(h -> c.attempt().holder().get().equals(h.mLife)))
+                .forEach(claim -> require(false, () -> claim + " was never settled"));
     }
 
     /** Has a call written to a backend server. */
@@ -111,8 +132,11 @@
                         host.book(
                                 key,
                                 fingerprint,
-                                reply -> {
+                                (attempt, reply) -> {
                                     replied[0] = true;
+                                    if (reply.outcome() == RunOutcome.NOT_RUN) {
+                                        mRefused.add(attempt);
+                                    }
                                     replied(key, sends, fingerprint, reply);
                                 }));
         mQueue.after(
