--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/StandinServer.java
@@ -0,0 +1,75 @@
+package org.cyclamenpaddle.standins.http;
+
+import com.linecorp.armeria.common.util.EventLoopGroups;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/**
+ * Loopback HTTP server that can be stopped abruptly and started again on the same port.
+ *
+ * <p>All servers of a process share one small group of event loops.
+ */
+public final class StandinServer {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int EVENT_LOOPS = 4;
+    private static final long MAX_REQUEST_BYTES = 8L << 20;
+    private static final EventLoopGroup WORKERS =
+            EventLoopGroups.newEventLoopGroup(EVENT_LOOPS, "standin", true);
+
+    private final Consumer<ServerBuilder> mRoutes;
+    private Server mServer;
+    private int mPort;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param routes adds the services, once for each start
+     */
+    public StandinServer(Consumer<ServerBuilder> routes) {
+        mRoutes = routes;
+    }
+
+    /**
+     * Starts listening on loopback.
+     *
+     * @param port TCP port; 0 for any
+     */
+    public synchronized void start(int port) {
+        ServerBuilder builder =
+                Server.builder()
+                        .http(new InetSocketAddress(LOOPBACK, port))
+                        .workerGroup(WORKERS, false)
+                        .requestTimeoutMillis(0)
+                        .idleTimeoutMillis(0)
+                        .maxRequestLength(MAX_REQUEST_BYTES)
+                        .gracefulShutdownTimeoutMillis(0, 0);
+        mRoutes.accept(builder);
+        mServer = builder.build();
+        mServer.start().join();
+        mPort = mServer.activeLocalPort();
+    }
+
+    /** Returns the port of the last start. */
+    public synchronized int port() {
+        return mPort;
+    }
+
+    /** Stops listening and drops all connections; does nothing if stopped. */
+    public synchronized void stop() {
+        if (mServer != null) {
+            mServer.stop().join();
+            mServer = null;
+        }
+    }
+
+    /** Starts listening again on the port of the last start. */
+    public synchronized void restart() {
+        if (mServer == null) {
+            start(mPort);
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP plumbing that the stand-ins share. */
+package org.cyclamenpaddle.standins.http;
--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/plain/package-info.java
@@ -0,0 +1,2 @@
+/** Plain booking service that counts the runs of each key. */
+package org.cyclamenpaddle.standins.plain;
