Add engine stand-in and the stand-ins program

The engine's timing is a model without sockets, so that tests can drive it in modelled time; HTTP, crash and restart stand around it. No tests yet.

--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineCounters.java
@@ -0,0 +1,48 @@
+package org.cyclamenpaddle.standins.engine;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What an engine did since its stand-in was created; a crash does not reset it. Thread-safe. */
+final class EngineCounters {
+
+    private final AtomicLong mPrefilledTokens = new AtomicLong();
+    private final AtomicLong mWastedTokens = new AtomicLong();
+    private final AtomicLong mAttempts = new AtomicLong();
+    private final AtomicLong mGeneratedTokens = new AtomicLong();
+    private final AtomicLong mCutOff = new AtomicLong();
+    private final AtomicLong mCrashes = new AtomicLong();
+
+    void prefilled(long tokens) {
+        mPrefilledTokens.addAndGet(tokens);
+    }
+
+    void wasted(long tokens) {
+        mWastedTokens.addAndGet(tokens);
+    }
+
+    void attempt() {
+        mAttempts.incrementAndGet();
+    }
+
+    void generated() {
+        mGeneratedTokens.incrementAndGet();
+    }
+
+    void cutOff(long attempts) {
+        mCutOff.addAndGet(attempts);
+    }
+
+    void crashed() {
+        mCrashes.incrementAndGet();
+    }
+
+    EngineCounts counts() {
+        return new EngineCounts(
+                mPrefilledTokens.get(),
+                mWastedTokens.get(),
+                mAttempts.get(),
+                mGeneratedTokens.get(),
+                mCutOff.get(),
+                mCrashes.get());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineOrders.java
@@ -0,0 +1,79 @@
+package org.cyclamenpaddle.standins.engine;
+
+import io.vavr.control.Either;
+import org.cyclamenpaddle.core.config.FencingSupport;
+
+/** What an engine was ordered to serve. */
+final class EngineOrders {
+
+    private final EngineTimer mTimer;
+    private final EngineSettings mSettings;
+    private State mState = new State("", "", "", 0, false);
+    private long mLoads;
+
+    EngineOrders(EngineTimer timer, EngineSettings settings) {
+        mTimer = timer;
+        mSettings = settings;
+    }
+
+    /** Body of {@code POST /v1/orders}. */
+    record Order(long fence, String service, String model, String role, long timeoutMillis) {
+
+        Order {
+            service = service == null ? "" : service;
+            model = model == null ? "" : model;
+            role = role == null ? "" : role;
+        }
+    }
+
+    /** Body of {@code GET /v1/state}. */
+    record State(String service, String model, String role, long fence, boolean busy) {}
+
+    /** Refusal of an order whose fencing number is older than {@code fence}. */
+    record Stale(long fence) {}
+
+    /** Applies an order; {@code cutOff} runs first if it changes what is served. */
+    Either<Stale, State> apply(Order order, Runnable cutOff) {
+        if (mSettings.fencing() == FencingSupport.HONOURS && order.fence() < mState.fence()) {
+            return Either.left(new Stale(mState.fence()));
+        }
+        boolean otherModel = !order.model().equals(mState.model());
+        boolean otherWork =
+                otherModel
+                        || !order.service().equals(mState.service())
+                        || !order.role().equals(mState.role());
+        if (otherWork) {
+            cutOff.run();
+        }
+        boolean busy = otherModel ? !order.model().isEmpty() : mState.busy();
+        mState = new State(order.service(), order.model(), order.role(), order.fence(), busy);
+        if (otherModel) {
+            long load = ++mLoads;
+            long micros = EngineModel.micros(mSettings.modelLoadMillis());
+            mTimer.schedule(micros, () -> loaded(load));
+        }
+        return Either.right(mState);
+    }
+
+    State state() {
+        return mState;
+    }
+
+    /** Returns whether work of a role is taken: not while loading, nor in another role. */
+    boolean serves(String role) {
+        if (mState.busy()) {
+            return false;
+        }
+        return mState.role().isEmpty()
+                ? !mSettings.requiresOrder()
+                : mState.role().equalsIgnoreCase(role);
+    }
+
+    private void loaded(long load) {
+        if (load == mLoads) {
+            mState =
+                    new State(
+                            mState.service(), mState.model(), mState.role(), mState.fence(), false);
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/StandinsMain.java
@@ -0,0 +1,52 @@
+package org.cyclamenpaddle.standins.main;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.ParseException;
+
+/** Entry point of the program {@code cyclamenpaddle-standins}. */
+public final class StandinsMain {
+
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private StandinsMain() {}
+
+    /** Runs the subcommand that the first argument names. */
+    public static void main(String[] args) {
+        Optional<Subcommand> command =
+                Arrays.stream(args).findFirst().flatMap(Subcommand::fromCode);
+        if (command.isEmpty()) {
+            usage("a subcommand is needed: " + subcommands());
+            return;
+        }
+        run(command.get(), Arrays.copyOfRange(args, 1, args.length));
+    }
+
+    private static void run(Subcommand command, String[] args) {
+        try {
+            CommandLine line = new DefaultParser().parse(command.options(), args);
+            command.run(line);
+        } catch (ParseException e) {
+            usage(command.code() + ": " + e.getMessage());
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println(command.code() + ": " + e.getMessage());
+            System.exit(EXIT_FAILED);
+        }
+    }
+
+    private static void usage(String message) {
+        System.err.println(message);
+        System.exit(EXIT_USAGE);
+    }
+
+    private static String subcommands() {
+        return Arrays.stream(Subcommand.values())
+                .map(Subcommand::code)
+                .collect(Collectors.joining(", "));
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
@@ -0,0 +1,127 @@
+package org.cyclamenpaddle.standins.main;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cyclamenpaddle.standins.engine.EngineSettings;
+import org.cyclamenpaddle.standins.engine.EngineStandin;
+import org.cyclamenpaddle.standins.plain.PlainServiceStandin;
+import org.cyclamenpaddle.standins.platform.PlatformStandin;
+
+/** Subcommands of the program. */
+enum Subcommand {
+    PLATFORM {
+        @Override
+        Options options() {
+            return portOption();
+        }
+
+        @Override
+        void run(CommandLine line) {
+            new PlatformStandin().start(port(line));
+            serve();
+        }
+    },
+    ENGINE {
+        @Override
+        Options options() {
+            return portOption()
+                    .addOption(Option.builder().longOpt("config").hasArg().argName("FILE").get());
+        }
+
+        @Override
+        void run(CommandLine line) throws IOException {
+            EngineSettings settings =
+                    line.hasOption("config")
+                            ? EngineSettings.fromJson(
+                                    Files.readString(Path.of(line.getOptionValue("config"))))
+                            : EngineSettings.DEFAULT;
+            new EngineStandin(settings).start(port(line));
+            serve();
+        }
+    },
+    PLAIN {
+        @Override
+        Options options() {
+            return portOption();
+        }
+
+        @Override
+        void run(CommandLine line) {
+            new PlainServiceStandin().start(port(line));
+            serve();
+        }
+    },
+    FLEET {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(
+                            Option.builder()
+                                    .longOpt("file")
+                                    .hasArg()
+                                    .argName("FILE")
+                                    .required()
+                                    .get());
+        }
+
+        @Override
+        void run(CommandLine line) throws IOException {
+            FleetFile fleet = FleetFile.read(Path.of(line.getOptionValue("file")));
+            fleet.platformPorts().forEach(port -> new PlatformStandin().start(port));
+            fleet.plainPorts().forEach(port -> new PlainServiceStandin().start(port));
+            fleet.engines()
+                    .forEach(
+                            engine ->
+                                    new EngineStandin(engine.engineSettings())
+                                            .start(engine.port()));
+            serve();
+        }
+    };
+
+    /** Printed when all stand-ins listen. */
+    static final String READY = "ready";
+
+    private static final String PORT = "port";
+
+    /** Returns the subcommand's options. */
+    abstract Options options();
+
+    /** Runs until the work is done, or for good if it serves. */
+    abstract void run(CommandLine line) throws IOException;
+
+    String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    static Optional<Subcommand> fromCode(String code) {
+        return Arrays.stream(values()).filter(command -> command.code().equals(code)).findFirst();
+    }
+
+    private static Options portOption() {
+        return new Options()
+                .addOption(
+                        Option.builder().longOpt(PORT).hasArg().argName("PORT").required().get());
+    }
+
+    private static int port(CommandLine line) {
+        return Integer.parseInt(line.getOptionValue(PORT));
+    }
+
+    /** Says that all listen and waits for SIGTERM, whose default handling ends the process. */
+    private static void serve() {
+        System.out.println(READY);
+        System.out.flush();
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
