--- /dev/null
+++ b/cyclamenpaddle-standins/src/test/java/org/cyclamenpaddle/standins/engine/EngineStandinTest.java
@@ -0,0 +1,192 @@
+package org.cyclamenpaddle.standins.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EngineStandinTest {
+
+    private static final String PROMPT = "lot sheet ".repeat(200);
+
+    private EngineStandin mSource;
+    private EngineStandin mTarget;
+
+    @BeforeMethod
+    public void start() {
+        mSource = new EngineStandin(EngineSettings.fromJson("{\"speed\": 10}"));
+        mTarget = new EngineStandin(EngineSettings.fromJson("{\"speed\": 10}"));
+        mSource.start(0);
+        mTarget.start(0);
+    }
+
+    @AfterMethod
+    public void stop() {
+        mSource.close();
+        mTarget.close();
+    }
+
+    @Test
+    public void decodeFetchesTheResultAndStreamsTheWholeAnswer() {
+        prefill(PROMPT);
+        String body = decode(8).aggregate().join().contentUtf8();
+        assertTrue(body.startsWith("{\"event\":\"imported\",\"bytes\":"), body);
+        assertTrue(body.contains("\"index\":7"), body);
+        assertTrue(body.endsWith("\"finishReason\":\"length\"}\n"), body);
+        assertEquals(mSource.heldPieces() + mTarget.heldPieces(), 0);
+        assertEquals(mSource.counts().wastedTokens(), 0);
+        String resumed = get(mTarget, "/v1/attempts/d:1:1/stream?from=6").contentUtf8();
+        assertEquals(resumed.split("\"event\":\"token\"", -1).length - 1, 2, resumed);
+    }
+
+    @Test
+    public void decodeOfAnUnknownResultFailsAsEvicted() {
+        String body = decode(8).aggregate().join().contentUtf8();
+        assertEquals(body, "{\"event\":\"failed\",\"reason\":\"evicted\"}\n");
+    }
+
+    @Test
+    public void stalledTransferFailsAndTheSecondTransferOfTheResultSucceeds() {
+        // The first transfer moves no byte. The decode engine gives up after transferMillis and
+        // drops its export, and the result is still there for a second attempt.
+        EngineStandin patient =
+                new EngineStandin(EngineSettings.fromJson("{\"resultMillis\": 3600000}"));
+        patient.start(0);
+        prefill(patient, PROMPT);
+        patient.stallTransfers(1);
+        String first = decode(patient, "d:1:1", 8, 200).aggregate().join().contentUtf8();
+        assertEquals(first, "{\"event\":\"failed\",\"reason\":\"transfer-stalled\"}\n");
+        String second = decode(patient, "d:1:2", 8, 10_000).aggregate().join().contentUtf8();
+        assertTrue(second.contains("\"event\":\"end\""), second);
+        patient.close();
+    }
+
+    @Test
+    public void silencedConnectionStaysSilentWhileNewOnesWork() throws InterruptedException {
+        // The stream stops without an end. The attempt goes on in the engine, and only a new
+        // connection can read it.
+        prefill(PROMPT);
+        BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        read(decode(10_000), lines);
+        assertTrue(lines.take().contains("imported"));
+        mTarget.silenceStreams();
+        ClientFactory factory = ClientFactory.builder().build();
+        HttpResponse fresh =
+                WebClient.builder(uri(mTarget))
+                        .factory(factory)
+                        .responseTimeoutMillis(0)
+                        .build()
+                        .get("/v1/attempts/d:1:1/stream?from=0");
+        BlockingQueue<String> resumed = new LinkedBlockingQueue<>();
+        read(fresh, resumed);
+        int heard = lines.size();
+        while (!resumed.take().contains("\"index\":" + (heard + 50))) {
+            assertTrue(lines.size() <= heard + 5, "the silenced stream went on");
+        }
+        factory.close();
+    }
+
+    @Test
+    public void lostCancelHasNoEffectAndTheNextOneFrees() {
+        prefill(PROMPT);
+        BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        read(decode(100_000), lines);
+        mTarget.loseCancels(1);
+        assertThrows(CompletionException.class, () -> cancel("d:1:1"));
+        assertTrue(get(mTarget, "/v1/attempts").contentUtf8().contains("\"ended\":false"));
+        assertEquals(cancel("d:1:1").contentUtf8(), "{\"heldPieces\":0}");
+        assertEquals(mTarget.heldPieces(), 0);
+    }
+
+    @Test
+    public void crashDropsConnectionsAndStateAndTheEngineComesBackEmpty() {
+        mSource.restartAfterCrash(0);
+        int port = mSource.port();
+        assertThrows(CompletionException.class, () -> prefill("text " + EngineModel.CRASH_MARK));
+        assertEquals(mSource.counts().crashes(), 1);
+        mSource.restart();
+        assertEquals(mSource.port(), port);
+        assertEquals(get(mSource, "/v1/attempts").contentUtf8(), "{\"attempts\":[]}");
+        assertEquals(mSource.heldPieces(), 0);
+    }
+
+    @Test
+    public void switchesWorkOverHttp() {
+        AggregatedHttpResponse answer =
+                post(mSource, "/standin/faults", "{\"refuse\": true}").aggregate().join();
+        assertEquals(answer.status().code(), 200, answer.contentUtf8());
+        AggregatedHttpResponse refused =
+                post(mSource, "/v1/prefill", "{\"attempt\": \"a\", \"prompt\": \"p\"}")
+                        .aggregate()
+                        .join();
+        assertEquals(refused.status().code(), 503);
+        assertTrue(refused.contentUtf8().contains("\"reason\":\"full\""));
+        assertFalse(get(mSource, "/standin/counts").contentUtf8().contains("\"attempts\":1"));
+    }
+
+    private void prefill(String prompt) {
+        prefill(mSource, prompt);
+    }
+
+    private static void prefill(EngineStandin engine, String prompt) {
+        String body = "{\"attempt\": \"p:1:1\", \"prompt\": \"" + prompt + "\", \"prior\": []}";
+        AggregatedHttpResponse answer = post(engine, "/v1/prefill", body).aggregate().join();
+        assertEquals(answer.status().code(), 200, answer.contentUtf8());
+    }
+
+    private HttpResponse decode(int maxTokens) {
+        return decode(mSource, "d:1:1", maxTokens, 10_000);
+    }
+
+    private HttpResponse decode(
+            EngineStandin source, String attempt, int maxTokens, long transferMillis) {
+        String body =
+                String.format(
+                        "{\"attempt\": \"%s\", \"source\": {\"address\": \"127.0.0.1\", \"port\":"
+                            + " %d, \"attempt\": \"p:1:1\"}, \"firstIndex\": 0, \"maxTokens\": %d,"
+                            + " \"transferMillis\": %d}",
+                        attempt, source.port(), maxTokens, transferMillis);
+        return post(mTarget, "/v1/decode", body);
+    }
+
+    private AggregatedHttpResponse cancel(String attempt) {
+        return client(mTarget).delete("/v1/attempts/" + attempt).aggregate().join();
+    }
+
+    private static AggregatedHttpResponse get(EngineStandin engine, String path) {
+        return client(engine).get(path).aggregate().join();
+    }
+
+    private static HttpResponse post(EngineStandin engine, String path, String body) {
+        return client(engine).execute(HttpRequest.of(HttpMethod.POST, path, MediaType.JSON, body));
+    }
+
+    private static WebClient client(EngineStandin engine) {
+        return WebClient.builder(uri(engine)).responseTimeoutMillis(0).build();
+    }
+
+    private static String uri(EngineStandin engine) {
+        return "http://127.0.0.1:" + engine.port();
+    }
+
+    private static void read(HttpResponse response, BlockingQueue<String> lines) {
+        StreamMessage<HttpData> body = response.split().body();
+        body.subscribe(new LineReader(lines));
+    }
+}
