--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEnvironment.java
@@ -0,0 +1,59 @@
+package org.cyclamenpaddle.routing.request;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RetryReason;
+
+/** What the state machine of a request asks of the blackboard while it decides. */
+public interface RequestEnvironment {
+
+    /** Returns an attempt id never used before. */
+    AttemptId newAttempt();
+
+    /** Returns whether owners are asked for grants; baselines go without. */
+    boolean usesGrants();
+
+    /** Returns why the request is refused on arrival, or empty if it may be placed. */
+    Optional<Refusal> admit(RequestShape shape, long now);
+
+    /**
+     * Ranks prefill servers, best first.
+     *
+     * @param generated tokens already sent to the caller, which are prefilled too
+     * @param excluded servers that failed this request
+     * @return at least one choice, or why there is none
+     */
+    Either<Refusal, List<Choice>> rankPrefill(
+            RequestShape shape, int generated, Set<BackendId> excluded, long now);
+
+    /**
+     * Ranks decode servers, best first.
+     *
+     * @param prefill where the prefill runs
+     * @param neededInMillis when the KV cache is predicted to arrive
+     * @param excluded servers that failed this request
+     * @return at least one choice, or why there is none
+     */
+    Either<Refusal, List<Choice>> rankDecode(
+            RequestShape shape,
+            BackendId prefill,
+            long neededInMillis,
+            Set<BackendId> excluded,
+            long now);
+
+    /** Takes one retry from the service's budget; returns whether there was one. */
+    boolean mayRetry(RequestShape shape, RetryReason reason, long now);
+
+    /**
+     * Notes that a backend server was not reached on a new connection, or lost the attempt.
+     *
+     * <p>Strikes of every request that was on it are given before this returns, so that the next
+     * ranking already sees them.
+     */
+    void backendLost(BackendId backend, long now);
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestPhase.java
@@ -0,0 +1,14 @@
+package org.cyclamenpaddle.routing.request;
+
+/** Where a request stands. */
+public enum RequestPhase {
+    NEW,
+    PLACING_PREFILL,
+    PLACING_DECODE,
+    /** Both halves are granted; the prefill starts so that its result meets the slot. */
+    WAITING,
+    PREFILLING,
+    TRANSFERRING,
+    STREAMING,
+    DONE
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/TimerKind.java
@@ -0,0 +1,15 @@
+package org.cyclamenpaddle.routing.request;
+
+/** Deadlines that a request sets for itself. */
+public enum TimerKind {
+    /** An owner did not answer. */
+    GRANT,
+    /** The prefill may start, so that its result meets the promised decode slot. */
+    PREFILL_START,
+    /** The prefill took far longer than predicted. */
+    PREFILL,
+    /** The transfer did not end. */
+    TRANSFER,
+    /** No token came. */
+    SILENCE
+}
