--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/RoomPlan.java
@@ -0,0 +1,28 @@
+package org.cyclamenpaddle.routing.grant;
+
+import java.util.Collection;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.message.GrantAsk;
+import org.cyclamenpaddle.core.message.LedgerSummary;
+import org.cyclamenpaddle.routing.schedule.Interval;
+
+/** How the room of a backend server is given out in one role. */
+interface RoomPlan {
+
+    /** Returns the first span in which the ask fits beside what is held. */
+    Interval preview(GrantAsk ask, Collection<Reservation> held, int reservedSlots, long nowMillis);
+
+    /** Takes the room of an ask in {@code span}, or from now on if it is already in use. */
+    void take(GrantAsk ask, Interval span);
+
+    /** Gives back what {@link #take} took. */
+    void release(AttemptId attempt);
+
+    /** Returns whether the ask is expected to come too late if it gets {@code span}. */
+    boolean tooLate(GrantAsk ask, Interval span, long nowMillis);
+
+    /** Asserts that no instant of {@code span} has more promised than there is. */
+    void requireRoom(Collection<Reservation> held, Interval span, long nowMillis);
+
+    LedgerSummary summary(Collection<Reservation> held, int reservedSlots, long nowMillis);
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/link/package-info.java
@@ -0,0 +1,2 @@
+/** Reservations of links with a limited rate. */
+package org.cyclamenpaddle.routing.link;
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Quarantine of requests that crash backend servers. */
+package org.cyclamenpaddle.routing.quarantine;
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budget and backoff. */
+package org.cyclamenpaddle.routing.retry;
