--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/MetricName.java
@@ -0,0 +1,129 @@
+package org.cyclamenpaddle.router.metric;
+
+import java.util.List;
+
+/** Every metric of the router, as scraped; {@code docs/METRICS.md} lists them. */
+public enum MetricName {
+    REQUESTS(
+            "cyclamenpaddle_requests_total",
+            MetricKind.COUNTER,
+            List.of("service"),
+            "Requests taken, before any decision."),
+    GOODPUT(
+            "cyclamenpaddle_goodput_total",
+            MetricKind.COUNTER,
+            List.of("service"),
+            "Requests answered in full within both latency targets of their service."),
+    ANSWERED(
+            "cyclamenpaddle_answered_total",
+            MetricKind.COUNTER,
+            List.of("service"),
+            "Requests answered in full, in time or late."),
+    REFUSALS(
+            "cyclamenpaddle_refusals_total",
+            MetricKind.COUNTER,
+            List.of("reason"),
+            "Requests refused or ended without their answer, by reason."),
+    RETRIES(
+            "cyclamenpaddle_retries_total",
+            MetricKind.COUNTER,
+            List.of("reason"),
+            "Tries that the router itself repeated, by reason."),
+    TOKENS(
+            "cyclamenpaddle_tokens_relayed_total",
+            MetricKind.COUNTER,
+            List.of("service"),
+            "Tokens relayed to callers."),
+    PREFILL_TOKENS(
+            "cyclamenpaddle_prefill_tokens_total",
+            MetricKind.COUNTER,
+            List.of("service"),
+            "Uncached prompt tokens that prefill engines computed."),
+    WASTED_PREFILL_TOKENS(
+            "cyclamenpaddle_wasted_prefill_tokens_total",
+            MetricKind.COUNTER,
+            List.of("service"),
+            "Uncached prompt tokens computed and never used."),
+    FIRST_TOKEN(
+            "cyclamenpaddle_first_token_seconds",
+            MetricKind.TIMER,
+            List.of("service"),
+            "Time from the request to its first token."),
+    INTER_TOKEN(
+            "cyclamenpaddle_inter_token_seconds",
+            MetricKind.TIMER,
+            List.of("service"),
+            "Time between two tokens of one answer."),
+    HELD_GRANTS(
+            "cyclamenpaddle_held_grants",
+            MetricKind.GAUGE,
+            List.of(),
+            "Decode slots granted in the ledgers that this host owns."),
+    IN_FLIGHT(
+            "cyclamenpaddle_requests_in_flight",
+            MetricKind.GAUGE,
+            List.of(),
+            "Requests of callers in flight on this host."),
+    OWNERSHIP_MOVES(
+            "cyclamenpaddle_ownership_moves_total",
+            MetricKind.COUNTER,
+            List.of("direction"),
+            "Ownerships of backend servers that this host took or gave."),
+    CONFIGURATION_VERSION(
+            "cyclamenpaddle_configuration_version",
+            MetricKind.GAUGE,
+            List.of(),
+            "Highest configuration version that is in force on this host."),
+    CONFIGURATION_AGE(
+            "cyclamenpaddle_configuration_age_seconds",
+            MetricKind.GAUGE,
+            List.of(),
+            "Time since this host last had the configuration confirmed, by platform or peer."),
+    PEER_BYTES(
+            "cyclamenpaddle_peer_bytes_total",
+            MetricKind.COUNTER,
+            List.of("direction"),
+            "Bytes exchanged with other entry hosts."),
+    BAD_PEER_FRAMES(
+            "cyclamenpaddle_bad_peer_frames_total",
+            MetricKind.COUNTER,
+            List.of("error"),
+            "Frames of peers that were refused, by error."),
+    BOOKINGS(
+            "cyclamenpaddle_bookings_total",
+            MetricKind.COUNTER,
+            List.of("outcome"),
+            "Keyed calls of plain services, by the outcome said to the caller.");
+
+    private final String mText;
+    private final MetricKind mKind;
+    private final List<String> mTags;
+    private final String mMeaning;
+
+    MetricName(String text, MetricKind kind, List<String> tags, String meaning) {
+        mText = text;
+        mKind = kind;
+        mTags = tags;
+        mMeaning = meaning;
+    }
+
+    /** Returns the name as scraped. */
+    public String text() {
+        return mText;
+    }
+
+    /** Returns what kind of metric it is. */
+    public MetricKind kind() {
+        return mKind;
+    }
+
+    /** Returns the names of its tags. */
+    public List<String> tags() {
+        return mTags;
+    }
+
+    /** Returns one sentence on what it counts. */
+    public String meaning() {
+        return mMeaning;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/RouterMetrics.java
@@ -0,0 +1,228 @@
+package org.cyclamenpaddle.router.metric;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.cyclamenpaddle.core.outcome.RetryReason;
+import org.cyclamenpaddle.core.outcome.RunOutcome;
+
+/** Metrics of one entry host; safe for use by many threads. */
+public final class RouterMetrics {
+
+    private static final String IN = "in";
+    private static final String OUT = "out";
+
+    private static final Duration[] FIRST_TOKEN_BOUNDS =
+            millis(50, 100, 200, 300, 400, 580, 800, 1_200, 2_000, 5_000, 10_000);
+    private static final Duration[] INTER_TOKEN_BOUNDS =
+            millis(5, 10, 20, 30, 44, 60, 80, 120, 200, 500, 1_000);
+
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<RefusalReason, Counter> mRefusals;
+    private final Map<RetryReason, Counter> mRetries;
+    private final Map<RunOutcome, Counter> mBookings;
+    private final Map<String, Counter> mOwnershipMoves;
+    private final Map<String, Counter> mPeerBytes;
+
+    /** Creates the metrics, with every counter of a known reason at 0. */
+    public RouterMetrics() {
+        mRefusals =
+                counters(
+                        MetricName.REFUSALS,
+                        "reason",
+                        Arrays.stream(RefusalReason.values()),
+                        RefusalReason::code);
+        mRetries =
+                counters(
+                        MetricName.RETRIES,
+                        "reason",
+                        Arrays.stream(RetryReason.values()),
+                        RetryReason::code);
+        mBookings =
+                counters(
+                        MetricName.BOOKINGS,
+                        "outcome",
+                        Arrays.stream(RunOutcome.values()),
+                        RunOutcome::code);
+        mOwnershipMoves =
+                counters(
+                        MetricName.OWNERSHIP_MOVES,
+                        "direction",
+                        Stream.of("taken", "given"),
+                        direction -> direction);
+        mPeerBytes =
+                counters(
+                        MetricName.PEER_BYTES,
+                        "direction",
+                        Stream.of(IN, OUT),
+                        direction -> direction);
+    }
+
+    /** Counts a request that was taken. */
+    public void requestTaken(ServiceName service) {
+        serviceCounter(MetricName.REQUESTS, service).increment();
+    }
+
+    /**
+     * Counts a request that was answered in full.
+     *
+     * @param service its service
+     * @param withinTargets whether both latency targets were met
+     */
+    public void answered(ServiceName service, boolean withinTargets) {
+        serviceCounter(MetricName.ANSWERED, service).increment();
+        serviceCounter(MetricName.GOODPUT, service).increment(withinTargets ? 1 : 0);
+    }
+
+    /** Counts a request that was refused or ended without its answer. */
+    public void refused(RefusalReason reason) {
+        mRefusals.get(reason).increment();
+    }
+
+    /** Counts a try that the router repeats. */
+    public void retried(RetryReason reason) {
+        mRetries.get(reason).increment();
+    }
+
+    /** Counts tokens relayed to a caller. */
+    public void tokensRelayed(ServiceName service, long tokens) {
+        serviceCounter(MetricName.TOKENS, service).increment(tokens);
+    }
+
+    /** Counts uncached prompt tokens that a prefill computed. */
+    public void prefillComputed(ServiceName service, long tokens) {
+        serviceCounter(MetricName.PREFILL_TOKENS, service).increment(tokens);
+    }
+
+    /** Counts uncached prompt tokens that were computed and never used. */
+    public void prefillWasted(ServiceName service, long tokens) {
+        serviceCounter(MetricName.WASTED_PREFILL_TOKENS, service).increment(tokens);
+    }
+
+    /** Records the time from a request to its first token. */
+    public void firstToken(ServiceName service, long millis) {
+        timer(MetricName.FIRST_TOKEN, service, FIRST_TOKEN_BOUNDS)
+                .record(Duration.ofMillis(millis));
+    }
+
+    /** Records the time between two tokens of one answer. */
+    public void interToken(ServiceName service, long millis) {
+        timer(MetricName.INTER_TOKEN, service, INTER_TOKEN_BOUNDS)
+                .record(Duration.ofMillis(millis));
+    }
+
+    /** Counts an ownership of a backend server that this host took. */
+    public void ownershipTaken() {
+        mOwnershipMoves.get("taken").increment();
+    }
+
+    /** Counts an ownership of a backend server that this host gave. */
+    public void ownershipGiven() {
+        mOwnershipMoves.get("given").increment();
+    }
+
+    /** Counts bytes read from peers. */
+    public void peerBytesIn(long bytes) {
+        mPeerBytes.get(IN).increment(bytes);
+    }
+
+    /** Counts bytes written to peers. */
+    public void peerBytesOut(long bytes) {
+        mPeerBytes.get(OUT).increment(bytes);
+    }
+
+    /**
+     * Counts a frame of a peer that was refused.
+     *
+     * @param error name of the error, from a closed set
+     */
+    public void badPeerFrame(String error) {
+        counter(MetricName.BAD_PEER_FRAMES, Tags.of("error", error)).increment();
+    }
+
+    /** Counts a keyed call by the outcome said to its caller. */
+    public void booking(RunOutcome outcome) {
+        mBookings.get(outcome).increment();
+    }
+
+    /**
+     * Registers what gauges read at each scrape.
+     *
+     * @param sources readings, which must not block
+     */
+    public void gauges(GaugeSources sources) {
+        gauge(MetricName.HELD_GRANTS, sources.heldGrants());
+        gauge(MetricName.IN_FLIGHT, sources.requestsInFlight());
+        gauge(MetricName.CONFIGURATION_VERSION, sources.configurationVersion());
+        gauge(MetricName.CONFIGURATION_AGE, sources.configurationAgeSeconds());
+    }
+
+    /** Returns how often each reason refused a request, reasons never met included. */
+    public Map<RefusalReason, Long> refusals() {
+        return counts(mRefusals);
+    }
+
+    /** Returns how often each reason made the router try again, reasons never met included. */
+    public Map<RetryReason, Long> retries() {
+        return counts(mRetries);
+    }
+
+    /** Returns all metrics in the text format that Prometheus reads. */
+    public String scrape() {
+        return mRegistry.scrape();
+    }
+
+    private static <K> Map<K, Long> counts(Map<K, Counter> counters) {
+        return counters.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, e -> (long) e.getValue().count()));
+    }
+
+    private <K> Map<K, Counter> counters(
+            MetricName name, String tag, Stream<K> keys, Function<K, String> code) {
+        return keys.collect(
+                Collectors.toUnmodifiableMap(
+                        Function.identity(), key -> counter(name, Tags.of(tag, code.apply(key)))));
+    }
+
+    private Counter serviceCounter(MetricName name, ServiceName service) {
+        return counter(name, Tags.of("service", service.value()));
+    }
+
+    private Counter counter(MetricName name, Tags tags) {
+        return Counter.builder(name.text())
+                .description(name.meaning())
+                .tags(tags)
+                .register(mRegistry);
+    }
+
+    private Timer timer(MetricName name, ServiceName service, Duration[] bounds) {
+        return Timer.builder(name.text())
+                .description(name.meaning())
+                .tags("service", service.value())
+                .serviceLevelObjectives(bounds)
+                .register(mRegistry);
+    }
+
+    private void gauge(MetricName name, DoubleSupplier reading) {
+        Gauge.builder(name.text(), reading::getAsDouble)
+                .description(name.meaning())
+                .register(mRegistry);
+    }
+
+    private static Duration[] millis(long... bounds) {
+        return Arrays.stream(bounds).mapToObj(Duration::ofMillis).toArray(Duration[]::new);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of an entry host and their text for scraping. */
+package org.cyclamenpaddle.router.metric;
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
@@ -0,0 +1,283 @@
+package org.cyclamenpaddle.router.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Every key of a settings file: its section, form, default and meaning.
+ *
+ * <p>This table drives the check of a file and the page {@code docs/SETTINGS.md}.
+ */
+public enum SettingKey {
+    HOST_NAME("host", "name", SettingType.NAME, "Name of this entry host, unique in the fleet."),
+    HOST_FAILURE_DOMAIN(
+            "host", "failure_domain", SettingType.NAME, "Failure domain that this host stands in."),
+    HOST_ADDRESS(
+            "host",
+            "address",
+            SettingType.IP_NUMBER,
+            "IP number that this host listens on and that peers use to reach it."),
+    HOST_HTTP_PORT("host", "http_port", ports(), whole(7_100), "Port for callers and operators."),
+    HOST_PEER_PORT("host", "peer_port", ports(), whole(7_200), "Port for other entry hosts."),
+
+    PLATFORM_ADDRESS(
+            "platform", "address", SettingType.IP_NUMBER, "IP number of the platform's service."),
+    PLATFORM_PORT("platform", "port", ports(), whole(7_000), "Port of the platform's service."),
+    PLATFORM_TIMEOUT(
+            "platform",
+            "timeout_ms",
+            SettingRange.between(10, 60_000),
+            whole(1_000),
+            "Longest wait for the platform's answer to one call, in milliseconds."),
+
+    PEERS_SEEDS(
+            "peers",
+            "seeds",
+            SettingType.ADDRESSES,
+            SettingRange.ANY,
+            JsonNodeFactory.instance.arrayNode(),
+            "Peer ports of a few entry hosts, asked for members and for the configuration while"
+                    + " the platform is away."),
+
+    LIMITS_BODY_BYTES(
+            "limits",
+            "body_bytes",
+            SettingRange.between(1_024, 1L << 28),
+            whole(4L << 20),
+            "Longest request body, in bytes."),
+    LIMITS_PROMPT_TOKENS(
+            "limits",
+            "prompt_tokens",
+            SettingRange.between(1, 1_000_000),
+            whole(65_536),
+            "Longest prompt, in estimated tokens."),
+    LIMITS_QUEUE_PER_SERVICE(
+            "limits",
+            "queue_per_service",
+            SettingRange.between(0, 100_000),
+            whole(256),
+            "Requests of one service that may wait for a grant on this host."),
+    LIMITS_TEAM_SHARE(
+            "limits",
+            "team_share",
+            SettingType.SHARE,
+            SettingRange.between(0.01, 1),
+            share(0.5),
+            "Part of a service's queue that one team may fill."),
+    LIMITS_CONCURRENT_REQUESTS(
+            "limits",
+            "concurrent_requests",
+            SettingRange.between(1, 1_000_000),
+            whole(4_096),
+            "Requests in flight on this host."),
+    LIMITS_RETRY_SHARE(
+            "limits",
+            "retry_share",
+            SettingType.SHARE,
+            SettingRange.between(0, 1),
+            share(0.1),
+            "Retries allowed for each fresh request of a service."),
+    LIMITS_QUARANTINE(
+            "limits",
+            "quarantine_ms",
+            SettingRange.between(1_000, 86_400_000),
+            whole(600_000),
+            "How long a request that crashed backend servers is refused, in milliseconds."),
+
+    TIMING_HEARTBEAT(
+            "timing",
+            "heartbeat_ms",
+            SettingRange.between(10, 60_000),
+            whole(500),
+            "Time between heartbeats, in milliseconds."),
+    TIMING_SUSPECT(
+            "timing",
+            "suspect_ms",
+            SettingRange.between(20, 600_000),
+            whole(2_000),
+            "Silence after which a host is suspected, in milliseconds."),
+    TIMING_PROBE(
+            "timing",
+            "probe_ms",
+            SettingRange.between(10, 60_000),
+            whole(1_000),
+            "Time for a suspected host to answer a new connection, in milliseconds."),
+    TIMING_RECONCILE(
+            "timing",
+            "reconcile_ms",
+            SettingRange.between(10, 60_000),
+            whole(1_000),
+            "Time between comparisons of backend servers with the preset, in milliseconds."),
+    TIMING_STOP_GRACE(
+            "timing",
+            "stop_grace_ms",
+            SettingRange.between(0, 3_600_000),
+            whole(30_000),
+            "Time in a planned stop for the balancer to turn away, in milliseconds."),
+    TIMING_LOAD_POLL(
+            "timing",
+            "load_poll_ms",
+            SettingRange.between(10, 60_000),
+            whole(250),
+            "Time between reads of an engine's load, in milliseconds."),
+    TIMING_STREAM_SILENCE(
+            "timing",
+            "stream_silence_ms",
+            SettingRange.between(10, 600_000),
+            whole(2_000),
+            "Silence after which a token stream is resumed by a new connection, in milliseconds."),
+    TIMING_TRANSFER(
+            "timing",
+            "transfer_ms",
+            SettingRange.between(1, 60_000),
+            whole(700),
+            "Longest transfer of KV cache, in milliseconds."),
+
+    ROUTING_POLICY(
+            "routing",
+            "policy",
+            SettingType.NAME,
+            SettingRange.ANY,
+            JsonNodeFactory.instance.textNode("ledger"),
+            "Placement policy."),
+    ROUTING_EXPECTED_OUTPUT_TOKENS(
+            "routing",
+            "expected_output_tokens",
+            SettingRange.between(1, 100_000),
+            whole(128),
+            "Output tokens expected of a request before its service has a history."),
+    ROUTING_LEDGER(
+            "routing",
+            "ledger",
+            SettingType.SWITCH,
+            SettingRange.ANY,
+            JsonNodeFactory.instance.booleanNode(true),
+            "Whether decode slots are granted by the owner of the backend server."),
+
+    BOOKINGS_RETENTION(
+            "bookings",
+            "retention_hours",
+            SettingRange.between(1, 720),
+            whole(24),
+            "How long the claim of an Idempotency-Key is kept, in hours."),
+    BOOKINGS_SHARDS(
+            "bookings",
+            "shards",
+            SettingRange.between(1, 4_096),
+            whole(64),
+            "Objects that claims are spread over; the same on every host."),
+
+    LOG_FORMAT(
+            "log",
+            "format",
+            SettingType.WORD,
+            SettingRange.of("human", "json"),
+            JsonNodeFactory.instance.textNode("human"),
+            "Form of log lines."),
+    LOG_LEVEL(
+            "log",
+            "level",
+            SettingType.WORD,
+            SettingRange.of("debug", "info", "warn", "error"),
+            JsonNodeFactory.instance.textNode("info"),
+            "Least severe level that is written.");
+
+    private final String mSection;
+    private final String mKey;
+    private final SettingType mType;
+    private final SettingRange mRange;
+    private final Optional<JsonNode> mDefault;
+    private final String mDescription;
+
+    SettingKey(String section, String key, SettingType type, String description) {
+        this(section, key, type, SettingRange.ANY, Optional.empty(), description);
+    }
+
+    SettingKey(String section, String key, SettingRange range, JsonNode value, String description) {
+        this(section, key, SettingType.WHOLE, range, Optional.of(value), description);
+    }
+
+    SettingKey(
+            String section,
+            String key,
+            SettingType type,
+            SettingRange range,
+            JsonNode value,
+            String description) {
+        this(section, key, type, range, Optional.of(value), description);
+    }
+
+    SettingKey(
+            String section,
+            String key,
+            SettingType type,
+            SettingRange range,
+            Optional<JsonNode> defaultValue,
+            String description) {
+        mSection = section;
+        mKey = key;
+        mType = type;
+        mRange = range;
+        mDefault = defaultValue;
+        mDescription = description;
+    }
+
+    /** Returns the key as written in messages: {@code section.key}. */
+    public String path() {
+        return mSection + "." + mKey;
+    }
+
+    /** Returns the section that holds the key. */
+    public String section() {
+        return mSection;
+    }
+
+    /** Returns the key within its section. */
+    public String key() {
+        return mKey;
+    }
+
+    /** Returns the value used when the file has none; empty if the file must have one. */
+    public Optional<JsonNode> defaultValue() {
+        return mDefault;
+    }
+
+    /** Returns what is allowed, for messages and the docs page. */
+    public String allowed() {
+        return mType.allowed(mRange);
+    }
+
+    /** Returns one sentence on what the setting does, with its unit. */
+    public String description() {
+        return mDescription;
+    }
+
+    /** Returns the key that {@code section} and {@code key} name. */
+    public static Optional<SettingKey> find(String section, String key) {
+        return inSection(section).stream().filter(k -> k.mKey.equals(key)).findFirst();
+    }
+
+    /** Returns the keys of {@code section}; empty if there is no such section. */
+    public static List<SettingKey> inSection(String section) {
+        return Arrays.stream(values()).filter(k -> k.mSection.equals(section)).toList();
+    }
+
+    boolean accepts(JsonNode value) {
+        return mType.accepts(value, mRange);
+    }
+
+    private static SettingRange ports() {
+        return SettingRange.between(1, 65_535);
+    }
+
+    private static JsonNode whole(long value) {
+        return JsonNodeFactory.instance.numberNode(value);
+    }
+
+    private static JsonNode share(double value) {
+        return JsonNodeFactory.instance.numberNode(value);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingRange.java
@@ -0,0 +1,49 @@
+package org.cyclamenpaddle.router.settings;
+
+import java.math.BigDecimal;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Values that a setting may have: numbers between bounds or one of a few words.
+ *
+ * @param least smallest number
+ * @param greatest greatest number
+ * @param words allowed words in the order of the docs; empty for numbers
+ */
+record SettingRange(double least, double greatest, Set<String> words) {
+
+    static final SettingRange ANY =
+            new SettingRange(Double.NEGATIVE_INFINITY, Double.POSITIVE_INFINITY, Set.of());
+
+    SettingRange {
+        if (least > greatest) {
+            throw new IllegalArgumentException("range from " + least + " to " + greatest);
+        }
+    }
+
+    static SettingRange between(double least, double greatest) {
+        return new SettingRange(least, greatest, Set.of());
+    }
+
+    static SettingRange of(String... words) {
+        return new SettingRange(ANY.least, ANY.greatest, new LinkedHashSet<>(Arrays.asList(words)));
+    }
+
+    boolean contains(double value) {
+        return value >= least && value <= greatest;
+    }
+
+    boolean bounded() {
+        return !Double.isInfinite(least);
+    }
+
+    String text() {
+        return plain(least) + " to " + plain(greatest);
+    }
+
+    private static String plain(double value) {
+        return BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
+    }
+}
