--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/retry/RetryBudget.java
@@ -0,0 +1,95 @@
+package org.cyclamenpaddle.routing.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cyclamenpaddle.core.id.ServiceName;
+
+/**
+ * Bounds retries to a share of the fresh requests of each service.
+ *
+ * <p>Safeguard: when backend servers fail under load, retries without bound multiply the load and
+ * keep them down. With a share of a tenth the load grows by a tenth at most. A small flow that does
+ * not depend on fresh requests lets a quiet service retry at all. Not thread-safe.
+ */
+public final class RetryBudget {
+
+    /**
+     * Settings of a retry budget.
+     *
+     * @param share retries earned by one fresh request, from 0 to 1
+     * @param floorPerSecond retries earned each second without any request
+     * @param most retries that can be saved up
+     */
+    public record Settings(double share, double floorPerSecond, double most) {
+
+        /** A tenth of fresh requests, one in two seconds besides, twenty saved up. */
+        public static final Settings DEFAULTS = new Settings(0.1, 0.5, 20);
+
+        public Settings {
+            if (share < 0 || share > 1 || floorPerSecond < 0 || most < 1) {
+                throw new IllegalArgumentException(
+                        "retry budget out of range: share "
+                                + share
+                                + ", floor "
+                                + floorPerSecond
+                                + " a second, most "
+                                + most);
+            }
+        }
+    }
+
+    private record Balance(double retries, long atMillis) {}
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final Settings mSettings;
+    private final Map<ServiceName, Balance> mBalances = new HashMap<>();
+
+    /**
+     * Creates a budget that is full for every service.
+     *
+     * @param settings share, floor and bound
+     */
+    public RetryBudget(Settings settings) {
+        mSettings = settings;
+    }
+
+    /**
+     * Counts a fresh request, which earns a share of a retry.
+     *
+     * @param service its service
+     * @param nowMillis reading of the clock
+     */
+    public void freshRequest(ServiceName service, long nowMillis) {
+        earn(service, mSettings.share(), nowMillis);
+    }
+
+    /**
+     * Takes one retry out of the budget and returns whether there was one.
+     *
+     * @param service its service
+     * @param nowMillis reading of the clock
+     */
+    public boolean tryTake(ServiceName service, long nowMillis) {
+        double left = earn(service, 0, nowMillis);
+        if (left < 1) {
+            return false;
+        }
+        mBalances.put(service, new Balance(left - 1, nowMillis));
+        return true;
+    }
+
+    /** Returns the retries left for a service. */
+    public double left(ServiceName service, long nowMillis) {
+        return earn(service, 0, nowMillis);
+    }
+
+    private double earn(ServiceName service, double retries, long nowMillis) {
+        Balance old = mBalances.getOrDefault(service, new Balance(mSettings.most(), nowMillis));
+        double passed = Math.max(0, nowMillis - old.atMillis()) / MILLIS_PER_SECOND;
+        double flow = passed * mSettings.floorPerSecond();
+        double sum = Math.min(mSettings.most(), old.retries() + retries + flow);
+        mBalances.put(service, new Balance(sum, nowMillis));
+        return sum;
+    }
+}
