--- /dev/null
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/hosts/HostList.java
@@ -0,0 +1,13 @@
+package org.cyclamenpaddle.platform.hosts;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.platform.http.PlatformError;
+
+/** The platform's list of entry hosts. */
+@FunctionalInterface
+public interface HostList {
+
+    /** Reads the list; never blocks, and the future never completes exceptionally. */
+    CompletableFuture<Either<PlatformError, HostListing>> hosts();
+}
--- /dev/null
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/hosts/ListedHost.java
@@ -0,0 +1,28 @@
+package org.cyclamenpaddle.platform.hosts;
+
+import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.HostId;
+
+/**
+ * An entry host as the platform lists it.
+ *
+ * @param host its name
+ * @param address its IP number
+ * @param peerPort TCP port for peers
+ * @param httpPort TCP port for callers and operators
+ * @param domain its failure domain
+ * @param leaving whether the platform is about to take it away
+ */
+public record ListedHost(
+        HostId host,
+        String address,
+        int peerPort,
+        int httpPort,
+        FailureDomain domain,
+        boolean leaving) {
+    public ListedHost {
+        if (address == null || address.isEmpty()) {
+            throw new IllegalArgumentException("listed host " + host + " lacks an address");
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/HttpObjectStore.java
@@ -0,0 +1,144 @@
+package org.cyclamenpaddle.platform.objects;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpRequestBuilder;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
+import org.cyclamenpaddle.platform.http.PlatformConnection;
+import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.platform.objects.ObjectBodies.ConflictBody;
+import org.cyclamenpaddle.platform.objects.ObjectBodies.EventsBody;
+import org.cyclamenpaddle.platform.objects.ObjectBodies.PutBody;
+import org.cyclamenpaddle.platform.objects.ObjectBodies.WrittenBody;
+
+/** {@link ObjectStore} over HTTP/1.1. */
+public final class HttpObjectStore implements ObjectStore, AutoCloseable {
+
+    private static final Pattern KEY = Pattern.compile("[A-Za-z0-9._:/-]+");
+    private static final String OBJECTS = "/objects";
+
+    private final PlatformConnection mConnection;
+
+    /**
+     * Creates the client; nothing is sent yet.
+     *
+     * @param address IP number of the platform
+     * @param port its TCP port
+     * @param timeoutMillis longest wait for the answer to a call, in milliseconds; a watch waits
+     *     that much longer than it asks the platform to
+     */
+    public HttpObjectStore(String address, int port, long timeoutMillis) {
+        mConnection = new PlatformConnection(address, port, timeoutMillis);
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, Listing>> list(String prefix) {
+        HttpRequest request =
+                HttpRequest.builder().get(OBJECTS).queryParam("prefix", prefix).build();
+        return mConnection.call(request, 0, response -> ok(response, Listing.class));
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, Optional<StoredObject>>> get(String key) {
+        HttpRequest request = HttpRequest.of(HttpMethod.GET, path(key));
+        return mConnection.call(
+                request,
+                0,
+                response ->
+                        response.status().equals(HttpStatus.NOT_FOUND)
+                                ? Either.right(Optional.empty())
+                                : ok(response, StoredObject.class).map(Optional::of));
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, WriteResult>> put(
+            String key, String value, WritePrecondition precondition) {
+        HttpRequestBuilder request =
+                HttpRequest.builder()
+                        .put(path(key))
+                        .content(MediaType.JSON_UTF_8, mConnection.json(new PutBody(value)));
+        if (precondition instanceof WritePrecondition.AtVersion at) {
+            request.header(HttpHeaderNames.IF_MATCH, Long.toString(at.version()));
+        } else {
+            request.header(HttpHeaderNames.IF_NONE_MATCH, "*");
+        }
+        return mConnection.call(request.build(), 0, response -> written(key, response));
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, WriteResult>> delete(String key, long version) {
+        HttpRequest request =
+                HttpRequest.builder()
+                        .delete(path(key))
+                        .header(HttpHeaderNames.IF_MATCH, Long.toString(version))
+                        .build();
+        return mConnection.call(request, 0, response -> written(key, response));
+    }
+
+    @Override
+    public CompletableFuture<Either<PlatformError, WatchResult>> watch(
+            String prefix, long afterRevision, long waitMillis) {
+        HttpRequest request =
+                HttpRequest.builder()
+                        .get("/watch")
+                        .queryParam("prefix", prefix)
+                        .queryParam("after", afterRevision)
+                        .queryParam("waitMillis", waitMillis)
+                        .build();
+        return mConnection.call(
+                request,
+                waitMillis,
+                response ->
+                        response.status().equals(HttpStatus.GONE)
+                                ? Either.right(new WatchResult.Compacted())
+                                : ok(response, EventsBody.class)
+                                        .flatMap(body -> events(response, body)));
+    }
+
+    @Override
+    public void close() {
+        mConnection.close();
+    }
+
+    private <T> Either<PlatformError, T> ok(AggregatedHttpResponse response, Class<T> type) {
+        return response.status().equals(HttpStatus.OK)
+                ? mConnection.body(response, type)
+                : Either.left(mConnection.rejected(response));
+    }
+
+    private Either<PlatformError, WriteResult> written(
+            String key, AggregatedHttpResponse response) {
+        if (response.status().equals(HttpStatus.CONFLICT)) {
+            return mConnection
+                    .body(response, ConflictBody.class)
+                    .map(body -> new WriteResult.Conflict(body.current(key)));
+        }
+        return ok(response, WrittenBody.class)
+                .filterOrElse(body -> body.version() > 0, body -> mConnection.rejected(response))
+                .map(body -> new WriteResult.Written(body.version()));
+    }
+
+    private Either<PlatformError, WatchResult> events(
+            AggregatedHttpResponse response, EventsBody body) {
+        boolean whole =
+                body.events() != null
+                        && body.events().stream()
+                                .allMatch(
+                                        e -> e.key() != null && (e.deleted() || e.value() != null));
+        return whole ? Either.right(body.result()) : Either.left(mConnection.rejected(response));
+    }
+
+    private static String path(String key) {
+        if (!KEY.matcher(key).matches()) {
+            throw new IllegalArgumentException("key '" + key + "' has a character of no key");
+        }
+        return OBJECTS + "/" + key;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/Listing.java
@@ -0,0 +1,18 @@
+package org.cyclamenpaddle.platform.objects;
+
+import java.util.List;
+
+/**
+ * All objects under a prefix at one revision.
+ *
+ * @param revision the store's revision, from which a watch goes on without a gap
+ * @param objects the objects
+ */
+public record Listing(long revision, List<StoredObject> objects) {
+    public Listing {
+        if (revision < 0) {
+            throw new IllegalArgumentException("revision " + revision + " must not be negative");
+        }
+        objects = objects == null ? List.of() : List.copyOf(objects);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/ObjectBodies.java
@@ -0,0 +1,37 @@
+package org.cyclamenpaddle.platform.objects;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Bodies of the object API as they are in JSON, where any member may be missing. */
+final class ObjectBodies {
+
+    private ObjectBodies() {}
+
+    record PutBody(String value) {}
+
+    record WrittenBody(long version) {}
+
+    record ConflictBody(String reason, Long version, String value) {
+        Optional<StoredObject> current(String key) {
+            return version == null || value == null
+                    ? Optional.empty()
+                    : Optional.of(new StoredObject(key, version, value));
+        }
+    }
+
+    record ReasonBody(String reason) {}
+
+    record EventsBody(long revision, List<EventBody> events) {
+        WatchResult result() {
+            return new WatchResult.Events(revision, events.stream().map(EventBody::event).toList());
+        }
+    }
+
+    record EventBody(String key, long version, boolean deleted, String value) {
+        WatchResult.Event event() {
+            return new WatchResult.Event(
+                    key, version, deleted ? Optional.empty() : Optional.of(value));
+        }
+    }
+}
