--- /dev/null
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/settings/SettingsReaderTest.java
@@ -0,0 +1,108 @@
+package org.cyclamenpaddle.router.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class SettingsReaderTest {
+
+    private static final String LEAST =
+            """
+            [host]
+            name = "entry-ahm-1"
+            failure_domain = "ahm"
+            address = "127.0.0.1"
+            [platform]
+            address = "127.0.0.1"
+            """;
+
+    @Test
+    public void fillsInDefaults() {
+        RouterSettings settings = SettingsReader.parse("a.toml", LEAST).get();
+
+        assertEquals(settings.host().name().value(), "entry-ahm-1");
+        assertEquals(settings.limits().bodyBytes(), 4_194_304);
+        assertEquals(settings.timing().heartbeatMillis(), 500);
+        assertEquals(settings.bookings().retentionHours(), 24);
+        assertEquals(settings.log().format(), LogFormat.HUMAN);
+        assertEquals(settings.peers().seeds(), List.of());
+    }
+
+    @Test
+    public void readsEverySection() {
+        String text =
+                LEAST
+                        + """
+                        port = 7999
+                        [peers]
+                        seeds = ["127.0.0.1:7201", "[::1]:7202"]
+                        [limits]
+                        team_share = 0.25
+                        [routing]
+                        ledger = false
+                        [log]
+                        format = "json"
+                        """;
+
+        RouterSettings settings = SettingsReader.parse("a.toml", text).get();
+
+        assertEquals(settings.platform().port(), 7_999);
+        assertEquals(settings.peers().seeds().get(1), new PeerAddress("::1", 7_202));
+        assertEquals(settings.limits().teamShare(), 0.25);
+        assertEquals(settings.routing().ledger(), false);
+        assertEquals(settings.log().format(), LogFormat.JSON);
+    }
+
+    @DataProvider
+    public Object[][] refused() {
+        return new Object[][] {
+            {"[limits]\nbody_byte = 5", "limits.body_byte", "unknown key", "body_bytes"},
+            {"[limit]\nbody_bytes = 5", "limit", "unknown section", "[limits]"},
+            {"peers = 3", "peers", "is a value", "[peers]"},
+            {"[limits]\nteam_share = 1.5", "limits.team_share", "bad value 1.5", "0.01 to 1"},
+            {"[timing]\nprobe_ms = \"1s\"", "timing.probe_ms", "bad value", "10 to 60000"},
+            {"[timing]\nprobe_ms = 1.5", "timing.probe_ms", "bad value", "whole number"},
+            {"[peers]\nseeds = [\"entry:7\"]", "peers.seeds", "bad value", "IP-number:port"},
+            {"[peers]\nseeds = [7]", "peers.seeds", "bad value", "IP-number:port"},
+            {"[log]\nformat = \"xml\"", "log.format", "bad value", "\"human\", \"json\""},
+            {"[routing]\nledger = 1", "routing.ledger", "bad value", "true or false"},
+            {"[timing]\nsuspect_ms = 400", "settings", "timing.suspect_ms 400", "fit each other"},
+            {"[log]\nformat = ", "line 8", "", "TOML"},
+        };
+    }
+
+    @Test(dataProvider = "refused")
+    public void namesFileKeyAndWhatIsAllowed(
+            String extra, String where, String problem, String allowed) {
+        String text = extra.startsWith("[") ? LEAST + extra : extra + "\n" + LEAST;
+
+        SettingsError error = SettingsReader.parse("a.toml", text).getLeft();
+
+        assertEquals(error.file(), "a.toml");
+        assertTrue(error.where().startsWith(where), error.message());
+        assertTrue(error.problem().contains(problem), error.message());
+        assertTrue(error.allowed().contains(allowed), error.message());
+    }
+
+    @Test
+    public void refusesAFileWithoutAHostName() {
+        SettingsError error =
+                SettingsReader.parse("a.toml", LEAST.replace("name =", "#")).getLeft();
+
+        assertEquals(error.where(), "host.name");
+        assertTrue(error.problem().contains("missing"), error.message());
+    }
+
+    @Test
+    public void refusesAnUnreadableFile() throws IOException {
+        Path directory = Files.createTempDirectory("settings");
+
+        assertEquals(SettingsReader.read(directory).getLeft().where(), "file");
+    }
+}
