Run model requests over the blackboard

Cause: the state machine of a request needs a process around it: serial feeding, engine calls, timers, a sink towards the caller.

--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/blackboard/BackendTable.java
@@ -0,0 +1,78 @@
+package org.cyclamenpaddle.router.blackboard;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.message.LedgerSummary;
+
+/** What this host has heard of and has on each backend server. */
+public final class BackendTable {
+
+    /** How long a backend server that was not reached is ranked last, in milliseconds. */
+    static final long SUSPECT_MILLIS = 2_000;
+
+    private final Map<BackendId, Entry> mEntries = new HashMap<>();
+
+    /** One backend server. */
+    private static final class Entry {
+        private LedgerSummary mHint;
+        private long mHintAt;
+        private int mInFlight;
+        private long mSuspectUntil;
+    }
+
+    /** Takes an owner's summary. */
+    public void hint(LedgerSummary summary, long now) {
+        Entry entry = entry(summary.backend());
+        entry.mHint = summary;
+        entry.mHintAt = now;
+    }
+
+    /** Returns the last summary, if one was heard. */
+    public Optional<LedgerSummary> hint(BackendId backend) {
+        return Optional.ofNullable(entry(backend).mHint);
+    }
+
+    /** Returns the age of the last summary in milliseconds; 0 if none was heard. */
+    public long hintAge(BackendId backend, long now) {
+        Entry entry = entry(backend);
+        return entry.mHint == null ? 0 : Math.max(0, now - entry.mHintAt);
+    }
+
+    /** Counts an attempt of this host that starts ({@code 1}) or ends ({@code -1}). */
+    public void inFlight(BackendId backend, int change) {
+        Entry entry = entry(backend);
+        entry.mInFlight = Math.max(0, entry.mInFlight + change);
+    }
+
+    /** Returns the attempts that this host has on a backend server. */
+    public int inFlight(BackendId backend) {
+        return entry(backend).mInFlight;
+    }
+
+    /** Notes that a new connection to a backend server failed. */
+    public void suspect(BackendId backend, long now) {
+        entry(backend).mSuspectUntil = now + SUSPECT_MILLIS;
+    }
+
+    /** Notes that a backend server answered. */
+    public void answered(BackendId backend) {
+        entry(backend).mSuspectUntil = 0;
+    }
+
+    /** Returns whether a backend server was not reached lately. */
+    public boolean suspected(BackendId backend, long now) {
+        return now < entry(backend).mSuspectUntil;
+    }
+
+    /** Forgets backend servers that are not declared any more. */
+    public void retain(Map<BackendId, BackendSpec> declared) {
+        mEntries.keySet().retainAll(declared.keySet());
+    }
+
+    private Entry entry(BackendId backend) {
+        return mEntries.computeIfAbsent(backend, id -> new Entry());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/blackboard/ConfigurationCell.java
@@ -0,0 +1,37 @@
+package org.cyclamenpaddle.router.blackboard;
+
+import org.cyclamenpaddle.core.config.ConfigurationView;
+
+/** The configuration in force on this host, parsed. */
+public final class ConfigurationCell {
+
+    private ConfigurationView mView = ConfigurationView.EMPTY;
+    private long mInForceVersion;
+    private long mConfirmedAt;
+
+    /** Returns the view. */
+    public ConfigurationView view() {
+        return mView;
+    }
+
+    /** Returns the version of the object that names the preset in force; 0 if none. */
+    public long inForceVersion() {
+        return mInForceVersion;
+    }
+
+    /** Returns when the platform or a peer last confirmed the configuration. */
+    public long confirmedAt() {
+        return mConfirmedAt;
+    }
+
+    /** Puts a newer view in force. */
+    public void apply(ConfigurationView view, long inForceVersion) {
+        mView = view;
+        mInForceVersion = inForceVersion;
+    }
+
+    /** Notes that the configuration was confirmed. */
+    public void confirm(long now) {
+        mConfirmedAt = now;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/front/CompletionsService.java
@@ -0,0 +1,116 @@
+package org.cyclamenpaddle.router.front;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.cyclamenpaddle.core.config.ServiceKind;
+import org.cyclamenpaddle.core.config.ServiceSpec;
+import org.cyclamenpaddle.core.id.RequestId;
+import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.cyclamenpaddle.core.text.PromptText;
+import org.cyclamenpaddle.router.request.ModelRequests;
+
+/** {@code POST /v1/completions}. */
+public final class CompletionsService implements HttpService {
+
+    private static final String TEAM_HEADER = "x-team";
+    private static final String DEFAULT_TEAM = "default";
+
+    private final FrontGate mGate;
+    private final ModelRequests mRequests;
+    private final int mMostPromptTokens;
+
+    /**
+     * Creates the service.
+     *
+     * @param gate what every path of the front checks
+     * @param requests runs the requests
+     * @param mostPromptTokens longest prompt taken, in estimated tokens
+     */
+    public CompletionsService(FrontGate gate, ModelRequests requests, int mostPromptTokens) {
+        mGate = gate;
+        mRequests = requests;
+        mMostPromptTokens = mostPromptTokens;
+    }
+
+    @Override
+    public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+        RequestId id = mGate.newRequest();
+        return HttpResponse.of(
+                mGate.aggregate(request)
+                        .thenApply(
+                                body ->
+                                        body.flatMap(whole -> call(id, whole))
+                                                .fold(
+                                                        refusal -> mGate.refuse(id, refusal),
+                                                        this::run)));
+    }
+
+    /** A call and how its caller wants the answer. */
+    private record Parsed(ModelRequests.Call call, boolean stream) {}
+
+    private Either<Refusal, Parsed> call(RequestId id, AggregatedHttpRequest request) {
+        return CompletionBody.parse(request.contentUtf8())
+                .flatMap(
+                        body ->
+                                service(body.model())
+                                        .flatMap(service -> parsed(id, request, body, service)));
+    }
+
+    private Either<Refusal, Parsed> parsed(
+            RequestId id, AggregatedHttpRequest request, CompletionBody body, ServiceSpec service) {
+        int tokens = PromptText.tokens(body.prompt());
+        if (tokens > mMostPromptTokens) {
+            return Either.left(
+                    Refusal.of(
+                            RefusalReason.PROMPT_TOO_LONG,
+                            "The prompt has about "
+                                    + tokens
+                                    + " tokens; the limit is "
+                                    + mMostPromptTokens
+                                    + "."));
+        }
+        return team(request)
+                .map(
+                        team ->
+                                new Parsed(
+                                        new ModelRequests.Call(
+                                                id, service, team, body.prompt(), body.maxTokens()),
+                                        body.stream()));
+    }
+
+    private Either<Refusal, TeamName> team(AggregatedHttpRequest request) {
+        String name = request.headers().get(TEAM_HEADER, DEFAULT_TEAM);
+        return mGate.name(name, TeamName::new, "Header X-Team");
+    }
+
+    private Either<Refusal, ServiceSpec> service(String model) {
+        return mGate.name(model, ServiceName::new, "Member 'model'")
+                .flatMap(name -> mGate.service(name, ServiceKind.MODEL));
+    }
+
+    private HttpResponse run(Parsed parsed) {
+        ModelRequests.Call call = parsed.call();
+        HttpResponseWriter writer = HttpResponse.streaming();
+        // Completes abnormally when the caller's connection or stream has gone; what the request
+        // holds on engines is given back then, at whichever step it is.
+        writer.whenComplete()
+                .whenComplete(
+                        (done, failure) ->
+                                Optional.ofNullable(failure)
+                                        .ifPresent(gone -> mRequests.callerGone(call.id())));
+        mRequests.start(
+                call,
+                CompletionSink.of(
+                        call.id(), call.service().name().value(), parsed.stream(), writer));
+        return writer;
+    }
+}
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/problem/Problem.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/problem/Problem.java
@@ -87,8 +87,16 @@
      * @param requestId value of {@value #REQUEST_ID_HEADER}
      */
     public HttpResponse response(String requestId) {
-        ResponseHeaders headers = headers().add(REQUEST_ID_HEADER, requestId).build();
-        return HttpResponse.of(headers, HttpData.ofUtf8(document()));
+        return HttpResponse.of(headers(requestId), HttpData.ofUtf8(document()));
+    }
+
+    /**
+     * Returns the headers of the HTTP answer, for a response that is written in parts.
+     *
+     * @param requestId value of {@value #REQUEST_ID_HEADER}
+     */
+    public ResponseHeaders headers(String requestId) {
+        return headers().add(REQUEST_ID_HEADER, requestId).build();
     }
 
     /** Returns {@code Retry-After} in whole seconds, rounded up; 0 where waiting does not help. */
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/Decisions.java
@@ -0,0 +1,24 @@
+package org.cyclamenpaddle.router.request;
+
+import org.cyclamenpaddle.routing.admission.Admission;
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
+import org.cyclamenpaddle.routing.placement.PrefixHints;
+import org.cyclamenpaddle.routing.retry.RetryBudget;
+
+/**
+ * The decisions that requests of one host share.
+ *
+ * @param policy how candidates are ordered
+ * @param admission whether a request is taken at all
+ * @param retries budget of retries, locked by its own monitor
+ * @param prefixes hints of cached prefixes
+ * @param expectedOutput expected length of answers
+ * @param distances times between failure domains
+ */
+public record Decisions(
+        PlacementPolicy policy,
+        Admission admission,
+        RetryBudget retries,
+        PrefixHints prefixes,
+        ExpectedOutput expectedOutput,
+        DomainDistances distances) {}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
@@ -0,0 +1,267 @@
+package org.cyclamenpaddle.router.request;
+
+import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenpaddle.core.config.BackendRole;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.config.ConfigurationView;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.cyclamenpaddle.core.outcome.RetryReason;
+import org.cyclamenpaddle.router.blackboard.Blackboard;
+import org.cyclamenpaddle.routing.admission.Admission;
+import org.cyclamenpaddle.routing.placement.BackendView;
+import org.cyclamenpaddle.routing.placement.Candidate;
+import org.cyclamenpaddle.routing.placement.CostFactors;
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
+import org.cyclamenpaddle.routing.placement.PlacementRequest;
+import org.cyclamenpaddle.routing.placement.PlacementView;
+import org.cyclamenpaddle.routing.placement.PrefixHints;
+import org.cyclamenpaddle.routing.quarantine.Verdict;
+import org.cyclamenpaddle.routing.request.Choice;
+import org.cyclamenpaddle.routing.request.RequestEnvironment;
+import org.cyclamenpaddle.routing.request.RequestShape;
+import org.cyclamenpaddle.routing.retry.RetryBudget;
+
+/** The blackboard of an entry host as the state machines of requests see it. */
+public final class HostEnvironment implements RequestEnvironment {
+
+    private final Incarnation mSelf;
+    private final FailureDomain mDomain;
+    private final Blackboard mBlackboard;
+    private final PlacementPolicy mPolicy;
+    private final Admission mAdmission;
+    private final RetryBudget mRetries;
+    private final PrefixHints mPrefixes;
+    private final ExpectedOutput mExpectedOutput;
+    private final DomainDistances mDistances;
+    private final LossListener mLosses;
+    private final UniformRandomProvider mRandom;
+    private final AtomicLong mAttempts = new AtomicLong();
+    private final AtomicLong mTurns = new AtomicLong();
+
+    /**
+     * Creates the environment of one host.
+     *
+     * @param self this host's incarnation, part of every attempt id
+     * @param domain this host's failure domain
+     * @param blackboard its tables
+     * @param decisions policy, admission, budget and hints
+     * @param losses told of lost backend servers
+     * @param random source of random numbers, used under a lock
+     */
+    public HostEnvironment(
+            Incarnation self,
+            FailureDomain domain,
+            Blackboard blackboard,
+            Decisions decisions,
+            LossListener losses,
+            UniformRandomProvider random) {
+        mSelf = self;
+        mDomain = domain;
+        mBlackboard = blackboard;
+        mPolicy = decisions.policy();
+        mAdmission = decisions.admission();
+        mRetries = decisions.retries();
+        mPrefixes = decisions.prefixes();
+        mExpectedOutput = decisions.expectedOutput();
+        mDistances = decisions.distances();
+        mLosses = losses;
+        mRandom = random;
+    }
+
+    @Override
+    public AttemptId newAttempt() {
+        return AttemptId.of(mSelf, mAttempts.incrementAndGet());
+    }
+
+    @Override
+    public boolean usesGrants() {
+        return mPolicy.usesGrants();
+    }
+
+    @Override
+    public Optional<Refusal> admit(RequestShape shape, long now) {
+        Optional<Long> quarantined =
+                mBlackboard
+                        .suspects()
+                        .read(table -> table.quarantinedMillis(shape.fingerprint(), now));
+        if (quarantined.isPresent()) {
+            return quarantined.map(
+                    millis -> new Refusal(RefusalReason.QUARANTINED, "", Math.max(1, millis)));
+        }
+        synchronized (mRetries) {
+            mRetries.freshRequest(shape.service(), now);
+        }
+        mTurns.incrementAndGet();
+        if (!usesGrants()) {
+            return Optional.empty();
+        }
+        PlacementRequest request = request(shape, 0, shape.firstTokenMillis());
+        PlacementView view = view(shape, Set.of(), now);
+        synchronized (mRandom) {
+            return mAdmission.admit(request, view, mRandom).swap().toJavaOptional();
+        }
+    }
+
+    @Override
+    public Either<Refusal, List<Choice>> rankPrefill(
+            RequestShape shape, int generated, Set<BackendId> excluded, long now) {
+        PlacementRequest request = request(shape, generated, shape.firstTokenMillis());
+        PlacementView view = view(shape, excluded, now);
+        int tokens = shape.promptTokens() + generated;
+        synchronized (mRandom) {
+            return choices(
+                    shape,
+                    mPolicy.rankPrefill(request, view, mRandom),
+                    candidate -> tokens - candidate.cachedTokens(),
+                    Candidate::predictedMillis,
+                    now);
+        }
+    }
+
+    @Override
+    public Either<Refusal, List<Choice>> rankDecode(
+            RequestShape shape,
+            BackendId prefill,
+            long neededInMillis,
+            Set<BackendId> excluded,
+            long now) {
+        PlacementRequest request = request(shape, 0, shape.firstTokenMillis());
+        PlacementView view = view(shape, excluded, now);
+        int expected = mExpectedOutput.tokens(shape);
+        synchronized (mRandom) {
+            return choices(
+                    shape,
+                    mPolicy.rankDecode(request, view, mRandom, neededInMillis),
+                    candidate -> expected,
+                    candidate -> expected * tokenMillis(candidate.backend()),
+                    now);
+        }
+    }
+
+    @Override
+    public boolean mayRetry(RequestShape shape, RetryReason reason, long now) {
+        synchronized (mRetries) {
+            return mRetries.tryTake(shape.service(), now);
+        }
+    }
+
+    @Override
+    public void backendLost(BackendId backend, long now) {
+        mLosses.backendLost(backend, now);
+    }
+
+    private Either<Refusal, List<Choice>> choices(
+            RequestShape shape,
+            List<Candidate> ranked,
+            java.util.function.ToIntFunction<Candidate> tokens,
+            ToLongFunction<Candidate> hold,
+            long now) {
+        if (ranked.isEmpty()) {
+            return Either.left(noChoice(shape, now));
+        }
+        return Either.right(
+                ranked.stream()
+                        .map(
+                                candidate ->
+                                        new Choice(
+                                                candidate.backend(),
+                                                candidate.predictedMillis(),
+                                                Math.max(0, tokens.applyAsInt(candidate)),
+                                                Math.max(0, hold.applyAsLong(candidate))))
+                        .collect(Collectors.toList()));
+    }
+
+    private Refusal noChoice(RequestShape shape, long now) {
+        return mBlackboard
+                .suspects()
+                .read(table -> table.quarantinedMillis(shape.fingerprint(), now))
+                .map(millis -> new Refusal(RefusalReason.QUARANTINED, "", Math.max(1, millis)))
+                .orElseGet(
+                        () ->
+                                Refusal.of(
+                                        RefusalReason.NO_BACKEND,
+                                        "No backend server of " + shape.service() + " is left."));
+    }
+
+    private long tokenMillis(BackendId backend) {
+        return Optional.ofNullable(mBlackboard.view().backends().get(backend))
+                .map(BackendSpec::tokenMillis)
+                .orElse(0L);
+    }
+
+    private PlacementRequest request(RequestShape shape, int generated, long millisLeft) {
+        int expected = mExpectedOutput.tokens(shape);
+        long tokens = shape.promptTokens() + (long) generated + expected;
+        return new PlacementRequest(
+                shape.service(),
+                shape.promptTokens() + generated,
+                shape.blockHashes(),
+                BackendSpec.piecesFor(tokens),
+                shape.kvBytes(generated),
+                expected,
+                mDomain,
+                millisLeft);
+    }
+
+    private PlacementView view(RequestShape shape, Set<BackendId> excluded, long now) {
+        ConfigurationView configuration = mBlackboard.view();
+        return new PlacementView(
+                views(configuration, shape, BackendRole.PREFILL, excluded, now),
+                views(configuration, shape, BackendRole.DECODE, excluded, now),
+                mPrefixes,
+                CostFactors.NEUTRAL,
+                mTurns.get());
+    }
+
+    private List<BackendView> views(
+            ConfigurationView configuration,
+            RequestShape shape,
+            BackendRole role,
+            Set<BackendId> excluded,
+            long now) {
+        List<BackendSpec> serving = configuration.serving(shape.service(), role);
+        return mBlackboard
+                .backends()
+                .read(
+                        table ->
+                                serving.stream()
+                                        .map(
+                                                spec ->
+                                                        new BackendView(
+                                                                spec,
+                                                                table.hint(spec.id()),
+                                                                table.hintAge(spec.id(), now),
+                                                                table.inFlight(spec.id()),
+                                                                excluded.contains(spec.id())
+                                                                        || !mayRun(
+                                                                                shape, spec, now),
+                                                                table.suspected(spec.id(), now),
+                                                                mDistances.millis(
+                                                                        mDomain,
+                                                                        spec.failureDomain())))
+                                        .sorted(Comparator.comparing(BackendView::id))
+                                        .collect(Collectors.toList()));
+    }
+
+    private boolean mayRun(RequestShape shape, BackendSpec spec, long now) {
+        return mBlackboard
+                .suspects()
+                .read(
+                        table ->
+                                table.mayRun(shape.fingerprint(), spec.id(), now)
+                                        == Verdict.MAY_RUN);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/RequestJournal.java
@@ -0,0 +1,124 @@
+package org.cyclamenpaddle.router.request;
+
+import org.cyclamenpaddle.core.config.ServiceSpec;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.RequestId;
+import org.cyclamenpaddle.core.message.GrantAnswer;
+import org.cyclamenpaddle.core.message.GrantAsk;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RetryReason;
+import org.cyclamenpaddle.engine.model.EngineFailure;
+import org.cyclamenpaddle.engine.model.PrefillResult;
+import org.cyclamenpaddle.router.metric.RouterMetrics;
+
+/**
+ * Tells of one model request what operators want to know: its steps, and whether it was in time.
+ *
+ * <p>In time means that the first token came within its target, and the tokens after it within
+ * theirs on average.
+ */
+final class RequestJournal {
+
+    private final RequestId mRequest;
+    private final ServiceSpec mService;
+    private final long mReceivedAt;
+    private final StepRecorder mRecorder;
+    private final RouterMetrics mMetrics;
+    private long mFirstTokenAt = -1;
+    private long mLastTokenAt;
+
+    RequestJournal(
+            RequestId request,
+            ServiceSpec service,
+            long receivedAt,
+            StepRecorder recorder,
+            RouterMetrics metrics) {
+        mRequest = request;
+        mService = service;
+        mReceivedAt = receivedAt;
+        mRecorder = recorder;
+        mMetrics = metrics;
+        mMetrics.requestTaken(service.name());
+    }
+
+    void asked(GrantAsk ask) {
+        record(
+                "ask " + ask.role().code(),
+                ask.backend()
+                        + " for "
+                        + ask.attempt()
+                        + " in "
+                        + ask.neededInMillis()
+                        + " ms, holding "
+                        + ask.holdMillis()
+                        + " ms and "
+                        + ask.pieces()
+                        + " pieces");
+    }
+
+    void granted(GrantAnswer answer) {
+        record(
+                "answer " + answer.decision(),
+                answer.backend()
+                        + " from "
+                        + answer.startInMillis()
+                        + " to "
+                        + answer.endInMillis()
+                        + " ms");
+    }
+
+    void step(String step, AttemptId attempt, BackendId backend) {
+        record(step, backend + " as " + attempt);
+    }
+
+    void prefilled(AttemptId attempt, PrefillResult result) {
+        record(
+                "prefilled",
+                attempt + ": " + result.tokens() + " tokens, " + result.cachedTokens() + " cached");
+    }
+
+    void failed(AttemptId attempt, EngineFailure failure) {
+        record("failed", attempt + ": " + failure);
+    }
+
+    void retried(RetryReason reason) {
+        record("retry", reason.code());
+    }
+
+    void token(long now) {
+        if (mFirstTokenAt < 0) {
+            mFirstTokenAt = now;
+            mMetrics.firstToken(mService.name(), now - mReceivedAt);
+            record("first token", (now - mReceivedAt) + " ms");
+        } else {
+            mMetrics.interToken(mService.name(), now - mLastTokenAt);
+        }
+        mLastTokenAt = now;
+    }
+
+    void finished(int tokens) {
+        boolean inTime = inTime(tokens);
+        mMetrics.tokensRelayed(mService.name(), tokens);
+        mMetrics.answered(mService.name(), inTime);
+        record("finished", tokens + " tokens, " + (inTime ? "in time" : "late"));
+    }
+
+    void refused(Refusal refusal) {
+        mMetrics.refused(refusal.reason());
+        record("refused", refusal.reason().code() + " " + refusal.detail());
+    }
+
+    private boolean inTime(int tokens) {
+        if (mFirstTokenAt < 0) {
+            return false;
+        }
+        boolean first = mFirstTokenAt - mReceivedAt <= mService.firstTokenMillis();
+        long after = mLastTokenAt - mFirstTokenAt;
+        return first && after <= mService.perTokenMillis() * Math.max(0, tokens - 1L);
+    }
+
+    private void record(String step, String detail) {
+        mRecorder.record(mRequest, step, detail);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/RequestRun.java
@@ -0,0 +1,317 @@
+package org.cyclamenpaddle.router.request;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.function.LongFunction;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.engine.model.DecodeCall;
+import org.cyclamenpaddle.engine.model.EngineFailure;
+import org.cyclamenpaddle.engine.model.EngineStreamListener;
+import org.cyclamenpaddle.engine.model.PrefillCall;
+import org.cyclamenpaddle.engine.model.PrefillResult;
+import org.cyclamenpaddle.engine.model.PrefillSource;
+import org.cyclamenpaddle.engine.model.StreamHandle;
+import org.cyclamenpaddle.router.worker.SerialExecutor;
+import org.cyclamenpaddle.routing.request.RequestEffect;
+import org.cyclamenpaddle.routing.request.RequestEffectHandler;
+import org.cyclamenpaddle.routing.request.RequestMachine;
+import org.cyclamenpaddle.routing.request.RequestShape;
+import org.cyclamenpaddle.routing.request.StepFailure;
+
+/**
+ * One model request under way: feeds its machine and performs the effects.
+ *
+ * <p>All events pass through one serial executor, so tokens reach the sink in the order in which
+ * the machine emitted them, whichever threads the engines' answers come on.
+ */
+final class RequestRun implements RequestEffectHandler {
+
+    private static final int PRIORITY = 0;
+
+    private final RequestShape mShape;
+    private final String mPrompt;
+    private final RequestServices mServices;
+    private final RequestMachine mMachine;
+    private final RequestJournal mJournal;
+    private final AnswerSink mSink;
+    private final SerialExecutor mSerial;
+    private final Set<AttemptId> mOpened = new HashSet<>();
+    private Optional<ScheduledFuture<?>> mTimer = Optional.empty();
+    private Optional<StreamHandle> mStream = Optional.empty();
+
+    RequestRun(
+            RequestShape shape,
+            String prompt,
+            RequestServices services,
+            RequestMachine machine,
+            RequestJournal journal,
+            AnswerSink sink) {
+        mShape = shape;
+        mPrompt = prompt;
+        mServices = services;
+        mMachine = machine;
+        mJournal = journal;
+        mSink = sink;
+        mSerial = new SerialExecutor(services.workers());
+    }
+
+    void start() {
+        feed(mMachine::start);
+    }
+
+    void callerGone() {
+        feed(mMachine::onCallerGone);
+    }
+
+    private void feed(LongFunction<List<RequestEffect>> event) {
+        mSerial.execute(
+                () ->
+                        event.apply(mServices.clock().millis())
+                                .forEach(effect -> effect.perform(this)));
+    }
+
+    private Optional<BackendSpec> spec(BackendId backend) {
+        return Optional.ofNullable(mServices.blackboard().view().backends().get(backend));
+    }
+
+    @Override
+    public void askGrant(RequestEffect.AskGrant effect) {
+        mJournal.asked(effect.ask());
+        mServices.blackboard().requests().write(table -> table.asked(effect.ask()));
+        mServices
+                .grants()
+                .ask(effect.ask())
+                .thenAccept(
+                        answer -> {
+                            mJournal.granted(answer);
+                            feed(now -> mMachine.onGrantAnswer(answer, now));
+                        });
+    }
+
+    @Override
+    public void endGrant(RequestEffect.EndGrant effect) {
+        mServices.blackboard().requests().write(table -> table.released(effect.attempt()));
+        mServices.grants().end(effect.attempt(), effect.backend());
+    }
+
+    @Override
+    public void startPrefill(RequestEffect.StartPrefill effect) {
+        mJournal.step("prefill", effect.attempt(), effect.backend());
+        AttemptId attempt = effect.attempt();
+        Optional<BackendSpec> engine = spec(effect.backend());
+        if (engine.isEmpty()) {
+            feed(now -> mMachine.onPrefillFailed(attempt, StepFailure.FULL, now));
+            return;
+        }
+        opened(attempt, effect.backend());
+        PrefillCall call =
+                new PrefillCall(attempt, mPrompt, effect.prior(), PRIORITY, effect.timeoutMillis());
+        mServices
+                .clients()
+                .engine(engine.get())
+                .prefill(call)
+                .thenAccept(
+                        answer ->
+                                answer.peek(result -> prefilled(effect, result))
+                                        .peekLeft(failure -> prefillFailed(effect, failure)));
+    }
+
+    private void prefilled(RequestEffect.StartPrefill effect, PrefillResult result) {
+        int computed = Math.max(0, result.tokens() - result.cachedTokens());
+        mJournal.prefilled(effect.attempt(), result);
+        mServices.metrics().prefillComputed(mShape.service(), computed);
+        mServices.prefixes().learned(effect.backend(), mShape.blockHashes());
+        feed(now -> mMachine.onPrefillDone(effect.attempt(), computed, result.resultMillis(), now));
+    }
+
+    private void prefillFailed(RequestEffect.StartPrefill effect, EngineFailure failure) {
+        mJournal.failed(effect.attempt(), failure);
+        StepFailure step = EngineFailures.step(failure);
+        feed(now -> mMachine.onPrefillFailed(effect.attempt(), step, now));
+    }
+
+    @Override
+    public void startDecode(RequestEffect.StartDecode effect) {
+        mJournal.step("decode", effect.attempt(), effect.backend());
+        Optional<BackendSpec> engine = spec(effect.backend());
+        Optional<BackendSpec> source = spec(effect.sourceBackend());
+        if (engine.isEmpty() || source.isEmpty()) {
+            feed(now -> mMachine.onStreamFailed(effect.attempt(), StepFailure.FULL, now));
+            return;
+        }
+        opened(effect.attempt(), effect.backend());
+        PrefillSource from =
+                new PrefillSource(source.get().address(), source.get().port(), effect.source());
+        DecodeCall call =
+                new DecodeCall(
+                        effect.attempt(),
+                        from,
+                        effect.firstIndex(),
+                        effect.maxTokens(),
+                        PRIORITY,
+                        effect.transferMillis());
+        replaceStream(
+                mServices
+                        .clients()
+                        .engine(engine.get())
+                        .decode(call, new Listener(effect.attempt())));
+    }
+
+    @Override
+    public void resume(RequestEffect.Resume effect) {
+        mJournal.step("resume", effect.attempt(), effect.backend());
+        Optional<BackendSpec> engine = spec(effect.backend());
+        if (engine.isEmpty()) {
+            feed(now -> mMachine.onStreamFailed(effect.attempt(), StepFailure.UNREACHABLE, now));
+            return;
+        }
+        replaceStream(
+                mServices
+                        .clients()
+                        .engine(engine.get())
+                        .resume(
+                                effect.attempt(),
+                                effect.fromIndex(),
+                                new Listener(effect.attempt())));
+    }
+
+    @Override
+    public void cancel(RequestEffect.Cancel effect) {
+        mJournal.step("cancel", effect.attempt(), effect.backend());
+        closed(effect.attempt());
+        spec(effect.backend())
+                .ifPresent(engine -> mServices.canceller().cancel(engine, effect.attempt()));
+    }
+
+    @Override
+    public void emit(RequestEffect.Emit effect) {
+        mJournal.token(mServices.clock().millis());
+        mSink.token(effect.index(), effect.text());
+    }
+
+    @Override
+    public void finish(RequestEffect.Finish effect) {
+        over();
+        mJournal.finished(effect.tokens());
+        mSink.finished(effect.tokens(), effect.finishReason());
+    }
+
+    @Override
+    public void refuse(RequestEffect.Refuse effect) {
+        over();
+        mJournal.refused(effect.refusal());
+        mSink.refused(effect.refusal(), effect.tokensSent());
+    }
+
+    @Override
+    public void setTimer(RequestEffect.SetTimer effect) {
+        mTimer.ifPresent(timer -> timer.cancel(false));
+        mTimer =
+                Optional.of(
+                        mServices
+                                .workers()
+                                .after(
+                                        effect.delayMillis(),
+                                        () ->
+                                                feed(
+                                                        now ->
+                                                                mMachine.onTimer(
+                                                                        effect.kind(),
+                                                                        effect.generation(),
+                                                                        now))));
+    }
+
+    @Override
+    public void countRetry(RequestEffect.CountRetry effect) {
+        mJournal.retried(effect.reason());
+        mServices.metrics().retried(effect.reason());
+    }
+
+    @Override
+    public void countWaste(RequestEffect.CountWaste effect) {
+        mServices.metrics().prefillWasted(mShape.service(), effect.tokens());
+    }
+
+    private void opened(AttemptId attempt, BackendId backend) {
+        mOpened.add(attempt);
+        mServices.blackboard().backends().write(table -> table.inFlight(backend, 1));
+        mServices.blackboard().requests().write(table -> table.started(attempt, backend));
+        mServices
+                .blackboard()
+                .suspects()
+                .write(table -> table.started(mShape.fingerprint(), backend));
+    }
+
+    private void closed(AttemptId attempt) {
+        mServices
+                .blackboard()
+                .requests()
+                .read(table -> table.ended(attempt))
+                .ifPresent(this::leftBackend);
+    }
+
+    private void leftBackend(BackendId backend) {
+        mServices.blackboard().backends().write(table -> table.inFlight(backend, -1));
+        mServices
+                .blackboard()
+                .suspects()
+                .write(table -> table.ended(mShape.fingerprint(), backend));
+    }
+
+    private void replaceStream(StreamHandle stream) {
+        mStream.ifPresent(StreamHandle::close);
+        mStream = Optional.of(stream);
+    }
+
+    private void over() {
+        mTimer.ifPresent(timer -> timer.cancel(false));
+        mStream.ifPresent(StreamHandle::close);
+        mStream = Optional.empty();
+        mOpened.forEach(this::closed);
+    }
+
+    /** Passes the events of one stream on; a stream replaced meanwhile is closed and silent. */
+    private final class Listener implements EngineStreamListener {
+
+        private final AttemptId mAttempt;
+
+        Listener(AttemptId attempt) {
+            mAttempt = attempt;
+        }
+
+        @Override
+        public void onImported(long bytes) {
+            feed(now -> mMachine.onImported(mAttempt, now));
+        }
+
+        @Override
+        public void onToken(int index, String text) {
+            feed(now -> mMachine.onToken(mAttempt, index, text, now));
+        }
+
+        @Override
+        public void onEnd(int tokens, String finishReason) {
+            feed(now -> mMachine.onEnd(mAttempt, tokens, finishReason, now));
+        }
+
+        @Override
+        public void onFailed(EngineFailure failure) {
+            failed(EngineFailures.step(failure), failure);
+        }
+
+        @Override
+        public void onBroken(EngineFailure failure) {
+            failed(EngineFailures.broken(failure), failure);
+        }
+
+        private void failed(StepFailure step, EngineFailure failure) {
+            mJournal.failed(mAttempt, failure);
+            feed(now -> mMachine.onStreamFailed(mAttempt, step, now));
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/worker/Workers.java
@@ -0,0 +1,73 @@
+package org.cyclamenpaddle.router.worker;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+/**
+ * A fixed pool of workers with timers.
+ *
+ * <p>Work must not block. Whatever a piece of work throws goes to the failure handler, which stops
+ * the process: outcomes are values here, so an exception is a broken invariant.
+ */
+public final class Workers implements Executor, AutoCloseable {
+
+    private final ScheduledThreadPoolExecutor mPool;
+    private final Consumer<Throwable> mFailureHandler;
+
+    /**
+     * Creates a pool.
+     *
+     * @param threads number of workers
+     * @param failureHandler what to do with an exception that work throws
+     */
+    public Workers(int threads, Consumer<Throwable> failureHandler) {
+        AtomicInteger count = new AtomicInteger();
+        mFailureHandler = failureHandler;
+        mPool =
+                new ScheduledThreadPoolExecutor(
+                        threads,
+                        work -> {
+                            Thread thread = new Thread(work, "worker-" + count.incrementAndGet());
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        mPool.setRemoveOnCancelPolicy(true);
+    }
+
+    @Override
+    public void execute(Runnable work) {
+        if (!mPool.isShutdown()) {
+            mPool.execute(guarded(work));
+        }
+    }
+
+    /** Runs work once after a delay in milliseconds. */
+    public ScheduledFuture<?> after(long delayMillis, Runnable work) {
+        return mPool.schedule(guarded(work), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs work again and again, with a pause in milliseconds between runs. */
+    public ScheduledFuture<?> every(long periodMillis, Runnable work) {
+        return mPool.scheduleWithFixedDelay(
+                guarded(work), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        mPool.shutdownNow();
+    }
+
+    private Runnable guarded(Runnable work) {
+        return () -> {
+            try {
+                work.run();
+            } catch (RuntimeException | Error failure) {
+                mFailureHandler.accept(failure);
+            }
+        };
+    }
+}
