--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
@@ -33,6 +33,7 @@
     BACKEND_FAILED(502, UNKNOWN, true, "The backend server failed during the call."),
     DEADLINE_PASSED(504, UNKNOWN, true, "The answer did not come in time."),
     CALLER_GONE(499, UNKNOWN, false, "The caller left before the answer."),
+    UNKNOWN_OBJECT(404, NOT_RUN, false, "There is no such object or request."),
     CONFLICT(409, NOT_RUN, false, "Another change came first."),
     BAD_CONFIGURATION(422, NOT_RUN, false, "The configuration object fails its checks."),
     ANSWER_EXPIRED(410, RAN, false, "The call ran, but its answer is no longer kept.");
