--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/RouterSettings.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/RouterSettings.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
 
 /**
  * Settings of one entry host, read once at its start.
@@ -177,15 +178,15 @@
     /**
      * How requests are placed.
      *
-     * @param policy name of the placement policy
+     * @param policy how backend servers are ordered
      * @param expectedOutputTokens output tokens expected of a request without a history
      * @param ledger whether decode slots are granted by the owner of the backend server
      */
-    public record Routing(String policy, int expectedOutputTokens, boolean ledger) {
+    public record Routing(PlacementPolicy policy, int expectedOutputTokens, boolean ledger) {
 
         static Routing of(SettingValues values) {
             return new Routing(
-                    values.text(SettingKey.ROUTING_POLICY),
+                    PlacementPolicy.valueOf(values.text(SettingKey.ROUTING_POLICY)),
                     values.number(SettingKey.ROUTING_EXPECTED_OUTPUT_TOKENS),
                     values.on(SettingKey.ROUTING_LEDGER));
         }
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
 
 /**
  * Every key of a settings file: its section, form, default and meaning.
@@ -139,10 +140,10 @@
     ROUTING_POLICY(
             "routing",
             "policy",
-            SettingType.NAME,
-            SettingRange.ANY,
-            JsonNodeFactory.instance.textNode("ledger"),
-            "Placement policy."),
+            SettingType.WORD,
+            SettingRange.of(PlacementPolicy.values()),
+            JsonNodeFactory.instance.textNode(PlacementPolicy.TIMED_GRANTS.name()),
+            "Placement policy; all but TIMED_GRANTS are baselines for comparison."),
     ROUTING_EXPECTED_OUTPUT_TOKENS(
             "routing",
             "expected_output_tokens",
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingRange.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingRange.java
@@ -31,6 +31,10 @@
         return new SettingRange(ANY.least, ANY.greatest, new LinkedHashSet<>(Arrays.asList(words)));
     }
 
+    static SettingRange of(Enum<?>... words) {
+        return of(Arrays.stream(words).map(Enum::name).toArray(String[]::new));
+    }
+
     boolean contains(double value) {
         return value >= least && value <= greatest;
     }
