--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/explain/Explanation.java
@@ -0,0 +1,21 @@
+package org.cyclamenpaddle.router.explain;
+
+import java.util.List;
+import org.cyclamenpaddle.core.id.RequestId;
+
+/**
+ * What was decided for one request.
+ *
+ * @param request the request
+ * @param decisions in the order in which they were made
+ * @param left decisions beyond the bound that were not kept
+ */
+public record Explanation(RequestId request, List<Decision> decisions, int left) {
+
+    public Explanation {
+        if (request == null || left < 0) {
+            throw new IllegalArgumentException("bad explanation of " + request);
+        }
+        decisions = List.copyOf(decisions);
+    }
+}
