Add drivers of membership, configuration, ledgers and keyed calls

Cause: the pure state machines need a process around them that performs their effects.

Changed on the way: a strike is given only if the request was running on the backend server that died. Before, a request that never got a connection was struck too, so a cut between failure domains would have quarantined innocent requests. A request that lost its server waits up to the recovery time for one that may run it, in place of being refused at once.

The process does not start yet.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/blackboard/ConfigurationCell.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/blackboard/ConfigurationCell.java
@@ -1,12 +1,14 @@
 package org.cyclamenpaddle.router.blackboard;
 
 import org.cyclamenpaddle.core.config.ConfigurationView;
+import org.cyclamenpaddle.core.invariant.Invariants;
 
 /** The configuration in force on this host, parsed. */
 public final class ConfigurationCell {
 
     private ConfigurationView mView = ConfigurationView.EMPTY;
     private long mInForceVersion;
+    private long mDigest;
     private long mConfirmedAt;
 
     /** Returns the view. */
@@ -19,15 +21,28 @@
         return mInForceVersion;
     }
 
+    /** Returns the digest of the replica that the view was parsed from. */
+    public long digest() {
+        return mDigest;
+    }
+
     /** Returns when the platform or a peer last confirmed the configuration. */
     public long confirmedAt() {
         return mConfirmedAt;
     }
 
     /** Puts a newer view in force. */
-    public void apply(ConfigurationView view, long inForceVersion) {
+    public void apply(ConfigurationView view, long inForceVersion, long digest) {
+        Invariants.require(
+                inForceVersion >= mInForceVersion,
+                () ->
+                        "preset in force went back from "
+                                + mInForceVersion
+                                + " to "
+                                + inForceVersion);
         mView = view;
         mInForceVersion = inForceVersion;
+        mDigest = digest;
     }
 
     /** Notes that the configuration was confirmed. */
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
@@ -0,0 +1,202 @@
+package org.cyclamenpaddle.router.booking;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.function.Function;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.message.ClaimAnswer;
+import org.cyclamenpaddle.core.message.ClaimAsk;
+import org.cyclamenpaddle.core.outcome.RetryReason;
+import org.cyclamenpaddle.core.outcome.RunOutcome;
+import org.cyclamenpaddle.engine.plain.PlainRequest;
+import org.cyclamenpaddle.engine.plain.PlainResult;
+import org.cyclamenpaddle.fleet.claim.BookingEffect;
+import org.cyclamenpaddle.fleet.claim.BookingEvent;
+import org.cyclamenpaddle.fleet.claim.BookingMachine;
+import org.cyclamenpaddle.fleet.claim.BookingReply;
+import org.cyclamenpaddle.router.event.LogEvent;
+import org.cyclamenpaddle.router.worker.SerialExecutor;
+
+/** One keyed call under way: feeds its machine and performs the effects. */
+final class BookingRun {
+
+    private final Bookings.KeyedCall mCall;
+    private final BookingServices mServices;
+    private final BookingMachine mMachine;
+    private final Function<ClaimAsk, CompletableFuture<ClaimAnswer>> mOwnClaims;
+    private final SerialExecutor mSerial;
+    private final CompletableFuture<BookingReply> mReply = new CompletableFuture<>();
+    private final Set<BackendId> mTried = new HashSet<>();
+    private Runnable mClaimHeld = () -> {};
+    private Optional<ScheduledFuture<?>> mDeadline = Optional.empty();
+    private volatile boolean mFinished;
+
+    BookingRun(
+            Bookings.KeyedCall call,
+            BookingServices services,
+            BookingMachine machine,
+            Function<ClaimAsk, CompletableFuture<ClaimAnswer>> ownClaims) {
+        mCall = call;
+        mServices = services;
+        mMachine = machine;
+        mOwnClaims = ownClaims;
+        mSerial = new SerialExecutor(services.workers());
+    }
+
+    /**
+     * Starts the call.
+     *
+     * @param claimHeld run once this attempt holds the claim, before anything is dispatched
+     */
+    CompletableFuture<BookingReply> start(Runnable claimHeld) {
+        mClaimHeld = claimHeld;
+        mSerial.execute(
+                () -> {
+                    mDeadline =
+                            Optional.of(
+                                    mServices
+                                            .workers()
+                                            .after(
+                                                    mCall.call().timeoutMillis(),
+                                                    () -> feed(new BookingEvent.Timeout())));
+                    perform(mMachine.start());
+                });
+        return mReply;
+    }
+
+    /** Returns what this host answers about its own attempt. */
+    CompletableFuture<ClaimAnswer> answer() {
+        CompletableFuture<ClaimAnswer> answer = new CompletableFuture<>();
+        mSerial.execute(() -> answer.complete(mMachine.answer()));
+        return answer;
+    }
+
+    boolean finished() {
+        return mFinished;
+    }
+
+    private void feed(BookingEvent event) {
+        mSerial.execute(() -> take(event));
+    }
+
+    private void take(BookingEvent event) {
+        perform(mMachine.on(event, mServices.clock().millis()));
+        mFinished = mMachine.finished();
+    }
+
+    private void perform(List<BookingEffect> effects) {
+        effects.forEach(this::perform);
+    }
+
+    private void perform(BookingEffect effect) {
+        if (effect instanceof BookingEffect.WriteClaim write) {
+            record("claim", mMachine.claim().attempt().value());
+            mServices.claims().claim(write.claim(), verdict -> feed(verdict.event()));
+        } else if (effect instanceof BookingEffect.Dispatch dispatch) {
+            dispatch(dispatch);
+        } else if (effect instanceof BookingEffect.AskClaimer ask) {
+            askClaimer(ask);
+        } else if (effect instanceof BookingEffect.RecordOutcome outcome) {
+            mServices.claims().outcome(outcome.claim(), outcome.outcome());
+        } else if (effect instanceof BookingEffect.WakeAt wake) {
+            long delay = Math.max(0, wake.millis() - mServices.clock().millis());
+            mServices.workers().after(delay, () -> feed(new BookingEvent.Wake()));
+        } else if (effect instanceof BookingEffect.Reply reply) {
+            reply(reply.reply());
+        }
+        // SendCall, Abort and ReadClaim ask for nothing here: connecting and writing are one call,
+        // whose result tells whether a byte may have left, and the shard itself reads back.
+    }
+
+    private void dispatch(BookingEffect.Dispatch dispatch) {
+        mClaimHeld.run();
+        Optional<BackendSpec> chosen = mServices.choice().choose(mCall.service().name(), mTried);
+        if (chosen.isEmpty()) {
+            take(new BookingEvent.ConnectFailedBeforeFirstByte());
+            return;
+        }
+        BackendSpec backend = chosen.get();
+        mTried.add(backend.id());
+        record("dispatch", backend.id() + " as " + dispatch.attempt());
+        mServices.choice().inFlight(backend.id(), 1);
+        mServices
+                .client()
+                .call(backend, request(dispatch.attempt()))
+                .thenAccept(result -> mSerial.execute(() -> called(backend, result)));
+    }
+
+    private PlainRequest request(AttemptId attempt) {
+        return new PlainRequest(
+                attempt,
+                mCall.call().method(),
+                mCall.pathAndQuery(),
+                mCall.contentType(),
+                mCall.body(),
+                Optional.of(mCall.key()),
+                mCall.call().timeoutMillis());
+    }
+
+    private void called(BackendSpec backend, PlainResult result) {
+        mServices.choice().inFlight(backend.id(), -1);
+        if (result instanceof PlainResult.NothingSent nothing) {
+            record("nothing sent", backend.id() + ": " + nothing.reason());
+            mServices.choice().unreached(backend.id());
+            mServices.metrics().retried(RetryReason.CONNECT_FAILED);
+            take(new BookingEvent.ConnectFailedBeforeFirstByte());
+            return;
+        }
+        take(new BookingEvent.FirstByteWritten());
+        if (result instanceof PlainResult.Answered answered) {
+            record("answered", backend.id() + ": status " + answered.status());
+            take(
+                    new BookingEvent.ResponseComplete(
+                            new ClaimAnswer.KeptAnswer(
+                                    answered.status(),
+                                    answered.contentType(),
+                                    Bookings.text(answered.body()))));
+        } else if (result instanceof PlainResult.MaybeSent maybe) {
+            record("maybe sent", backend.id() + ": " + maybe.reason());
+            mServices.log().log(
+                    LogEvent.BOOKING_UNKNOWN,
+                    mCall.request(),
+                    mCall.service().name(),
+                    backend.id(),
+                    mMachine.claim().attempt());
+            take(new BookingEvent.FailedAfterFirstByte());
+        }
+    }
+
+    private void askClaimer(BookingEffect.AskClaimer ask) {
+        record("ask claimer", ask.holder().toString());
+        CompletableFuture<Optional<ClaimAnswer>> answer =
+                ask.holder().equals(mServices.self())
+                        ? mOwnClaims.apply(ask.ask()).thenApply(Optional::of)
+                        : mServices.claimers().ask(ask.holder(), ask.ask());
+        answer.thenAccept(
+                found ->
+                        feed(
+                                found.<BookingEvent>map(BookingEvent.ClaimerAnswered::new)
+                                        .orElseGet(BookingEvent.ClaimerUnreachable::new)));
+    }
+
+    private void reply(BookingReply reply) {
+        mDeadline.ifPresent(timer -> timer.cancel(false));
+        RunOutcome outcome = reply.outcome();
+        mServices.metrics().booking(outcome);
+        if (reply instanceof BookingReply.Refused refused) {
+            mServices.metrics().refused(refused.refusal().reason());
+        }
+        record("reply", outcome.code());
+        mReply.complete(reply);
+    }
+
+    private void record(String step, String detail) {
+        mServices.recorder().record(mCall.request(), step, detail);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
@@ -0,0 +1,294 @@
+package org.cyclamenpaddle.router.configuration;
+
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenpaddle.core.config.ConfigurationObject;
+import org.cyclamenpaddle.core.config.ObjectKey;
+import org.cyclamenpaddle.core.id.PresetName;
+import org.cyclamenpaddle.core.message.ConfigurationAnswer;
+import org.cyclamenpaddle.core.message.ConfigurationAsk;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.fleet.configuration.ConfigurationEffect;
+import org.cyclamenpaddle.fleet.configuration.ConfigurationReplica;
+import org.cyclamenpaddle.fleet.configuration.ConfigurationSync;
+import org.cyclamenpaddle.fleet.configuration.ConfigurationSyncSettings;
+import org.cyclamenpaddle.peer.net.PeerError;
+import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
+import org.cyclamenpaddle.platform.codec.ParsedConfiguration;
+import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.platform.objects.Listing;
+import org.cyclamenpaddle.platform.objects.ObjectStore;
+import org.cyclamenpaddle.platform.objects.StoredObject;
+import org.cyclamenpaddle.platform.objects.WatchResult;
+import org.cyclamenpaddle.router.blackboard.Blackboard;
+import org.cyclamenpaddle.router.blackboard.ConfigurationCell;
+import org.cyclamenpaddle.router.event.EventLog;
+import org.cyclamenpaddle.router.event.LogEvent;
+import org.cyclamenpaddle.router.worker.SerialExecutor;
+import org.cyclamenpaddle.router.worker.Workers;
+
+/**
+ * Performs what {@link ConfigurationSync} decides, and puts what it takes in on the blackboard.
+ *
+ * <p>All its events pass through one serial executor; readers see only the blackboard.
+ */
+public final class ConfigurationDriver {
+
+    private static final long WATCH_MILLIS = 10_000;
+    private static final long PEER_ASK_MILLIS = 500;
+
+    private final ObjectStore mStore;
+    private final ConfigurationCodec mCodec;
+    private final Blackboard mBlackboard;
+    private final Clock mClock;
+    private final EventLog mLog;
+    private final PlatformHealth mHealth;
+    private final PeerAsker mPeers;
+    private final Supplier<Collection<HostRecord>> mAlive;
+    private final SerialExecutor mSerial;
+    private final ConfigurationReplica mReplica = new ConfigurationReplica();
+    private final ConfigurationSync mSync;
+    private long mGeneration;
+
+    /**
+     * Creates the driver.
+     *
+     * @param self this host
+     * @param store the platform's object API
+     * @param codec parses documents
+     * @param blackboard where the parsed configuration goes
+     * @param runtime workers, clock, log and health
+     * @param peers asks peers
+     * @param alive the hosts of the current view
+     * @param random jitter
+     */
+    public ConfigurationDriver(
+            HostRecord self,
+            ObjectStore store,
+            ConfigurationCodec codec,
+            Blackboard blackboard,
+            Runtime runtime,
+            PeerAsker peers,
+            Supplier<Collection<HostRecord>> alive,
+            UniformRandomProvider random) {
+        mStore = store;
+        mCodec = codec;
+        mBlackboard = blackboard;
+        mClock = runtime.clock();
+        mLog = runtime.log();
+        mHealth = runtime.health();
+        mPeers = peers;
+        mAlive = alive;
+        mSerial = new SerialExecutor(runtime.workers());
+        mSync = new ConfigurationSync(self, mReplica, ConfigurationSyncSettings.DEFAULTS, random);
+    }
+
+    /**
+     * What the driver runs on.
+     *
+     * @param workers pool
+     * @param clock time in milliseconds
+     * @param log events
+     * @param health told whether the platform answers
+     */
+    public record Runtime(Workers workers, Clock clock, EventLog log, PlatformHealth health) {}
+
+    /** Lets the state machine act on the time and the view of the hosts. */
+    public void tick() {
+        mSerial.execute(() -> perform(mSync.tick(mAlive.get(), mClock.millis())));
+    }
+
+    /** Takes the digest in a peer's heartbeat. */
+    public void peerDigest(HostRecord peer, long digest) {
+        mSerial.execute(
+                () -> {
+                    if (digest == mReplica.digest()) {
+                        confirmed();
+                    }
+                    perform(mSync.onPeerDigest(peer, digest, mClock.millis()));
+                });
+    }
+
+    /** Answers a peer's ask. */
+    public CompletableFuture<Optional<PeerMessage>> peerAsk(ConfigurationAsk ask) {
+        CompletableFuture<Optional<PeerMessage>> answer = new CompletableFuture<>();
+        mSerial.execute(
+                () ->
+                        answer.complete(
+                                mSync.onPeerAsk(ask).stream()
+                                        .filter(ConfigurationEffect.Answer.class::isInstance)
+                                        .map(ConfigurationEffect.Answer.class::cast)
+                                        .<PeerMessage>map(ConfigurationEffect.Answer::answer)
+                                        .findFirst()));
+        return answer;
+    }
+
+    /** Takes objects that a peer pushed. */
+    public void peerPush(ConfigurationAnswer answer) {
+        mSerial.execute(() -> perform(mSync.onPeerAnswer(answer)));
+    }
+
+    /** Takes an object that this host has just written; completes when it is in force here. */
+    public CompletableFuture<Void> written(ConfigurationObject object) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mSerial.execute(
+                () -> {
+                    perform(mSync.onWritten(object));
+                    done.complete(null);
+                });
+        return done;
+    }
+
+    /** Returns a copy of the replica's objects, for whoever must not wait for the platform. */
+    public CompletableFuture<List<ConfigurationObject>> objects() {
+        CompletableFuture<List<ConfigurationObject>> copy = new CompletableFuture<>();
+        mSerial.execute(() -> copy.complete(mReplica.objects()));
+        return copy;
+    }
+
+    private void perform(List<ConfigurationEffect> effects) {
+        effects.forEach(this::perform);
+    }
+
+    private void perform(ConfigurationEffect effect) {
+        if (effect instanceof ConfigurationEffect.ListPlatform) {
+            list();
+        } else if (effect instanceof ConfigurationEffect.StartWatch watch) {
+            watch(watch.afterRevision());
+        } else if (effect instanceof ConfigurationEffect.StopWatch) {
+            mGeneration++;
+        } else if (effect instanceof ConfigurationEffect.AskPeer ask) {
+            askPeer(ask);
+        } else if (effect instanceof ConfigurationEffect.Applied applied) {
+            apply(applied.objects());
+        }
+    }
+
+    private void list() {
+        long generation = ++mGeneration;
+        mStore.list(ObjectKey.PREFIX)
+                .thenAccept(answer -> report(generation, () -> listed(answer)));
+    }
+
+    private void listed(Either<PlatformError, Listing> answer) {
+        answer.peekLeft(this::platformFailed)
+                .peek(
+                        listing -> {
+                            platformAnswered();
+                            perform(
+                                    mSync.onListing(
+                                            listing.revision(), objects(listing.objects())));
+                        });
+    }
+
+    private void watch(long afterRevision) {
+        long generation = ++mGeneration;
+        mStore.watch(ObjectKey.PREFIX, afterRevision, WATCH_MILLIS)
+                .thenAccept(answer -> report(generation, () -> watched(answer)));
+    }
+
+    private void watched(Either<PlatformError, WatchResult> answer) {
+        answer.peekLeft(this::platformFailed)
+                .peek(
+                        result -> {
+                            platformAnswered();
+                            perform(
+                                    result instanceof WatchResult.Events events
+                                            ? mSync.onEvents(
+                                                    events.revision(), changed(events.events()))
+                                            : mSync.onCompacted());
+                        });
+    }
+
+    /** A listing or watch abandoned meanwhile reports nothing. */
+    private void report(long generation, Runnable work) {
+        mSerial.execute(
+                () -> {
+                    if (generation == mGeneration) {
+                        work.run();
+                    }
+                });
+    }
+
+    private void platformFailed(PlatformError error) {
+        mHealth.failed(error);
+        perform(mSync.onPlatformFailed(mClock.millis()));
+    }
+
+    private void platformAnswered() {
+        mHealth.answered();
+        confirmed();
+    }
+
+    private void confirmed() {
+        mBlackboard.configuration().write(cell -> cell.confirm(mClock.millis()));
+    }
+
+    private void askPeer(ConfigurationEffect.AskPeer ask) {
+        mPeers.ask(ask.peer(), ask.ask(), PEER_ASK_MILLIS)
+                .thenAccept(answer -> mSerial.execute(() -> answered(answer)));
+    }
+
+    private void answered(Either<PeerError, PeerMessage> answer) {
+        boolean usable = answer.isRight() && answer.get() instanceof ConfigurationAnswer;
+        perform(
+                usable
+                        ? mSync.onPeerAnswer((ConfigurationAnswer) answer.get())
+                        : mSync.onPeerFailed());
+    }
+
+    private void apply(List<ConfigurationObject> objects) {
+        ParsedConfiguration parsed = mCodec.parse(mReplica.objects());
+        long inForce = mReplica.inForceVersion();
+        long digest = mReplica.digest();
+        Optional<PresetName> previous = mBlackboard.view().inForce();
+        long before = mBlackboard.configuration().read(ConfigurationCell::inForceVersion);
+        mBlackboard.configuration().write(cell -> cell.apply(parsed.view(), inForce, digest));
+        objects.forEach(
+                object ->
+                        mLog.log(
+                                LogEvent.CONFIGURATION_APPLIED,
+                                object.key().path(),
+                                object.version()));
+        if (inForce > before) {
+            mLog.log(
+                    LogEvent.PRESET_IN_FORCE,
+                    name(parsed.view().inForce()),
+                    name(previous),
+                    inForce);
+        }
+    }
+
+    private static String name(Optional<PresetName> preset) {
+        return preset.map(PresetName::value).orElse("none");
+    }
+
+    private static List<ConfigurationObject> objects(List<StoredObject> stored) {
+        return stored.stream()
+                .flatMap(
+                        object ->
+                                object(object.key(), object.version(), Optional.of(object.value())))
+                .collect(Collectors.toList());
+    }
+
+    private static List<ConfigurationObject> changed(List<WatchResult.Event> events) {
+        return events.stream()
+                .flatMap(event -> object(event.key(), event.version(), event.value()))
+                .collect(Collectors.toList());
+    }
+
+    private static Stream<ConfigurationObject> object(
+            String path, long version, Optional<String> document) {
+        return ObjectKey.fromPath(path).stream()
+                .map(key -> new ConfigurationObject(key, version, document));
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PeerAsker.java
@@ -0,0 +1,16 @@
+package org.cyclamenpaddle.router.configuration;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.peer.net.PeerError;
+
+/** Asks a peer and waits for its answer. */
+@FunctionalInterface
+public interface PeerAsker {
+
+    /** Sends an ask; the future never fails. */
+    CompletableFuture<Either<PeerError, PeerMessage>> ask(
+            HostRecord to, PeerMessage message, long timeoutMillis);
+}
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/event/LogEvent.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/event/LogEvent.java
@@ -163,14 +163,14 @@
             1310,
             WARN,
             "request was on a backend server that died",
-            List.of("request", "service", "backend", "strikes"),
+            List.of("fingerprint", "backend", "strikes"),
             "The request is retried apart from other suspects.",
             "Look at the crash report of the backend server."),
     QUARANTINE_ENTERED(
             1311,
             ERROR,
             "request quarantined",
-            List.of("service", "fingerprint", "millis"),
+            List.of("fingerprint", "millis"),
             "Two backend servers died under it; it is refused on every host for this time.",
             "Give prompt and model to those who keep the engine."),
 
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/grant/HostView.java
@@ -0,0 +1,26 @@
+package org.cyclamenpaddle.router.grant;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.message.HostRecord;
+
+/** The hosts as this host sees them. */
+public interface HostView {
+
+    /** Returns this host's own record. */
+    HostRecord self();
+
+    /** Returns the hosts that are alive and not leaving, this one included. */
+    Collection<HostRecord> alive();
+
+    /** Returns the host that keeps a backend server's ledger; empty if none may. */
+    Optional<HostRecord> owner(BackendSpec backend);
+
+    /** Returns whether this host keeps a backend server's ledger. */
+    default boolean owns(BackendSpec backend) {
+        return owner(backend)
+                .filter(host -> host.incarnation().equals(self().incarnation()))
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
@@ -0,0 +1,167 @@
+package org.cyclamenpaddle.router.peering;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.message.Heartbeat;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.ProbeAnswer;
+import org.cyclamenpaddle.core.message.ProbeAsk;
+import org.cyclamenpaddle.core.table.Table;
+import org.cyclamenpaddle.core.table.TableOrder;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.fleet.membership.Membership;
+import org.cyclamenpaddle.fleet.membership.MembershipEffect;
+import org.cyclamenpaddle.fleet.membership.MembershipSettings;
+import org.cyclamenpaddle.fleet.membership.PeerDigest;
+import org.cyclamenpaddle.fleet.membership.Standing;
+import org.cyclamenpaddle.fleet.ownership.Ownership;
+import org.cyclamenpaddle.router.event.EventLog;
+import org.cyclamenpaddle.router.event.LogEvent;
+import org.cyclamenpaddle.router.grant.HostView;
+
+/** Performs what {@link Membership} decides; the view of the hosts for everyone else. */
+public final class MembershipDriver implements HostView {
+
+    private final Table<Membership> mMembership;
+    private final MembershipSettings mSettings;
+    private final PeerTransport mTransport;
+    private final Clock mClock;
+    private final EventLog mLog;
+    private final Consumer<Incarnation> mSuperseded;
+
+    /**
+     * Creates the driver.
+     *
+     * @param membership the state machine; reached only through this driver from now on
+     * @param settings its timings
+     * @param transport messages and new connections to peers
+     * @param clock time in milliseconds
+     * @param log events
+     * @param superseded told when a later life of this very host was heard of
+     */
+    public MembershipDriver(
+            Membership membership,
+            MembershipSettings settings,
+            PeerTransport transport,
+            Clock clock,
+            EventLog log,
+            Consumer<Incarnation> superseded) {
+        mMembership = new Table<>(TableOrder.HOSTS, membership);
+        mSettings = settings;
+        mTransport = transport;
+        mClock = clock;
+        mLog = log;
+        mSuperseded = superseded;
+    }
+
+    /** Sends what is due and follows suspicions. */
+    public void tick() {
+        act(membership -> membership.tick(mClock.millis()));
+    }
+
+    /** Takes a heartbeat. */
+    public void onHeartbeat(Heartbeat heartbeat) {
+        act(membership -> membership.onHeartbeat(heartbeat, mClock.millis()));
+    }
+
+    /** Takes a peer's wish that this host tries to reach another. */
+    public void onProbeAsk(HostRecord asker, ProbeAsk ask) {
+        act(membership -> membership.onProbeAsk(asker, ask, mClock.millis()));
+    }
+
+    /** Takes what a peer found. */
+    public void onProbeAnswer(ProbeAnswer answer) {
+        act(membership -> membership.onProbeAnswer(answer, mClock.millis()));
+    }
+
+    /** Takes hosts that the platform's list or the settings name; a hint only. */
+    public void onHint(List<HostRecord> hint) {
+        act(membership -> membership.onHostList(hint, mClock.millis()));
+    }
+
+    /** Tells the fleet that this host is leaving. */
+    public void leave() {
+        act(membership -> membership.onLeaving(mClock.millis()));
+    }
+
+    /** Returns what is known of a life of a host. */
+    public Standing standing(Incarnation incarnation) {
+        return mMembership.read(membership -> membership.standing(incarnation));
+    }
+
+    /** Returns every known host, this one included. */
+    public List<HostRecord> hosts() {
+        return mMembership.read(Membership::hosts);
+    }
+
+    /** Returns a host by name. */
+    public Optional<HostRecord> record(HostId host) {
+        return mMembership.read(membership -> membership.record(host));
+    }
+
+    /** Returns what peers last told of their configuration. */
+    public Map<HostId, PeerDigest> peerDigests() {
+        return mMembership.read(membership -> Map.copyOf(membership.peerDigests()));
+    }
+
+    @Override
+    public HostRecord self() {
+        return mMembership.read(Membership::self);
+    }
+
+    @Override
+    public Collection<HostRecord> alive() {
+        return mMembership.read(Membership::alive);
+    }
+
+    @Override
+    public Optional<HostRecord> owner(BackendSpec backend) {
+        return Ownership.owner(backend.id(), backend.failureDomain(), alive());
+    }
+
+    private void act(Function<Membership, List<MembershipEffect>> event) {
+        mMembership.read(event).forEach(this::perform);
+    }
+
+    private void perform(MembershipEffect effect) {
+        if (effect instanceof MembershipEffect.SendTo send) {
+            mTransport.send(send.to(), send.message());
+        } else if (effect instanceof MembershipEffect.ProbeByNewConnection probe) {
+            probe(probe.target());
+        } else if (effect instanceof MembershipEffect.HostChanged changed) {
+            log(changed.host());
+        } else if (effect instanceof MembershipEffect.Superseded superseded) {
+            mSuperseded.accept(superseded.by());
+        }
+    }
+
+    private void probe(HostRecord target) {
+        mTransport
+                .probe(target, mSettings.probeTimeoutMillis())
+                .thenAccept(
+                        reachable ->
+                                act(
+                                        membership ->
+                                                membership.onConnectionProbe(
+                                                        target.incarnation(),
+                                                        reachable,
+                                                        mClock.millis())));
+    }
+
+    private void log(HostRecord host) {
+        HostId name = host.incarnation().host();
+        switch (host.state()) {
+            case ALIVE -> mLog.log(LogEvent.HOST_ALIVE, name, host.domain());
+            case SUSPECT -> mLog.log(LogEvent.HOST_SUSPECT, name, mSettings.suspectAfterMillis());
+            case LEAVING -> mLog.log(LogEvent.HOST_LEAVING, name);
+            default -> mLog.log(LogEvent.HOST_DEAD, name, host.domain());
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/PeerDispatch.java
@@ -0,0 +1,90 @@
+package org.cyclamenpaddle.router.peering;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.core.message.ClaimAsk;
+import org.cyclamenpaddle.core.message.ConfigurationAnswer;
+import org.cyclamenpaddle.core.message.ConfigurationAsk;
+import org.cyclamenpaddle.core.message.Heartbeat;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.message.ProbeAnswer;
+import org.cyclamenpaddle.core.message.ProbeAsk;
+import org.cyclamenpaddle.core.message.StrikeNotice;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.peer.net.PeerListener;
+import org.cyclamenpaddle.router.blackboard.Blackboard;
+import org.cyclamenpaddle.router.booking.Bookings;
+import org.cyclamenpaddle.router.configuration.ConfigurationDriver;
+import org.cyclamenpaddle.router.grant.LedgerKeeper;
+
+/** Passes each message of a peer to the controller that it is for. */
+public final class PeerDispatch implements PeerListener {
+
+    private static final CompletableFuture<Optional<PeerMessage>> NO_ANSWER =
+            CompletableFuture.completedFuture(Optional.empty());
+
+    private final MembershipDriver mMembership;
+    private final ConfigurationDriver mConfiguration;
+    private final LedgerKeeper mLedgers;
+    private final Bookings mBookings;
+    private final Blackboard mBlackboard;
+    private final Clock mClock;
+
+    /**
+     * Creates the dispatch.
+     *
+     * @param membership heartbeats and probes
+     * @param configuration replica
+     * @param ledgers grants
+     * @param bookings claims
+     * @param blackboard hints and strikes
+     * @param clock time in milliseconds
+     */
+    public PeerDispatch(
+            MembershipDriver membership,
+            ConfigurationDriver configuration,
+            LedgerKeeper ledgers,
+            Bookings bookings,
+            Blackboard blackboard,
+            Clock clock) {
+        mMembership = membership;
+        mConfiguration = configuration;
+        mLedgers = ledgers;
+        mBookings = bookings;
+        mBlackboard = blackboard;
+        mClock = clock;
+    }
+
+    @Override
+    public CompletableFuture<Optional<PeerMessage>> onMessage(
+            HostRecord from, PeerMessage message) {
+        if (message instanceof Heartbeat heartbeat) {
+            onHeartbeat(heartbeat);
+        } else if (message instanceof ProbeAsk ask) {
+            mMembership.onProbeAsk(from, ask);
+        } else if (message instanceof ProbeAnswer answer) {
+            mMembership.onProbeAnswer(answer);
+        } else if (message instanceof ConfigurationAsk ask) {
+            return mConfiguration.peerAsk(ask);
+        } else if (message instanceof ConfigurationAnswer pushed) {
+            mConfiguration.peerPush(pushed);
+        } else if (message instanceof ClaimAsk ask) {
+            return mBookings.onClaimAsk(ask).thenApply(Optional::of);
+        } else if (message instanceof StrikeNotice notice) {
+            mBlackboard.suspects().write(table -> table.merge(notice, mClock.millis()));
+        } else {
+            return CompletableFuture.completedFuture(mLedgers.onPeerMessage(message));
+        }
+        return NO_ANSWER;
+    }
+
+    private void onHeartbeat(Heartbeat heartbeat) {
+        long now = mClock.millis();
+        mMembership.onHeartbeat(heartbeat);
+        mBlackboard
+                .backends()
+                .write(table -> heartbeat.ledgers().forEach(hint -> table.hint(hint, now)));
+        mConfiguration.peerDigest(heartbeat.sender(), heartbeat.configurationDigest());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/package-info.java
@@ -0,0 +1,2 @@
+/** Drives membership and passes peers' messages to the controllers they are for. */
+package org.cyclamenpaddle.router.peering;
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/EngineFailures.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/EngineFailures.java
@@ -37,7 +37,7 @@
             return unreachable.connected() ? StepFailure.BROKEN : StepFailure.UNREACHABLE;
         }
         return failure instanceof EngineFailure.TimedOut
-                ? StepFailure.BROKEN
+                ? StepFailure.TIMED_OUT
                 : StepFailure.PROTOCOL;
     }
 }
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
@@ -159,8 +159,13 @@
     }
 
     @Override
-    public void backendLost(BackendId backend, long now) {
-        mLosses.backendLost(backend, now);
+    public void backendUnreached(BackendId backend, long now) {
+        mLosses.unreached(backend, now);
+    }
+
+    @Override
+    public void backendDied(RequestShape shape, BackendId backend, long now) {
+        mLosses.died(backend, shape.fingerprint(), now);
     }
 
     private Either<Refusal, List<Choice>> choices(
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/LossListener.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/LossListener.java
@@ -2,10 +2,12 @@
 
 import org.cyclamenpaddle.core.id.BackendId;
 
-/** Told when a backend server could not be reached on a new connection or lost an attempt. */
-@FunctionalInterface
+/** Told when a backend server could not be reached, or died while it ran a request. */
 public interface LossListener {
 
-    /** Gives strikes and ranks the backend server last; returns after both are done. */
-    void backendLost(BackendId backend, long now);
+    /** Ranks the backend server last for a time. */
+    void unreached(BackendId backend, long now);
+
+    /** Gives the request with this fingerprint a strike, and tells peers. */
+    void died(BackendId backend, long fingerprint, long now);
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
@@ -194,6 +194,11 @@
         mSpec = spec;
     }
 
+    /** Returns the role that the backend server has in this ledger. */
+    public BackendRole role() {
+        return mRole;
+    }
+
     /** Returns the attempts that hold or are promised room. */
     public Set<AttemptId> attempts() {
         return Set.copyOf(mHeld.keySet());
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEnvironment.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEnvironment.java
@@ -49,11 +49,14 @@
     /** Takes one retry from the service's budget; returns whether there was one. */
     boolean mayRetry(RequestShape shape, RetryReason reason, long now);
 
+    /** Notes that no new connection to a backend server could be had; it is ranked last. */
+    void backendUnreached(BackendId backend, long now);
+
     /**
-     * Notes that a backend server was not reached on a new connection, or lost the attempt.
+     * Notes that a backend server died, or lost its state, while it ran this request.
      *
-     * <p>Strikes of every request that was on it are given before this returns, so that the next
-     * ranking already sees them.
+     * <p>The request's strike is given before this returns, so that the next ranking already sees
+     * it.
      */
-    void backendLost(BackendId backend, long now);
+    void backendDied(RequestShape shape, BackendId backend, long now);
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
@@ -27,6 +27,7 @@
 public final class RequestMachine {
 
     private static final int MAX_RESUMES_WITHOUT_TOKEN = 3;
+    private static final long PLACE_PAUSE_MILLIS = 250;
 
     private final RequestShape mShape;
     private final RequestSettings mSettings;
@@ -192,13 +193,14 @@
 
     private void timerFired(TimerKind kind, long now) {
         switch (kind) {
+            case PLACE -> placePrefill(now);
             case GRANT -> {
                 Placed asked = mPhase == RequestPhase.PLACING_PREFILL ? mPrefill : mDecode;
                 mEffects.addAll(mOpen.closeGrant(asked.attempt()));
                 tryNextChoice(asked, now);
             }
             case PREFILL_START -> startPrefill(now);
-            case PREFILL -> prefillFailed(StepFailure.BROKEN, now);
+            case PREFILL -> prefillFailed(StepFailure.TIMED_OUT, now);
             case TRANSFER -> transferFailed(StepFailure.STALLED, now);
             case SILENCE -> silenceFired(now);
             default -> Invariants.require(false, () -> "timer " + kind);
@@ -213,7 +215,7 @@
         Either<Refusal, List<Choice>> ranked =
                 mEnvironment.rankPrefill(mShape, mRelay.nextIndex(), excluded(), now);
         if (ranked.isLeft()) {
-            endRefused(placementRefusal(ranked.getLeft()));
+            noPlace(ranked.getLeft(), now);
             return;
         }
         Choice choice = ranked.get().get(0);
@@ -237,7 +239,7 @@
         Either<Refusal, List<Choice>> ranked =
                 mEnvironment.rankDecode(mShape, mPrefill.backend(), neededIn, excluded(), now);
         if (ranked.isLeft()) {
-            endRefused(placementRefusal(ranked.getLeft()));
+            noPlace(ranked.getLeft(), now);
             return;
         }
         Choice choice = ranked.get().get(0);
@@ -285,7 +287,7 @@
         mRefused.add(refused.backend());
         boolean decode = mPhase == RequestPhase.PLACING_DECODE;
         if (now >= mPlaceBy || decode && mDecodeChoices >= mSettings.maxDecodeChoices()) {
-            endRefused(tooLate());
+            noPlace(tooLate(), now);
             return;
         }
         mEffects.add(new RequestEffect.CountRetry(RetryReason.GRANT_REFUSED));
@@ -306,6 +308,22 @@
         setTimer(TimerKind.PREFILL_START, wait);
     }
 
+    /**
+     * Refuses a fresh request at once; one that lost its backend server is placed again a little
+     * later, as long as recovery may take. Its caller may have half an answer already.
+     */
+    private void noPlace(Refusal refusal, long now) {
+        boolean recovering = mPlacements > 0 && refusal.reason().waitingHelps();
+        if (!recovering || now + PLACE_PAUSE_MILLIS >= mPlaceBy) {
+            endRefused(placementRefusal(refusal));
+            return;
+        }
+        mPhase = RequestPhase.REPLACING;
+        mEffects.addAll(mOpen.closeAll());
+        mRefused.clear();
+        setTimer(TimerKind.PLACE, PLACE_PAUSE_MILLIS);
+    }
+
     /** A ranking without choices after owners refused means too late, not that none exist. */
     private Refusal placementRefusal(Refusal ranking) {
         boolean none = ranking.reason() == RefusalReason.NO_BACKEND;
@@ -343,7 +361,7 @@
     }
 
     private void prefillFailed(StepFailure failure, long now) {
-        noteLost(mPrefill, failure, now);
+        noteFailure(mPrefill, failure, failure == StepFailure.BROKEN, now);
         RetryReason reason =
                 switch (failure) {
                     case FULL -> RetryReason.ENGINE_FULL;
@@ -373,11 +391,11 @@
 
     private void transferFailed(StepFailure failure, long now) {
         if (failure == StepFailure.EVICTED || now >= mResultUntil) {
-            noteLost(mDecode, failure, now);
+            noteFailure(mDecode, failure, failure == StepFailure.UNKNOWN_ATTEMPT, now);
             placeAgain(mDecode, RetryReason.RESULT_EVICTED, now);
             return;
         }
-        noteLost(mDecode, failure, now);
+        noteFailure(mDecode, failure, failure == StepFailure.UNKNOWN_ATTEMPT, now);
         mFailed.add(mDecode.backend());
         RetryReason reason =
                 failure == StepFailure.FULL
@@ -450,19 +468,29 @@
     }
 
     private void streamFailed(StepFailure failure, long now) {
-        if (failure == StepFailure.BROKEN) {
+        if (failure == StepFailure.BROKEN || failure == StepFailure.TIMED_OUT) {
             resume(now);
             return;
         }
-        noteLost(mDecode, failure, now);
+        boolean died = failure == StepFailure.UNREACHABLE || failure == StepFailure.UNKNOWN_ATTEMPT;
+        noteFailure(mDecode, failure, died, now);
         placeAgain(mDecode, RetryReason.DECODE_LOST, now);
     }
 
     // Endings
 
-    private void noteLost(Placed placed, StepFailure failure, long now) {
-        if (failure == StepFailure.UNREACHABLE || failure == StepFailure.UNKNOWN_ATTEMPT) {
-            mEnvironment.backendLost(placed.backend(), now);
+    /**
+     * Notes what a failure says about the backend server.
+     *
+     * <p>A strike is given only if the request was running there: one that never got a connection
+     * can't have crashed the server, and a cut between failure domains would else strike all.
+     */
+    private void noteFailure(Placed placed, StepFailure failure, boolean died, long now) {
+        if (failure == StepFailure.UNREACHABLE) {
+            mEnvironment.backendUnreached(placed.backend(), now);
+        }
+        if (died) {
+            mEnvironment.backendDied(mShape, placed.backend(), now);
         }
     }
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/StepFailure.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/StepFailure.java
@@ -10,6 +10,8 @@
     STALLED,
     /** The connection broke; the work may go on inside the engine. */
     BROKEN,
+    /** No answer came in time; nothing tells whether the engine lives. */
+    TIMED_OUT,
     /** The engine does not know the attempt. */
     UNKNOWN_ATTEMPT,
     /** No new connection to the engine could be had. */
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/TimerKind.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/TimerKind.java
@@ -2,6 +2,8 @@
 
 /** Deadlines that a request sets for itself. */
 public enum TimerKind {
+    /** After a failure no backend server was free; they are ranked again. */
+    PLACE,
     /** An owner did not answer. */
     GRANT,
     /** The prefill may start, so that its result meets the promised decode slot. */
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/request/RequestMachineRandomTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/request/RequestMachineRandomTest.java
@@ -152,7 +152,12 @@
         }
 
         @Override
-        public void backendLost(BackendId backend, long now) {
+        public void backendUnreached(BackendId backend, long now) {
+            // The exclusion set of the machine is enough here.
+        }
+
+        @Override
+        public void backendDied(RequestShape shape, BackendId backend, long now) {
             // The exclusion set of the machine is enough here.
         }
     }
