Add peer frames and network, and tests of plain calls

Cause: hosts talk over TCP with MessagePack; a few netty I/O threads serve all connections, as a thread for each would cost too much memory at 410 hosts.

--- /dev/null
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
@@ -0,0 +1,81 @@
+package org.cyclamenpaddle.peer.codec;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.cyclamenpaddle.core.config.BackendRole;
+import org.cyclamenpaddle.core.config.ConfigurationObject;
+import org.cyclamenpaddle.core.config.ObjectKey;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.message.ClaimAnswer;
+import org.cyclamenpaddle.core.message.GrantAsk;
+import org.cyclamenpaddle.core.message.LedgerSummary;
+
+/** Fields of the records that stand inside messages. */
+final class NestedFields {
+
+    private NestedFields() {}
+
+    static void writeGrantAsk(FieldWriter out, GrantAsk m) throws IOException {
+        out.text(m.attempt().value());
+        out.text(m.backend().value());
+        out.constant(m.role());
+        out.number(m.tokens());
+        out.number(m.pieces());
+        out.number(m.transferBytes());
+        out.number(m.neededInMillis());
+        out.number(m.latestInMillis());
+        out.number(m.holdMillis());
+    }
+
+    static GrantAsk readGrantAsk(FieldReader in) throws IOException {
+        return new GrantAsk(
+                new AttemptId(in.text()),
+                new BackendId(in.text()),
+                in.constant(BackendRole.values()),
+                in.integer(),
+                in.integer(),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.number());
+    }
+
+    static void writeLedger(FieldWriter out, LedgerSummary m) throws IOException {
+        out.text(m.backend().value());
+        out.number(m.freeInMillis());
+        out.number(m.freeSlots());
+        out.number(m.freePieces());
+        out.flag(m.reachable());
+    }
+
+    static LedgerSummary readLedger(FieldReader in) throws IOException {
+        return new LedgerSummary(
+                new BackendId(in.text()), in.number(), in.integer(), in.integer(), in.flag());
+    }
+
+    static void writeObject(FieldWriter out, ConfigurationObject m) throws IOException {
+        out.text(m.key().path());
+        out.number(m.version());
+        out.optional(m.document(), out::text);
+    }
+
+    static ConfigurationObject readObject(FieldReader in) throws IOException {
+        String path = in.text();
+        Optional<ObjectKey> key = ObjectKey.fromPath(path);
+        if (key.isEmpty()) {
+            throw new IllegalArgumentException("no object has key '" + path + "'");
+        }
+        return new ConfigurationObject(key.get(), in.number(), in.optional(in::document));
+    }
+
+    static void writeKeptAnswer(FieldWriter out, ClaimAnswer.KeptAnswer m) throws IOException {
+        out.number(m.status());
+        out.text(m.contentType());
+        out.text(m.body());
+    }
+
+    static ClaimAnswer.KeptAnswer readKeptAnswer(FieldReader in) throws IOException {
+        return new ClaimAnswer.KeptAnswer(in.integer(), in.text(), in.document());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Backoff.java
@@ -0,0 +1,30 @@
+package org.cyclamenpaddle.peer.net;
+
+/** Doubling wait between failed connects to one host; not thread-safe. */
+final class Backoff {
+
+    private final long mMinMillis;
+    private final long mMaxMillis;
+    private long mStepMillis;
+    private long mUntilMillis = Long.MIN_VALUE;
+
+    Backoff(long minMillis, long maxMillis) {
+        mMinMillis = minMillis;
+        mMaxMillis = maxMillis;
+    }
+
+    /** Returns how long to wait before the next connect; 0 if it may be made now. */
+    long waitMillis(long nowMillis) {
+        return mUntilMillis <= nowMillis ? 0 : mUntilMillis - nowMillis;
+    }
+
+    void failed(long nowMillis) {
+        mStepMillis = Math.min(mMaxMillis, Math.max(mMinMillis, mStepMillis * 2));
+        mUntilMillis = nowMillis + mStepMillis;
+    }
+
+    void succeeded() {
+        mStepMillis = 0;
+        mUntilMillis = Long.MIN_VALUE;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
@@ -0,0 +1,46 @@
+package org.cyclamenpaddle.peer.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.function.Supplier;
+import org.cyclamenpaddle.core.message.HostRecord;
+
+/** Opens connections to other hosts. */
+final class Dialer {
+
+    private final Wire mWire;
+    private final Supplier<HostRecord> mSelf;
+    private final PeerSettings mSettings;
+
+    Dialer(Wire wire, Supplier<HostRecord> self, PeerSettings settings) {
+        mWire = wire;
+        mSelf = self;
+        mSettings = settings;
+    }
+
+    ChannelFuture dial(HostRecord target, EventLoop loop, OutgoingConnection.Events events) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(
+                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        Math.toIntExact(mSettings.connectMillis()))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                mWire.decoder(),
+                                                new OutgoingConnection(mWire, mSelf, events));
+                            }
+                        })
+                .connect(target.address(), target.peerPort());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingConnection.java
@@ -0,0 +1,64 @@
+package org.cyclamenpaddle.peer.net;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.function.Supplier;
+import org.cyclamenpaddle.core.message.Hello;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.peer.codec.Frame;
+import org.jboss.logging.Logger;
+
+/** The opening end of a connection: says hello first and hands on what comes back. */
+final class OutgoingConnection extends SimpleChannelInboundHandler<Frame> {
+
+    /** Correlation number of the first {@code Hello}; asks have greater ones. */
+    static final long HELLO_CORRELATION = 1;
+
+    private static final Logger LOG = Logger.getLogger(OutgoingConnection.class);
+
+    private final Wire mWire;
+    private final Supplier<HostRecord> mSelf;
+    private final Events mEvents;
+
+    /** Hears what happens on one outgoing connection, on its event loop. */
+    interface Events {
+
+        void onFrame(ChannelHandlerContext context, Frame frame);
+
+        default void onWritable() {}
+
+        default void onClosed() {}
+    }
+
+    OutgoingConnection(Wire wire, Supplier<HostRecord> self, Events events) {
+        mWire = wire;
+        mSelf = self;
+        mEvents = events;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mWire.writeNow(context.channel(), new Frame(HELLO_CORRELATION, new Hello(mSelf.get())));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        mEvents.onFrame(context, frame);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        mEvents.onWritable();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mEvents.onClosed();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+        LOG.debugf(failure, "connection to %s broke", context.channel().remoteAddress());
+        context.close();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/TestHosts.java
@@ -0,0 +1,56 @@
+package org.cyclamenpaddle.peer.net;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.time.MonotonicClock;
+
+/** Host records and networks on the loopback address. */
+final class TestHosts {
+
+    static final String LOOPBACK = "127.0.0.1";
+
+    static final PeerListener SILENT =
+            (from, message) -> CompletableFuture.completedFuture(Optional.<PeerMessage>empty());
+
+    private TestHosts() {}
+
+    static HostRecord host(String name, int port) {
+        return host(name, 1, port);
+    }
+
+    static HostRecord host(String name, long incarnation, int port) {
+        return new HostRecord(
+                new Incarnation(new HostId(name), incarnation),
+                new FailureDomain("ahm"),
+                LOOPBACK,
+                port,
+                0,
+                HostState.ALIVE);
+    }
+
+    /** A network and the record under which others reach it. */
+    record Node(PeerNetwork network, HostRecord host) implements AutoCloseable {
+        @Override
+        public void close() {
+            network.close();
+        }
+    }
+
+    static Node node(
+            String name, PeerListener listener, PeerSettings settings, PeerCounters counters) {
+        HostRecord unbound = host(name, 0);
+        PeerNetwork network =
+                new PeerNetwork(() -> unbound, listener, settings, new MonotonicClock(), counters);
+        return new Node(network, host(name, network.start(LOOPBACK, 0).get()));
+    }
+
+    static Node node(String name, PeerListener listener) {
+        return node(name, listener, PeerSettings.DEFAULT, PeerCounters.NONE);
+    }
+}
