Drop stand-in connections as abruptly as a crash does

Connections are now closed past their handlers. Event lines had members in an order that changed from run to run, which made a test flaky; the order is fixed.

--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineEvent.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineEvent.java
@@ -1,7 +1,6 @@
 package org.cyclamenpaddle.standins.engine;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.cyclamenpaddle.standins.http.Answers;
 
 /** One event of a decode stream. */
@@ -25,7 +24,7 @@
 
         @Override
         public String line() {
-            return text("imported", Map.of("bytes", bytes));
+            return EngineEvent.line(EngineEvent.event("imported").put("bytes", bytes));
         }
     }
 
@@ -34,7 +33,8 @@
 
         @Override
         public String line() {
-            return EngineEvent.text("token", Map.of("index", index, "text", text));
+            return EngineEvent.line(
+                    EngineEvent.event("token").put("index", index).put("text", text));
         }
 
         @Override
@@ -48,7 +48,10 @@
 
         @Override
         public String line() {
-            return text("end", Map.of("tokens", tokens, "finishReason", finishReason));
+            return EngineEvent.line(
+                    EngineEvent.event("end")
+                            .put("tokens", tokens)
+                            .put("finishReason", finishReason));
         }
 
         @Override
@@ -62,7 +65,7 @@
 
         @Override
         public String line() {
-            return text("failed", Map.of("reason", reason));
+            return EngineEvent.line(EngineEvent.event("failed").put("reason", reason));
         }
 
         @Override
@@ -71,10 +74,11 @@
         }
     }
 
-    private static String text(String event, Map<String, Object> members) {
-        Map<String, Object> body = new LinkedHashMap<>();
-        body.put("event", event);
-        body.putAll(members);
-        return Answers.write(body) + "\n";
+    private static ObjectNode event(String name) {
+        return Answers.JSON.createObjectNode().put("event", name);
+    }
+
+    private static String line(ObjectNode event) {
+        return event + "\n";
     }
 }
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/Answers.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/Answers.java
@@ -58,7 +58,9 @@
 
     /** Closes the request's connection without an answer. */
     public static HttpResponse dropConnection(ServiceRequestContext ctx) {
-        ctx.log().whenAvailable(RequestLogProperty.SESSION).thenAccept(l -> l.channel().close());
+        ctx.log()
+                .whenAvailable(RequestLogProperty.SESSION)
+                .thenAccept(log -> OpenConnections.drop(log.channel()));
         return never();
     }
 
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/StandinServer.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/StandinServer.java
@@ -21,6 +21,7 @@
             EventLoopGroups.newEventLoopGroup(EVENT_LOOPS, "standin", true);
 
     private final Consumer<ServerBuilder> mRoutes;
+    private final OpenConnections mConnections = new OpenConnections();
     private Server mServer;
     private int mPort;
 
@@ -46,6 +47,7 @@
                         .requestTimeoutMillis(0)
                         .idleTimeoutMillis(0)
                         .maxRequestLength(MAX_REQUEST_BYTES)
+                        .childChannelPipelineCustomizer(p -> mConnections.add(p.channel()))
                         .gracefulShutdownTimeoutMillis(0, 0);
         mRoutes.accept(builder);
         mServer = builder.build();
@@ -58,11 +60,14 @@
         return mPort;
     }
 
-    /** Stops listening and drops all connections; does nothing if stopped. */
+    /** Stops listening and drops all connections at once; does nothing if stopped. */
     public synchronized void stop() {
         if (mServer != null) {
-            mServer.stop().join();
+            // The server's own stop goes on for seconds after its port is free; it isn't awaited,
+            // so that a crash looks as abrupt as that of a process.
+            mServer.stop();
             mServer = null;
+            mConnections.dropAll();
         }
     }
 
