--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/config/ConfigurationChecks.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/config/ConfigurationChecks.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.PresetName;
@@ -38,6 +39,17 @@
         return usedBy("service " + service, presetsWhere(view, a -> a.service().equals(service)));
     }
 
+    /** Checks that the roles which presets give for a service fit its new declaration. */
+    public static Optional<String> replaceService(ConfigurationView view, ServiceSpec service) {
+        return usedBy(
+                "another kind of service " + service.name(),
+                presetsWhere(
+                        view,
+                        a ->
+                                a.service().equals(service.name())
+                                        && !service.kind().accepts(a.role())));
+    }
+
     /** Checks that no preset still names a backend server that is to be deleted. */
     public static Optional<String> removeBackend(ConfigurationView view, BackendId backend) {
         return usedBy(
@@ -76,7 +88,7 @@
     }
 
     private static List<PresetName> presetsWhere(
-            ConfigurationView view, java.util.function.Predicate<Assignment> test) {
+            ConfigurationView view, Predicate<Assignment> test) {
         return view.presets().values().stream()
                 .filter(preset -> preset.assignments().stream().anyMatch(test))
                 .map(PresetSpec::name)
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
@@ -36,6 +36,7 @@
     UNKNOWN_OBJECT(404, NOT_RUN, false, "There is no such object or request."),
     CONFLICT(409, NOT_RUN, false, "Another change came first."),
     BAD_CONFIGURATION(422, NOT_RUN, false, "The configuration object fails its checks."),
+    CHANGE_UNKNOWN(503, UNKNOWN, true, "The platform did not say whether the change was made."),
     ANSWER_EXPIRED(410, RAN, false, "The call ran, but its answer is no longer kept.");
 
     private final int mStatus;
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
@@ -24,6 +24,11 @@
     }
 
     ChannelFuture dial(HostRecord target, EventLoop loop, OutgoingConnection.Events events) {
+        return dial(target.address(), target.peerPort(), loop, events);
+    }
+
+    ChannelFuture dial(
+            String address, int port, EventLoop loop, OutgoingConnection.Events events) {
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -41,6 +46,6 @@
                                                 new OutgoingConnection(mWire, mSelf, events));
                             }
                         })
-                .connect(target.address(), target.peerPort());
+                .connect(address, port);
     }
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
@@ -148,6 +148,30 @@
         return answered;
     }
 
+    /**
+     * Asks who answers at an address, by a new connection.
+     *
+     * @param address IP number
+     * @param port peer port
+     * @param timeoutMillis longest wait, in milliseconds
+     * @return completes with the host that answered, or empty; never exceptionally
+     */
+    public CompletableFuture<Optional<HostRecord>> hello(
+            String address, int port, long timeoutMillis) {
+        CompletableFuture<Optional<HostRecord>> answered = new CompletableFuture<>();
+        OutgoingConnection.Events events =
+                (context, frame) ->
+                        answered.complete(
+                                frame.message() instanceof Hello hello
+                                        ? Optional.of(hello.sender())
+                                        : Optional.empty());
+        Channel channel = mDialer.dial(address, port, mLoops.next(), events).channel();
+        answered.completeOnTimeout(Optional.empty(), timeoutMillis, TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(closed -> answered.complete(Optional.empty()));
+        answered.thenRun(channel::close);
+        return answered;
+    }
+
     /** Forgets a host that is gone for good: drops its queue and connection. */
     public void forget(HostId host) {
         Optional.ofNullable(mPeers.remove(host)).ifPresent(OutgoingPeer::close);
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/ConfigurationCodec.java
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/ConfigurationCodec.java
@@ -74,6 +74,13 @@
         return read(document, StoredDocument.class).toJavaOptional().map(StoredDocument::changeId);
     }
 
+    /** Returns the spec of a stored document as JSON text; empty if it is malformed. */
+    public Optional<String> specText(String document) {
+        return read(document, StoredDocument.class)
+                .toJavaOptional()
+                .map(stored -> stored.spec().toString());
+    }
+
     /**
      * Returns the stored document of a spec.
      *
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
@@ -0,0 +1,150 @@
+package org.cyclamenpaddle.router.backend;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.config.BackendRole;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.engine.model.EngineAttempt;
+import org.cyclamenpaddle.engine.model.EngineFailure;
+import org.cyclamenpaddle.fleet.recovery.AttemptReconciler;
+import org.cyclamenpaddle.fleet.recovery.RecoveryEffect;
+import org.cyclamenpaddle.fleet.recovery.RecoverySettings;
+import org.cyclamenpaddle.router.blackboard.Blackboard;
+import org.cyclamenpaddle.router.blackboard.RequestTable;
+import org.cyclamenpaddle.router.event.EventLog;
+import org.cyclamenpaddle.router.event.LogEvent;
+import org.cyclamenpaddle.router.grant.LedgerKeeper;
+import org.cyclamenpaddle.router.peering.MembershipDriver;
+import org.cyclamenpaddle.routing.grant.ObservedAttempt;
+
+/**
+ * Reads the attempts of the engines that this host owns: feeds their ledgers, and cancels what no
+ * live host stands for.
+ */
+public final class EngineMonitor {
+
+    private final LedgerKeeper mLedgers;
+    private final BackendClients mClients;
+    private final MembershipDriver mMembership;
+    private final Blackboard mBlackboard;
+    private final Clock mClock;
+    private final EventLog mLog;
+    private final Map<BackendId, AttemptReconciler> mReconcilers = new ConcurrentHashMap<>();
+    private final Set<BackendId> mReading = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates the monitor.
+     *
+     * @param ledgers which engines this host owns
+     * @param clients engines
+     * @param membership which lives of hosts have ended
+     * @param blackboard tables of this host
+     * @param clock time in milliseconds
+     * @param log events
+     */
+    public EngineMonitor(
+            LedgerKeeper ledgers,
+            BackendClients clients,
+            MembershipDriver membership,
+            Blackboard blackboard,
+            Clock clock,
+            EventLog log) {
+        mLedgers = ledgers;
+        mClients = clients;
+        mMembership = membership;
+        mBlackboard = blackboard;
+        mClock = clock;
+        mLog = log;
+    }
+
+    /** Reads every owned engine once; one whose last answer is still out is left alone. */
+    public void tick() {
+        List<BackendSpec> owned = mLedgers.owned();
+        mReconcilers
+                .keySet()
+                .retainAll(owned.stream().map(BackendSpec::id).collect(Collectors.toSet()));
+        owned.forEach(this::read);
+    }
+
+    private void read(BackendSpec engine) {
+        if (!mReading.add(engine.id())) {
+            return;
+        }
+        long askedAt = mClock.millis();
+        mClients.engine(engine)
+                .attempts()
+                .whenComplete((answer, failure) -> mReading.remove(engine.id()))
+                .thenAccept(
+                        answer ->
+                                answer.peek(listed -> take(engine, listed, askedAt))
+                                        .peekLeft(failure -> failed(engine, failure)));
+    }
+
+    private void failed(BackendSpec engine, EngineFailure failure) {
+        if (failure instanceof EngineFailure.Unreachable
+                || failure instanceof EngineFailure.TimedOut) {
+            mBlackboard.backends().write(table -> table.suspect(engine.id(), mClock.millis()));
+        }
+    }
+
+    private void take(BackendSpec engine, List<EngineAttempt> listed, long askedAt) {
+        mBlackboard.backends().write(table -> table.answered(engine.id()));
+        mLedgers.observe(engine.id(), observed(listed));
+        Set<AttemptId> own = mBlackboard.requests().read(RequestTable::attempts);
+        mReconcilers
+                .computeIfAbsent(engine.id(), id -> reconciler())
+                .reconcile(reconcilable(listed), true, own, mMembership::standing, askedAt)
+                .forEach(effect -> perform(engine, effect));
+    }
+
+    private AttemptReconciler reconciler() {
+        return new AttemptReconciler(mMembership.self().incarnation(), RecoverySettings.DEFAULTS);
+    }
+
+    private void perform(BackendSpec engine, RecoveryEffect effect) {
+        if (effect instanceof RecoveryEffect.Cancel cancel) {
+            mLog.log(LogEvent.ATTEMPT_CANCELLED_BY_OWNER, engine.id(), cancel.attempt());
+            mClients.engine(engine).cancel(cancel.attempt());
+        }
+    }
+
+    private static List<org.cyclamenpaddle.fleet.recovery.EngineAttempt> reconcilable(
+            List<EngineAttempt> listed) {
+        return listed.stream()
+                .map(
+                        seen ->
+                                new org.cyclamenpaddle.fleet.recovery.EngineAttempt(
+                                        seen.attempt(), seen.pieces(), seen.ended()))
+                .collect(Collectors.toList());
+    }
+
+    private static List<ObservedAttempt> observed(List<EngineAttempt> listed) {
+        return listed.stream()
+                .flatMap(
+                        seen ->
+                                role(seen.role())
+                                        .map(
+                                                role ->
+                                                        new ObservedAttempt(
+                                                                seen.attempt(),
+                                                                role,
+                                                                seen.pieces(),
+                                                                seen.ended()))
+                                        .stream())
+                .collect(Collectors.toList());
+    }
+
+    private static Optional<BackendRole> role(String text) {
+        return List.of(BackendRole.values()).stream()
+                .filter(role -> role.name().equals(text.toUpperCase(Locale.ROOT)))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
@@ -0,0 +1,306 @@
+package org.cyclamenpaddle.router.configuration;
+
+import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.config.ConfigurationChecks;
+import org.cyclamenpaddle.core.config.ConfigurationObject;
+import org.cyclamenpaddle.core.config.ConfigurationView;
+import org.cyclamenpaddle.core.config.InForceSpec;
+import org.cyclamenpaddle.core.config.ObjectKey;
+import org.cyclamenpaddle.core.config.ObjectKind;
+import org.cyclamenpaddle.core.config.PresetSpec;
+import org.cyclamenpaddle.core.config.ServiceSpec;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.ChangeId;
+import org.cyclamenpaddle.core.id.PresetName;
+import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
+import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.platform.objects.ChangeResult;
+import org.cyclamenpaddle.platform.objects.ConditionalChange;
+import org.cyclamenpaddle.platform.objects.ObjectStore;
+import org.cyclamenpaddle.platform.objects.WritePrecondition;
+import org.cyclamenpaddle.router.operator.ChangeRefusal;
+import org.cyclamenpaddle.router.operator.ConfigurationAdmin;
+import org.cyclamenpaddle.router.operator.Precondition;
+import org.cyclamenpaddle.router.operator.StoredObject;
+
+/**
+ * Operators' changes, made in the platform by conditional updates.
+ *
+ * <p>References are checked against a fresh listing of the platform, not against the replica, which
+ * may be some seconds behind an object that the same operator has just declared.
+ */
+public final class PlatformAdmin implements ConfigurationAdmin {
+
+    private static final int TRIES = 5;
+    private static final long PAUSE_MILLIS = 200;
+
+    private final ObjectStore mStore;
+    private final ConfigurationCodec mCodec;
+    private final ConditionalChange mChange;
+    private final ConfigurationDriver mDriver;
+
+    /**
+     * Creates the administration.
+     *
+     * @param store the platform's object API
+     * @param codec documents
+     * @param driver takes what was written, so that it is in force here at once
+     */
+    public PlatformAdmin(
+            ObjectStore store, ConfigurationCodec codec, ConfigurationDriver driver) {
+        mStore = store;
+        mCodec = codec;
+        mChange = new ConditionalChange(store, codec, TRIES, PAUSE_MILLIS);
+        mDriver = driver;
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, List<StoredObject>>> list(ObjectKind kind) {
+        return all().thenApply(
+                        answer ->
+                                answer.map(
+                                        objects ->
+                                                objects.stream()
+                                                        .filter(o -> o.key().kind() == kind)
+                                                        .flatMap(o -> stored(o).stream())
+                                                        .sorted(
+                                                                Comparator.comparing(
+                                                                        o -> o.key().name()))
+                                                        .collect(Collectors.toList())));
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, Optional<StoredObject>>> find(ObjectKey key) {
+        return mStore.get(key.path())
+                .thenApply(
+                        answer ->
+                                answer.mapLeft(PlatformAdmin::away)
+                                        .map(
+                                                found ->
+                                                        found.flatMap(
+                                                                object -> stored(key, object))));
+    }
+
+    @Override
+    public CompletableFuture<Either<ChangeRefusal, StoredObject>> put(
+            ObjectKey key, String spec, Precondition precondition, ChangeId change) {
+        Either<String, Object> submitted = mCodec.submitted(key, "{\"spec\":" + spec + "}");
+        if (submitted.isLeft()) {
+            return refused(Refusal.of(RefusalReason.BAD_CONFIGURATION, submitted.getLeft()));
+        }
+        return checked(view -> wrong(view, submitted.get()))
+                .thenCompose(
+                        refusal ->
+                                refusal.map(PlatformAdmin::<StoredObject>refused)
+                                        .orElseGet(
+                                                () ->
+                                                        write(
+                                                                key,
+                                                                submitted.get(),
+                                                                precondition,
+                                                                change)));
+    }
+
+    @Override
+    public CompletableFuture<Either<ChangeRefusal, Long>> delete(
+            ObjectKey key, Precondition precondition, ChangeId change) {
+        if (precondition.version().isEmpty()) {
+            return refused(
+                    Refusal.of(RefusalReason.BAD_BODY, "A deletion needs If-Match with a version."));
+        }
+        long version = precondition.version().getAsLong();
+        return checked(view -> wrongToRemove(view, key))
+                .thenCompose(
+                        refusal ->
+                                refusal.map(PlatformAdmin::<Long>refused)
+                                        .orElseGet(() -> remove(key, version)));
+    }
+
+    private CompletableFuture<Either<ChangeRefusal, StoredObject>> write(
+            ObjectKey key, Object spec, Precondition precondition, ChangeId change) {
+        WritePrecondition condition =
+                precondition.version().isPresent()
+                        ? WritePrecondition.atVersion(precondition.version().getAsLong())
+                        : WritePrecondition.absent();
+        return mChange.put(key.path(), change, spec, condition)
+                .thenCompose(
+                        answer ->
+                                settle(key, answer)
+                                        .fold(
+                                                refusal ->
+                                                        CompletableFuture.completedFuture(
+                                                                Either.left(refusal)),
+                                                version -> inForce(key, spec, change, version)));
+    }
+
+    /** Puts the change in force on this host before its operator hears of it. */
+    private CompletableFuture<Either<ChangeRefusal, StoredObject>> inForce(
+            ObjectKey key, Object spec, ChangeId change, OptionalLong version) {
+        String document = mCodec.encode(change, spec);
+        ConfigurationObject object =
+                new ConfigurationObject(key, version.orElseThrow(), Optional.of(document));
+        return mDriver.written(object)
+                .thenApply(
+                        done ->
+                                Either.right(
+                                        new StoredObject(
+                                                key,
+                                                object.version(),
+                                                change,
+                                                mCodec.specText(document).orElse("{}"))));
+    }
+
+    private CompletableFuture<Either<ChangeRefusal, Long>> remove(ObjectKey key, long version) {
+        return mChange.delete(key.path(), version)
+                .thenCompose(
+                        answer ->
+                                settle(key, answer)
+                                        .fold(
+                                                refusal ->
+                                                        CompletableFuture.completedFuture(
+                                                                Either.left(refusal)),
+                                                deleted -> removed(key, version, deleted)));
+    }
+
+    private CompletableFuture<Either<ChangeRefusal, Long>> removed(
+            ObjectKey key, long version, OptionalLong deleted) {
+        if (deleted.isEmpty()) {
+            // The answer was lost and the object is gone; the watch brings the tombstone.
+            return CompletableFuture.completedFuture(Either.right(version));
+        }
+        ConfigurationObject tombstone =
+                new ConfigurationObject(key, deleted.getAsLong(), Optional.empty());
+        return mDriver.written(tombstone).thenApply(done -> Either.right(tombstone.version()));
+    }
+
+    private Either<ChangeRefusal, OptionalLong> settle(
+            ObjectKey key, Either<PlatformError, ChangeResult> answer) {
+        if (answer.isLeft()) {
+            return Either.left(ChangeRefusal.of(away(answer.getLeft())));
+        }
+        if (answer.get() instanceof ChangeResult.Accepted accepted) {
+            return Either.right(accepted.version());
+        }
+        ChangeResult.Lost lost = (ChangeResult.Lost) answer.get();
+        return Either.left(
+                new ChangeRefusal(
+                        Refusal.of(
+                                RefusalReason.CONFLICT,
+                                key.path()
+                                        + lost.winner()
+                                                .map(w -> " is at version " + w.version() + ".")
+                                                .orElse(" does not exist.")),
+                        lost.winner().flatMap(winner -> stored(key, winner))));
+    }
+
+    private CompletableFuture<Optional<Refusal>> checked(
+            Function<ConfigurationView, Optional<String>> check) {
+        return all().thenApply(
+                        answer ->
+                                answer.fold(
+                                        Optional::of,
+                                        objects ->
+                                                check.apply(mCodec.view(objects))
+                                                        .map(
+                                                                wrong ->
+                                                                        Refusal.of(
+                                                                                RefusalReason
+                                                                                        .BAD_CONFIGURATION,
+                                                                                wrong))));
+    }
+
+    private static Optional<String> wrong(ConfigurationView view, Object spec) {
+        if (spec instanceof PresetSpec preset) {
+            return ConfigurationChecks.preset(view, preset);
+        }
+        if (spec instanceof InForceSpec inForce) {
+            return ConfigurationChecks.inForce(view, inForce);
+        }
+        if (spec instanceof ServiceSpec service) {
+            return ConfigurationChecks.replaceService(view, service);
+        }
+        return spec instanceof BackendSpec
+                ? Optional.empty()
+                : Optional.of("unknown kind of object " + spec.getClass().getSimpleName());
+    }
+
+    private static Optional<String> wrongToRemove(ConfigurationView view, ObjectKey key) {
+        return switch (key.kind()) {
+            case SERVICE ->
+                    ConfigurationChecks.removeService(view, new ServiceName(key.name()));
+            case BACKEND -> ConfigurationChecks.removeBackend(view, new BackendId(key.name()));
+            case PRESET -> ConfigurationChecks.removePreset(view, new PresetName(key.name()));
+            case IN_FORCE -> Optional.of("the preset in force can be replaced, not deleted");
+        };
+    }
+
+    private CompletableFuture<Either<Refusal, List<ConfigurationObject>>> all() {
+        return mStore.list(ObjectKey.PREFIX)
+                .thenApply(
+                        answer ->
+                                answer.mapLeft(PlatformAdmin::away)
+                                        .map(listing -> objects(listing.objects())));
+    }
+
+    private static List<ConfigurationObject> objects(
+            List<org.cyclamenpaddle.platform.objects.StoredObject> stored) {
+        return stored.stream()
+                .flatMap(
+                        object ->
+                                ObjectKey.fromPath(object.key()).stream()
+                                        .map(
+                                                key ->
+                                                        new ConfigurationObject(
+                                                                key,
+                                                                object.version(),
+                                                                Optional.of(object.value()))))
+                .collect(Collectors.toList());
+    }
+
+    private Optional<StoredObject> stored(
+            ObjectKey key, org.cyclamenpaddle.platform.objects.StoredObject object) {
+        return stored(
+                new ConfigurationObject(key, object.version(), Optional.of(object.value())));
+    }
+
+    private Optional<StoredObject> stored(ConfigurationObject object) {
+        return object.document()
+                .flatMap(
+                        document ->
+                                mCodec.changeId(document)
+                                        .flatMap(
+                                                change ->
+                                                        mCodec.specText(document)
+                                                                .map(
+                                                                        spec ->
+                                                                                new StoredObject(
+                                                                                        object.key(),
+                                                                                        object
+                                                                                                .version(),
+                                                                                        change,
+                                                                                        spec))));
+    }
+
+    private static Refusal away(PlatformError error) {
+        return Refusal.of(
+                error.mayHaveTakenEffect()
+                        ? RefusalReason.CHANGE_UNKNOWN
+                        : RefusalReason.PLATFORM_AWAY,
+                error.toString());
+    }
+
+    private static <T> CompletableFuture<Either<ChangeRefusal, T>> refused(Refusal refusal) {
+        return CompletableFuture.completedFuture(Either.left(ChangeRefusal.of(refusal)));
+    }
+}
