--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/admission/AdmissionTest.java
@@ -0,0 +1,89 @@
+package org.cyclamenpaddle.routing.admission;
+
+import static org.cyclamenpaddle.routing.Fixtures.SERVICE;
+import static org.cyclamenpaddle.routing.Fixtures.placement;
+import static org.cyclamenpaddle.routing.Fixtures.random;
+import static org.cyclamenpaddle.routing.Fixtures.request;
+import static org.cyclamenpaddle.routing.Fixtures.view;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.cyclamenpaddle.core.outcome.Refusal;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.cyclamenpaddle.routing.Fixtures;
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
+import org.cyclamenpaddle.routing.placement.PlacementRequest;
+import org.cyclamenpaddle.routing.placement.PlacementView;
+import org.testng.annotations.Test;
+
+public class AdmissionTest {
+
+    private static final Admission ADMISSION =
+            new Admission(PlacementPolicy.TIMED_GRANTS, AdmissionSettings.DEFAULTS);
+
+    private static PlacementView pool(long prefillFreeIn, long decodeFreeIn) {
+        return placement(
+                List.of(view(1, prefillFreeIn, 0, 0)), List.of(view(2, decodeFreeIn, 0, 0)));
+    }
+
+    @Test
+    public void admitsWhatCanBeInTime() {
+        Admitted admitted = ADMISSION.admit(request(1_000, 580), pool(100, 300), random(1)).get();
+
+        assertEquals(admitted.firstTokenInMillis(), 300 + 20);
+        assertEquals(admitted.prefill().get(0).predictedMillis(), 210);
+    }
+
+    /**
+     * The caller sees 503 at once with a time to come back. The decode pool is full for longer than
+     * its first token may take, and a prefill now would be evicted unused.
+     */
+    @Test
+    public void refusesAtOnceWhatCannotBeInTime() {
+        Refusal refusal = ADMISSION.admit(request(1_000, 580), pool(0, 2_580), random(1)).getLeft();
+
+        assertEquals(refusal.reason(), RefusalReason.DEADLINE_UNREACHABLE);
+        assertEquals(refusal.retryAfterMillis(), 2_580 + 20 + 10 - 580);
+    }
+
+    @Test
+    public void refusesWhatNoEngineCanHold() {
+        PlacementRequest huge =
+                new PlacementRequest(
+                        SERVICE,
+                        1_000,
+                        List.of(),
+                        Fixtures.PIECES + 1,
+                        0,
+                        100,
+                        Fixtures.DOMAIN,
+                        580);
+
+        assertEquals(
+                ADMISSION.admit(huge, pool(0, 0), random(1)).getLeft().reason(),
+                RefusalReason.PROMPT_TOO_LONG);
+    }
+
+    @Test
+    public void refusesWithoutBackend() {
+        PlacementView empty = placement(List.of(), List.of(view(1, 0, 1, 0)));
+
+        assertEquals(
+                ADMISSION.admit(request(1, 580), empty, random(1)).getLeft().reason(),
+                RefusalReason.NO_BACKEND);
+    }
+
+    @Test
+    public void correctionIsLearnedAndBounded() {
+        PredictionCorrection correction = new PredictionCorrection();
+        for (int i = 0; i < 200; i++) {
+            correction.prefillTook(SERVICE, 100, 150);
+        }
+        assertEquals(correction.factors(SERVICE).prefill(), 1.5, 0.01);
+
+        correction.prefillTook(SERVICE, 1, 1_000_000);
+        assertTrue(correction.factors(SERVICE).prefill() < 1.6);
+        assertEquals(correction.factors(SERVICE).transfer(), 1.0);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
@@ -0,0 +1,197 @@
+package org.cyclamenpaddle.routing.grant;
+
+import static org.cyclamenpaddle.routing.Fixtures.attempt;
+import static org.cyclamenpaddle.routing.Fixtures.decodeAsk;
+import static org.cyclamenpaddle.routing.Fixtures.prefillAsk;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.cyclamenpaddle.core.config.BackendRole;
+import org.cyclamenpaddle.core.message.GrantAnswer;
+import org.cyclamenpaddle.core.message.GrantAsk;
+import org.cyclamenpaddle.core.message.GrantDecision;
+import org.cyclamenpaddle.routing.Fixtures;
+import org.testng.annotations.Test;
+
+public class GrantLedgerTest {
+
+    private static final LedgerSettings SETTINGS = LedgerSettings.DEFAULTS;
+
+    private static GrantLedger decode(int slots) {
+        return new GrantLedger(Fixtures.backend(1, slots), BackendRole.DECODE, SETTINGS);
+    }
+
+    private static GrantLedger prefill() {
+        return new GrantLedger(Fixtures.backend(1, 4), BackendRole.PREFILL, SETTINGS);
+    }
+
+    private static ObservedAttempt seen(long number) {
+        return new ObservedAttempt(attempt(number), BackendRole.DECODE, 1, false);
+    }
+
+    @Test
+    public void promisesSlotFromExpectedEndOfRunningAttempt() {
+        GrantLedger ledger = decode(1);
+        ledger.ask(decodeAsk(1, 0, 500, 300), 0);
+
+        GrantAnswer second = ledger.ask(decodeAsk(2, 100, 500, 300), 0);
+
+        assertEquals(second.decision(), GrantDecision.GRANTED);
+        assertEquals(second.startInMillis(), 300);
+        assertEquals(second.endInMillis(), 600);
+    }
+
+    @Test
+    public void slotIsFreeUntilPromiseBegins() {
+        GrantLedger ledger = decode(1);
+        ledger.ask(decodeAsk(1, 400, 500, 300), 0);
+
+        assertEquals(ledger.ask(decodeAsk(2, 0, 10, 400), 0).startInMillis(), 0);
+        assertEquals(ledger.ask(decodeAsk(3, 0, 10, 1), 0).decision(), GrantDecision.TOO_LATE);
+    }
+
+    @Test
+    public void saysWhenRoomWouldCome() {
+        GrantLedger ledger = decode(1);
+        ledger.ask(decodeAsk(1, 0, 500, 900), 0);
+
+        GrantAnswer second = ledger.ask(decodeAsk(2, 0, 500, 300), 0);
+
+        assertEquals(second.decision(), GrantDecision.TOO_LATE);
+        assertEquals(second.startInMillis(), 900);
+        assertEquals(ledger.attempts().size(), 1);
+    }
+
+    @Test
+    public void askingTwiceGivesOnePromise() {
+        GrantLedger ledger = decode(2);
+        GrantAnswer first = ledger.ask(decodeAsk(1, 100, 500, 300), 0);
+
+        GrantAnswer again = ledger.ask(decodeAsk(1, 100, 500, 300), 40);
+
+        assertEquals(again.startInMillis(), first.startInMillis() - 40);
+        assertEquals(ledger.summary(40).freeSlots(), 1);
+    }
+
+    /**
+     * The caller of a second request sees a first token, not a refusal after its prefill. An
+     * attempt outlives its expected end; an ask comes before it has ended. Counting it as gone
+     * would promise a slot that the engine still holds.
+     */
+    @Test
+    public void overdueAttemptHoldsItsSlotUntilEnded() {
+        GrantLedger ledger = decode(1);
+        ledger.ask(decodeAsk(1, 0, 500, 300), 0);
+
+        GrantAnswer late = ledger.ask(decodeAsk(2, 0, 10, 300), 1_000);
+        ledger.end(attempt(1), 1_000);
+        GrantAnswer after = ledger.ask(decodeAsk(3, 0, 10, 300), 1_000);
+
+        assertEquals(late.decision(), GrantDecision.TOO_LATE);
+        assertEquals(after.decision(), GrantDecision.GRANTED);
+    }
+
+    /**
+     * No caller sees anything; a slot would leak. The end of an attempt overtakes its ask, which
+     * was delivered late. Granting it would hold a slot that nobody gives back.
+     */
+    @Test
+    public void askAfterEndGetsNoRoom() {
+        GrantLedger ledger = decode(1);
+        ledger.end(attempt(1), 0);
+
+        assertEquals(
+                ledger.ask(decodeAsk(1, 0, 500, 300), 1).decision(), GrantDecision.UNAVAILABLE);
+    }
+
+    @Test
+    public void memoryPiecesAreBudgetedOverTime() {
+        GrantLedger ledger = decode(20);
+        var big = Fixtures.decodeAsk(1, 0, 500, 300);
+        ledger.ask(sized(big, Fixtures.PIECES), 0);
+
+        assertEquals(ledger.ask(decodeAsk(2, 0, 500, 100), 0).startInMillis(), 300);
+        assertEquals(
+                ledger.ask(sized(decodeAsk(3, 0, 500, 100), Fixtures.PIECES + 1), 0).decision(),
+                GrantDecision.TOO_BIG);
+    }
+
+    @Test
+    public void engineListReconciles() {
+        GrantLedger ledger = decode(4);
+        ledger.ask(decodeAsk(1, 0, 500, 300), 0);
+        ledger.ask(decodeAsk(2, 0, 500, 9_000), 0);
+
+        ledger.observe(List.of(seen(2), seen(7)), 100);
+        assertEquals(ledger.attempts().size(), 3, "foreign counted, young promise kept");
+
+        ledger.observe(List.of(seen(2)), SETTINGS.startGraceMillis() + 1);
+        assertEquals(ledger.attempts(), Set.of(attempt(2)));
+
+        ledger.observe(List.of(), SETTINGS.startGraceMillis() + 2);
+        assertTrue(ledger.attempts().isEmpty());
+    }
+
+    /**
+     * Callers see refusals for a moment, and no wasted prefill. A ledger's owner dies; the next
+     * owner knows nothing of the promises, is asked at once, then reads the engine's list and hears
+     * from peers. Granting before would promise the same slots twice.
+     */
+    @Test
+    public void newOwnerIsConservativeUntilItKnows() {
+        GrantLedger ledger = decode(4);
+        ledger.recoverUntil(1_000);
+
+        GrantAnswer blind = ledger.ask(decodeAsk(1, 0, 500, 300), 0);
+        ledger.observe(List.of(seen(7), seen(8)), 10);
+        ledger.register(decodeAsk(9, 50, 500, 300), 20);
+        GrantAnswer reserved = ledger.ask(decodeAsk(2, 60, 100, 300), 20);
+        GrantAnswer recovered = ledger.ask(decodeAsk(2, 0, 100, 300), 1_000);
+
+        assertEquals(blind.decision(), GrantDecision.UNAVAILABLE);
+        assertEquals(blind.startInMillis(), 1_000);
+        assertEquals(reserved.decision(), GrantDecision.TOO_LATE);
+        assertEquals(recovered.decision(), GrantDecision.GRANTED);
+    }
+
+    @Test
+    public void prefillQueueIsSerialAndSoIsItsLink() {
+        GrantLedger ledger = prefill();
+
+        GrantAnswer first = ledger.ask(prefillAsk(1, 1_000, 300_000_000, 1_000), 0);
+        GrantAnswer second = ledger.ask(prefillAsk(2, 1_000, 300_000_000, 1_000), 0);
+        GrantAnswer third = ledger.ask(prefillAsk(3, 1_000, 300_000_000, 950), 0);
+
+        assertEquals(first.endInMillis(), 400);
+        assertEquals(second.startInMillis(), 100);
+        assertEquals(second.endInMillis(), 700);
+        assertEquals(third.decision(), GrantDecision.TOO_LATE);
+        assertEquals(third.endInMillis(), 1_000);
+    }
+
+    @Test
+    public void cancelledPrefillLeavesItsGapToOthers() {
+        GrantLedger ledger = prefill();
+        ledger.ask(prefillAsk(1, 2_000, 0, 1_000), 0);
+        ledger.ask(prefillAsk(2, 2_000, 0, 1_000), 0);
+        ledger.end(attempt(1), 0);
+
+        assertEquals(ledger.ask(prefillAsk(3, 1_000, 0, 1_000), 0).startInMillis(), 0);
+        assertEquals(ledger.ask(prefillAsk(4, 2_000, 0, 1_000), 0).startInMillis(), 400);
+    }
+
+    private static GrantAsk sized(GrantAsk ask, int pieces) {
+        return new GrantAsk(
+                ask.attempt(),
+                ask.backend(),
+                ask.role(),
+                ask.tokens(),
+                pieces,
+                ask.transferBytes(),
+                ask.neededInMillis(),
+                ask.latestInMillis(),
+                ask.holdMillis());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/quarantine/QuarantineTest.java
@@ -0,0 +1,104 @@
+package org.cyclamenpaddle.routing.quarantine;
+
+import static org.cyclamenpaddle.routing.Fixtures.id;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cyclamenpaddle.core.message.StrikeNotice;
+import org.testng.annotations.Test;
+
+public class QuarantineTest {
+
+    private static final QuarantineSettings SETTINGS = new QuarantineSettings(2, 1_000, 8);
+    private static final long CULPRIT = 13;
+    private static final long BYSTANDER = 14;
+
+    /**
+     * Only the culprit's caller is refused. A server dies with two requests on it; both are sent
+     * again and run on different servers, and the culprit kills its second one. If both had run
+     * there together, the bystander would be quarantined too.
+     */
+    @Test
+    public void secondCrashNamesOneCulprit() {
+        Quarantine quarantine = new Quarantine(SETTINGS);
+        quarantine.onBackendDied(id(1), List.of(CULPRIT, BYSTANDER), 0);
+
+        assertEquals(quarantine.mayRun(CULPRIT, id(1), 0), Verdict.OTHER_BACKEND);
+        assertEquals(quarantine.mayRun(CULPRIT, id(2), 0), Verdict.MAY_RUN);
+        quarantine.started(CULPRIT, id(2));
+        assertEquals(quarantine.mayRun(BYSTANDER, id(2), 0), Verdict.OTHER_BACKEND);
+        assertEquals(quarantine.mayRun(BYSTANDER, id(3), 0), Verdict.MAY_RUN);
+
+        quarantine.onBackendDied(id(2), quarantine.runningOn(id(2)), 10);
+        assertEquals(quarantine.mayRun(CULPRIT, id(3), 10), Verdict.QUARANTINED);
+        assertEquals(quarantine.quarantinedMillis(CULPRIT, 10), Optional.of(1_000L));
+        assertEquals(quarantine.mayRun(BYSTANDER, id(3), 10), Verdict.MAY_RUN);
+    }
+
+    @Test
+    public void twoStrikesOnOneServerAreOne() {
+        Quarantine quarantine = new Quarantine(SETTINGS);
+        quarantine.onBackendDied(id(1), List.of(CULPRIT, CULPRIT), 0);
+        quarantine.onBackendDied(id(1), List.of(CULPRIT), 10);
+
+        assertEquals(quarantine.mayRun(CULPRIT, id(2), 10), Verdict.MAY_RUN);
+    }
+
+    @Test
+    public void strikesExpire() {
+        Quarantine quarantine = new Quarantine(SETTINGS);
+        quarantine.onBackendDied(id(1), List.of(CULPRIT), 0);
+        quarantine.onBackendDied(id(2), List.of(CULPRIT), 0);
+
+        assertEquals(quarantine.mayRun(CULPRIT, id(3), 999), Verdict.QUARANTINED);
+        assertEquals(quarantine.mayRun(CULPRIT, id(3), 1_000), Verdict.MAY_RUN);
+    }
+
+    @Test
+    public void endedRequestFreesItsServer() {
+        Quarantine quarantine = new Quarantine(SETTINGS);
+        quarantine.onBackendDied(id(1), List.of(CULPRIT, BYSTANDER), 0);
+        quarantine.started(CULPRIT, id(2));
+        quarantine.started(CULPRIT, id(2));
+        quarantine.ended(CULPRIT, id(2));
+        assertEquals(quarantine.mayRun(BYSTANDER, id(2), 0), Verdict.OTHER_BACKEND);
+        quarantine.ended(CULPRIT, id(2));
+        assertEquals(quarantine.mayRun(BYSTANDER, id(2), 0), Verdict.MAY_RUN);
+    }
+
+    @Test
+    public void mergeIsCommutativeAndIdempotent() {
+        List<StrikeNotice> notices =
+                new ArrayList<>(
+                        List.of(
+                                new StrikeNotice(CULPRIT, Set.of(id(1)), 500),
+                                new StrikeNotice(CULPRIT, Set.of(id(2)), 300),
+                                new StrikeNotice(BYSTANDER, Set.of(id(1)), 400)));
+        Quarantine forward = new Quarantine(SETTINGS);
+        notices.forEach(notice -> forward.merge(notice, 0));
+        Quarantine backward = new Quarantine(SETTINGS);
+        Collections.reverse(notices);
+        notices.forEach(notice -> backward.merge(notice, 0));
+        notices.forEach(notice -> backward.merge(notice, 0));
+
+        assertEquals(forward.notices(0), backward.notices(0));
+        assertEquals(forward.mayRun(CULPRIT, id(3), 0), Verdict.QUARANTINED);
+    }
+
+    @Test
+    public void memoryIsBoundedAndKeepsTheQuarantined() {
+        Quarantine quarantine = new Quarantine(SETTINGS);
+        quarantine.onBackendDied(id(1), List.of(CULPRIT), 0);
+        quarantine.onBackendDied(id(2), List.of(CULPRIT), 0);
+        for (long other = 100; other < 200; other++) {
+            quarantine.onBackendDied(id(1), List.of(other), 1);
+        }
+        assertEquals(quarantine.notices(1).size(), 8);
+        assertTrue(quarantine.quarantinedMillis(CULPRIT, 1).isPresent());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/retry/RetryPolicyTest.java
@@ -0,0 +1,90 @@
+package org.cyclamenpaddle.routing.retry;
+
+import static org.cyclamenpaddle.routing.Fixtures.SERVICE;
+import static org.cyclamenpaddle.routing.Fixtures.random;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenpaddle.core.outcome.RefusalReason;
+import org.testng.annotations.Test;
+
+public class RetryPolicyTest {
+
+    private static final RetryBudget.Settings TENTH = new RetryBudget.Settings(0.1, 0, 5);
+
+    private static FailedAttempt failed(long millisLeft, long retryAfterMillis) {
+        return new FailedAttempt(SERVICE, 1, millisLeft, 100, retryAfterMillis);
+    }
+
+    /**
+     * Callers see refusals, and the pool stays at its load. Every attempt of an hour's requests
+     * fails, and each failure asks for a retry. Without a budget the failing pool would get twice
+     * the load.
+     */
+    @Test
+    public void retriesStayWithinShareOfFreshRequests() {
+        RetryBudget budget = new RetryBudget(TENTH);
+        int retries = 0;
+        for (int i = 0; i < 10_000; i++) {
+            budget.freshRequest(SERVICE, i);
+            retries += budget.tryTake(SERVICE, i) ? 1 : 0;
+        }
+        assertTrue(retries >= 1_000 && retries <= 1_005, "retries " + retries);
+    }
+
+    @Test
+    public void quietServiceRetriesByTheFloor() {
+        RetryBudget budget = new RetryBudget(new RetryBudget.Settings(0, 1, 1));
+        assertTrue(budget.tryTake(SERVICE, 0));
+        assertEquals(budget.tryTake(SERVICE, 999), false);
+        assertTrue(budget.tryTake(SERVICE, 1_000));
+    }
+
+    @Test
+    public void neverRetriesPastTheDeadline() {
+        RetryBudget budget = new RetryBudget(TENTH);
+        RetryPolicy policy = new RetryPolicy(budget, new Backoff(10, 10));
+
+        assertEquals(
+                policy.afterFailure(failed(99, 0), 0, random(1)),
+                new RetryDecision.GiveUp(RefusalReason.DEADLINE_PASSED));
+        assertEquals(budget.left(SERVICE, 0), 5.0, "a hopeless retry costs nothing");
+    }
+
+    @Test
+    public void honoursRetryAfter() {
+        RetryPolicy policy = new RetryPolicy(new RetryBudget(TENTH), new Backoff(10, 10));
+
+        assertEquals(
+                policy.afterFailure(failed(1_000, 300), 0, random(1)),
+                new RetryDecision.Retry(300));
+    }
+
+    @Test
+    public void saysWhenBudgetIsEmpty() {
+        RetryBudget budget = new RetryBudget(TENTH);
+        RetryPolicy policy = new RetryPolicy(budget, new Backoff(1, 1));
+        for (int i = 0; i < 5; i++) {
+            budget.tryTake(SERVICE, 0);
+        }
+        assertEquals(
+                policy.afterFailure(failed(1_000, 0), 0, random(1)),
+                new RetryDecision.GiveUp(RefusalReason.RETRY_BUDGET_EMPTY));
+    }
+
+    @Test
+    public void backoffIsBoundedAndSpread() {
+        Backoff backoff = new Backoff(10, 100);
+        UniformRandomProvider random = random(1);
+        long most = 0;
+        long sum = 0;
+        for (int i = 0; i < 1_000; i++) {
+            long wait = backoff.waitMillis(60, random);
+            most = Math.max(most, wait);
+            sum += wait;
+        }
+        assertEquals(most, 100);
+        assertTrue(sum > 40_000 && sum < 60_000, "sum " + sum);
+    }
+}
