--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/expect/package-info.java
@@ -0,0 +1,2 @@
+/** Expectations learned from completed requests. */
+package org.cyclamenpaddle.routing.expect;
