--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Scenario.java
@@ -0,0 +1,38 @@
+package org.cyclamenpaddle.routing.experiment;
+
+/**
+ * One run of the model.
+ *
+ * @param strategy what decides
+ * @param runners engines in all
+ * @param load arrivals as a share of the decode capacity
+ * @param seed of all random numbers
+ * @param seconds virtual time with arrivals
+ * @param hintMillis time between two hints from a server
+ */
+record Scenario(
+        Strategy strategy, int runners, double load, long seed, int seconds, long hintMillis) {
+
+    static final int SLOTS = 20;
+    static final long TOKEN_MILLIS = 30;
+    static final long PREFILL_RATE = 28_000;
+    static final long LINK_RATE = 4_000_000_000L;
+    static final long FIRST_TOKEN_MILLIS = 580;
+    static final long PER_TOKEN_MILLIS = 44;
+    static final long HOP_MILLIS = 1;
+
+    private static final double PREFILL_SHARE = 5.0 / 13;
+    private static final double HOSTS_PER_RUNNER = 6.0 / 13;
+
+    int prefillServers() {
+        return (int) Math.round(runners * PREFILL_SHARE);
+    }
+
+    int decodeServers() {
+        return runners - prefillServers();
+    }
+
+    int hosts() {
+        return (int) Math.round(runners * HOSTS_PER_RUNNER);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Strategy.java
@@ -0,0 +1,35 @@
+package org.cyclamenpaddle.routing.experiment;
+
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
+
+/** What is compared. */
+enum Strategy {
+    /** A ledger for each backend server, with timed grants. */
+    LEDGER(PlacementPolicy.TIMED_GRANTS),
+    /** Each host has its fixed share of every decode server's slots. */
+    SPLIT_SLOTS(PlacementPolicy.TIMED_GRANTS),
+    /** No ledger; the less loaded of two, by lagged load. */
+    TWO_RANDOM(PlacementPolicy.TWO_RANDOM_CHOICES),
+    /** No ledger; the least loaded, by lagged load. */
+    LEAST_LOAD(PlacementPolicy.LEAST_REPORTED_LOAD),
+    /** No ledger; each server in turn. */
+    ROUND_ROBIN(PlacementPolicy.ROUND_ROBIN);
+
+    private final PlacementPolicy mPolicy;
+
+    Strategy(PlacementPolicy policy) {
+        mPolicy = policy;
+    }
+
+    PlacementPolicy policy() {
+        return mPolicy;
+    }
+
+    boolean usesOwners() {
+        return this == LEDGER;
+    }
+
+    boolean reservesDecode() {
+        return this == LEDGER || this == SPLIT_SLOTS;
+    }
+}
