--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/AnswerText.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/AnswerText.java
@@ -25,6 +25,21 @@
         return WORDS.get(word) + " ";
     }
 
+    /**
+     * Returns the length at which the answer to a prompt stops by itself.
+     *
+     * @param hash hash of the prompt
+     * @param meanTokens mean length over all prompts; 0 if no answer stops by itself
+     * @return tokens, from half the mean to one and a half of it
+     */
+    public static int length(long hash, int meanTokens) {
+        if (meanTokens == 0) {
+            return Integer.MAX_VALUE;
+        }
+        int spread = Math.floorMod((int) (hash * MIX >>> SHIFT), meanTokens + 1);
+        return Math.max(1, meanTokens / 2 + spread);
+    }
+
     /** Returns the whole answer to {@code prompt} of {@code tokens} tokens. */
     public static String whole(String prompt, int tokens) {
         long hash = PromptText.hash(prompt);
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/DecodeAsk.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/DecodeAsk.java
@@ -6,7 +6,7 @@
  * @param attempt attempt id
  * @param source where the prefill result lies
  * @param firstIndex index of the first token to generate
- * @param maxTokens tokens of the whole answer, counted from index 0
+ * @param maxTokens most tokens of the whole answer, counted from index 0
  * @param priority greater is more urgent; every slot runs in every step, so it has no effect here
  * @param transferMillis longest transfer, in machine milliseconds
  */
@@ -22,9 +22,9 @@
         if (attempt == null || source == null) {
             throw new IllegalArgumentException("decode needs an attempt and a source");
         }
-        if (firstIndex < 0 || maxTokens <= firstIndex) {
+        if (firstIndex < 0 || maxTokens < firstIndex) {
             throw new IllegalArgumentException(
-                    "decode of tokens " + firstIndex + " to " + maxTokens + " is empty");
+                    "decode of tokens " + firstIndex + " to " + maxTokens + " is backwards");
         }
     }
 
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/DecodeAttempt.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/DecodeAttempt.java
@@ -64,13 +64,22 @@
         emit(new EngineEvent.Imported(cache.bytes()));
     }
 
-    /** Emits the next token, and the end after the last one. */
-    void step() {
+    /**
+     * Emits the next token, and the end after the last one.
+     *
+     * @param meanTokens mean length of an answer that stops by itself; 0 if none does
+     */
+    void step(int meanTokens) {
         long hash = mCache.orElseThrow().hash();
-        emit(new EngineEvent.Token(mNextIndex, AnswerText.token(hash, mNextIndex)));
-        mNextIndex++;
-        if (mNextIndex == mAsk.maxTokens()) {
-            finish(new EngineEvent.End(mNextIndex, "length"));
+        int stop = AnswerText.length(hash, meanTokens);
+        int end = Math.min(stop, mAsk.maxTokens());
+        if (mNextIndex < end) {
+            emit(new EngineEvent.Token(mNextIndex, AnswerText.token(hash, mNextIndex)));
+            mNextIndex++;
+        }
+        if (mNextIndex >= end) {
+            String reason = stop <= mAsk.maxTokens() ? "stop" : "length";
+            finish(new EngineEvent.End(mNextIndex, reason));
         }
     }
 
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/DecodeUnit.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/DecodeUnit.java
@@ -147,14 +147,13 @@
     }
 
     private long stepMicros(int batch) {
-        double slower = 1 + mSettings.batchSlope() * (batch - 1);
-        return (long) (EngineModel.micros(mSettings.tokenMillis()) * slower);
+        return (long) (EngineModel.micros(1) * mSettings.stepMillis(batch));
     }
 
     private void step() {
         mStepping = false;
         List<DecodeAttempt> batch = List.copyOf(mRunning);
-        batch.forEach(DecodeAttempt::step);
+        batch.forEach(attempt -> attempt.step(mSettings.answerTokens()));
         batch.forEach(attempt -> mCounters.generated());
         List<DecodeAttempt> ended =
                 batch.stream().filter(DecodeAttempt::ended).collect(Collectors.toList());
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineSettings.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineSettings.java
@@ -18,6 +18,7 @@
  * @param prefillBaseMillis fixed cost of each prefill, in milliseconds
  * @param tokenMillis decode step with one attempt, in milliseconds
  * @param batchSlope share by which each further attempt in the batch lengthens a step
+ * @param answerTokens mean length of an answer that stops by itself; 0 if none does
  * @param kvBytesPerToken bytes of KV cache for each token
  * @param linkBytesPerSecond rate of the link that all exports share
  * @param resultMillis life of a prefill result that is not being exported, in milliseconds
@@ -39,6 +40,7 @@
         long prefillBaseMillis,
         long tokenMillis,
         double batchSlope,
+        int answerTokens,
         long kvBytesPerToken,
         long linkBytesPerSecond,
         long resultMillis,
@@ -62,6 +64,7 @@
                     5,
                     25,
                     0.02,
+                    0,
                     81_920,
                     3_000_000_000L,
                     800,
@@ -89,6 +92,9 @@
                             + ", link "
                             + linkBytesPerSecond);
         }
+        if (answerTokens < 0) {
+            throw new IllegalArgumentException("answer tokens " + answerTokens + " are negative");
+        }
         if (speed <= 0) {
             throw new IllegalArgumentException("speed " + speed + " must be above 0");
         }
@@ -121,6 +127,11 @@
         return Answers.JSON.convertValue(merged, EngineSettings.class);
     }
 
+    /** Returns the length of a decode step with {@code batch} attempts, in modelled ms. */
+    public double stepMillis(int batch) {
+        return tokenMillis * (1 + batchSlope * (batch - 1));
+    }
+
     /** Returns the modelled duration of a machine duration, in milliseconds. */
     public long modelled(long machineMillis) {
         return (long) (machineMillis * speed);
--- a/cyclamenpaddle-standins/src/test/java/org/cyclamenpaddle/standins/engine/EngineModelTest.java
+++ b/cyclamenpaddle-standins/src/test/java/org/cyclamenpaddle/standins/engine/EngineModelTest.java
@@ -116,6 +116,21 @@
         assertEquals(model.heldPieces(), 0);
     }
 
+    @Test
+    public void answerStopsByItselfBeforeMaxTokens() {
+        EngineModel model = model("{\"answerTokens\": 10}");
+        int length = AnswerText.length(PromptText.hash(PROMPT), 10);
+        decode(model, "d", 0, 100);
+        mTimer.advanceMillis(25 * 20);
+        assertEquals(text(mEvents), AnswerText.whole(PROMPT, length));
+        assertEquals(mEvents.get(mEvents.size() - 1), new EngineEvent.End(length, "stop"));
+        mEvents.clear();
+        decode(model, "resumed", length, 100);
+        mTimer.advanceMillis(25);
+        assertEquals(mEvents.get(mEvents.size() - 1), new EngineEvent.End(length, "stop"));
+        assertEquals(text(mEvents), "");
+    }
+
     @Test
     public void resumedStreamStartsAtTheAskedIndex() {
         EngineModel model = model("{}");
