--- a/cyclamenpaddle-standins/src/test/java/org/cyclamenpaddle/standins/engine/EngineStandinTest.java
+++ b/cyclamenpaddle-standins/src/test/java/org/cyclamenpaddle/standins/engine/EngineStandinTest.java
@@ -25,13 +25,18 @@
 
     private static final String PROMPT = "lot sheet ".repeat(200);
 
+    /** Results and events outlive any test, however slow the machine. */
+    private static final EngineSettings SETTINGS =
+            EngineSettings.fromJson(
+                    "{\"speed\": 10, \"resultMillis\": 36000000, \"keepMillis\": 36000000}");
+
     private EngineStandin mSource;
     private EngineStandin mTarget;
 
     @BeforeMethod
     public void start() {
-        mSource = new EngineStandin(EngineSettings.fromJson("{\"speed\": 10}"));
-        mTarget = new EngineStandin(EngineSettings.fromJson("{\"speed\": 10}"));
+        mSource = new EngineStandin(SETTINGS);
+        mTarget = new EngineStandin(SETTINGS);
         mSource.start(0);
         mTarget.start(0);
     }
@@ -65,16 +70,12 @@
     public void stalledTransferFailsAndTheSecondTransferOfTheResultSucceeds() {
         // The first transfer moves no byte. The decode engine gives up after transferMillis and
         // drops its export, and the result is still there for a second attempt.
-        EngineStandin patient =
-                new EngineStandin(EngineSettings.fromJson("{\"resultMillis\": 3600000}"));
-        patient.start(0);
-        prefill(patient, PROMPT);
-        patient.stallTransfers(1);
-        String first = decode(patient, "d:1:1", 8, 200).aggregate().join().contentUtf8();
+        prefill(PROMPT);
+        mSource.stallTransfers(1);
+        String first = decode("d:1:1", 8, 200).aggregate().join().contentUtf8();
         assertEquals(first, "{\"event\":\"failed\",\"reason\":\"transfer-stalled\"}\n");
-        String second = decode(patient, "d:1:2", 8, 10_000).aggregate().join().contentUtf8();
+        String second = decode("d:1:2", 8, 600_000).aggregate().join().contentUtf8();
         assertTrue(second.contains("\"event\":\"end\""), second);
-        patient.close();
     }
 
     @Test
@@ -141,27 +142,22 @@
     }
 
     private void prefill(String prompt) {
-        prefill(mSource, prompt);
-    }
-
-    private static void prefill(EngineStandin engine, String prompt) {
         String body = "{\"attempt\": \"p:1:1\", \"prompt\": \"" + prompt + "\", \"prior\": []}";
-        AggregatedHttpResponse answer = post(engine, "/v1/prefill", body).aggregate().join();
+        AggregatedHttpResponse answer = post(mSource, "/v1/prefill", body).aggregate().join();
         assertEquals(answer.status().code(), 200, answer.contentUtf8());
     }
 
     private HttpResponse decode(int maxTokens) {
-        return decode(mSource, "d:1:1", maxTokens, 10_000);
+        return decode("d:1:1", maxTokens, 600_000);
     }
 
-    private HttpResponse decode(
-            EngineStandin source, String attempt, int maxTokens, long transferMillis) {
+    private HttpResponse decode(String attempt, int maxTokens, long transferMillis) {
         String body =
                 String.format(
                         "{\"attempt\": \"%s\", \"source\": {\"address\": \"127.0.0.1\", \"port\":"
                             + " %d, \"attempt\": \"p:1:1\"}, \"firstIndex\": 0, \"maxTokens\": %d,"
                             + " \"transferMillis\": %d}",
-                        attempt, source.port(), maxTokens, transferMillis);
+                        attempt, mSource.port(), maxTokens, transferMillis);
         return post(mTarget, "/v1/decode", body);
     }
 
