Assemble the entry host; serve requests end to end

Cause: the controllers had no process. Two entry hosts with stand-ins now serve a streamed answer, a booking with a resend at the other host, and refuse bad bodies by name.

Found by the first run: the table of configuration was read while the table of backend servers was locked, against the stated order; the assertion in Table named it. Mended by reading before locking.

--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -0,0 +1,419 @@
+package org.cyclamenpaddle.router.assembly;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cyclamenpaddle.core.config.BackendSpec;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.message.ClaimAnswer;
+import org.cyclamenpaddle.core.message.ClaimAsk;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.core.time.MonotonicClock;
+import org.cyclamenpaddle.engine.http.BackendConnections;
+import org.cyclamenpaddle.engine.plain.PlainServiceClient;
+import org.cyclamenpaddle.fleet.claim.ClaimShardSettings;
+import org.cyclamenpaddle.fleet.membership.Membership;
+import org.cyclamenpaddle.fleet.membership.MembershipSettings;
+import org.cyclamenpaddle.peer.net.PeerNetwork;
+import org.cyclamenpaddle.peer.net.PeerSettings;
+import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
+import org.cyclamenpaddle.platform.hosts.HttpHostList;
+import org.cyclamenpaddle.platform.objects.HttpObjectStore;
+import org.cyclamenpaddle.platform.objects.ObjectStore;
+import org.cyclamenpaddle.router.backend.BackendClients;
+import org.cyclamenpaddle.router.backend.Canceller;
+import org.cyclamenpaddle.router.backend.EngineMonitor;
+import org.cyclamenpaddle.router.backend.LossNotices;
+import org.cyclamenpaddle.router.backend.PrefixMonitor;
+import org.cyclamenpaddle.router.blackboard.Blackboard;
+import org.cyclamenpaddle.router.blackboard.RequestTable;
+import org.cyclamenpaddle.router.booking.BookingServices;
+import org.cyclamenpaddle.router.booking.Bookings;
+import org.cyclamenpaddle.router.booking.PlainChoice;
+import org.cyclamenpaddle.router.booking.RepeatableCalls;
+import org.cyclamenpaddle.router.configuration.ConfigurationDriver;
+import org.cyclamenpaddle.router.configuration.PlatformAdmin;
+import org.cyclamenpaddle.router.configuration.PlatformHealth;
+import org.cyclamenpaddle.router.event.EventLog;
+import org.cyclamenpaddle.router.explain.DecisionLog;
+import org.cyclamenpaddle.router.grant.LedgerKeeper;
+import org.cyclamenpaddle.router.metric.GaugeSources;
+import org.cyclamenpaddle.router.metric.RouterMetrics;
+import org.cyclamenpaddle.router.operator.OperatorApi;
+import org.cyclamenpaddle.router.peering.CountingPeers;
+import org.cyclamenpaddle.router.peering.HeartbeatContents;
+import org.cyclamenpaddle.router.peering.HostFinder;
+import org.cyclamenpaddle.router.peering.MembershipDriver;
+import org.cyclamenpaddle.router.peering.NetworkTransport;
+import org.cyclamenpaddle.router.peering.PeerDispatch;
+import org.cyclamenpaddle.router.request.Decisions;
+import org.cyclamenpaddle.router.request.HostEnvironment;
+import org.cyclamenpaddle.router.request.ModelRequests;
+import org.cyclamenpaddle.router.request.RequestServices;
+import org.cyclamenpaddle.router.settings.RouterSettings;
+import org.cyclamenpaddle.router.worker.Workers;
+import org.cyclamenpaddle.routing.admission.Admission;
+import org.cyclamenpaddle.routing.admission.AdmissionSettings;
+import org.cyclamenpaddle.routing.placement.PlacementPolicy;
+import org.cyclamenpaddle.routing.quarantine.Quarantine;
+import org.cyclamenpaddle.routing.quarantine.QuarantineSettings;
+import org.cyclamenpaddle.routing.request.RequestSettings;
+import org.cyclamenpaddle.routing.retry.RetryBudget;
+
+/** All controllers of one entry host, wired to each other and to the blackboard. */
+final class Controllers implements AutoCloseable {
+
+    private static final int WORKERS = 4;
+    private static final long CLAIM_ASK_MILLIS = 500;
+    private static final long MILLIS_PER_HOUR = 3_600_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long FAR_DOMAIN_MILLIS = 2;
+    private static final int EXPLAINED_REQUESTS = 10_000;
+    private static final int DECISIONS_KEPT = 64;
+
+    private final RouterSettings mSettings;
+    private final EventLog mLog;
+    private final Clock mClock = new MonotonicClock();
+    private final RouterMetrics mMetrics = new RouterMetrics();
+    private final ConfigurationCodec mCodec = new ConfigurationCodec();
+    private final HeartbeatContents mHeartbeat = new HeartbeatContents();
+    private final BackendConnections mConnections = new BackendConnections();
+    private final Incarnation mSelf;
+    private final Workers mWorkers;
+    private final Blackboard mBlackboard;
+    private final DecisionLog mDecisionLog;
+    private final PlatformHealth mHealth;
+    private final HttpObjectStore mStore;
+    private final HttpHostList mHostList;
+    private final NetworkTransport mTransport;
+    private final MembershipDriver mMembership;
+    private final ConfigurationDriver mConfiguration;
+    private final LedgerKeeper mLedgers;
+    private final BackendClients mClients;
+    private final Canceller mCanceller;
+    private final EngineMonitor mEngineMonitor;
+    private final PrefixMonitor mPrefixes;
+    private final RetryBudget mRetries;
+    private final HostEnvironment mEnvironment;
+    private final ModelRequests mRequests;
+    private final PlainServiceClient mPlainClient;
+    private final Bookings mBookings;
+    private final RepeatableCalls mRepeatable;
+    private final HostFinder mFinder;
+    private final PeerNetwork mNetwork;
+
+    Controllers(RouterSettings settings, EventLog log, FailureStop failure) {
+        mSettings = settings;
+        mLog = log;
+        mSelf = new Incarnation(settings.host().name(), System.currentTimeMillis());
+        mWorkers = new Workers(WORKERS, failure::stop);
+        mBlackboard = Blackboard.create(new Quarantine(quarantineSettings()));
+        mDecisionLog = new DecisionLog(mClock, EXPLAINED_REQUESTS, DECISIONS_KEPT);
+        mHealth = new PlatformHealth(log, mMetrics, mClock);
+        mStore = store();
+        mHostList = hostList();
+        mTransport = new NetworkTransport(this::network);
+        mMembership = membership(failure);
+        mConfiguration = configuration();
+        mLedgers = new LedgerKeeper(mBlackboard, mMembership, mTransport, mClock, log, mMetrics);
+        mClients = new BackendClients(mConnections);
+        mCanceller = new Canceller(mClients, mBlackboard, mWorkers, mMetrics);
+        mEngineMonitor =
+                new EngineMonitor(mLedgers, mClients, mMembership, mBlackboard, mClock, log);
+        mPrefixes = new PrefixMonitor(mBlackboard, mClients, settings.host().failureDomain());
+        mRetries = new RetryBudget(retrySettings());
+        mEnvironment = environment();
+        mRequests = modelRequests();
+        mPlainClient = new PlainServiceClient(mConnections);
+        PlainChoice choice = new PlainChoice(mBlackboard, settings.host().failureDomain(), mClock);
+        mBookings = new Bookings(bookingServices(choice));
+        mRepeatable =
+                new RepeatableCalls(
+                        choice, mPlainClient, mEnvironment::newAttempt, mRetries, mMetrics, mClock);
+        mFinder = new HostFinder(settings.peers().seeds(), mHostList, mMembership, mTransport);
+        mNetwork = peerNetwork();
+        mMetrics.gauges(gauges());
+    }
+
+    /** Runs what follows the hosts and the platform; called often. */
+    void hostTick() {
+        mHeartbeat.refresh(mBlackboard, mLedgers);
+        mMembership.tick();
+        mConfiguration.tick();
+        mBookings.tick();
+    }
+
+    /** Follows the preset in force and the view of the hosts. */
+    void ledgerTick() {
+        mLedgers.tick();
+        Map<BackendId, BackendSpec> declared = mBlackboard.view().backends();
+        mClients.retain(declared.values());
+        mBlackboard.backends().write(table -> table.retain(declared));
+    }
+
+    /** Returns what must end before this host may leave. */
+    int openWork() {
+        return mBlackboard.requests().read(RequestTable::inFlight)
+                + mBookings.open()
+                + mRepeatable.open()
+                + mCanceller.pending();
+    }
+
+    OperatorApi operatorApi() {
+        return new OperatorApi(
+                new PlatformAdmin(mStore, mCodec, mConfiguration),
+                new FleetStatus(mBlackboard, mMembership, mHealth, mMetrics, mClock),
+                mDecisionLog::explain);
+    }
+
+    Incarnation self() {
+        return mSelf;
+    }
+
+    Clock clock() {
+        return mClock;
+    }
+
+    Workers workers() {
+        return mWorkers;
+    }
+
+    Blackboard blackboard() {
+        return mBlackboard;
+    }
+
+    RouterMetrics metrics() {
+        return mMetrics;
+    }
+
+    MembershipDriver membership() {
+        return mMembership;
+    }
+
+    EngineMonitor engineMonitor() {
+        return mEngineMonitor;
+    }
+
+    PrefixMonitor prefixes() {
+        return mPrefixes;
+    }
+
+    HostFinder finder() {
+        return mFinder;
+    }
+
+    ModelRequests requests() {
+        return mRequests;
+    }
+
+    Bookings bookings() {
+        return mBookings;
+    }
+
+    RepeatableCalls repeatable() {
+        return mRepeatable;
+    }
+
+    PeerNetwork network() {
+        return mNetwork;
+    }
+
+    @Override
+    public void close() {
+        mWorkers.close();
+        mNetwork.close();
+        mConnections.close();
+        mStore.close();
+        mHostList.close();
+    }
+
+    private QuarantineSettings quarantineSettings() {
+        QuarantineSettings defaults = QuarantineSettings.DEFAULTS;
+        return new QuarantineSettings(
+                defaults.strikesToQuarantine(),
+                mSettings.limits().quarantineMillis(),
+                defaults.mostFingerprints());
+    }
+
+    private RetryBudget.Settings retrySettings() {
+        RetryBudget.Settings defaults = RetryBudget.Settings.DEFAULTS;
+        return new RetryBudget.Settings(
+                mSettings.limits().retryShare(), defaults.floorPerSecond(), defaults.most());
+    }
+
+    private HttpObjectStore store() {
+        RouterSettings.Platform platform = mSettings.platform();
+        return new HttpObjectStore(platform.address(), platform.port(), platform.timeoutMillis());
+    }
+
+    private HttpHostList hostList() {
+        RouterSettings.Platform platform = mSettings.platform();
+        return new HttpHostList(platform.address(), platform.port(), platform.timeoutMillis());
+    }
+
+    private MembershipDriver membership(FailureStop failure) {
+        MembershipSettings settings = MembershipSettings.DEFAULTS;
+        Membership membership = new Membership(selfRecord(), settings, mHeartbeat, random(1));
+        return new MembershipDriver(
+                membership,
+                settings,
+                mTransport,
+                mClock,
+                mLog,
+                later ->
+                        failure.stop(
+                                new IllegalStateException(
+                                        "host "
+                                                + later.host()
+                                                + " was started again as "
+                                                + later)));
+    }
+
+    private HostRecord selfRecord() {
+        RouterSettings.Host host = mSettings.host();
+        return new HostRecord(
+                mSelf,
+                host.failureDomain(),
+                host.address(),
+                host.peerPort(),
+                host.httpPort(),
+                HostState.ALIVE);
+    }
+
+    private ConfigurationDriver configuration() {
+        return new ConfigurationDriver(
+                selfRecord(),
+                mStore,
+                mCodec,
+                mBlackboard,
+                new ConfigurationDriver.Runtime(mWorkers, mClock, mLog, mHealth),
+                mTransport::ask,
+                mMembership::alive,
+                random(2));
+    }
+
+    private HostEnvironment environment() {
+        PlacementPolicy policy = mSettings.routing().policy();
+        int expected = mSettings.routing().expectedOutputTokens();
+        Decisions decisions =
+                new Decisions(
+                        policy,
+                        new Admission(policy, AdmissionSettings.DEFAULTS),
+                        mRetries,
+                        mPrefixes,
+                        shape -> Math.min(shape.maxTokens(), expected),
+                        (from, to) -> from.equals(to) ? 0 : FAR_DOMAIN_MILLIS);
+        return new HostEnvironment(
+                mSelf,
+                mSettings.host().failureDomain(),
+                mBlackboard,
+                decisions,
+                new LossNotices(mBlackboard, mMembership, mTransport, mClock, mLog),
+                random(3));
+    }
+
+    private ModelRequests modelRequests() {
+        RequestServices services =
+                new RequestServices(
+                        mClock,
+                        mWorkers,
+                        mBlackboard,
+                        mClients,
+                        mCanceller,
+                        mLedgers,
+                        mPrefixes,
+                        mMetrics);
+        RequestSettings defaults = RequestSettings.defaults();
+        RequestSettings bounds =
+                new RequestSettings(
+                        defaults.grantMillis(),
+                        defaults.prefillSlackMillis(),
+                        mSettings.timing().transferMillis(),
+                        mSettings.timing().streamSilenceMillis(),
+                        defaults.recoveryMillis(),
+                        defaults.maxDecodeChoices(),
+                        defaults.maxPlacements());
+        return new ModelRequests(services, mEnvironment, bounds, mDecisionLog::record);
+    }
+
+    private BookingServices bookingServices(PlainChoice choice) {
+        ClaimShardSettings defaults = ClaimShardSettings.DEFAULTS;
+        ClaimShardSettings shards =
+                new ClaimShardSettings(
+                        mSettings.bookings().shards(),
+                        mSettings.bookings().retentionHours() * MILLIS_PER_HOUR,
+                        defaults.maxCharacters(),
+                        defaults.retryMillis());
+        ObjectStore store = mStore;
+        return new BookingServices(
+                mSelf,
+                mClock,
+                System::currentTimeMillis,
+                mWorkers,
+                mEnvironment::newAttempt,
+                BookingServices.claims(
+                        store, shards, mWorkers, mClock, System::currentTimeMillis, mHealth),
+                choice,
+                mPlainClient,
+                this::askClaimer,
+                mMetrics,
+                mLog,
+                mDecisionLog::record);
+    }
+
+    private CompletableFuture<Optional<ClaimAnswer>> askClaimer(Incarnation holder, ClaimAsk ask) {
+        Optional<HostRecord> host =
+                mMembership
+                        .record(holder.host())
+                        .filter(record -> record.incarnation().equals(holder))
+                        .filter(record -> record.state() != HostState.DEAD);
+        return host.map(
+                        record ->
+                                mTransport
+                                        .ask(record, ask, CLAIM_ASK_MILLIS)
+                                        .thenApply(
+                                                answer ->
+                                                        answer.toJavaOptional()
+                                                                .filter(
+                                                                        ClaimAnswer.class
+                                                                                ::isInstance)
+                                                                .map(ClaimAnswer.class::cast)))
+                .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+    }
+
+    private PeerNetwork peerNetwork() {
+        PeerDispatch dispatch =
+                new PeerDispatch(
+                        mMembership, mConfiguration, mLedgers, mBookings, mBlackboard, mClock);
+        return new PeerNetwork(
+                mMembership::self,
+                dispatch,
+                PeerSettings.DEFAULT,
+                mClock,
+                new CountingPeers(mMetrics, mLog));
+    }
+
+    private GaugeSources gauges() {
+        return new GaugeSources(
+                mLedgers::heldGrants,
+                () -> mBlackboard.requests().read(RequestTable::inFlight),
+                () -> mBlackboard.configuration().read(cell -> cell.inForceVersion()),
+                () ->
+                        (mClock.millis()
+                                        - mBlackboard
+                                                .configuration()
+                                                .read(cell -> cell.confirmedAt()))
+                                / MILLIS_PER_SECOND);
+    }
+
+    /** Returns a generator of its own for each use, seeded by host and life. */
+    private UniformRandomProvider random(long use) {
+        long seed = mSelf.host().value().hashCode() * 31L + mSelf.number() * 7 + use;
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+}
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
@@ -21,6 +21,7 @@
 import org.cyclamenpaddle.fleet.claim.BookingMachine;
 import org.cyclamenpaddle.fleet.claim.BookingReply;
 import org.cyclamenpaddle.router.event.LogEvent;
+import org.cyclamenpaddle.router.explain.DecisionStep;
 import org.cyclamenpaddle.router.worker.SerialExecutor;
 
 /** One keyed call under way: feeds its machine and performs the effects. */
@@ -96,7 +97,7 @@
 
     private void perform(BookingEffect effect) {
         if (effect instanceof BookingEffect.WriteClaim write) {
-            record("claim", mMachine.claim().attempt().value());
+            record(DecisionStep.CLAIM, mMachine.claim().attempt().value());
             mServices.claims().claim(write.claim(), verdict -> feed(verdict.event()));
         } else if (effect instanceof BookingEffect.Dispatch dispatch) {
             dispatch(dispatch);
@@ -123,7 +124,7 @@
         }
         BackendSpec backend = chosen.get();
         mTried.add(backend.id());
-        record("dispatch", backend.id() + " as " + dispatch.attempt());
+        record(DecisionStep.CALL_SENT, backend.id() + " as " + dispatch.attempt());
         mServices.choice().inFlight(backend.id(), 1);
         mServices
                 .client()
@@ -145,7 +146,7 @@
     private void called(BackendSpec backend, PlainResult result) {
         mServices.choice().inFlight(backend.id(), -1);
         if (result instanceof PlainResult.NothingSent nothing) {
-            record("nothing sent", backend.id() + ": " + nothing.reason());
+            record(DecisionStep.RETRIED, backend.id() + ": " + nothing.reason());
             mServices.choice().unreached(backend.id());
             mServices.metrics().retried(RetryReason.CONNECT_FAILED);
             take(new BookingEvent.ConnectFailedBeforeFirstByte());
@@ -153,7 +154,7 @@
         }
         take(new BookingEvent.FirstByteWritten());
         if (result instanceof PlainResult.Answered answered) {
-            record("answered", backend.id() + ": status " + answered.status());
+            record(DecisionStep.CALL_SENT, backend.id() + ": status " + answered.status());
             take(
                     new BookingEvent.ResponseComplete(
                             new ClaimAnswer.KeptAnswer(
@@ -161,7 +162,7 @@
                                     answered.contentType(),
                                     Bookings.text(answered.body()))));
         } else if (result instanceof PlainResult.MaybeSent maybe) {
-            record("maybe sent", backend.id() + ": " + maybe.reason());
+            record(DecisionStep.CALL_SENT, backend.id() + ": " + maybe.reason());
             mServices.log().log(
                     LogEvent.BOOKING_UNKNOWN,
                     mCall.request(),
@@ -173,7 +174,7 @@
     }
 
     private void askClaimer(BookingEffect.AskClaimer ask) {
-        record("ask claimer", ask.holder().toString());
+        record(DecisionStep.CLAIM, ask.holder().toString());
         CompletableFuture<Optional<ClaimAnswer>> answer =
                 ask.holder().equals(mServices.self())
                         ? mOwnClaims.apply(ask.ask()).thenApply(Optional::of)
@@ -192,11 +193,11 @@
         if (reply instanceof BookingReply.Refused refused) {
             mServices.metrics().refused(refused.refusal().reason());
         }
-        record("reply", outcome.code());
+        record(DecisionStep.ANSWERED, outcome.code());
         mReply.complete(reply);
     }
 
-    private void record(String step, String detail) {
+    private void record(DecisionStep step, String detail) {
         mServices.recorder().record(mCall.request(), step, detail);
     }
 }
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/Bookings.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/Bookings.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cyclamenpaddle.core.config.PlainCall;
 import org.cyclamenpaddle.core.config.ServiceSpec;
 import org.cyclamenpaddle.core.id.AttemptId;
@@ -31,6 +32,7 @@
     private static final int MOST_KEPT = 20_000;
 
     private final BookingServices mServices;
+    private final AtomicInteger mOpen = new AtomicInteger();
     private final Map<ClaimKey, BookingRun> mRuns =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
@@ -89,7 +91,9 @@
                         mServices,
                         new BookingMachine(claim, BookingSettings.DEFAULTS, deadline),
                         this::answer);
-        return run.start(() -> keep(key, run));
+        mOpen.incrementAndGet();
+        return run.start(() -> keep(key, run))
+                .whenComplete((reply, failure) -> mOpen.decrementAndGet());
     }
 
     /** Answers a peer, or this host itself, that met a claim of this host. */
@@ -102,9 +106,9 @@
         mServices.claims().tick();
     }
 
-    /** Returns outcomes not yet known to be kept by the platform. */
-    public int pendingOutcomes() {
-        return mServices.claims().pending();
+    /** Returns calls without an answer, and outcomes that the platform has not kept yet. */
+    public int open() {
+        return mOpen.get() + mServices.claims().pending();
     }
 
     private CompletableFuture<ClaimAnswer> answer(ClaimAsk ask) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/RepeatableCalls.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/RepeatableCalls.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.config.PlainCall;
@@ -32,6 +33,7 @@
     private final RetryBudget mBudget;
     private final RouterMetrics mMetrics;
     private final Clock mClock;
+    private final AtomicInteger mOpen = new AtomicInteger();
 
     /**
      * Creates the calls.
@@ -79,7 +81,14 @@
         synchronized (mBudget) {
             mBudget.freshRequest(call.service().name(), mClock.millis());
         }
-        return attempt(call, mClock.millis() + call.call().timeoutMillis(), new HashSet<>());
+        mOpen.incrementAndGet();
+        return attempt(call, mClock.millis() + call.call().timeoutMillis(), new HashSet<>())
+                .whenComplete((answer, failure) -> mOpen.decrementAndGet());
+    }
+
+    /** Returns calls without an answer. */
+    public int open() {
+        return mOpen.get();
     }
 
     private CompletableFuture<Either<Refusal, PlainResult.Answered>> attempt(
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
@@ -57,8 +57,7 @@
      * @param codec documents
      * @param driver takes what was written, so that it is in force here at once
      */
-    public PlatformAdmin(
-            ObjectStore store, ConfigurationCodec codec, ConfigurationDriver driver) {
+    public PlatformAdmin(ObjectStore store, ConfigurationCodec codec, ConfigurationDriver driver) {
         mStore = store;
         mCodec = codec;
         mChange = new ConditionalChange(store, codec, TRIES, PAUSE_MILLIS);
@@ -117,7 +116,8 @@
             ObjectKey key, Precondition precondition, ChangeId change) {
         if (precondition.version().isEmpty()) {
             return refused(
-                    Refusal.of(RefusalReason.BAD_BODY, "A deletion needs If-Match with a version."));
+                    Refusal.of(
+                            RefusalReason.BAD_BODY, "A deletion needs If-Match with a version."));
         }
         long version = precondition.version().getAsLong();
         return checked(view -> wrongToRemove(view, key))
@@ -210,14 +210,11 @@
                         answer ->
                                 answer.fold(
                                         Optional::of,
-                                        objects ->
-                                                check.apply(mCodec.view(objects))
-                                                        .map(
-                                                                wrong ->
-                                                                        Refusal.of(
-                                                                                RefusalReason
-                                                                                        .BAD_CONFIGURATION,
-                                                                                wrong))));
+                                        objects -> check.apply(mCodec.view(objects)).map(bad())));
+    }
+
+    private static Function<String, Refusal> bad() {
+        return wrong -> Refusal.of(RefusalReason.BAD_CONFIGURATION, wrong);
     }
 
     private static Optional<String> wrong(ConfigurationView view, Object spec) {
@@ -237,8 +234,7 @@
 
     private static Optional<String> wrongToRemove(ConfigurationView view, ObjectKey key) {
         return switch (key.kind()) {
-            case SERVICE ->
-                    ConfigurationChecks.removeService(view, new ServiceName(key.name()));
+            case SERVICE -> ConfigurationChecks.removeService(view, new ServiceName(key.name()));
             case BACKEND -> ConfigurationChecks.removeBackend(view, new BackendId(key.name()));
             case PRESET -> ConfigurationChecks.removePreset(view, new PresetName(key.name()));
             case IN_FORCE -> Optional.of("the preset in force can be replaced, not deleted");
@@ -270,26 +266,20 @@
 
     private Optional<StoredObject> stored(
             ObjectKey key, org.cyclamenpaddle.platform.objects.StoredObject object) {
-        return stored(
-                new ConfigurationObject(key, object.version(), Optional.of(object.value())));
+        return stored(new ConfigurationObject(key, object.version(), Optional.of(object.value())));
     }
 
     private Optional<StoredObject> stored(ConfigurationObject object) {
-        return object.document()
-                .flatMap(
-                        document ->
-                                mCodec.changeId(document)
-                                        .flatMap(
-                                                change ->
-                                                        mCodec.specText(document)
-                                                                .map(
-                                                                        spec ->
-                                                                                new StoredObject(
-                                                                                        object.key(),
-                                                                                        object
-                                                                                                .version(),
-                                                                                        change,
-                                                                                        spec))));
+        return object.document().flatMap(document -> stored(object, document));
+    }
+
+    private Optional<StoredObject> stored(ConfigurationObject object, String document) {
+        Optional<ChangeId> change = mCodec.changeId(document);
+        Optional<String> spec = mCodec.specText(document);
+        return change.isEmpty() || spec.isEmpty()
+                ? Optional.empty()
+                : Optional.of(
+                        new StoredObject(object.key(), object.version(), change.get(), spec.get()));
     }
 
     private static Refusal away(PlatformError error) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/MetricName.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/MetricName.java
@@ -89,6 +89,11 @@
             MetricKind.COUNTER,
             List.of("error"),
             "Frames of peers that were refused, by error."),
+    DROPPED_PEER_FRAMES(
+            "cyclamenpaddle_dropped_peer_frames_total",
+            MetricKind.COUNTER,
+            List.of("reason"),
+            "Frames to peers that were dropped, and silent connections replaced, by reason."),
     BOOKINGS(
             "cyclamenpaddle_bookings_total",
             MetricKind.COUNTER,
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/RouterMetrics.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/RouterMetrics.java
@@ -153,6 +153,15 @@
         counter(MetricName.BAD_PEER_FRAMES, Tags.of("error", error)).increment();
     }
 
+    /**
+     * Counts a frame to a peer that was dropped, or a silent connection that was replaced.
+     *
+     * @param reason name of the reason, from a closed set
+     */
+    public void peerFrameDropped(String reason) {
+        counter(MetricName.DROPPED_PEER_FRAMES, Tags.of("reason", reason)).increment();
+    }
+
     /** Counts a keyed call by the outcome said to its caller. */
     public void booking(RunOutcome outcome) {
         mBookings.get(outcome).increment();
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HeartbeatContents.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HeartbeatContents.java
@@ -10,8 +10,8 @@
 /**
  * What heartbeats tell besides membership, copied before each tick.
  *
- * <p>Membership asks for it under the lock of its own table, where the table of configuration, which
- * comes earlier in the lock order, must not be read.
+ * <p>Membership asks for it under the lock of its own table, where the table of configuration,
+ * which comes earlier in the lock order, must not be read.
  */
 public final class HeartbeatContents implements HeartbeatSource {
 
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HostFinder.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HostFinder.java
@@ -32,8 +32,7 @@
     public interface Greeter {
 
         /** Completes with the host that answered, or empty; never exceptionally. */
-        CompletableFuture<Optional<HostRecord>> hello(
-                String address, int port, long timeoutMillis);
+        CompletableFuture<Optional<HostRecord>> hello(String address, int port, long timeoutMillis);
     }
 
     /**
@@ -58,9 +57,7 @@
     /** Greets every address that no live member has. */
     public void tick() {
         greet(new HashSet<>(mSeeds));
-        mHostList
-                .hosts()
-                .thenAccept(answer -> answer.peek(listing -> greet(addresses(listing))));
+        mHostList.hosts().thenAccept(answer -> answer.peek(listing -> greet(addresses(listing))));
     }
 
     private static Set<PeerAddress> addresses(HostListing listing) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
@@ -88,7 +88,7 @@
 
     /** Tells the fleet that this host is leaving. */
     public void leave() {
-        act(membership -> membership.onLeaving(mClock.millis()));
+        act(Membership::onLeaving);
     }
 
     /** Returns what is known of a life of a host. */
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/problem/Problem.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/problem/Problem.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponse;
@@ -76,6 +77,11 @@
         return document.toString();
     }
 
+    /** Returns the HTTP answer as one piece, without a request id. */
+    public AggregatedHttpResponse aggregated() {
+        return AggregatedHttpResponse.of(headers().build(), HttpData.ofUtf8(document()));
+    }
+
     /** Returns the HTTP answer, without a request id. */
     public HttpResponse response() {
         return HttpResponse.of(headers().build(), HttpData.ofUtf8(document()));
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/RequestJournal.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/RequestJournal.java
@@ -10,6 +10,7 @@
 import org.cyclamenpaddle.core.outcome.RetryReason;
 import org.cyclamenpaddle.engine.model.EngineFailure;
 import org.cyclamenpaddle.engine.model.PrefillResult;
+import org.cyclamenpaddle.router.explain.DecisionStep;
 import org.cyclamenpaddle.router.metric.RouterMetrics;
 
 /**
@@ -44,8 +45,10 @@
 
     void asked(GrantAsk ask) {
         record(
-                "ask " + ask.role().code(),
-                ask.backend()
+                DecisionStep.GRANT_ASKED,
+                ask.role().code()
+                        + " on "
+                        + ask.backend()
                         + " for "
                         + ask.attempt()
                         + " in "
@@ -59,8 +62,10 @@
 
     void granted(GrantAnswer answer) {
         record(
-                "answer " + answer.decision(),
-                answer.backend()
+                DecisionStep.GRANT_ANSWERED,
+                answer.decision()
+                        + " by the owner of "
+                        + answer.backend()
                         + " from "
                         + answer.startInMillis()
                         + " to "
@@ -68,29 +73,29 @@
                         + " ms");
     }
 
-    void step(String step, AttemptId attempt, BackendId backend) {
+    void step(DecisionStep step, AttemptId attempt, BackendId backend) {
         record(step, backend + " as " + attempt);
     }
 
     void prefilled(AttemptId attempt, PrefillResult result) {
         record(
-                "prefilled",
+                DecisionStep.PREFILL_ENDED,
                 attempt + ": " + result.tokens() + " tokens, " + result.cachedTokens() + " cached");
     }
 
     void failed(AttemptId attempt, EngineFailure failure) {
-        record("failed", attempt + ": " + failure);
+        record(DecisionStep.RETRIED, "failed " + attempt + ": " + failure);
     }
 
     void retried(RetryReason reason) {
-        record("retry", reason.code());
+        record(DecisionStep.RETRIED, reason.code());
     }
 
     void token(long now) {
         if (mFirstTokenAt < 0) {
             mFirstTokenAt = now;
             mMetrics.firstToken(mService.name(), now - mReceivedAt);
-            record("first token", (now - mReceivedAt) + " ms");
+            record(DecisionStep.FIRST_TOKEN, (now - mReceivedAt) + " ms");
         } else {
             mMetrics.interToken(mService.name(), now - mLastTokenAt);
         }
@@ -101,12 +106,12 @@
         boolean inTime = inTime(tokens);
         mMetrics.tokensRelayed(mService.name(), tokens);
         mMetrics.answered(mService.name(), inTime);
-        record("finished", tokens + " tokens, " + (inTime ? "in time" : "late"));
+        record(DecisionStep.ANSWERED, tokens + " tokens, " + (inTime ? "in time" : "late"));
     }
 
     void refused(Refusal refusal) {
         mMetrics.refused(refusal.reason());
-        record("refused", refusal.reason().code() + " " + refusal.detail());
+        record(DecisionStep.REFUSED, refusal.reason().code() + " " + refusal.detail());
     }
 
     private boolean inTime(int tokens) {
@@ -118,7 +123,7 @@
         return first && after <= mService.perTokenMillis() * Math.max(0, tokens - 1L);
     }
 
-    private void record(String step, String detail) {
+    private void record(DecisionStep step, String detail) {
         mRecorder.record(mRequest, step, detail);
     }
 }
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/RequestRun.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/RequestRun.java
@@ -16,6 +16,7 @@
 import org.cyclamenpaddle.engine.model.PrefillResult;
 import org.cyclamenpaddle.engine.model.PrefillSource;
 import org.cyclamenpaddle.engine.model.StreamHandle;
+import org.cyclamenpaddle.router.explain.DecisionStep;
 import org.cyclamenpaddle.router.worker.SerialExecutor;
 import org.cyclamenpaddle.routing.request.RequestEffect;
 import org.cyclamenpaddle.routing.request.RequestEffectHandler;
@@ -101,7 +102,7 @@
 
     @Override
     public void startPrefill(RequestEffect.StartPrefill effect) {
-        mJournal.step("prefill", effect.attempt(), effect.backend());
+        mJournal.step(DecisionStep.PREFILL_STARTED, effect.attempt(), effect.backend());
         AttemptId attempt = effect.attempt();
         Optional<BackendSpec> engine = spec(effect.backend());
         if (engine.isEmpty()) {
@@ -137,7 +138,7 @@
 
     @Override
     public void startDecode(RequestEffect.StartDecode effect) {
-        mJournal.step("decode", effect.attempt(), effect.backend());
+        mJournal.step(DecisionStep.PLACED, effect.attempt(), effect.backend());
         Optional<BackendSpec> engine = spec(effect.backend());
         Optional<BackendSpec> source = spec(effect.sourceBackend());
         if (engine.isEmpty() || source.isEmpty()) {
@@ -164,7 +165,7 @@
 
     @Override
     public void resume(RequestEffect.Resume effect) {
-        mJournal.step("resume", effect.attempt(), effect.backend());
+        mJournal.step(DecisionStep.RESUMED, effect.attempt(), effect.backend());
         Optional<BackendSpec> engine = spec(effect.backend());
         if (engine.isEmpty()) {
             feed(now -> mMachine.onStreamFailed(effect.attempt(), StepFailure.UNREACHABLE, now));
@@ -182,7 +183,7 @@
 
     @Override
     public void cancel(RequestEffect.Cancel effect) {
-        mJournal.step("cancel", effect.attempt(), effect.backend());
+        mJournal.step(DecisionStep.CANCELLED, effect.attempt(), effect.backend());
         closed(effect.attempt());
         spec(effect.backend())
                 .ifPresent(engine -> mServices.canceller().cancel(engine, effect.attempt()));
--- /dev/null
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/wholepath/WholePathTest.java
@@ -0,0 +1,108 @@
+package org.cyclamenpaddle.router.wholepath;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import org.cyclamenpaddle.router.fixture.Await;
+import org.cyclamenpaddle.router.fixture.Caller;
+import org.cyclamenpaddle.router.fixture.TestFleet;
+import org.cyclamenpaddle.standins.engine.AnswerText;
+import org.cyclamenpaddle.standins.engine.EngineSettings;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** A request served end to end over real sockets, and what must not be served. */
+public class WholePathTest {
+
+    private static final String PROMPT = "Mandi circular 14: lots of malting barley from Mehsana";
+
+    private TestFleet mFleet;
+
+    @BeforeClass
+    public void start() {
+        mFleet =
+                new TestFleet()
+                        .engines(1, 2, EngineSettings.DEFAULT)
+                        .plainServices(2)
+                        .hosts(2)
+                        .configured();
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        mFleet.close();
+    }
+
+    @Test
+    public void streamsWholeAnswerFromEachHost() {
+        for (String host : new String[] {"h1", "h2"}) {
+            HttpResponse<String> answer = mFleet.caller(host).complete(PROMPT, 12, true);
+
+            assertEquals(answer.statusCode(), 200, answer.body());
+            assertEquals(Caller.text(answer.body()), AnswerText.whole(PROMPT, 12));
+        }
+        Await.until("engines hold nothing", () -> mFleet.heldPieces() == 0);
+    }
+
+    @Test
+    public void answersInOnePiece() {
+        Caller caller = mFleet.caller("h1");
+
+        HttpResponse<String> answer = caller.complete(PROMPT, 5, false);
+
+        assertEquals(
+                caller.problem(answer).path("choices").path(0).path("text").asText(),
+                AnswerText.whole(PROMPT, 5));
+    }
+
+    @Test
+    public void booksOnceAndReplaysToResendAtOtherHost() {
+        HttpResponse<String> first = mFleet.caller("h1").book("lot-7", "7");
+        HttpResponse<String> again = mFleet.caller("h2").book("lot-7", "7");
+
+        assertEquals(first.statusCode(), 200, first.body());
+        assertEquals(again.body(), first.body());
+        assertEquals(mFleet.runs("lot-7"), 1);
+    }
+
+    @Test
+    public void repeatableCallNeedsNoKey() {
+        HttpResponse<String> answer =
+                mFleet.caller("h2").send("GET", "/v1/services/" + TestFleet.BOOKING + "/stock", "");
+
+        assertEquals(answer.statusCode(), 200, answer.body());
+    }
+
+    @Test
+    public void namesWhatIsWrong() {
+        refused("this is no JSON", 400, "bad-body");
+        refused("{\"model\": 7}", 400, "bad-body");
+        refused("{\"model\": \"no-such\", \"prompt\": \"x\"}", 404, "unknown-service");
+        refused("{\"model\": \"spot-book\", \"prompt\": \"x\"}", 404, "unknown-service");
+        refused("x".repeat(5 << 20), 413, "body-too-long");
+        assertTrue(mFleet.caller("h1").ready());
+    }
+
+    @Test
+    public void bookingWithoutKeyDoesNotRun() {
+        long before = mFleet.plain(1).bookings() + mFleet.plain(2).bookings();
+
+        HttpResponse<String> answer =
+                mFleet.caller("h1")
+                        .send("POST", "/v1/services/" + TestFleet.BOOKING + "/book", "{}");
+
+        assertEquals(answer.statusCode(), 400, answer.body());
+        assertEquals(mFleet.plain(1).bookings() + mFleet.plain(2).bookings(), before);
+    }
+
+    private void refused(String body, int status, String reason) {
+        Caller caller = mFleet.caller("h1");
+
+        HttpResponse<String> answer = caller.complete(body);
+
+        assertEquals(answer.statusCode(), status, answer.body());
+        assertEquals(caller.problem(answer).path("reason").asText(), reason);
+    }
+}
