Add cyclamenctl

One enum declares every command with its words, options, help text and action; another the exit codes.

--- /dev/null
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlCommand.java
@@ -0,0 +1,137 @@
+package org.cyclamenpaddle.ctl.command;
+
+import io.vavr.control.Either;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.cyclamenpaddle.core.config.ObjectKind;
+import org.cyclamenpaddle.ctl.report.CommandError;
+import org.cyclamenpaddle.ctl.report.Report;
+
+/** Every command: its words, its options, its help text and what it does. */
+enum CtlCommand {
+    LIST("KIND list", "List the objects of a kind.", Set.of(), ObjectCommands::list),
+    SHOW("KIND show NAME", "Show an object with its version.", Set.of(), ObjectCommands::show),
+    APPLY_KIND(
+            "KIND apply",
+            "Create or change the objects of one kind that a file declares.",
+            Set.of(CtlOption.FILE, CtlOption.EXPECT_VERSION),
+            ApplyCommand::run),
+    DELETE(
+            "KIND delete NAME",
+            "Delete an object that no other object names.",
+            Set.of(CtlOption.EXPECT_VERSION),
+            ObjectCommands::delete),
+    APPLY(
+            "apply",
+            "Create or change all objects that a file declares: services, then backend servers,"
+                    + " then presets.",
+            Set.of(CtlOption.FILE, CtlOption.EXPECT_VERSION),
+            ApplyCommand::run),
+    USE(
+            "preset use NAME",
+            "Put a preset in force in place of the one that is.",
+            Set.of(CtlOption.WAIT, CtlOption.TIMEOUT, CtlOption.EXPECT_VERSION),
+            PresetUseCommand::run),
+    DRAIN(
+            "backend drain NAME",
+            "Give a backend server no new work; what it has in flight goes on.",
+            Set.of(),
+            ObjectCommands::drain),
+    STATUS(
+            "status",
+            "Show hosts, backend servers, the preset in force, refusals and retries.",
+            Set.of(),
+            StatusCommand::run),
+    EXPLAIN(
+            "explain REQUEST",
+            "Show what was decided for a request and why; the entry hosts given by --server are"
+                    + " asked in turn.",
+            Set.of(),
+            ExplainCommand::run);
+
+    static final String KIND = "KIND";
+
+    private static final Set<ObjectKind> KINDS =
+            Set.of(ObjectKind.SERVICE, ObjectKind.BACKEND, ObjectKind.PRESET);
+
+    private final List<String> mWords;
+    private final String mHelp;
+    private final Set<CtlOption> mOptions;
+    private final Action mAction;
+
+    CtlCommand(String words, String help, Set<CtlOption> options, Action action) {
+        mWords = List.of(words.split(" "));
+        mHelp = help;
+        mOptions = options;
+        mAction = action;
+    }
+
+    /** Returns the command that {@code words} call. */
+    static Optional<CtlCommand> of(List<String> words) {
+        return Arrays.stream(values()).filter(command -> command.matches(words)).findFirst();
+    }
+
+    /** Returns the commands that begin as {@code words} do; all of them for no words. */
+    static List<CtlCommand> startingWith(List<String> words) {
+        return Arrays.stream(values()).filter(command -> command.begins(words)).toList();
+    }
+
+    /** Returns the words of the command with its own options, for help texts. */
+    String usage() {
+        String words = String.join(" ", mWords).replace(KIND, "service|backend|preset");
+        return mOptions.contains(CtlOption.FILE) ? words + " -f FILE" : words;
+    }
+
+    String help() {
+        return mHelp;
+    }
+
+    /** Returns whether the command knows {@code option} besides the options of all commands. */
+    boolean takes(CtlOption option) {
+        return mOptions.contains(option);
+    }
+
+    Optional<ObjectKind> kind(List<String> words) {
+        return ObjectKind.fromCode(words.get(0)).filter(KINDS::contains);
+    }
+
+    String name(List<String> words) {
+        String last = mWords.get(mWords.size() - 1);
+        return placeholder(last) ? words.get(words.size() - 1) : "";
+    }
+
+    Either<CommandError, Report> run(Arguments arguments, Session session) {
+        return mAction.run(arguments, session);
+    }
+
+    private boolean matches(List<String> words) {
+        return words.size() == mWords.size() && begins(words);
+    }
+
+    private boolean begins(List<String> words) {
+        return words.size() <= mWords.size()
+                && IntStream.range(0, words.size())
+                        .allMatch(i -> matches(mWords.get(i), words.get(i)));
+    }
+
+    private static boolean matches(String expected, String word) {
+        if (expected.equals(KIND)) {
+            return ObjectKind.fromCode(word).filter(KINDS::contains).isPresent();
+        }
+        return placeholder(expected) || expected.equals(word);
+    }
+
+    private static boolean placeholder(String word) {
+        return Character.isUpperCase(word.charAt(0));
+    }
+
+    /** What a command does. */
+    @FunctionalInterface
+    interface Action {
+
+        Either<CommandError, Report> run(Arguments arguments, Session session);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/HelpText.java
@@ -0,0 +1,83 @@
+package org.cyclamenpaddle.ctl.command;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.commons.cli.help.TextHelpAppendable;
+import org.cyclamenpaddle.ctl.report.ExitCode;
+import org.cyclamenpaddle.ctl.report.ReportTable;
+
+/** Help texts of the program and of its commands. */
+final class HelpText {
+
+    private static final int WIDTH = 100;
+
+    private HelpText() {}
+
+    /** Returns the help text of the commands that begin as {@code words} do. */
+    static String of(List<String> words) {
+        List<CtlCommand> matching = CtlCommand.startingWith(words);
+        List<CtlCommand> shown = matching.isEmpty() ? List.of(CtlCommand.values()) : matching;
+        StringBuilder text = new StringBuilder();
+        line(text, "Usage: cyclamenctl [--server IP:PORT]... [--output table|json] COMMAND");
+        line(text, "");
+        line(text, "Commands:");
+        shown.forEach(command -> command(text, command));
+        line(text, "");
+        text.append(options(shown));
+        line(text, "Exit codes:");
+        exitCodes().lines().forEach(row -> line(text, "  " + row));
+        return text.toString();
+    }
+
+    private static void command(StringBuilder text, CtlCommand command) {
+        line(text, "  cyclamenctl " + command.usage());
+        line(text, "      " + command.help());
+    }
+
+    private static String options(List<CtlCommand> shown) {
+        Options options = new Options();
+        Arrays.stream(CtlOption.values())
+                .filter(option -> general(option) || shown.stream().anyMatch(c -> c.takes(option)))
+                .forEach(option -> options.addOption(option.parserOption()));
+        StringBuilder text = new StringBuilder();
+        TextHelpAppendable appendable = new TextHelpAppendable(text);
+        appendable.setMaxWidth(WIDTH);
+        try {
+            appendable.appendTable(
+                    HelpFormatter.builder()
+                            .setShowSince(false)
+                            .get()
+                            .getTableDefinition(options.getOptions()));
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return text.toString();
+    }
+
+    private static boolean general(CtlOption option) {
+        return Stream.of(CtlOption.SERVER, CtlOption.OUTPUT, CtlOption.HELP)
+                .anyMatch(option::equals);
+    }
+
+    private static ReportTable exitCodes() {
+        List<List<String>> rows =
+                Arrays.stream(ExitCode.values())
+                        .map(
+                                code ->
+                                        List.of(
+                                                Integer.toString(code.number()),
+                                                code.name(),
+                                                code.meaning()))
+                        .toList();
+        return new ReportTable(List.of("code", "name", "meaning"), rows);
+    }
+
+    private static void line(StringBuilder text, String line) {
+        text.append(line).append('\n');
+    }
+}
--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/package-info.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** Command line for operators. */
+/** Command line for operators: the program {@code cyclamenctl}. */
 package org.cyclamenpaddle.ctl;
