--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Answer.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Answer.java
@@ -16,6 +16,11 @@
 
     private Answer() {}
 
+    /** Returns whether the answer is a document, so that it says what became of a change. */
+    static boolean said(AggregatedHttpResponse response) {
+        return Json.read(response.contentUtf8()).filter(JsonNode::isObject).isPresent();
+    }
+
     static Either<CommandError, JsonNode> read(AggregatedHttpResponse response) {
         Optional<JsonNode> document = Json.read(response.contentUtf8());
         int status = response.status().code();
--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Servers.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Servers.java
@@ -63,13 +63,15 @@
      * <p>Another server is tried only as long as no byte of the change has left, since a change
      * that was sent may have been made.
      *
-     * @return left if the change was sent and no answer came; else the answer
+     * @return left if the change was sent and no answer came that says what became of it
      */
     Either<Throwable, Either<CommandError, JsonNode>> change(RequestHeaders headers, String body) {
         for (Endpoint endpoint : mEndpoints) {
             Try<AggregatedHttpResponse> sent = send(endpoint, headers, body);
             if (sent.isSuccess()) {
-                return Either.right(Answer.read(sent.get()));
+                return Answer.said(sent.get())
+                        ? Either.right(Answer.read(sent.get()))
+                        : Either.left(new IllegalStateException("status " + sent.get().status()));
             }
             Throwable cause = Exceptions.peel(sent.getCause());
             if (!(cause instanceof UnprocessedRequestException)) {
