--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/ConfigurationCodec.java
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/ConfigurationCodec.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.config.ConfigurationObject;
@@ -127,7 +128,7 @@
     private static <K, V> Map<K, V> byName(
             Map<ObjectKey, Object> specs,
             ObjectKind kind,
-            java.util.function.Function<String, K> name,
+            Function<String, K> name,
             Class<V> type) {
         return specs.entrySet().stream()
                 .filter(entry -> entry.getKey().kind() == kind)
@@ -172,6 +173,10 @@
         if (spec == null || !spec.isObject()) {
             return Either.left("member 'spec' must be an object");
         }
+        Optional<String> wrong = SpecMembers.firstWrong(spec, type, "spec");
+        if (wrong.isPresent()) {
+            return Either.left(wrong.get());
+        }
         try {
             return Either.right(mMapper.treeToValue(spec, type));
         } catch (JsonProcessingException refused) {
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/StrictMapper.java
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/StrictMapper.java
@@ -32,7 +32,6 @@
                 JsonMapper.builder()
                         .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-                        .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                         .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
                         .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                         .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
