--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineJson.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineJson.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import io.vavr.control.Either;
+import java.util.Objects;
 import java.util.Optional;
 
 /** JSON of the engine protocol; unknown members are ignored, wrong types are refused. */
@@ -23,7 +24,7 @@
                     .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
                     .build();
 
-    private record ErrorBody(String reason, long fence) {}
+    private record ErrorBody(String reason, Long fence) {}
 
     String write(Object value) {
         try {
@@ -74,7 +75,8 @@
             case "full" -> new EngineFailure.Full();
             case "cancelled" -> new EngineFailure.Cancelled();
             case "exists" -> new EngineFailure.Exists();
-            case "stale-fence" -> new EngineFailure.StaleFence(error.fence());
+            case "stale-fence" ->
+                    new EngineFailure.StaleFence(Objects.requireNonNullElse(error.fence(), 0L));
             default ->
                     new EngineFailure.Protocol("status " + status + ", reason " + error.reason());
         };
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/HttpEngineClient.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/HttpEngineClient.java
@@ -57,12 +57,8 @@
 
     @Override
     public StreamHandle resume(AttemptId attempt, int fromIndex, EngineStreamListener listener) {
-        HttpRequest request =
-                HttpRequest.builder()
-                        .get(ATTEMPTS + "/" + attempt + "/stream")
-                        .queryParam("from", fromIndex)
-                        .build();
-        return stream(request, listener);
+        String path = ATTEMPTS + "/" + attempt + "/stream?from=" + fromIndex;
+        return stream(HttpRequest.of(HttpMethod.GET, path), listener);
     }
 
     @Override
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/HttpObjectStore.java
+++ b/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/HttpObjectStore.java
@@ -1,12 +1,15 @@
 package org.cyclamenpaddle.platform.objects;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpRequestBuilder;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.QueryParams;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -41,13 +44,13 @@
     @Override
     public CompletableFuture<Either<PlatformError, Listing>> list(String prefix) {
         HttpRequest request =
-                HttpRequest.builder().get(OBJECTS).queryParam("prefix", prefix).build();
+                read(OBJECTS + "?" + QueryParams.of("prefix", prefix).toQueryString());
         return mConnection.call(request, 0, response -> ok(response, Listing.class));
     }
 
     @Override
     public CompletableFuture<Either<PlatformError, Optional<StoredObject>>> get(String key) {
-        HttpRequest request = HttpRequest.of(HttpMethod.GET, path(key));
+        HttpRequest request = read(path(key));
         return mConnection.call(
                 request,
                 0,
@@ -60,38 +63,33 @@
     @Override
     public CompletableFuture<Either<PlatformError, WriteResult>> put(
             String key, String value, WritePrecondition precondition) {
-        HttpRequestBuilder request =
-                HttpRequest.builder()
-                        .put(path(key))
-                        .content(MediaType.JSON_UTF_8, mConnection.json(new PutBody(value)));
+        RequestHeadersBuilder headers =
+                RequestHeaders.builder(HttpMethod.PUT, path(key)).contentType(MediaType.JSON_UTF_8);
         if (precondition instanceof WritePrecondition.AtVersion at) {
-            request.header(HttpHeaderNames.IF_MATCH, Long.toString(at.version()));
+            headers.add(HttpHeaderNames.IF_MATCH, Long.toString(at.version()));
         } else {
-            request.header(HttpHeaderNames.IF_NONE_MATCH, "*");
+            headers.add(HttpHeaderNames.IF_NONE_MATCH, "*");
         }
-        return mConnection.call(request.build(), 0, response -> written(key, response));
+        HttpData body = HttpData.ofUtf8(mConnection.json(new PutBody(value)));
+        return mConnection.call(
+                HttpRequest.of(headers.build(), body), 0, response -> written(key, response));
     }
 
     @Override
     public CompletableFuture<Either<PlatformError, WriteResult>> delete(String key, long version) {
-        HttpRequest request =
-                HttpRequest.builder()
-                        .delete(path(key))
-                        .header(HttpHeaderNames.IF_MATCH, Long.toString(version))
+        RequestHeaders headers =
+                RequestHeaders.builder(HttpMethod.DELETE, path(key))
+                        .add(HttpHeaderNames.IF_MATCH, Long.toString(version))
                         .build();
-        return mConnection.call(request, 0, response -> written(key, response));
+        return mConnection.call(HttpRequest.of(headers), 0, response -> written(key, response));
     }
 
     @Override
     public CompletableFuture<Either<PlatformError, WatchResult>> watch(
             String prefix, long afterRevision, long waitMillis) {
-        HttpRequest request =
-                HttpRequest.builder()
-                        .get("/watch")
-                        .queryParam("prefix", prefix)
-                        .queryParam("after", afterRevision)
-                        .queryParam("waitMillis", waitMillis)
-                        .build();
+        QueryParams params =
+                QueryParams.of("prefix", prefix, "after", afterRevision, "waitMillis", waitMillis);
+        HttpRequest request = read("/watch?" + params.toQueryString());
         return mConnection.call(
                 request,
                 waitMillis,
@@ -135,6 +133,10 @@
         return whole ? Either.right(body.result()) : Either.left(mConnection.rejected(response));
     }
 
+    private static HttpRequest read(String pathAndQuery) {
+        return HttpRequest.of(HttpMethod.GET, pathAndQuery);
+    }
+
     private static String path(String key) {
         if (!KEY.matcher(key).matches()) {
             throw new IllegalArgumentException("key '" + key + "' has a character of no key");
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/HttpObjectStoreTest.java
+++ b/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/HttpObjectStoreTest.java
@@ -23,12 +23,12 @@
 
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final long SHORT_TIMEOUT_MILLIS = 300;
-    private static final String KEY = "config/preset/peak";
+    private static final String KEY = "config/preset/peak:2";
 
     @Test
     public void listsUnderPrefix() throws Exception {
         String body =
-                "{\"revision\":9,\"objects\":[{\"key\":\"config/preset/peak\",\"version\":7,"
+                "{\"revision\":9,\"objects\":[{\"key\":\"config/preset/peak:2\",\"version\":7,"
                         + "\"value\":\"x\"}],\"later\":1}";
         try (FakePlatform platform = new FakePlatform(request -> json(HttpStatus.OK, body));
                 HttpObjectStore store = store(platform)) {
@@ -66,6 +66,7 @@
             assertEquals(await(store.put(KEY, "v\"1", WritePrecondition.absent())), written);
             AggregatedHttpRequest create = platform.nextRequest();
             assertEquals(create.headers().get(HttpHeaderNames.IF_NONE_MATCH), "*");
+            assertEquals(create.path(), "/objects/" + KEY);
             assertEquals(create.contentUtf8(), "{\"value\":\"v\\\"1\"}");
             assertEquals(await(store.put(KEY, "v2", WritePrecondition.atVersion(7))), written);
             assertEquals(platform.nextRequest().headers().get(HttpHeaderNames.IF_MATCH), "7");
