Split the outgoing connection from the queue of a host

Cause: one file did both; an ask queued before its connection came about kept a silent connection alive, since the hello came after the ask. Silence now counts from when the ask was written. A connection that says hello and closes at once is dialled again only after a wait.

--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
@@ -27,8 +27,7 @@
         return dial(target.address(), target.peerPort(), loop, events);
     }
 
-    ChannelFuture dial(
-            String address, int port, EventLoop loop, OutgoingConnection.Events events) {
+    ChannelFuture dial(String address, int port, EventLoop loop, OutgoingConnection.Events events) {
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/IncomingConnection.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/IncomingConnection.java
@@ -4,7 +4,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.Optional;
+import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
+import org.cyclamenpaddle.core.invariant.BrokenInvariantException;
 import org.cyclamenpaddle.core.message.Hello;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
@@ -53,6 +55,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
         LOG.debugf(failure, "connection from %s broke", context.channel().remoteAddress());
         context.close();
+        stopIfBroken(failure);
     }
 
     private void hear(ChannelHandlerContext context, HostRecord from, Frame frame) {
@@ -62,6 +65,7 @@
                         (answer, failure) -> {
                             if (failure != null) {
                                 LOG.debugf(failure, "no answer to %s", frame.message());
+                                stopIfBroken(failure);
                             } else if (frame.correlation() != Frame.ONE_WAY) {
                                 answer.ifPresent(message -> answer(context, frame, message));
                             }
@@ -77,4 +81,16 @@
             mWire.counters().dropped(PeerCounters.DropReason.ASKER_STALLED);
         }
     }
+
+    /** A broken invariant must stop the process, so it goes where an uncaught exception goes. */
+    private static void stopIfBroken(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        if (cause instanceof BrokenInvariantException) {
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, cause);
+        }
+    }
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingPeer.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingPeer.java
@@ -1,11 +1,11 @@
 package org.cyclamenpaddle.peer.net;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -13,7 +13,6 @@
 import java.util.function.Supplier;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.message.Heartbeat;
-import org.cyclamenpaddle.core.message.Hello;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
 import org.cyclamenpaddle.core.time.Clock;
@@ -25,7 +24,7 @@
  *
  * <p>Any thread queues; all else runs on the one event loop given, and so needs no lock.
  */
-final class OutgoingPeer {
+final class OutgoingPeer implements OutgoingLink.Owner {
 
     private final HostId mHost;
     private final EventLoop mLoop;
@@ -40,7 +39,7 @@
     private final Backoff mBackoff;
 
     private volatile HostRecord mTarget;
-    private Optional<Link> mLink = Optional.empty();
+    private Optional<OutgoingLink> mLink = Optional.empty();
     private boolean mReconnectPlanned;
     private boolean mClosed;
 
@@ -73,12 +72,11 @@
             HostRecord to, long correlation, PeerMessage message, long timeoutMillis) {
         mTarget = to;
         CompletableFuture<Either<PeerError, PeerMessage>> answer = mAsks.add(correlation);
-        long askedMillis = mClock.millis();
         enqueue(correlation, message).ifPresent(error -> mAsks.fail(correlation, error));
         onLoop(
                 () ->
                         mLoop.schedule(
-                                () -> onTimeout(correlation, askedMillis),
+                                () -> onTimeout(correlation),
                                 timeoutMillis,
                                 TimeUnit.MILLISECONDS));
         return answer;
@@ -88,11 +86,48 @@
         onLoop(
                 () -> {
                     mClosed = true;
-                    mLink.ifPresent(Link::close);
+                    mLink.ifPresent(OutgoingLink::close);
                     mAsks.closed();
                 });
     }
 
+    @Override
+    public void onReady(OutgoingLink link) {
+        planCheck(link);
+        drain();
+    }
+
+    @Override
+    public void onProven() {
+        mBackoff.succeeded();
+    }
+
+    @Override
+    public void onAnswer(long correlation, PeerMessage answer) {
+        mAsks.answer(correlation, answer);
+    }
+
+    @Override
+    public void onWritable() {
+        drain();
+    }
+
+    @Override
+    public void onLost(OutgoingLink link, boolean failed) {
+        if (mLink.filter(link::equals).isEmpty()) {
+            return;
+        }
+        mLink = Optional.empty();
+        mAsks.connectionLost();
+        if (failed) {
+            mBackoff.failed(mClock.millis());
+        }
+        if (!link.ready()) {
+            mAsks.unreachable();
+        }
+        drain();
+    }
+
     private Optional<PeerError> enqueue(long correlation, PeerMessage message) {
         Either<FrameError, byte[]> bytes = mWire.codec().encode(new Frame(correlation, message));
         if (bytes.isLeft()) {
@@ -102,10 +137,10 @@
         OutgoingQueue.Entry entry =
                 new OutgoingQueue.Entry(
                         correlation, message instanceof Heartbeat, mClock.millis(), bytes.get());
-        Optional<OutgoingQueue.Entry> dropped = mQueue.offer(entry);
-        dropped.ifPresent(one -> mWire.counters().dropped(PeerCounters.DropReason.QUEUE_FULL));
+        List<OutgoingQueue.Entry> dropped = mQueue.offer(entry);
+        dropped.forEach(one -> mWire.counters().dropped(PeerCounters.DropReason.QUEUE_FULL));
         planDrain();
-        return dropped.filter(entry::equals).map(own -> PeerError.QUEUE_FULL);
+        return dropped.contains(entry) ? Optional.of(PeerError.QUEUE_FULL) : Optional.empty();
     }
 
     private void planDrain() {
@@ -131,18 +166,18 @@
         if (mClosed || mQueue.isEmpty()) {
             return;
         }
-        mLink.filter(link -> !link.leadsTo(mTarget)).ifPresent(Link::close);
+        mLink.filter(link -> !link.leadsTo(mTarget)).ifPresent(OutgoingLink::close);
         if (mLink.isEmpty()) {
             connect();
             return;
         }
-        Link link = mLink.get();
+        OutgoingLink link = mLink.get();
         if (link.ready()) {
             writeAll(link);
         }
     }
 
-    private void writeAll(Link link) {
+    private void writeAll(OutgoingLink link) {
         while (link.channel().isWritable()) {
             Optional<OutgoingQueue.Entry> next = mQueue.poll();
             if (next.isEmpty()) {
@@ -153,13 +188,12 @@
         link.channel().flush();
     }
 
-    private void write(Link link, OutgoingQueue.Entry entry) {
+    private void write(OutgoingLink link, OutgoingQueue.Entry entry) {
         boolean ask = entry.correlation() != Frame.ONE_WAY;
-        if (ask && !mAsks.written(entry.correlation())) {
+        if (ask && !mAsks.written(entry.correlation(), mClock.millis())) {
             return;
         }
-        link.sent();
-        mWire.write(link.channel(), entry.bytes());
+        link.write(entry.bytes());
     }
 
     /**
@@ -180,26 +214,42 @@
             planReconnect(waitMillis);
             return;
         }
-        Link link = new Link(mTarget);
+        OutgoingLink link = new OutgoingLink(this, mTarget, mWire, mSelf, mClock);
         mLink = Optional.of(link);
         ChannelFuture dialed = mDialer.dial(mTarget, mLoop, link);
         link.dialed(dialed.channel());
         dialed.addListener(
                 connected -> {
                     if (!connected.isSuccess()) {
-                        lost(link);
+                        link.onClosed();
                     }
                 });
         mLoop.schedule(
                 () -> {
                     if (!link.ready()) {
-                        link.close();
+                        link.giveUp();
                     }
                 },
                 mSettings.connectMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
+    private void planCheck(OutgoingLink link) {
+        mLoop.schedule(() -> check(link), mSettings.silentMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void check(OutgoingLink link) {
+        if (mLink.filter(link::equals).isEmpty()) {
+            return;
+        }
+        if (mAsks.isEmpty() && link.idleFor(mSettings.idleMillis())) {
+            link.close();
+            return;
+        }
+        link.checkSilence(mSettings.silentMillis());
+        planCheck(link);
+    }
+
     private void planReconnect(long waitMillis) {
         if (!mReconnectPlanned) {
             mReconnectPlanned = true;
@@ -213,148 +263,14 @@
         }
     }
 
-    private void onTimeout(long correlation, long askedMillis) {
-        if (!mAsks.fail(correlation, PeerError.TIMED_OUT)) {
-            return;
-        }
+    private void onTimeout(long correlation) {
+        OptionalLong writtenMillis = mAsks.timeOut(correlation);
         // Failure: something between the ends lost track of the connection, and every ask on it
         // times out for good. If nothing at all came since the ask, the connection is given up,
         // and the next ask opens a new one, which works; if anything came, only the ask was slow.
-        mLink.filter(Link::ready)
-                .filter(link -> link.silentSince(askedMillis))
-                .ifPresent(Link::replaceSilent);
-    }
-
-    private void lost(Link link) {
-        if (mLink.filter(link::equals).isEmpty()) {
-            return;
-        }
-        mLink = Optional.empty();
-        mAsks.connectionLost();
-        if (!link.ready()) {
-            mBackoff.failed(mClock.millis());
-            mAsks.unreachable();
-        }
-        drain();
-    }
-
-    /** One connection, from the moment it is dialled. */
-    private final class Link implements OutgoingConnection.Events {
-        private final HostRecord mLedTo;
-        private final long mDialedMillis = mClock.millis();
-        private Optional<Channel> mChannel = Optional.empty();
-        private boolean mReady;
-        private boolean mSignAsked;
-        private long mHeardMillis = mDialedMillis;
-        private long mSentMillis = mDialedMillis;
-
-        Link(HostRecord target) {
-            mLedTo = target;
-        }
-
-        @Override
-        public void onFrame(ChannelHandlerContext context, Frame frame) {
-            mHeardMillis = mClock.millis();
-            mSignAsked = false;
-            if (frame.message() instanceof Hello hello) {
-                onHello(context, hello);
-            } else if (frame.correlation() != Frame.ONE_WAY) {
-                mAsks.answer(frame.correlation(), frame.message());
-            }
-        }
-
-        @Override
-        public void onWritable() {
-            drain();
-        }
-
-        @Override
-        public void onClosed() {
-            lost(this);
-        }
-
-        void dialed(Channel channel) {
-            mChannel = Optional.of(channel);
-        }
-
-        boolean ready() {
-            return mReady;
-        }
-
-        Channel channel() {
-            return mChannel.orElseThrow();
-        }
-
-        boolean leadsTo(HostRecord target) {
-            return mLedTo.address().equals(target.address())
-                    && mLedTo.peerPort() == target.peerPort();
-        }
-
-        void sent() {
-            mSentMillis = mClock.millis();
-        }
-
-        boolean silentSince(long millis) {
-            return mHeardMillis <= millis;
-        }
-
-        void close() {
-            mChannel.ifPresent(Channel::close);
-            lost(this);
-        }
-
-        void replaceSilent() {
-            mWire.counters().replacedSilent();
-            close();
-        }
-
-        private void onHello(ChannelHandlerContext context, Hello hello) {
-            // Failure: a host was replaced and its address given to another, which would take
-            // messages that are not meant for it. Nothing is written before its Hello is seen.
-            if (!hello.sender().incarnation().host().equals(mHost)) {
-                mWire.counters().refused(FrameError.BAD_HELLO);
-                context.close();
-            } else if (!mReady) {
-                mReady = true;
-                mBackoff.succeeded();
-                planCheck();
-                drain();
-            }
-        }
-
-        private void planCheck() {
-            mLoop.schedule(this::check, mSettings.silentMillis(), TimeUnit.MILLISECONDS);
-        }
-
-        private void check() {
-            if (mLink.filter(this::equals).isEmpty()) {
-                return;
-            }
-            long now = mClock.millis();
-            if (now - mSentMillis >= mSettings.idleMillis() && mAsks.isEmpty()) {
-                close();
-                return;
-            }
-            if (mSentMillis >= mHeardMillis && now - mHeardMillis >= mSettings.silentMillis()) {
-                askForSign();
-            }
-            planCheck();
-        }
-
-        /**
-         * One-way messages get no answer, so a connection that went silent would swallow each
-         * heartbeat for good while this host looks dead to the other. A Hello that gets no Hello
-         * back tells, and the next connection works.
-         */
-        private void askForSign() {
-            if (mSignAsked) {
-                replaceSilent();
-                return;
-            }
-            mSignAsked = true;
-            mWire.writeNow(
-                    channel(),
-                    new Frame(OutgoingConnection.HELLO_CORRELATION, new Hello(mSelf.get())));
-        }
+        mLink.filter(OutgoingLink::ready)
+                .filter(link -> writtenMillis.isPresent())
+                .filter(link -> link.silentSince(writtenMillis.getAsLong()))
+                .ifPresent(OutgoingLink::replaceSilent);
     }
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingQueue.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingQueue.java
@@ -1,8 +1,10 @@
 package org.cyclamenpaddle.peer.net;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import org.cyclamenpaddle.peer.codec.FrameCodec;
 
@@ -31,24 +33,24 @@
     }
 
     /**
-     * Adds a frame; if the queue is full, the oldest heartbeat goes, or else the new frame.
+     * Adds a frame; while the queue is full, the oldest heartbeats go, or else the new frame.
      *
      * <p>A later heartbeat says all that an older one does, while each other message says something
      * of its own.
      *
-     * @return the entry that was dropped, if any
+     * @return the entries that were dropped
      */
-    synchronized Optional<Entry> offer(Entry entry) {
-        if (fits(entry)) {
-            add(entry);
-            return Optional.empty();
-        }
-        Optional<Entry> oldest = removeOldestHeartbeat();
-        if (oldest.isPresent() && fits(entry)) {
-            add(entry);
-            return oldest;
+    synchronized List<Entry> offer(Entry entry) {
+        List<Entry> dropped = new ArrayList<>();
+        while (!fits(entry)) {
+            Optional<Entry> heartbeat = removeOldestHeartbeat();
+            dropped.add(heartbeat.orElse(entry));
+            if (heartbeat.isEmpty()) {
+                return dropped;
+            }
         }
-        return Optional.of(entry);
+        add(entry);
+        return dropped;
     }
 
     synchronized Optional<Entry> poll() {
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerListener.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerListener.java
@@ -5,7 +5,12 @@
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
 
-/** Takes the messages of other hosts. Called on I/O threads; must not block. */
+/**
+ * Takes the messages of other hosts. Called on I/O threads; must not block.
+ *
+ * <p>An exception ends the connection, or leaves the ask without an answer. A broken invariant goes
+ * to the thread's uncaught exception handler besides.
+ */
 @FunctionalInterface
 public interface PeerListener {
 
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -27,7 +26,6 @@
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
 import org.cyclamenpaddle.core.time.Clock;
-import org.cyclamenpaddle.peer.codec.Frame;
 
 /**
  * Talks to other hosts over TCP: one connection each way between two hosts.
@@ -139,13 +137,12 @@
      * @return completes with whether it answered; never exceptionally
      */
     public CompletableFuture<Boolean> probe(HostRecord target, long timeoutMillis) {
-        CompletableFuture<Boolean> answered = new CompletableFuture<>();
-        Channel channel =
-                mDialer.dial(target, mLoops.next(), new Probe(target, answered)).channel();
-        answered.completeOnTimeout(false, timeoutMillis, TimeUnit.MILLISECONDS);
-        channel.closeFuture().addListener(closed -> answered.complete(false));
-        answered.thenRun(channel::close);
-        return answered;
+        return hello(target.address(), target.peerPort(), timeoutMillis)
+                .thenApply(
+                        sender ->
+                                sender.map(HostRecord::incarnation)
+                                        .filter(target.incarnation()::equals)
+                                        .isPresent());
     }
 
     /**
@@ -192,16 +189,6 @@
                                 to, mLoops.next(), mSelf, mDialer, mWire, mSettings, mClock));
     }
 
-    private record Probe(HostRecord target, CompletableFuture<Boolean> answered)
-            implements OutgoingConnection.Events {
-        @Override
-        public void onFrame(ChannelHandlerContext context, Frame frame) {
-            answered.complete(
-                    frame.message() instanceof Hello hello
-                            && hello.sender().incarnation().equals(target.incarnation()));
-        }
-    }
-
     private final class Acceptor extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PendingAsks.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PendingAsks.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cyclamenpaddle.core.message.PeerMessage;
@@ -15,7 +16,7 @@
     private static final class Ask {
         private final CompletableFuture<Either<PeerError, PeerMessage>> mFuture =
                 new CompletableFuture<>();
-        private volatile boolean mWritten;
+        private volatile OptionalLong mWrittenMillis = OptionalLong.empty();
     }
 
     CompletableFuture<Either<PeerError, PeerMessage>> add(long correlation) {
@@ -29,10 +30,10 @@
     }
 
     /** Marks an ask as written; returns false if it waits no more and need not be written. */
-    boolean written(long correlation) {
+    boolean written(long correlation, long nowMillis) {
         Ask ask = mAsks.get(correlation);
         if (ask != null) {
-            ask.mWritten = true;
+            ask.mWrittenMillis = OptionalLong.of(nowMillis);
         }
         return ask != null;
     }
@@ -50,6 +51,14 @@
         return complete(correlation, Either.left(error));
     }
 
+    /** Times an ask out and returns when it was written, if it still waited and ever was. */
+    OptionalLong timeOut(long correlation) {
+        Ask ask = mAsks.get(correlation);
+        return ask != null && fail(correlation, PeerError.TIMED_OUT)
+                ? ask.mWrittenMillis
+                : OptionalLong.empty();
+    }
+
     /** Fails every ask that was written, since its connection is gone and its answer with it. */
     void connectionLost() {
         failWhere(true, PeerError.CONNECTION_LOST);
@@ -66,7 +75,7 @@
 
     private void failWhere(boolean written, PeerError error) {
         mAsks.entrySet().stream()
-                .filter(entry -> entry.getValue().mWritten == written)
+                .filter(entry -> entry.getValue().mWrittenMillis.isPresent() == written)
                 .map(Map.Entry::getKey)
                 .toList()
                 .forEach(correlation -> fail(correlation, error));
