Promise decode slots by the expected use of all attempts

Cause: one expected end for each attempt was wrong for half of them; of twenty it can be told how many will have ended. The hold curve is learned from ended attempts; a late slot is left for another server's.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Cluster.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Cluster.java
@@ -15,7 +15,6 @@
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.message.LedgerSummary;
 import org.cyclamenpaddle.routing.grant.GrantLedger;
-import org.cyclamenpaddle.routing.grant.LedgerSettings;
 import org.cyclamenpaddle.routing.placement.BackendView;
 import org.cyclamenpaddle.routing.placement.CacheEvent;
 import org.cyclamenpaddle.routing.placement.CostFactors;
@@ -104,12 +103,13 @@
                 spec.id(),
                 new PrefillModel(mLoop, spec, mRandom, hashes -> cached(spec.id(), hashes)));
         mLedgers.put(
-                spec.id(), new GrantLedger(spec, BackendRole.PREFILL, LedgerSettings.DEFAULTS));
+                spec.id(), new GrantLedger(spec, BackendRole.PREFILL, mScenario.ledgerSettings()));
     }
 
     private void addDecode(BackendSpec spec) {
         mDecode.put(spec.id(), new DecodeModel(mLoop, spec));
-        mLedgers.put(spec.id(), new GrantLedger(spec, BackendRole.DECODE, LedgerSettings.DEFAULTS));
+        mLedgers.put(
+                spec.id(), new GrantLedger(spec, BackendRole.DECODE, mScenario.ledgerSettings()));
     }
 
     private void splitSlots() {
@@ -133,7 +133,7 @@
                                     new GrantLedger(
                                             spec(id.value(), count),
                                             BackendRole.DECODE,
-                                            LedgerSettings.DEFAULTS)));
+                                            mScenario.ledgerSettings())));
             mShares.add(shares);
         }
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
@@ -97,6 +97,10 @@
      * @param nowMillis reading of the clock
      */
     public void end(AttemptId attempt, long nowMillis) {
+        Reservation held = mHeld.get(attempt);
+        if (held != null && held.begun(nowMillis)) {
+            mPlan.ended(held, nowMillis);
+        }
         release(attempt);
         mEnded.add(attempt);
         if (mEnded.size() > mSettings.endedKept()) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
@@ -4,7 +4,9 @@
  * Settings of a {@link GrantLedger}.
  *
  * @param startGraceMillis how long after its start a promise may stay unseen on the engine
- * @param overdueMillis how much longer an attempt past its expected end is expected to run
+ * @param overdueMillis how much longer a prefill past its expected end is expected to take
+ * @param deviations standard deviations of the expected use of a decode engine that a promise
+ *     leaves room for
  * @param unknownHoldMillis expected rest of an attempt that only the engine's list tells of
  * @param recoveryReserve share of the slots kept free for unknown promises while recovering
  * @param endedKept ended attempts that are remembered
@@ -12,12 +14,14 @@
 public record LedgerSettings(
         long startGraceMillis,
         long overdueMillis,
+        double deviations,
         long unknownHoldMillis,
         double recoveryReserve,
         int endedKept) {
 
     /** Values that the model runs of ADR 0001 were made with. */
-    public static final LedgerSettings DEFAULTS = new LedgerSettings(1_500, 50, 1_000, 0.25, 1_024);
+    public static final LedgerSettings DEFAULTS =
+            new LedgerSettings(1_500, 50, 0.5, 1_000, 0.25, 1_024);
 
     public LedgerSettings {
         if (startGraceMillis < 0 || overdueMillis < 1 || unknownHoldMillis < 1 || endedKept < 1) {
@@ -31,6 +35,10 @@
                             + ", ended kept "
                             + endedKept);
         }
+        if (deviations < 0) {
+            throw new IllegalArgumentException(
+                    "deviations " + deviations + " must not be negative");
+        }
         if (recoveryReserve < 0 || recoveryReserve > 1) {
             throw new IllegalArgumentException(
                     "recovery reserve " + recoveryReserve + " must be from 0 to 1");
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/QueuePlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/QueuePlan.java
@@ -63,6 +63,11 @@
         mLink.release(attempt);
     }
 
+    @Override
+    public void ended(Reservation reservation, long nowMillis) {
+        // The room of a prefill is bounded by its computed times alone.
+    }
+
     /** A result that is across only after it was needed is as useless as one that starts late. */
     @Override
     public boolean tooLate(GrantAsk ask, Interval span, long nowMillis) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/RoomPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/RoomPlan.java
@@ -18,10 +18,13 @@
     /** Gives back what {@link #take} took. */
     void release(AttemptId attempt);
 
+    /** Takes in that an attempt ended by word of its host. */
+    void ended(Reservation reservation, long nowMillis);
+
     /** Returns whether the ask is expected to come too late if it gets {@code span}. */
     boolean tooLate(GrantAsk ask, Interval span, long nowMillis);
 
-    /** Asserts that no instant of {@code span} has more promised than there is. */
+    /** Asserts that no more is promised in {@code span} than there is. */
     void requireRoom(Collection<Reservation> held, Interval span, long nowMillis);
 
     LedgerSummary summary(Collection<Reservation> held, int reservedSlots, long nowMillis);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
@@ -1,19 +1,29 @@
 package org.cyclamenpaddle.routing.grant;
 
 import java.util.Collection;
+import java.util.List;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.invariant.Invariants;
 import org.cyclamenpaddle.core.message.GrantAsk;
 import org.cyclamenpaddle.core.message.LedgerSummary;
 import org.cyclamenpaddle.routing.schedule.Interval;
-import org.cyclamenpaddle.routing.schedule.RoomProfile;
 
-/** Timed slots and memory pieces: decode engines and plain services. */
+/**
+ * Timed slots and memory pieces: decode engines and plain services.
+ *
+ * <p>A slot is promised from the first instant at which the slots expected to be in use, and some
+ * standard deviations more, leave one free.
+ */
 final class SlotPlan implements RoomPlan {
 
+    private static final long HORIZON_MILLIS = 60_000;
+
+    private record Wanted(int pieces, long holdMillis, int slotLimit) {}
+
     private final BackendSpec mSpec;
     private final LedgerSettings mSettings;
+    private final HoldCurve mCurve = new HoldCurve();
 
     SlotPlan(BackendSpec spec, LedgerSettings settings) {
         mSpec = spec;
@@ -24,10 +34,8 @@
     public Interval preview(
             GrantAsk ask, Collection<Reservation> held, int reservedSlots, long nowMillis) {
         long needed = nowMillis + Math.max(0, ask.neededInMillis());
-        int slots = Math.max(1, mSpec.slots() - reservedSlots);
-        long start =
-                profile(held, nowMillis)
-                        .earliest(needed, ask.holdMillis(), ask.pieces(), slots, pieceLimit());
+        Wanted wanted = new Wanted(ask.pieces(), ask.holdMillis(), slotLimit(reservedSlots));
+        long start = earliest(wanted, held, needed, nowMillis);
         return new Interval(start, start + ask.holdMillis());
     }
 
@@ -41,6 +49,13 @@
         // Nothing was taken beside the reservation.
     }
 
+    @Override
+    public void ended(Reservation reservation, long nowMillis) {
+        mCurve.ended(
+                reservation.endMillis() - reservation.startMillis(),
+                nowMillis - reservation.startMillis());
+    }
+
     @Override
     public boolean tooLate(GrantAsk ask, Interval span, long nowMillis) {
         return span.startMillis() - nowMillis > ask.latestInMillis();
@@ -48,46 +63,114 @@
 
     @Override
     public void requireRoom(Collection<Reservation> held, Interval span, long nowMillis) {
-        RoomProfile window = new RoomProfile();
-        for (Reservation reservation : held) {
-            window.add(
-                    Math.max(span.startMillis(), reservation.startMillis()),
-                    Math.min(span.endMillis(), expectedEnd(reservation, nowMillis)),
-                    reservation.pieces());
-        }
-        int slots = window.peakSlots(span.startMillis());
-        int pieces = window.peakPieces(span.startMillis());
-        Invariants.require(
-                slots <= mSpec.slots(),
-                () -> slots + " slots promised of " + mSpec.slots() + " on " + mSpec.id());
+        Occupancy occupancy = occupancy(held, span.startMillis(), nowMillis);
         Invariants.require(
-                pieces <= pieceLimit(),
-                () -> pieces + " pieces promised of " + pieceLimit() + " on " + mSpec.id());
+                occupancy.within(mSpec.slots(), pieceLimit(), 0),
+                () ->
+                        occupancy.slots()
+                                + " slots and "
+                                + occupancy.pieces()
+                                + " pieces promised on "
+                                + mSpec.id());
     }
 
     @Override
     public LedgerSummary summary(Collection<Reservation> held, int reservedSlots, long nowMillis) {
-        RoomProfile profile = profile(held, nowMillis);
-        int slots = Math.max(0, mSpec.slots() - reservedSlots);
-        int freeSlots = Math.max(0, slots - profile.peakSlots(nowMillis));
-        int freePieces = Math.max(0, mSpec.memoryPieces() - profile.peakPieces(nowMillis));
-        long freeAt = profile.earliest(nowMillis, 1, 1, Math.max(1, slots), pieceLimit());
-        return new LedgerSummary(mSpec.id(), freeAt - nowMillis, freeSlots, freePieces, true);
+        int pieces = held.stream().mapToInt(Reservation::pieces).sum();
+        int slots = slotLimit(reservedSlots);
+        Wanted one = new Wanted(1, 1, slots);
+        long freeIn = earliest(one, held, nowMillis, nowMillis) - nowMillis;
+        return new LedgerSummary(
+                mSpec.id(),
+                freeIn,
+                Math.max(0, slots - held.size()),
+                Math.max(0, mSpec.memoryPieces() - pieces),
+                true);
+    }
+
+    /** Between two promised starts room only grows, so each such stretch is searched by halving. */
+    private long earliest(
+            Wanted wanted, Collection<Reservation> held, long fromMillis, long nowMillis) {
+        List<Long> starts =
+                held.stream()
+                        .map(Reservation::startMillis)
+                        .filter(start -> start > fromMillis)
+                        .distinct()
+                        .sorted()
+                        .toList();
+        long begin = fromMillis;
+        for (long next : starts) {
+            if (fits(wanted, held, next - 1, nowMillis)) {
+                return firstFit(wanted, held, new Interval(begin, next - 1), nowMillis);
+            }
+            begin = next;
+        }
+        Interval rest = new Interval(begin, begin + HORIZON_MILLIS);
+        return firstFit(wanted, held, rest, nowMillis);
     }
 
-    private RoomProfile profile(Collection<Reservation> held, long nowMillis) {
-        RoomProfile profile = new RoomProfile();
+    private long firstFit(
+            Wanted wanted, Collection<Reservation> held, Interval stretch, long nowMillis) {
+        long low = stretch.startMillis();
+        long high = stretch.endMillis();
+        while (low < high) {
+            long middle = low + (high - low) / 2;
+            if (fits(wanted, held, middle, nowMillis)) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
+
+    private boolean fits(
+            Wanted wanted, Collection<Reservation> held, long atMillis, long nowMillis) {
+        if (!fitsAt(wanted, held, atMillis, 0, nowMillis)) {
+            return false;
+        }
+        return held.stream()
+                .mapToLong(Reservation::startMillis)
+                .filter(start -> start > atMillis)
+                .allMatch(start -> fitsAt(wanted, held, start, start - atMillis, nowMillis));
+    }
+
+    private boolean fitsAt(
+            Wanted wanted,
+            Collection<Reservation> held,
+            long atMillis,
+            long elapsedMillis,
+            long nowMillis) {
+        Occupancy occupancy = occupancy(held, atMillis, nowMillis);
+        double running = mCurve.survival(wanted.holdMillis(), 0, elapsedMillis);
+        occupancy.add(running, wanted.pieces());
+        return occupancy.within(wanted.slotLimit(), pieceLimit(), mSettings.deviations());
+    }
+
+    private Occupancy occupancy(Collection<Reservation> held, long atMillis, long nowMillis) {
+        Occupancy occupancy = new Occupancy();
         for (Reservation reservation : held) {
-            profile.add(
-                    Math.min(reservation.startMillis(), expectedEnd(reservation, nowMillis)),
-                    expectedEnd(reservation, nowMillis),
-                    reservation.pieces());
+            if (reservation.begun(atMillis)) {
+                occupancy.add(chanceHeld(reservation, atMillis, nowMillis), reservation.pieces());
+            }
         }
-        return profile;
+        return occupancy;
+    }
+
+    /**
+     * Safeguard: an attempt that runs longer than expected would else be counted as gone, its slot
+     * promised again, and the second request refused by the full engine after its prefill. Until it
+     * is known to have ended it counts as held now, and with a falling chance later.
+     */
+    private double chanceHeld(Reservation reservation, long atMillis, long nowMillis) {
+        long expected = reservation.endMillis() - reservation.startMillis();
+        long elapsed = Math.max(0, nowMillis - reservation.startMillis());
+        long from = Math.max(nowMillis, reservation.startMillis());
+        return mCurve.survival(expected, elapsed, atMillis - from);
     }
 
-    private long expectedEnd(Reservation reservation, long nowMillis) {
-        return reservation.expectedEnd(nowMillis, mSettings.overdueMillis());
+    private int slotLimit(int reservedSlots) {
+        return Math.max(1, mSpec.slots() - reservedSlots);
     }
 
     private int pieceLimit() {
