Leave room to promises that follow, and keep a margin for late slots

Cause: a gap before a promise was not found, since room does not only grow there. A slot that came some 10 ms late made the first token late.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
@@ -21,7 +21,7 @@
 
     /** Values that the model runs of ADR 0001 were made with. */
     public static final LedgerSettings DEFAULTS =
-            new LedgerSettings(1_500, 50, 0.5, 1_000, 0.25, 1_024);
+            new LedgerSettings(1_500, 50, 1, 1_000, 0.25, 1_024);
 
     public LedgerSettings {
         if (startGraceMillis < 0 || overdueMillis < 1 || unknownHoldMillis < 1 || endedKept < 1) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/Occupancy.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/Occupancy.java
@@ -3,6 +3,11 @@
 /** Slots and memory pieces expected to be in use at one instant, with their variance. */
 final class Occupancy {
 
+    /** A server with one slot would else never be promised before it is free. */
+    private static final double TOLERATED_SLOTS = 0.25;
+
+    private static final double TOLERATED_SHARE = 0.01;
+
     private double mSlots;
     private double mSlotVariance;
     private double mPieces;
@@ -27,7 +32,8 @@
 
     /** Returns whether it stays within limits even some standard deviations above the mean. */
     boolean within(int maxSlots, int maxPieces, double deviations) {
-        return mSlots + deviations * Math.sqrt(mSlotVariance) <= maxSlots + 1e-9
-                && mPieces + deviations * Math.sqrt(mPieceVariance) <= maxPieces + 1e-9;
+        return mSlots + deviations * Math.sqrt(mSlotVariance) <= maxSlots + TOLERATED_SLOTS
+                && mPieces + deviations * Math.sqrt(mPieceVariance)
+                        <= (double) maxPieces * (1 + TOLERATED_SHARE);
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
@@ -88,7 +88,10 @@
                 true);
     }
 
-    /** Between two promised starts room only grows, so each such stretch is searched by halving. */
+    /**
+     * Between two promised starts room only grows, so the first instant with room is found by
+     * halving; a later begin there would only leave less room to the promises that follow.
+     */
     private long earliest(
             Wanted wanted, Collection<Reservation> held, long fromMillis, long nowMillis) {
         List<Long> starts =
@@ -100,22 +103,24 @@
                         .toList();
         long begin = fromMillis;
         for (long next : starts) {
-            if (fits(wanted, held, next - 1, nowMillis)) {
-                return firstFit(wanted, held, new Interval(begin, next - 1), nowMillis);
+            long first = firstRoom(wanted, held, new Interval(begin, next), nowMillis);
+            if (first < next && leavesRoomLater(wanted, held, first, nowMillis)) {
+                return first;
             }
             begin = next;
         }
         Interval rest = new Interval(begin, begin + HORIZON_MILLIS);
-        return firstFit(wanted, held, rest, nowMillis);
+        return firstRoom(wanted, held, rest, nowMillis);
     }
 
-    private long firstFit(
+    /** Returns the first instant of a stretch with room, or its end if there is none. */
+    private long firstRoom(
             Wanted wanted, Collection<Reservation> held, Interval stretch, long nowMillis) {
         long low = stretch.startMillis();
         long high = stretch.endMillis();
         while (low < high) {
             long middle = low + (high - low) / 2;
-            if (fits(wanted, held, middle, nowMillis)) {
+            if (fitsAt(wanted, held, middle, 0, nowMillis)) {
                 high = middle;
             } else {
                 low = middle + 1;
@@ -124,15 +129,12 @@
         return low;
     }
 
-    private boolean fits(
-            Wanted wanted, Collection<Reservation> held, long atMillis, long nowMillis) {
-        if (!fitsAt(wanted, held, atMillis, 0, nowMillis)) {
-            return false;
-        }
+    private boolean leavesRoomLater(
+            Wanted wanted, Collection<Reservation> held, long beginMillis, long nowMillis) {
         return held.stream()
                 .mapToLong(Reservation::startMillis)
-                .filter(start -> start > atMillis)
-                .allMatch(start -> fitsAt(wanted, held, start, start - atMillis, nowMillis));
+                .filter(start -> start > beginMillis)
+                .allMatch(start -> fitsAt(wanted, held, start, start - beginMillis, nowMillis));
     }
 
     private boolean fitsAt(
