--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/load/EngineProbe.java
@@ -0,0 +1,75 @@
+package org.cyclamenpaddle.standins.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import io.vavr.control.Try;
+import java.util.Map;
+import org.cyclamenpaddle.core.config.BackendRole;
+import org.cyclamenpaddle.standins.engine.EngineCounts;
+import org.cyclamenpaddle.standins.engine.EngineSettings;
+import org.cyclamenpaddle.standins.http.Answers;
+
+/** Reads and switches one engine stand-in over HTTP. */
+final class EngineProbe {
+
+    private final WebClient mClient;
+
+    /** Creates a probe of the engine at {@code address}, as {@code host:port}. */
+    EngineProbe(String address) {
+        mClient = WebClient.of("http://" + address);
+    }
+
+    private record State(String role) {}
+
+    private record Held(int pieces) {}
+
+    EngineSettings settings() {
+        return EngineSettings.fromJson(get("/standin/settings"));
+    }
+
+    EngineCounts counts() {
+        return read("/standin/counts", EngineCounts.class);
+    }
+
+    boolean decodes() {
+        return BackendRole.DECODE.code().equalsIgnoreCase(read("/v1/state", State.class).role());
+    }
+
+    int heldPieces() {
+        return read("/standin/held", Held.class).pieces();
+    }
+
+    /** Crashes the engine; it comes back empty after {@code restartMillis}. */
+    void crash(long restartMillis) {
+        // The connection dies with the engine, so the answer is not waited for.
+        switches(Map.of("crash", true, "restartMillis", restartMillis));
+    }
+
+    /** Sets the age of the engine's published load, in modelled milliseconds. */
+    void loadLag(long millis) {
+        switches(Map.of("loadLagMillis", millis)).get();
+    }
+
+    private Try<String> switches(Map<String, Object> faults) {
+        HttpRequest request =
+                HttpRequest.of(
+                        HttpMethod.POST, "/standin/faults", MediaType.JSON, Answers.write(faults));
+        return Try.of(() -> mClient.execute(request).aggregate().join().contentUtf8());
+    }
+
+    private <T> T read(String path, Class<T> type) {
+        String body = get(path);
+        try {
+            return Answers.JSON.readValue(body, type);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not an engine stand-in: " + path, e);
+        }
+    }
+
+    private String get(String path) {
+        return mClient.get(path).aggregate().join().contentUtf8();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool: open-loop arrivals, streamed answers, checks and faults during a run. */
+package org.cyclamenpaddle.standins.load;
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/StandinsMain.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/StandinsMain.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.standins.main;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.Optional;
@@ -7,6 +9,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.ParseException;
+import org.slf4j.LoggerFactory;
 
 /** Entry point of the program {@code cyclamenpaddle-standins}. */
 public final class StandinsMain {
@@ -18,6 +21,7 @@
 
     /** Runs the subcommand that the first argument names. */
     public static void main(String[] args) {
+        quietLogs();
         Optional<Subcommand> command =
                 Arrays.stream(args).findFirst().flatMap(Subcommand::fromCode);
         if (command.isEmpty()) {
@@ -39,6 +43,13 @@
         }
     }
 
+    /** Standard output is read by scripts; the libraries' informational lines would mix with it. */
+    private static void quietLogs() {
+        if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
+            root.setLevel(Level.ERROR);
+        }
+    }
+
     private static void usage(String message) {
         System.err.println(message);
         System.exit(EXIT_USAGE);
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
@@ -11,8 +12,15 @@
 import org.apache.commons.cli.Options;
 import org.cyclamenpaddle.standins.engine.EngineSettings;
 import org.cyclamenpaddle.standins.engine.EngineStandin;
+import org.cyclamenpaddle.standins.load.LoadOptions;
+import org.cyclamenpaddle.standins.load.LoadRun;
 import org.cyclamenpaddle.standins.plain.PlainServiceStandin;
 import org.cyclamenpaddle.standins.platform.PlatformStandin;
+import org.cyclamenpaddle.standins.report.MergedRuns;
+import org.cyclamenpaddle.standins.report.Report;
+import org.cyclamenpaddle.standins.report.RunSummary;
+import org.cyclamenpaddle.standins.report.SummaryFiles;
+import org.cyclamenpaddle.standins.report.SummaryTable;
 
 /** Subcommands of the program. */
 enum Subcommand {
@@ -83,11 +91,41 @@
                                             .start(engine.port()));
             serve();
         }
+    },
+    LOAD {
+        @Override
+        Options options() {
+            return LoadOptions.commandLine();
+        }
+
+        @Override
+        void run(CommandLine line) throws IOException {
+            LoadOptions options = LoadOptions.parse(line);
+            RunSummary summary = new LoadRun(options).run();
+            SummaryFiles.write(options.out(), summary);
+            System.out.print(SummaryTable.of(MergedRuns.of(List.of(summary))));
+            System.exit(EXIT_DONE);
+        }
+    },
+    REPORT {
+        @Override
+        Options options() {
+            return new Options();
+        }
+
+        @Override
+        void run(CommandLine line) throws IOException {
+            if (line.getArgList().size() != 1) {
+                throw new IllegalArgumentException("one directory is needed");
+            }
+            System.out.print(Report.write(Path.of(line.getArgList().get(0))));
+        }
     };
 
     /** Printed when all stand-ins listen. */
     static final String READY = "ready";
 
+    private static final int EXIT_DONE = 0;
     private static final String PORT = "port";
 
     /** Returns the subcommand's options. */
