--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/deployment/Declaration.java
@@ -0,0 +1,60 @@
+package org.cyclamenpaddle.standins.deployment;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import org.cyclamenpaddle.standins.http.Answers;
+
+/** Declares objects through the operators' API of an entry host. */
+public final class Declaration {
+
+    private static final long TIMEOUT_MILLIS = 30_000;
+
+    private final WebClient mEntry;
+
+    /** Creates a declaration through the entry host at {@code address}, as {@code host:port}. */
+    public Declaration(String address) {
+        mEntry =
+                WebClient.builder("http://" + address)
+                        .responseTimeoutMillis(TIMEOUT_MILLIS)
+                        .build();
+    }
+
+    /** Reads objects that {@link DeploymentFiles} wrote. */
+    public static List<DeclaredObject> read(Path file) throws IOException {
+        return Answers.JSON.readValue(file.toFile(), new TypeReference<>() {});
+    }
+
+    /**
+     * Creates objects in their order.
+     *
+     * @throws IOException if one is refused; those before it stay
+     */
+    public void declare(List<DeclaredObject> objects) throws IOException {
+        for (DeclaredObject object : objects) {
+            AggregatedHttpResponse answer = mEntry.execute(request(object)).aggregate().join();
+            if (!answer.status().isSuccess()) {
+                throw new IOException(
+                        object.kind() + "/" + object.name() + ": " + answer.contentUtf8());
+            }
+        }
+    }
+
+    private static HttpRequest request(DeclaredObject object) {
+        return HttpRequest.builder()
+                .method(HttpMethod.PUT)
+                .path("/operator/v1/objects/" + object.kind() + "/" + object.name())
+                .header("If-None-Match", "*")
+                .header("X-Change-Id", "declare-" + UUID.randomUUID())
+                .content(MediaType.JSON, Answers.write(Map.of("spec", object.spec())))
+                .build();
+    }
+}
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/FleetFile.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/FleetFile.java
@@ -6,7 +6,11 @@
 import java.util.List;
 import java.util.Optional;
 import org.cyclamenpaddle.standins.engine.EngineSettings;
+import org.cyclamenpaddle.standins.engine.EngineStandin;
 import org.cyclamenpaddle.standins.http.Answers;
+import org.cyclamenpaddle.standins.plain.PlainServiceStandin;
+import org.cyclamenpaddle.standins.platform.ListedHost;
+import org.cyclamenpaddle.standins.platform.PlatformStandin;
 
 /**
  * Stand-ins to start in one process, as a JSON file gives them.
@@ -14,13 +18,19 @@
  * @param platformPorts ports of platforms
  * @param plainPorts ports of plain services
  * @param engines ports and settings of engines
+ * @param hosts entry hosts in the platforms' host list
  */
-record FleetFile(List<Integer> platformPorts, List<Integer> plainPorts, List<EngineEntry> engines) {
+record FleetFile(
+        List<Integer> platformPorts,
+        List<Integer> plainPorts,
+        List<EngineEntry> engines,
+        List<ListedHost> hosts) {
 
     FleetFile {
         platformPorts = platformPorts == null ? List.of() : List.copyOf(platformPorts);
         plainPorts = plainPorts == null ? List.of() : List.copyOf(plainPorts);
         engines = engines == null ? List.of() : List.copyOf(engines);
+        hosts = hosts == null ? List.of() : List.copyOf(hosts);
     }
 
     /** One engine of the file. */
@@ -36,4 +46,17 @@
     static FleetFile read(Path file) throws IOException {
         return Answers.JSON.readValue(file.toFile(), FleetFile.class);
     }
+
+    /** Starts all stand-ins of the file; they end with the process. */
+    void start() {
+        platformPorts.forEach(this::startPlatform);
+        plainPorts.forEach(port -> new PlainServiceStandin().start(port));
+        engines.forEach(engine -> new EngineStandin(engine.engineSettings()).start(engine.port()));
+    }
+
+    private void startPlatform(int port) {
+        PlatformStandin platform = new PlatformStandin();
+        platform.hosts(hosts, 0);
+        platform.start(port);
+    }
 }
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/StandinsMain.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/StandinsMain.java
@@ -21,6 +21,8 @@
 
     /** Runs the subcommand that the first argument names. */
     public static void main(String[] args) {
+        // Armeria would otherwise take io_uring where it finds it, which users rule out.
+        System.setProperty("com.linecorp.armeria.transportType", "nio");
         quietLogs();
         Optional<Subcommand> command =
                 Arrays.stream(args).findFirst().flatMap(Subcommand::fromCode);
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
@@ -10,6 +10,10 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.cyclamenpaddle.standins.deployment.Declaration;
+import org.cyclamenpaddle.standins.deployment.Deployment;
+import org.cyclamenpaddle.standins.deployment.DeploymentFiles;
+import org.cyclamenpaddle.standins.deployment.DeploymentPlan;
 import org.cyclamenpaddle.standins.engine.EngineSettings;
 import org.cyclamenpaddle.standins.engine.EngineStandin;
 import org.cyclamenpaddle.standins.load.LoadOptions;
@@ -69,29 +73,59 @@
     FLEET {
         @Override
         Options options() {
-            return new Options()
-                    .addOption(
-                            Option.builder()
-                                    .longOpt("file")
-                                    .hasArg()
-                                    .argName("FILE")
-                                    .required()
-                                    .get());
+            return new Options().addOption(required(FILE, "FILE"));
         }
 
         @Override
         void run(CommandLine line) throws IOException {
-            FleetFile fleet = FleetFile.read(Path.of(line.getOptionValue("file")));
-            fleet.platformPorts().forEach(port -> new PlatformStandin().start(port));
-            fleet.plainPorts().forEach(port -> new PlainServiceStandin().start(port));
-            fleet.engines()
-                    .forEach(
-                            engine ->
-                                    new EngineStandin(engine.engineSettings())
-                                            .start(engine.port()));
+            FleetFile.read(Path.of(line.getOptionValue(FILE))).start();
             serve();
         }
     },
+    DEPLOYMENT {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(required("deployment", "NAME"))
+                    .addOption(required("speed", "FACTOR"))
+                    .addOption(required("base-port", "PORT"))
+                    .addOption(required("entry-hosts", "COUNT"))
+                    .addOption(required("policy", "POLICY"))
+                    .addOption(required("out", "DIR"));
+        }
+
+        @Override
+        void run(CommandLine line) throws IOException {
+            String name = line.getOptionValue("deployment");
+            DeploymentPlan plan =
+                    new DeploymentPlan(
+                            Deployment.fromCode(name)
+                                    .orElseThrow(
+                                            () ->
+                                                    new IllegalArgumentException(
+                                                            "unknown deployment " + name)),
+                            Double.parseDouble(line.getOptionValue("speed")),
+                            Integer.parseInt(line.getOptionValue("base-port")),
+                            Integer.parseInt(line.getOptionValue("entry-hosts")));
+            new DeploymentFiles(plan, line.getOptionValue("policy"))
+                    .write(Path.of(line.getOptionValue("out")));
+        }
+    },
+    DECLARE {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(required("entry", "HOST:PORT"))
+                    .addOption(required(FILE, "FILE"));
+        }
+
+        @Override
+        void run(CommandLine line) throws IOException {
+            new Declaration(line.getOptionValue("entry"))
+                    .declare(Declaration.read(Path.of(line.getOptionValue(FILE))));
+            System.exit(EXIT_DONE);
+        }
+    },
     LOAD {
         @Override
         Options options() {
@@ -127,6 +161,7 @@
 
     private static final int EXIT_DONE = 0;
     private static final String PORT = "port";
+    private static final String FILE = "file";
 
     /** Returns the subcommand's options. */
     abstract Options options();
@@ -143,9 +178,11 @@
     }
 
     private static Options portOption() {
-        return new Options()
-                .addOption(
-                        Option.builder().longOpt(PORT).hasArg().argName("PORT").required().get());
+        return new Options().addOption(required(PORT, "PORT"));
+    }
+
+    private static Option required(String name, String argument) {
+        return Option.builder().longOpt(name).hasArg().argName(argument).required().get();
     }
 
     private static int port(CommandLine line) {
