--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/StandinServer.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/http/StandinServer.java
@@ -4,8 +4,11 @@
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import io.netty.channel.EventLoopGroup;
+import io.vavr.control.Try;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cyclamenpaddle.core.invariant.Invariants;
 
 /**
  * Loopback HTTP server that can be stopped abruptly and started again on the same port.
@@ -16,6 +19,8 @@
 
     private static final String LOOPBACK = "127.0.0.1";
     private static final int EVENT_LOOPS = 4;
+    private static final int RESTART_TRIES = 100;
+    private static final long RESTART_PAUSE_MILLIS = 20;
     private static final long MAX_REQUEST_BYTES = 8L << 20;
     private static final EventLoopGroup WORKERS =
             EventLoopGroups.newEventLoopGroup(EVENT_LOOPS, "standin", true);
@@ -50,9 +55,10 @@
                         .childChannelPipelineCustomizer(p -> mConnections.add(p.channel()))
                         .gracefulShutdownTimeoutMillis(0, 0);
         mRoutes.accept(builder);
-        mServer = builder.build();
-        mServer.start().join();
-        mPort = mServer.activeLocalPort();
+        Server server = builder.build();
+        server.start().join();
+        mServer = server;
+        mPort = server.activeLocalPort();
     }
 
     /** Returns the port of the last start. */
@@ -73,8 +79,15 @@
 
     /** Starts listening again on the port of the last start. */
     public synchronized void restart() {
-        if (mServer == null) {
-            start(mPort);
+        // The stop is not awaited, so the port may still be taken for a moment.
+        for (int tries = 1; mServer == null; tries++) {
+            Try<Void> started = Try.run(() -> start(mPort));
+            if (started.isFailure()) {
+                mServer = null;
+                Invariants.require(
+                        tries < RESTART_TRIES, () -> "no restart: " + started.getCause());
+                Try.run(() -> TimeUnit.MILLISECONDS.sleep(RESTART_PAUSE_MILLIS));
+            }
         }
     }
 }
