--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/load/AnswerCheck.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/load/AnswerCheck.java
@@ -59,7 +59,11 @@
         return mDone ? CallOutcome.WHOLE : CallOutcome.CUT_OFF;
     }
 
+    /** Only the first deviation tells its kind; what follows it is shifted. */
     private void token(String token) {
+        if (mWrong || mDuplicated) {
+            return;
+        }
         if (token.equals(AnswerText.token(mHash, mTokens))) {
             mTokens++;
         } else if (mTokens > 0 && token.equals(AnswerText.token(mHash, mTokens - 1))) {
