--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/SilentConnectionTest.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
@@ -10,6 +10,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -17,18 +18,23 @@
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.invariant.BrokenInvariantException;
 import org.cyclamenpaddle.core.message.ClaimAsk;
 import org.cyclamenpaddle.core.message.GrantEnd;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.time.VirtualClock;
 import org.cyclamenpaddle.peer.net.TestHosts.Node;
 import org.testng.annotations.Test;
 
-public class SilentConnectionTest {
+public class ConnectionFaultsTest {
 
     private static final long SHORT_MILLIS = 200;
     private static final long PATIENCE_MILLIS = 20_000;
 
+    private static final GrantEnd END =
+            new GrantEnd(new AttemptId("a:1:1"), new BackendId("runner-1"));
+
     /** Asks for signs of life so seldom that a test ends before. */
     private static final PeerSettings NO_SIGNS =
             new PeerSettings(1, 5_000, 10, 100, 60_000, 60_000, 64, 5_000, 16);
@@ -71,45 +77,93 @@
                     heard.add(message);
                     return CompletableFuture.completedFuture(Optional.empty());
                 };
-        GrantEnd end = new GrantEnd(new AttemptId("a:1:1"), new BackendId("runner-1"));
         try (Node a = node("a", SILENT, QUICK_SIGNS, counters);
                 Node b = node("b", hearing);
                 SilencingRelay relay = new SilencingRelay(b.host().peerPort())) {
             HostRecord target = host("b", relay.port());
-            a.network().send(target, end);
+            a.network().send(target, END);
             assertEquals(counters.next(), "replaced");
             assertTrue(heard.isEmpty());
-            a.network().send(target, end);
+            a.network().send(target, END);
             assertNotNull(heard.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
         }
     }
 
     @Test
     public void lateAnswerReachesNoOtherAsker() throws Exception {
-        // A caller would be told the fate of another's booking. One ask times out, its answer comes
-        // late, while a later ask waits on the same connection; the number tells them apart.
-        CompletableFuture<Optional<PeerMessage>> late = new CompletableFuture<>();
-        CompletableFuture<Optional<PeerMessage>> second = new CompletableFuture<>();
-        CompletableFuture<Void> secondAsked = new CompletableFuture<>();
+        // A caller would be told the fate of another's booking. One ask times out on a connection
+        // that is in use, so that it stays open; its answer comes late, while a later ask waits on
+        // the same connection. The number tells them apart.
+        Map<String, CompletableFuture<Optional<PeerMessage>>> answers =
+                Map.of(
+                        "late", new CompletableFuture<>(),
+                        "quick", CompletableFuture.completedFuture(Optional.of(ran("quick"))),
+                        "second", new CompletableFuture<>());
+        BlockingQueue<String> asked = new LinkedBlockingQueue<>();
         PeerListener listener =
                 (from, message) -> {
-                    if (((ClaimAsk) message).key().equals("late")) {
-                        return late;
-                    }
-                    secondAsked.complete(null);
-                    return second;
+                    asked.add(((ClaimAsk) message).key());
+                    return answers.get(((ClaimAsk) message).key());
                 };
-        try (Node a = node("a", SILENT, NO_SIGNS, PeerCounters.NONE);
+        VirtualClock clock = new VirtualClock(0);
+        try (Node a = node("a", SILENT, NO_SIGNS, clock, PeerCounters.NONE);
                 Node b = node("b", listener)) {
-            CompletableFuture<Either<PeerError, PeerMessage>> first =
+            CompletableFuture<Either<PeerError, PeerMessage>> late =
                     a.network().ask(b.host(), claimAsk("late"), SHORT_MILLIS);
-            assertEquals(first.get(), Either.left(PeerError.TIMED_OUT));
-            CompletableFuture<Either<PeerError, PeerMessage>> later =
+            asked.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            clock.advance(1);
+            assertEquals(
+                    a.network().ask(b.host(), claimAsk("quick"), PATIENCE_MILLIS).get(),
+                    Either.right(ran("quick")));
+            assertEquals(late.get(), Either.left(PeerError.TIMED_OUT));
+            asked.clear();
+            CompletableFuture<Either<PeerError, PeerMessage>> second =
                     a.network().ask(b.host(), claimAsk("second"), PATIENCE_MILLIS);
-            secondAsked.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
-            late.complete(Optional.of(ran("late")));
-            second.complete(Optional.of(ran("second")));
-            assertEquals(later.get(), Either.right(ran("second")));
+            asked.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            answers.get("late").complete(Optional.of(ran("late")));
+            answers.get("second").complete(Optional.of(ran("second")));
+            assertEquals(second.get(), Either.right(ran("second")));
+        }
+    }
+
+    @Test
+    public void hostThatHangsUpAfterItsHelloIsDialledAgainOnlyAfterWait() throws Exception {
+        // Both hosts burn their processors: one says hello and hangs up, again and again, and the
+        // other dials at once, as its frames still wait. On a clock that stands still the wait
+        // never ends, so the second ask fails without another connection.
+        PeerListener hangingUp =
+                (from, message) -> {
+                    throw new IllegalStateException("hang up");
+                };
+        try (Node a = node("a", SILENT, NO_SIGNS, new VirtualClock(0), PeerCounters.NONE);
+                Node b = node("b", hangingUp)) {
+            assertEquals(
+                    a.network().ask(b.host(), claimAsk("key"), PATIENCE_MILLIS).get(),
+                    Either.left(PeerError.CONNECTION_LOST));
+            assertEquals(
+                    a.network().ask(b.host(), claimAsk("key"), PATIENCE_MILLIS).get(),
+                    Either.left(PeerError.UNREACHABLE));
+        }
+    }
+
+    @Test
+    public void brokenInvariantInListenerIsNotSwallowed() throws Exception {
+        // The process would go on with a state that it knows to be contradictory. The I/O library
+        // catches what its handlers throw; a broken invariant must get out all the same.
+        BlockingQueue<Throwable> uncaught = new LinkedBlockingQueue<>();
+        Thread.UncaughtExceptionHandler before = Thread.getDefaultUncaughtExceptionHandler();
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> uncaught.add(failure));
+        PeerListener broken =
+                (from, message) -> {
+                    throw new BrokenInvariantException("two owners");
+                };
+        try (Node a = node("a", SILENT);
+                Node b = node("b", broken)) {
+            a.network().send(b.host(), END);
+            Throwable failure = uncaught.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            assertTrue(failure instanceof BrokenInvariantException, String.valueOf(failure));
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(before);
         }
     }
 
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/TestHosts.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/TestHosts.java
@@ -8,6 +8,7 @@
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.core.time.MonotonicClock;
 
 /** Host records and networks on the loopback address. */
@@ -44,9 +45,17 @@
 
     static Node node(
             String name, PeerListener listener, PeerSettings settings, PeerCounters counters) {
+        return node(name, listener, settings, new MonotonicClock(), counters);
+    }
+
+    static Node node(
+            String name,
+            PeerListener listener,
+            PeerSettings settings,
+            Clock clock,
+            PeerCounters counters) {
         HostRecord unbound = host(name, 0);
-        PeerNetwork network =
-                new PeerNetwork(() -> unbound, listener, settings, new MonotonicClock(), counters);
+        PeerNetwork network = new PeerNetwork(() -> unbound, listener, settings, clock, counters);
         return new Node(network, host(name, network.start(LOOPBACK, 0).get()));
     }
 
