Test engine calls and fix cancels confirmed by mistake

Cause: Vavr's Either.filter keeps a left value, so a cancel that was refused or timed out counted as confirmed, and its engine memory would have stayed held. exists() is right.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineBodies.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineBodies.java
@@ -63,7 +63,11 @@
         }
     }
 
-    record CancelAnswer(Integer heldPieces) {}
+    record CancelAnswer(Integer heldPieces) {
+        boolean confirms() {
+            return heldPieces != null && heldPieces == 0;
+        }
+    }
 
     record AttemptsAnswer(List<AttemptAnswer> attempts) {
         Either<EngineFailure, List<EngineAttempt>> result() {
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/HttpEngineClient.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/HttpEngineClient.java
@@ -65,13 +65,7 @@
     public CompletableFuture<Boolean> cancel(AttemptId attempt) {
         HttpRequest request = HttpRequest.of(HttpMethod.DELETE, ATTEMPTS + "/" + attempt);
         return ask(request, mTimeoutMillis, EngineBodies.CancelAnswer.class)
-                .thenApply(
-                        answer ->
-                                answer.filter(
-                                                body ->
-                                                        body.heldPieces() != null
-                                                                && body.heldPieces() == 0)
-                                        .isDefined());
+                .thenApply(answer -> answer.exists(EngineBodies.CancelAnswer::confirms));
     }
 
     @Override
--- a/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/http/RawServer.java
+++ b/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/http/RawServer.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.config.FencingSupport;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -18,6 +20,9 @@
 /** Server socket whose connections a test scripts byte by byte. */
 public final class RawServer implements AutoCloseable {
 
+    private static final Pattern CONTENT_LENGTH =
+            Pattern.compile("content-length: (\\d+)", Pattern.CASE_INSENSITIVE);
+
     private final ServerSocket mSocket;
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final AtomicInteger mConnections = new AtomicInteger();
@@ -76,6 +81,21 @@
         return text.toString();
     }
 
+    /** Reads a whole request and returns its request line and its body. */
+    public static String readRequest(Socket socket) throws IOException {
+        String head = readHeaders(socket);
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        int bytes = length.find() ? Integer.parseInt(length.group(1)) : 0;
+        String body = new String(socket.getInputStream().readNBytes(bytes), StandardCharsets.UTF_8);
+        return head.substring(0, head.indexOf(" HTTP/")) + " " + body;
+    }
+
+    /** Writes a whole answer. */
+    public static void answer(Socket socket, int status, String body) throws IOException {
+        int length = body.getBytes(StandardCharsets.UTF_8).length;
+        write(socket, "HTTP/1.1 " + status + " X\r\nContent-Length: " + length + "\r\n\r\n" + body);
+    }
+
     public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
--- a/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/model/DecodeStreamTest.java
+++ b/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/model/DecodeStreamTest.java
@@ -3,20 +3,34 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.engine.http.RawServer;
+import org.reactivestreams.Subscription;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
 public class DecodeStreamTest {
 
+    private static final long SEED = 20_261_206L;
+    private static final int MUTANTS = 20_000;
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final AttemptId ATTEMPT = new AttemptId("ahm-1:1:2");
     private static final DecodeCall CALL =
@@ -33,6 +47,15 @@
             "{\"event\":\"end\",\"tokens\":2,\"finishReason\":\"stop\"}\n";
     private static final String BROKEN = "broken Unreachable[connected=true]";
 
+    private static final Subscription UNBOUNDED =
+            new Subscription() {
+                @Override
+                public void request(long count) {}
+
+                @Override
+                public void cancel() {}
+            };
+
     private final BackendConnections mConnections = new BackendConnections();
 
     @AfterClass
@@ -137,11 +160,11 @@
 
     @Test
     public void refusalsAndFailedEventsAreTyped() throws Exception {
-        assertEquals(refusal("503 Busy", "{\"reason\":\"full\"}"), "failed Full[]");
-        assertEquals(refusal("409 No", "{\"reason\":\"cancelled\"}"), "failed Cancelled[]");
-        assertEquals(refusal("409 No", "{\"reason\":\"exists\"}"), "failed Exists[]");
-        assertEquals(refusal("404 No", "{}"), "failed UnknownAttempt[]");
-        assertTrue(refusal("503 Busy", "busy").startsWith("failed Protocol"));
+        assertEquals(refusal(503, "{\"reason\":\"full\"}"), "failed Full[]");
+        assertEquals(refusal(409, "{\"reason\":\"cancelled\"}"), "failed Cancelled[]");
+        assertEquals(refusal(409, "{\"reason\":\"exists\"}"), "failed Exists[]");
+        assertEquals(refusal(404, "{}"), "failed UnknownAttempt[]");
+        assertTrue(refusal(503, "busy").startsWith("failed Protocol"));
         assertEquals(failedEvent("evicted"), "failed Evicted[]");
         assertEquals(failedEvent("transfer-stalled"), "failed TransferStalled[]");
         assertEquals(failedEvent("cancelled"), "failed Cancelled[]");
@@ -216,6 +239,41 @@
         }
     }
 
+    @Test
+    public void mutatedStreamsEndOnceAndNeverThrow() {
+        // The caller would hang, or hear of its answer after its end. Any bytes may come from an
+        // engine gone wrong, cut anywhere; the listener hears exactly one last event.
+        String whole = "{\"event\":\"imported\",\"bytes\":4096}\n" + TOKEN_0 + TOKEN_1 + END;
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED);
+        int ended = 0;
+        for (int i = 0; i < MUTANTS; i++) {
+            byte[] bytes = whole.getBytes(StandardCharsets.UTF_8);
+            bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(Byte.SIZE));
+            List<String> events = eventsOf(bytes, random.nextInt(bytes.length));
+            long last = events.stream().filter(event -> event.matches("(end|failed|br).*")).count();
+            assertEquals(last, 1, events.toString());
+            String end = events.get(events.size() - 1);
+            assertTrue(end.matches("(end|failed|broken).*"), events.toString());
+            ended += end.startsWith("end") ? 1 : 0;
+        }
+        assertTrue(ended > 0 && ended < MUTANTS, ended + " ended");
+    }
+
+    /** Hands bytes to a stream in two parts, without a network. */
+    private static List<String> eventsOf(byte[] bytes, int cut) {
+        StreamLog log = new StreamLog();
+        ClientRequestContext context =
+                ClientRequestContext.of(HttpRequest.of(HttpMethod.POST, "/v1/decode"));
+        DecodeStream stream =
+                new DecodeStream(new EngineJson(), log, context, HttpResponse.streaming());
+        stream.onSubscribe(UNBOUNDED);
+        stream.onNext(ResponseHeaders.of(HttpStatus.OK));
+        stream.onNext(HttpData.wrap(Arrays.copyOf(bytes, cut)));
+        stream.onNext(HttpData.wrap(Arrays.copyOfRange(bytes, cut, bytes.length)));
+        stream.onComplete();
+        return log.rest();
+    }
+
     /** Writes the body of a stream. */
     private interface Body {
         void write(java.net.Socket socket) throws IOException;
@@ -245,20 +303,13 @@
         return log;
     }
 
-    private String refusal(String status, String body) throws Exception {
+    private String refusal(int status, String body) throws Exception {
         StreamLog log = new StreamLog();
         try (RawServer server =
                 new RawServer(
                         (socket, number) -> {
                             RawServer.readHeaders(socket);
-                            RawServer.write(
-                                    socket,
-                                    "HTTP/1.1 "
-                                            + status
-                                            + "\r\nContent-Length: "
-                                            + body.length()
-                                            + "\r\n\r\n"
-                                            + body);
+                            RawServer.answer(socket, status, body);
                         })) {
             client(server).decode(CALL, log);
             return log.next();
--- a/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/plain/PlainServiceClientTest.java
+++ b/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/plain/PlainServiceClientTest.java
@@ -6,9 +6,13 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.AttemptId;
@@ -19,6 +23,7 @@
 
 public class PlainServiceClientTest {
 
+    private static final int CALLS = 12;
     private static final long SHORT_TIMEOUT_MILLIS = 400;
     private static final long LONG_TIMEOUT_MILLIS = 20_000;
     private static final String OK_ANSWER =
@@ -58,18 +63,28 @@
         // A booking is refused as not run though it ran: a kept connection is closed by the server
         // while the call is written to it, and the client can't tell whether the call came through.
         // So even a server that keeps its connections open must see a new one for each call.
+        // It is closed from here after the answer, or it would stay open for good.
+        CountDownLatch closed = new CountDownLatch(CALLS);
         try (RawServer server =
                 new RawServer(
                         (socket, number) -> {
                             while (!RawServer.readHeaders(socket).isEmpty()) {
                                 RawServer.write(socket, OK_ANSWER);
                             }
+                            closed.countDown();
                         })) {
-            for (int i = 0; i < 3; i++) {
-                assertTrue(
-                        call(server.spec(), LONG_TIMEOUT_MILLIS) instanceof PlainResult.Answered);
+            List<CompletableFuture<PlainResult>> results = new ArrayList<>();
+            for (int i = 0; i < CALLS; i++) {
+                results.add(mClient.call(server.spec(), request(LONG_TIMEOUT_MILLIS)));
+                if (i % 2 == 0) {
+                    results.get(i).join();
+                }
             }
-            assertEquals(server.connections(), 3);
+            for (CompletableFuture<PlainResult> result : results) {
+                assertTrue(result.join() instanceof PlainResult.Answered, result.toString());
+            }
+            assertEquals(server.connections(), CALLS);
+            closed.await();
         }
     }
 
@@ -130,15 +145,17 @@
     }
 
     private PlainResult call(BackendSpec backend, long timeoutMillis) throws Exception {
-        PlainRequest request =
-                new PlainRequest(
-                        new AttemptId("ahm-1:1:1"),
-                        "POST",
-                        "/bookings?lot=7",
-                        Optional.of("application/json"),
-                        "{}".getBytes(StandardCharsets.UTF_8),
-                        Optional.of("key-1"),
-                        timeoutMillis);
-        return mClient.call(backend, request).get(30, TimeUnit.SECONDS);
+        return mClient.call(backend, request(timeoutMillis)).get(30, TimeUnit.SECONDS);
+    }
+
+    private static PlainRequest request(long timeoutMillis) {
+        return new PlainRequest(
+                new AttemptId("ahm-1:1:1"),
+                "POST",
+                "/bookings?lot=7",
+                Optional.of("application/json"),
+                "{}".getBytes(StandardCharsets.UTF_8),
+                Optional.of("key-1"),
+                timeoutMillis);
     }
 }
