--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
@@ -47,6 +47,7 @@
     private final Map<HostId, OutgoingPeer> mPeers = new ConcurrentHashMap<>();
     private final AtomicLong mCorrelation = new AtomicLong(OutgoingConnection.HELLO_CORRELATION);
     private final AtomicInteger mIncoming = new AtomicInteger();
+    private volatile Optional<Channel> mServer = Optional.empty();
     private volatile boolean mClosed;
 
     /**
@@ -97,6 +98,7 @@
                                     .bind(address, port)
                                     .sync()
                                     .channel();
+                    mServer = Optional.of(channel);
                     return ((InetSocketAddress) channel.localAddress()).getPort();
                 });
     }
@@ -177,6 +179,7 @@
     @Override
     public void close() {
         mClosed = true;
+        mServer.ifPresent(server -> server.close().awaitUninterruptibly());
         mPeers.values().forEach(OutgoingPeer::close);
         mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
