Spread choices more widely, the older the hint

Cause: sixty hosts with the same half-second-old hint asked the same few of eighty servers, and were refused while others had room. Conclusion: half the age.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/placement/PlacementPolicy.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/placement/PlacementPolicy.java
@@ -56,8 +56,10 @@
         @Override
         List<Scored> order(List<Scored> servers, long turn, UniformRandomProvider random) {
             Map<Scored, Double> costs = new HashMap<>();
-            servers.forEach(
-                    scored -> costs.put(scored, scored.cost() + NEAR_MILLIS * random.nextDouble()));
+            for (Scored scored : servers) {
+                double near = NEAR_MILLIS + NEAR_PER_AGE * scored.view().hintAgeMillis();
+                costs.put(scored, scored.cost() + near * random.nextDouble());
+            }
             List<Scored> ordered = new ArrayList<>(servers);
             ordered.sort(Comparator.comparing(costs::get));
             return ordered;
@@ -68,13 +70,16 @@
             Comparator.comparingDouble(Scored::load).thenComparingLong(Scored::waitMillis);
 
     /**
-     * Predictions nearer to each other than this are taken as equal.
+     * Predictions nearer to each other than this, and more for an old hint, are taken as equal.
      *
      * <p>Safeguard: hosts that hold the same old hint would else all choose the same server, and
-     * all but the first few of them would be refused there.
+     * all but the first few of them would be refused there. The older the hint, the less it tells:
+     * a server's room changes by some completions in each half second.
      */
     private static final double NEAR_MILLIS = 20;
 
+    private static final double NEAR_PER_AGE = 0.5;
+
     private final boolean mUsesGrants;
 
     PlacementPolicy(boolean usesGrants) {
