Word grant asks in one place

Cause: host and model must ask alike, or the measured margins say nothing of the product. A slot is needed from the end of prefill, since the engine takes it when the import begins.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/RequestRun.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/RequestRun.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.cyclamenpaddle.core.config.BackendRole;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -11,8 +10,8 @@
 import org.cyclamenpaddle.core.message.GrantAsk;
 import org.cyclamenpaddle.core.message.GrantDecision;
 import org.cyclamenpaddle.routing.admission.Admitted;
+import org.cyclamenpaddle.routing.admission.GrantAsks;
 import org.cyclamenpaddle.routing.grant.GrantLedger;
-import org.cyclamenpaddle.routing.link.LinkBudget;
 import org.cyclamenpaddle.routing.placement.Candidate;
 import org.cyclamenpaddle.routing.placement.PlacementRequest;
 
@@ -22,14 +21,13 @@
     private static final int MOST_ASKS = 4;
     private static final int MOST_MOVES = 2;
     private static final long RETRY_MILLIS = 10;
-    private static final long MARGIN_MILLIS = 80;
+    private static final GrantAsks ASKS = GrantAsks.DEFAULTS;
 
     private final ExperimentRun mRun;
     private final Workload.Request mRequest;
     private final AttemptId mAttempt;
     private final int mHost;
     private final long mArrivedAt;
-    private final long mTransferMillis;
 
     private PlacementRequest mPlacement;
     private List<Candidate> mDecodeOrder = List.of();
@@ -45,7 +43,6 @@
         mAttempt = attempt;
         mHost = host;
         mArrivedAt = run.loop().now();
-        mTransferMillis = LinkBudget.transferMillis(request.kvBytes(), Scenario.LINK_RATE);
     }
 
     void start() {
@@ -70,7 +67,7 @@
             return;
         }
         Candidate best = admitted.prefill().get(0);
-        if (mRun.strategy().reservesDecode() && !reserveShare(best.predictedMillis())) {
+        if (mRun.strategy().reservesDecode() && !reserveShare(best)) {
             refuse();
             return;
         }
@@ -83,19 +80,7 @@
             return;
         }
         Candidate candidate = order.get(index);
-        int tokens = mRequest.promptTokens() - candidate.cachedTokens();
-        long latest = left() - Scenario.TOKEN_MILLIS - MARGIN_MILLIS;
-        GrantAsk ask =
-                new GrantAsk(
-                        mAttempt,
-                        candidate.backend(),
-                        BackendRole.PREFILL,
-                        tokens,
-                        pieces(),
-                        mRequest.kvBytes(),
-                        0,
-                        latest,
-                        0);
+        GrantAsk ask = ASKS.prefill(mAttempt, mPlacement, candidate, left());
         ask(
                 ask,
                 answer -> {
@@ -114,7 +99,7 @@
             return;
         }
         BackendId server = mDecodeOrder.get(index).backend();
-        GrantAsk ask = decodeAsk(server, prefillEndInMillis - mTransferMillis);
+        GrantAsk ask = decodeAsk(server, mPrefillServer.orElseThrow(), prefillEndInMillis);
         ask(
                 ask,
                 answer -> {
@@ -127,23 +112,22 @@
                 });
     }
 
-    private GrantAsk decodeAsk(BackendId server, long neededInMillis) {
-        long latest = left() - mTransferMillis - Scenario.TOKEN_MILLIS - MARGIN_MILLIS;
-        return decodeAsk(server, neededInMillis, latest);
+    private GrantAsk decodeAsk(BackendId server, BackendId prefill, long prefillEndInMillis) {
+        return ASKS.decode(
+                mAttempt,
+                mPlacement,
+                mRun.cluster().decode(server).spec(),
+                mRun.cluster().prefill(prefill).spec(),
+                prefillEndInMillis,
+                left());
     }
 
-    private GrantAsk decodeAsk(BackendId server, long neededInMillis, long latestInMillis) {
-        long hold = mTransferMillis + mRun.expectedTokens() * Scenario.TOKEN_MILLIS;
-        return new GrantAsk(
+    private GrantAsk decodeNowAsk(BackendId server) {
+        return ASKS.decodeNow(
                 mAttempt,
-                server,
-                BackendRole.DECODE,
-                mRun.expectedTokens(),
-                pieces(),
-                mRequest.kvBytes(),
-                neededInMillis,
-                latestInMillis,
-                hold);
+                mPlacement,
+                mRun.cluster().decode(server).spec(),
+                mRun.cluster().prefill(mPrefillServer.orElseThrow()).spec());
     }
 
     private void ask(GrantAsk ask, Consumer<GrantAnswer> then) {
@@ -162,10 +146,11 @@
                 });
     }
 
-    private boolean reserveShare(long prefillEndInMillis) {
+    private boolean reserveShare(Candidate prefill) {
         for (Candidate candidate : mDecodeOrder) {
             GrantLedger share = mRun.cluster().share(mHost, candidate.backend()).orElseThrow();
-            GrantAsk ask = decodeAsk(candidate.backend(), prefillEndInMillis - mTransferMillis);
+            GrantAsk ask =
+                    decodeAsk(candidate.backend(), prefill.backend(), prefill.predictedMillis());
             if (share.ask(ask, mRun.loop().now()).decision() == GrantDecision.GRANTED) {
                 mDecodeServer = Optional.of(candidate.backend());
                 return true;
@@ -245,7 +230,7 @@
         }
         BackendId server = others.get(index);
         ask(
-                decodeAsk(server, 0, 0),
+                decodeNowAsk(server),
                 answer -> {
                     if (answer.decision() != GrantDecision.GRANTED) {
                         askToMove(others, index + 1);
