--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingsError.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingsError.java
@@ -14,4 +14,9 @@
     public String message() {
         return file + ": " + where + ": " + problem + "; allowed: " + allowed;
     }
+
+    @Override
+    public String toString() {
+        return message();
+    }
 }
