Hold the pages on settings, events and metrics against the code

Each page's table is rendered from the enum that drives the program and must stand in the page as it is. RouterMetricsTest now uses the counter of dropped peer frames too, which it rightly missed.

--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/metric/RouterMetricsTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/metric/RouterMetricsTest.java
@@ -102,6 +102,7 @@
         metrics.firstToken(SERVICE, 300);
         metrics.interToken(SERVICE, 20);
         metrics.badPeerFrame("TOO_LONG");
+        metrics.peerFrameDropped("SILENT_CONNECTION");
         metrics.booking(RunOutcome.RAN);
         metrics.gauges(new GaugeSources(() -> 1, () -> 2, () -> 3, () -> 4));
         return metrics;
--- /dev/null
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/page/DocPage.java
@@ -0,0 +1,66 @@
+package org.cyclamenpaddle.router.page;
+
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** A page of the docs, to be held against the code. */
+final class DocPage {
+
+    private static final Path DOCS = Path.of("..", "docs");
+
+    private final String mName;
+    private final String mText;
+
+    DocPage(String name) {
+        mName = name;
+        try {
+            mText = Files.readString(DOCS.resolve(name));
+        } catch (IOException missing) {
+            throw new UncheckedIOException(missing);
+        }
+    }
+
+    /** Returns a table in Markdown; no cell may hold a bar. */
+    static String table(List<String> headers, Stream<List<String>> rows) {
+        String rule = headers.stream().map(h -> "---").collect(Collectors.joining(" | "));
+        return Stream.concat(Stream.of(row(headers), "| " + rule + " |"), rows.map(DocPage::row))
+                .collect(Collectors.joining("\n"));
+    }
+
+    static String code(String text) {
+        return "`" + text + "`";
+    }
+
+    /** Fails with what to write into the page, if the page does not hold {@code part}. */
+    void assertHolds(String part) {
+        if (!mText.contains(part + "\n")) {
+            fail("docs/" + mName + " must hold this and no other table of it:\n" + part);
+        }
+    }
+
+    /** Fails if the page does not name {@code word} as code. */
+    void assertNames(String word) {
+        assertTrue(mText.contains(code(word)), "docs/" + mName + " does not name " + word);
+    }
+
+    /** Returns the first cells of all rows that hold code, as in {@code | `cell` | ...}. */
+    List<String> codeCells() {
+        return mText.lines()
+                .filter(line -> line.startsWith("| `"))
+                .map(line -> line.substring(3, line.indexOf('`', 3)))
+                .toList();
+    }
+
+    private static String row(List<String> cells) {
+        cells.forEach(cell -> assertTrue(!cell.contains("|"), cell));
+        return "| " + String.join(" | ", cells) + " |";
+    }
+}
