--- /dev/null
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineEvent.java
@@ -0,0 +1,84 @@
+package org.cyclamenpaddle.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cyclamenpaddle.standins.http.Answers;
+
+/** One event of a decode stream. */
+sealed interface EngineEvent {
+
+    /** Returns the event as one line of JSON, with its line feed. */
+    String line();
+
+    /** Returns whether nothing follows. */
+    default boolean last() {
+        return false;
+    }
+
+    /** Returns whether a stream from {@code index} contains this event. */
+    default boolean from(int index) {
+        return true;
+    }
+
+    /** The KV cache has arrived. */
+    record Imported(long bytes) implements EngineEvent {
+
+        @Override
+        public String line() {
+            return EngineEvent.line(EngineEvent.event("imported").put("bytes", bytes));
+        }
+    }
+
+    /** One token. */
+    record Token(int index, String text) implements EngineEvent {
+
+        @Override
+        public String line() {
+            return EngineEvent.line(
+                    EngineEvent.event("token").put("index", index).put("text", text));
+        }
+
+        @Override
+        public boolean from(int first) {
+            return index >= first;
+        }
+    }
+
+    /** The whole answer was generated; {@code tokens} counts from index 0. */
+    record End(int tokens, String finishReason) implements EngineEvent {
+
+        @Override
+        public String line() {
+            return EngineEvent.line(
+                    EngineEvent.event("end")
+                            .put("tokens", tokens)
+                            .put("finishReason", finishReason));
+        }
+
+        @Override
+        public boolean last() {
+            return true;
+        }
+    }
+
+    /** The attempt ended without the whole answer. */
+    record Failed(String reason) implements EngineEvent {
+
+        @Override
+        public String line() {
+            return EngineEvent.line(EngineEvent.event("failed").put("reason", reason));
+        }
+
+        @Override
+        public boolean last() {
+            return true;
+        }
+    }
+
+    private static ObjectNode event(String name) {
+        return Answers.JSON.createObjectNode().put("event", name);
+    }
+
+    private static String line(ObjectNode event) {
+        return event + "\n";
+    }
+}
