--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -1,15 +1,11 @@
 package org.cyclamenpaddle.router.assembly;
 
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.Incarnation;
-import org.cyclamenpaddle.core.message.ClaimAnswer;
-import org.cyclamenpaddle.core.message.ClaimAsk;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
 import org.cyclamenpaddle.core.time.Clock;
@@ -34,6 +30,7 @@
 import org.cyclamenpaddle.router.blackboard.RequestTable;
 import org.cyclamenpaddle.router.booking.BookingServices;
 import org.cyclamenpaddle.router.booking.Bookings;
+import org.cyclamenpaddle.router.booking.PeerClaimers;
 import org.cyclamenpaddle.router.booking.PlainChoice;
 import org.cyclamenpaddle.router.booking.RepeatableCalls;
 import org.cyclamenpaddle.router.configuration.ConfigurationDriver;
@@ -69,7 +66,6 @@
 final class Controllers implements AutoCloseable {
 
     private static final int WORKERS = 4;
-    private static final long CLAIM_ASK_MILLIS = 500;
     private static final long MILLIS_PER_HOUR = 3_600_000;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final long FAR_DOMAIN_MILLIS = 2;
@@ -131,7 +127,7 @@
         mRequests = modelRequests();
         mPlainClient = new PlainServiceClient(mConnections);
         PlainChoice choice = new PlainChoice(mBlackboard, settings.host().failureDomain(), mClock);
-        mBookings = new Bookings(bookingServices(choice));
+        mBookings = new Bookings(bookingServices(choice), retentionMillis());
         mRepeatable =
                 new RepeatableCalls(
                         choice, mPlainClient, mEnvironment::newAttempt, mRetries, mMetrics, mClock);
@@ -341,12 +337,16 @@
         return new ModelRequests(services, mEnvironment, bounds, mDecisionLog::record);
     }
 
+    private long retentionMillis() {
+        return mSettings.bookings().retentionHours() * MILLIS_PER_HOUR;
+    }
+
     private BookingServices bookingServices(PlainChoice choice) {
         ClaimShardSettings defaults = ClaimShardSettings.DEFAULTS;
         ClaimShardSettings shards =
                 new ClaimShardSettings(
                         mSettings.bookings().shards(),
-                        mSettings.bookings().retentionHours() * MILLIS_PER_HOUR,
+                        retentionMillis(),
                         defaults.maxCharacters(),
                         defaults.retryMillis());
         ObjectStore store = mStore;
@@ -360,32 +360,12 @@
                         store, shards, mWorkers, mClock, System::currentTimeMillis, mHealth),
                 choice,
                 mPlainClient,
-                this::askClaimer,
+                new PeerClaimers(mMembership, mTransport, retentionMillis()),
                 mMetrics,
                 mLog,
                 mDecisionLog::record);
     }
 
-    private CompletableFuture<Optional<ClaimAnswer>> askClaimer(Incarnation holder, ClaimAsk ask) {
-        Optional<HostRecord> host =
-                mMembership
-                        .record(holder.host())
-                        .filter(record -> record.incarnation().equals(holder))
-                        .filter(record -> record.state() != HostState.DEAD);
-        return host.map(
-                        record ->
-                                mTransport
-                                        .ask(record, ask, CLAIM_ASK_MILLIS)
-                                        .thenApply(
-                                                answer ->
-                                                        answer.toJavaOptional()
-                                                                .filter(
-                                                                        ClaimAnswer.class
-                                                                                ::isInstance)
-                                                                .map(ClaimAnswer.class::cast)))
-                .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
-    }
-
     private PeerNetwork peerNetwork() {
         PeerDispatch dispatch =
                 new PeerDispatch(
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
@@ -1,12 +1,12 @@
 package org.cyclamenpaddle.router.booking;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
-import java.util.function.Function;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -30,56 +30,48 @@
     private final Bookings.KeyedCall mCall;
     private final BookingServices mServices;
     private final BookingMachine mMachine;
-    private final Function<ClaimAsk, CompletableFuture<ClaimAnswer>> mOwnClaims;
+    private final OwnClaims mOwnClaims;
     private final SerialExecutor mSerial;
     private final CompletableFuture<BookingReply> mReply = new CompletableFuture<>();
     private final Set<BackendId> mTried = new HashSet<>();
-    private Runnable mClaimHeld = () -> {};
     private Optional<ScheduledFuture<?>> mDeadline = Optional.empty();
-    private volatile boolean mFinished;
+
+    /** What this host itself knows of a key; called on the serial executor. */
+    @FunctionalInterface
+    interface OwnClaims {
+
+        /** Answers an ask, leaving out the attempt that asks. */
+        ClaimAnswer answer(ClaimAsk ask, Optional<AttemptId> asking);
+    }
 
     BookingRun(
             Bookings.KeyedCall call,
             BookingServices services,
             BookingMachine machine,
-            Function<ClaimAsk, CompletableFuture<ClaimAnswer>> ownClaims) {
+            SerialExecutor serial,
+            OwnClaims ownClaims) {
         mCall = call;
         mServices = services;
         mMachine = machine;
+        mSerial = serial;
         mOwnClaims = ownClaims;
-        mSerial = new SerialExecutor(services.workers());
-    }
-
-    /**
-     * Starts the call.
-     *
-     * @param claimHeld run once this attempt holds the claim, before anything is dispatched
-     */
-    CompletableFuture<BookingReply> start(Runnable claimHeld) {
-        mClaimHeld = claimHeld;
-        mSerial.execute(
-                () -> {
-                    mDeadline =
-                            Optional.of(
-                                    mServices
-                                            .workers()
-                                            .after(
-                                                    mCall.call().timeoutMillis(),
-                                                    () -> feed(new BookingEvent.Timeout())));
-                    perform(mMachine.start());
-                });
-        return mReply;
     }
 
-    /** Returns what this host answers about its own attempt. */
-    CompletableFuture<ClaimAnswer> answer() {
-        CompletableFuture<ClaimAnswer> answer = new CompletableFuture<>();
-        mSerial.execute(() -> answer.complete(mMachine.answer()));
-        return answer;
+    /** Starts the call; to be run on the serial executor. */
+    void start() {
+        mDeadline =
+                Optional.of(
+                        mServices
+                                .workers()
+                                .after(
+                                        mCall.call().timeoutMillis(),
+                                        () -> feed(new BookingEvent.Timeout())));
+        perform(mMachine.start());
     }
 
-    boolean finished() {
-        return mFinished;
+    /** Completes with what the caller is told. */
+    CompletableFuture<BookingReply> reply() {
+        return mReply;
     }
 
     private void feed(BookingEvent event) {
@@ -88,7 +80,6 @@
 
     private void take(BookingEvent event) {
         perform(mMachine.on(event, mServices.clock().millis()));
-        mFinished = mMachine.finished();
     }
 
     private void perform(List<BookingEffect> effects) {
@@ -103,6 +94,8 @@
             dispatch(dispatch);
         } else if (effect instanceof BookingEffect.AskClaimer ask) {
             askClaimer(ask);
+        } else if (effect instanceof BookingEffect.AskPeers ask) {
+            askPeers(ask.ask());
         } else if (effect instanceof BookingEffect.RecordOutcome outcome) {
             mServices.claims().outcome(outcome.claim(), outcome.outcome());
         } else if (effect instanceof BookingEffect.WakeAt wake) {
@@ -116,7 +109,6 @@
     }
 
     private void dispatch(BookingEffect.Dispatch dispatch) {
-        mClaimHeld.run();
         Optional<BackendSpec> chosen = mServices.choice().choose(mCall.service().name(), mTried);
         if (chosen.isEmpty()) {
             take(new BookingEvent.ConnectFailedBeforeFirstByte());
@@ -174,16 +166,37 @@
     }
 
     private void askClaimer(BookingEffect.AskClaimer ask) {
-        record(DecisionStep.CLAIM, ask.holder().toString());
-        CompletableFuture<Optional<ClaimAnswer>> answer =
-                ask.holder().equals(mServices.self())
-                        ? mOwnClaims.apply(ask.ask()).thenApply(Optional::of)
-                        : mServices.claimers().ask(ask.holder(), ask.ask());
-        answer.thenAccept(
-                found ->
-                        feed(
-                                found.<BookingEvent>map(BookingEvent.ClaimerAnswered::new)
-                                        .orElseGet(BookingEvent.ClaimerUnreachable::new)));
+        record(DecisionStep.CLAIM, "ask " + ask.holder());
+        if (ask.holder().equals(mServices.self())) {
+            take(new BookingEvent.ClaimerAnswered(ownAnswer(ask.ask())));
+            return;
+        }
+        mServices
+                .claimers()
+                .ask(ask.holder(), ask.ask())
+                .thenAccept(
+                        found ->
+                                feed(
+                                        found.<BookingEvent>map(BookingEvent.ClaimerAnswered::new)
+                                                .orElseGet(BookingEvent.ClaimerUnreachable::new)));
+    }
+
+    private void askPeers(ClaimAsk ask) {
+        record(DecisionStep.CLAIM, "platform away, ask all hosts");
+        ClaimAnswer own = ownAnswer(ask);
+        mServices
+                .claimers()
+                .askAll(ask)
+                .thenAccept(
+                        answers -> {
+                            List<ClaimAnswer.State> states = new ArrayList<>(answers.states());
+                            states.add(own.state());
+                            feed(new BookingEvent.PeersAnswered(states, answers.complete()));
+                        });
+    }
+
+    private ClaimAnswer ownAnswer(ClaimAsk ask) {
+        return mOwnClaims.answer(ask, Optional.of(mMachine.claim().attempt()));
     }
 
     private void reply(BookingReply reply) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/Bookings.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/Bookings.java
@@ -1,8 +1,6 @@
 package org.cyclamenpaddle.router.booking;
 
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,32 +14,28 @@
 import org.cyclamenpaddle.fleet.claim.BookingMachine;
 import org.cyclamenpaddle.fleet.claim.BookingReply;
 import org.cyclamenpaddle.fleet.claim.BookingSettings;
+import org.cyclamenpaddle.fleet.claim.BookingTable;
 import org.cyclamenpaddle.fleet.claim.ClaimKey;
 import org.cyclamenpaddle.fleet.claim.ClaimRecord;
 import org.cyclamenpaddle.fleet.claim.ClaimState;
 import org.cyclamenpaddle.fleet.claim.RequestFingerprint;
+import org.cyclamenpaddle.router.worker.SerialExecutor;
 
 /**
  * The keyed calls of this host: at most one run by key.
  *
- * <p>Machines of ended calls are kept, bounded in number, since a resend at another host asks the
- * claimer for the answer. One that was dropped answers "unknown".
+ * <p>All of them pass through one serial executor, since an ask about a key reads the machines of
+ * other calls. They are few beside model requests, and their work is short.
  */
 public final class Bookings {
 
     private static final int MOST_KEPT = 20_000;
 
     private final BookingServices mServices;
+    private final long mRetentionMillis;
+    private final BookingTable mTable;
+    private final SerialExecutor mSerial;
     private final AtomicInteger mOpen = new AtomicInteger();
-    private final Map<ClaimKey, BookingRun> mRuns =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<ClaimKey, BookingRun> eldest) {
-                    return size() > MOST_KEPT && eldest.getValue().finished();
-                }
-            };
 
     /**
      * A keyed call as the front parsed it.
@@ -67,38 +61,36 @@
      * Creates the bookings of a host that has none yet.
      *
      * @param services what runs use
+     * @param retentionMillis how long claims are kept, and so callers may send a call again
      */
-    public Bookings(BookingServices services) {
+    public Bookings(BookingServices services, long retentionMillis) {
         mServices = services;
+        mRetentionMillis = retentionMillis;
+        mTable = new BookingTable(MOST_KEPT, retentionMillis);
+        mSerial = new SerialExecutor(services.workers());
     }
 
     /** Starts a keyed call; the future never fails. */
     public CompletableFuture<BookingReply> start(KeyedCall call) {
-        ClaimKey key = new ClaimKey(call.service().name(), call.key());
-        AttemptId attempt = mServices.newAttempt().get();
-        ClaimRecord claim =
-                new ClaimRecord(
-                        key,
-                        RequestFingerprint.of(
-                                call.call().method(), call.pathAndQuery(), call.body()),
-                        attempt,
-                        ClaimState.CLAIMED,
-                        mServices.epochMillis().getAsLong());
-        long deadline = mServices.clock().millis() + call.call().timeoutMillis();
-        BookingRun run =
-                new BookingRun(
-                        call,
-                        mServices,
-                        new BookingMachine(claim, BookingSettings.DEFAULTS, deadline),
-                        this::answer);
+        long now = mServices.clock().millis();
+        BookingMachine machine =
+                new BookingMachine(
+                        claim(call), BookingSettings.DEFAULTS, now + call.call().timeoutMillis());
+        BookingRun run = new BookingRun(call, mServices, machine, mSerial, this::answer);
         mOpen.incrementAndGet();
-        return run.start(() -> keep(key, run))
-                .whenComplete((reply, failure) -> mOpen.decrementAndGet());
+        mSerial.execute(
+                () -> {
+                    mTable.add(machine, now);
+                    run.start();
+                });
+        return run.reply().whenComplete((reply, failure) -> mOpen.decrementAndGet());
     }
 
-    /** Answers a peer, or this host itself, that met a claim of this host. */
+    /** Answers a peer that met a claim of this host, or that can't read claims. */
     public CompletableFuture<PeerMessage> onClaimAsk(ClaimAsk ask) {
-        return answer(ask).thenApply(answer -> answer);
+        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+        mSerial.execute(() -> answer.complete(answer(ask, Optional.empty())));
+        return answer;
     }
 
     /** Lets what waits for the platform try again. */
@@ -111,24 +103,21 @@
         return mOpen.get() + mServices.claims().pending();
     }
 
-    private CompletableFuture<ClaimAnswer> answer(ClaimAsk ask) {
-        return run(new ClaimKey(ask.service(), ask.key()))
-                .map(BookingRun::answer)
-                .orElseGet(
-                        () ->
-                                CompletableFuture.completedFuture(
-                                        new ClaimAnswer(
-                                                ClaimAnswer.State.UNKNOWN, Optional.empty())));
-    }
-
-    private synchronized Optional<BookingRun> run(ClaimKey key) {
-        return Optional.ofNullable(mRuns.get(key));
+    private ClaimRecord claim(KeyedCall call) {
+        return new ClaimRecord(
+                new ClaimKey(call.service().name(), call.key()),
+                RequestFingerprint.of(call.call().method(), call.pathAndQuery(), call.body()),
+                mServices.newAttempt().get(),
+                ClaimState.CLAIMED,
+                mServices.epochMillis().getAsLong());
     }
 
-    /** The run that holds the claim answers for the key; one that only asked must not hide it. */
-    private synchronized void keep(ClaimKey key, BookingRun run) {
-        mRuns.remove(key);
-        mRuns.put(key, run);
+    private ClaimAnswer answer(ClaimAsk ask, Optional<AttemptId> asking) {
+        return mTable.answer(
+                new ClaimKey(ask.service(), ask.key()),
+                asking,
+                mServices.claimers().lostLately(mRetentionMillis),
+                mServices.clock().millis());
     }
 
     /** Returns the text of a body that keeps each of its bytes. */
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/ClaimerLink.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/ClaimerLink.java
@@ -1,15 +1,34 @@
 package org.cyclamenpaddle.router.booking;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.message.ClaimAnswer;
 import org.cyclamenpaddle.core.message.ClaimAsk;
 
-/** Asks the host that holds a claim. */
-@FunctionalInterface
+/** Asks other hosts about keys. */
 public interface ClaimerLink {
 
-    /** Completes with its answer; empty if that very incarnation is dead or does not answer. */
+    /**
+     * What all other hosts know of a key.
+     *
+     * @param states what each one that answered knows
+     * @param complete whether every host of the view answered and none was lost lately
+     */
+    record Answers(List<ClaimAnswer.State> states, boolean complete) {
+
+        public Answers {
+            states = List.copyOf(states);
+        }
+    }
+
+    /** Completes with a holder's answer; empty if that incarnation is dead or does not answer. */
     CompletableFuture<Optional<ClaimAnswer>> ask(Incarnation holder, ClaimAsk ask);
+
+    /** Completes with what every other host of the view knows. */
+    CompletableFuture<Answers> askAll(ClaimAsk ask);
+
+    /** Returns whether some host's memory was lost within the span that ends now. */
+    boolean lostLately(long spanMillis);
 }
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/PeerClaimers.java
@@ -0,0 +1,98 @@
+package org.cyclamenpaddle.router.booking;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.message.ClaimAnswer;
+import org.cyclamenpaddle.core.message.ClaimAsk;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.router.grant.PeerLink;
+import org.cyclamenpaddle.router.peering.MembershipDriver;
+
+/** Asks about keys over the peer network. */
+public final class PeerClaimers implements ClaimerLink {
+
+    private static final long ASK_MILLIS = 500;
+
+    /**
+     * Above so many hosts no one asks them all: each refused booking of an outage would cost a
+     * message to every host, and "unknown" is a true answer too.
+     */
+    private static final int MOST_HOSTS_ASKED = 64;
+
+    private final MembershipDriver mMembership;
+    private final PeerLink mPeers;
+    private final long mRetentionMillis;
+
+    /**
+     * Creates the link.
+     *
+     * @param membership the view of the hosts
+     * @param peers messages
+     * @param retentionMillis how long claims are kept
+     */
+    public PeerClaimers(MembershipDriver membership, PeerLink peers, long retentionMillis) {
+        mMembership = membership;
+        mPeers = peers;
+        mRetentionMillis = retentionMillis;
+    }
+
+    @Override
+    public CompletableFuture<Optional<ClaimAnswer>> ask(Incarnation holder, ClaimAsk ask) {
+        Optional<HostRecord> host =
+                mMembership
+                        .record(holder.host())
+                        .filter(record -> record.incarnation().equals(holder))
+                        .filter(record -> record.state() != HostState.DEAD);
+        return host.map(record -> ask(record, ask))
+                .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+    }
+
+    @Override
+    public CompletableFuture<Answers> askAll(ClaimAsk ask) {
+        Incarnation self = mMembership.self().incarnation();
+        List<HostRecord> others =
+                mMembership.hosts().stream()
+                        .filter(host -> !host.incarnation().equals(self))
+                        .collect(Collectors.toList());
+        boolean hopeless =
+                others.size() > MOST_HOSTS_ASKED
+                        || lostLately(mRetentionMillis)
+                        || others.stream().anyMatch(host -> host.state() == HostState.DEAD);
+        if (hopeless) {
+            return CompletableFuture.completedFuture(new Answers(List.of(), false));
+        }
+        List<CompletableFuture<Optional<ClaimAnswer>>> asked =
+                others.stream().map(host -> ask(host, ask)).collect(Collectors.toList());
+        return CompletableFuture.allOf(asked.toArray(CompletableFuture[]::new))
+                .thenApply(done -> answers(asked));
+    }
+
+    @Override
+    public boolean lostLately(long spanMillis) {
+        return mMembership.lostLately(spanMillis);
+    }
+
+    private Answers answers(List<CompletableFuture<Optional<ClaimAnswer>>> asked) {
+        List<ClaimAnswer.State> states =
+                asked.stream()
+                        .flatMap(answer -> answer.join().stream())
+                        .map(ClaimAnswer::state)
+                        .collect(Collectors.toList());
+        // Read after the answers: a host lost meanwhile may be the one that knew.
+        boolean complete = states.size() == asked.size() && !lostLately(mRetentionMillis);
+        return new Answers(states, complete);
+    }
+
+    private CompletableFuture<Optional<ClaimAnswer>> ask(HostRecord host, ClaimAsk ask) {
+        return mPeers.ask(host, ask, ASK_MILLIS)
+                .thenApply(
+                        answer ->
+                                answer.toJavaOptional()
+                                        .filter(ClaimAnswer.class::isInstance)
+                                        .map(ClaimAnswer.class::cast));
+    }
+}
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
@@ -96,6 +96,11 @@
         return mMembership.read(membership -> membership.standing(incarnation));
     }
 
+    /** Returns whether some host's memory was lost within the span that ends now. */
+    public boolean lostLately(long spanMillis) {
+        return mMembership.read(membership -> membership.lostLately(spanMillis, mClock.millis()));
+    }
+
     /** Returns every known host, this one included. */
     public List<HostRecord> hosts() {
         return mMembership.read(Membership::hosts);
