--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/CallerGoneTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/CallerGoneTest.java
@@ -54,12 +54,12 @@
         Await.until("engines hold nothing", () -> mFleet.heldPieces() == 0);
     }
 
-    // The caller leaves while the prefill of a long prompt is computed, before any token. The
+    // The caller leaves while the prefill of a long prompt, 0.6 s, is computed, before any token. The
     // prefill must be cancelled and no decode started for it.
     @Test
     public void freesMemoryWhenCallerLeavesDuringPrefill() {
         CompletableFuture<HttpResponse<String>> answer =
-                mFleet.caller("h1").completeLater(PROMPT.repeat(2_000), LONG_ANSWER);
+                mFleet.caller("h1").completeLater(PROMPT.repeat(1_000), LONG_ANSWER);
         Await.until("prefill holds memory", () -> mFleet.prefill(1).heldPieces() > 0);
 
         answer.cancel(true);
