--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
@@ -98,13 +98,13 @@
             "timing",
             "suspect_ms",
             SettingRange.between(20, 600_000),
-            whole(2_000),
+            whole(800),
             "Silence after which a host is suspected, in milliseconds."),
     TIMING_PROBE(
             "timing",
             "probe_ms",
             SettingRange.between(10, 60_000),
-            whole(1_000),
+            whole(300),
             "Time for a suspected host to answer a new connection, in milliseconds."),
     TIMING_RECONCILE(
             "timing",
@@ -128,13 +128,13 @@
             "timing",
             "stream_silence_ms",
             SettingRange.between(10, 600_000),
-            whole(2_000),
+            whole(1_500),
             "Silence after which a token stream is resumed by a new connection, in milliseconds."),
     TIMING_TRANSFER(
             "timing",
             "transfer_ms",
             SettingRange.between(1, 60_000),
-            whole(700),
+            whole(1_500),
             "Longest transfer of KV cache, in milliseconds."),
 
     ROUTING_POLICY(
