--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/page/DocPage.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/page/DocPage.java
@@ -46,6 +46,12 @@
         }
     }
 
+    /** Fails if the page does not hold {@code words}, wherever its lines break. */
+    void assertHoldsInText(String words) {
+        String text = mText.replaceAll("\\s+", " ");
+        assertTrue(text.contains(words), "docs/" + mName + " does not hold: " + words);
+    }
+
     /** Fails if the page does not name {@code word} as code. */
     void assertNames(String word) {
         assertTrue(mText.contains(code(word)), "docs/" + mName + " does not name " + word);
