--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/RouterMetrics.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/metric/RouterMetrics.java
@@ -3,12 +3,12 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Tags;
-import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -24,13 +24,9 @@
     private static final String IN = "in";
     private static final String OUT = "out";
 
-    private static final Duration[] FIRST_TOKEN_BOUNDS =
-            millis(50, 100, 200, 300, 400, 580, 800, 1_200, 2_000, 5_000, 10_000);
-    private static final Duration[] INTER_TOKEN_BOUNDS =
-            millis(5, 10, 20, 30, 44, 60, 80, 120, 200, 500, 1_000);
-
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<ServiceName, ServiceMeters> mServices = new ConcurrentHashMap<>();
     private final Map<RefusalReason, Counter> mRefusals;
     private final Map<RetryReason, Counter> mRetries;
     private final Map<RunOutcome, Counter> mBookings;
@@ -73,7 +69,7 @@
 
     /** Counts a request that was taken. */
     public void requestTaken(ServiceName service) {
-        serviceCounter(MetricName.REQUESTS, service).increment();
+        meters(service).requests().increment();
     }
 
     /**
@@ -83,8 +79,8 @@
      * @param withinTargets whether both latency targets were met
      */
     public void answered(ServiceName service, boolean withinTargets) {
-        serviceCounter(MetricName.ANSWERED, service).increment();
-        serviceCounter(MetricName.GOODPUT, service).increment(withinTargets ? 1 : 0);
+        meters(service).answered().increment();
+        meters(service).goodput().increment(withinTargets ? 1 : 0);
     }
 
     /** Counts a request that was refused or ended without its answer. */
@@ -99,29 +95,27 @@
 
     /** Counts tokens relayed to a caller. */
     public void tokensRelayed(ServiceName service, long tokens) {
-        serviceCounter(MetricName.TOKENS, service).increment(tokens);
+        meters(service).tokens().increment(tokens);
     }
 
     /** Counts uncached prompt tokens that a prefill computed. */
     public void prefillComputed(ServiceName service, long tokens) {
-        serviceCounter(MetricName.PREFILL_TOKENS, service).increment(tokens);
+        meters(service).prefillTokens().increment(tokens);
     }
 
     /** Counts uncached prompt tokens that were computed and never used. */
     public void prefillWasted(ServiceName service, long tokens) {
-        serviceCounter(MetricName.WASTED_PREFILL_TOKENS, service).increment(tokens);
+        meters(service).wastedPrefillTokens().increment(tokens);
     }
 
     /** Records the time from a request to its first token. */
     public void firstToken(ServiceName service, long millis) {
-        timer(MetricName.FIRST_TOKEN, service, FIRST_TOKEN_BOUNDS)
-                .record(Duration.ofMillis(millis));
+        meters(service).firstToken().record(millis, TimeUnit.MILLISECONDS);
     }
 
     /** Records the time between two tokens of one answer. */
     public void interToken(ServiceName service, long millis) {
-        timer(MetricName.INTER_TOKEN, service, INTER_TOKEN_BOUNDS)
-                .record(Duration.ofMillis(millis));
+        meters(service).interToken().record(millis, TimeUnit.MILLISECONDS);
     }
 
     /** Counts an ownership of a backend server that this host took. */
@@ -206,8 +200,8 @@
                         Function.identity(), key -> counter(name, Tags.of(tag, code.apply(key)))));
     }
 
-    private Counter serviceCounter(MetricName name, ServiceName service) {
-        return counter(name, Tags.of("service", service.value()));
+    private ServiceMeters meters(ServiceName service) {
+        return mServices.computeIfAbsent(service, name -> ServiceMeters.of(name, mRegistry));
     }
 
     private Counter counter(MetricName name, Tags tags) {
@@ -217,21 +211,9 @@
                 .register(mRegistry);
     }
 
-    private Timer timer(MetricName name, ServiceName service, Duration[] bounds) {
-        return Timer.builder(name.text())
-                .description(name.meaning())
-                .tags("service", service.value())
-                .serviceLevelObjectives(bounds)
-                .register(mRegistry);
-    }
-
     private void gauge(MetricName name, DoubleSupplier reading) {
         Gauge.builder(name.text(), reading::getAsDouble)
                 .description(name.meaning())
                 .register(mRegistry);
     }
-
-    private static Duration[] millis(long... bounds) {
-        return Arrays.stream(bounds).mapToObj(Duration::ofMillis).toArray(Duration[]::new);
-    }
 }
