Cut configuration answers to a frame; doubt foreign refusals

Cause: a replica of more than 1 MiB could never be sent to a host that starts while the platform is away; the first objects that fit are sent, and the next ask brings more (3,000 objects of 1,000 bytes: 4 asks). A decode refused with an answer that is not of the protocol counted as holding nothing; it now counts as broken, to be resumed or cancelled.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/DecodeStream.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/DecodeStream.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.engine.model;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.linecorp.armeria.client.ClientRequestContext;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaders;
@@ -9,7 +11,6 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
@@ -85,8 +86,18 @@
             // end event makes an answer whole, so the mere end of the body is a broken stream.
             finish(() -> mListener.onBroken(new EngineFailure.Unreachable(true)));
         } else {
-            String body = mErrorBody.toString(StandardCharsets.UTF_8);
-            finish(() -> mListener.onFailed(mJson.failure(mStatus, body)));
+            EngineFailure failure = mJson.failure(mStatus, mErrorBody.toString(UTF_8));
+            finish(() -> refused(failure));
+        }
+    }
+
+    // An answer that is not of the protocol, such as a 500, proves nothing about what the engine
+    // holds, so the attempt counts as one that may go on.
+    private void refused(EngineFailure failure) {
+        if (failure instanceof EngineFailure.Protocol) {
+            mListener.onBroken(failure);
+        } else {
+            mListener.onFailed(failure);
         }
     }
 
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/FieldReader.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/FieldReader.java
@@ -29,7 +29,7 @@
     private static final int MAX_SHORT_TEXT = 1_024;
 
     /** Most elements of a list or map; 810 teams and 770 backend servers stay far below. */
-    private static final int MAX_ELEMENTS = 16_384;
+    static final int MAX_ELEMENTS = 16_384;
 
     private static final int MAX_PORT = 65_535;
 
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/FrameCodec.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/FrameCodec.java
@@ -27,15 +27,19 @@
     /**
      * Returns the bytes of a frame, or {@link FrameError#TOO_LONG}.
      *
+     * <p>Configuration that does not fit as a whole is cut to its first objects; the receiver gets
+     * the others when it asks again.
+     *
      * @param frame the frame
      */
     public Either<FrameError, byte[]> encode(Frame frame) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            MessageType type = MessageType.of(frame.message());
+            PeerMessage message = ConfigurationCut.fitting(frame.message());
+            MessageType type = MessageType.of(message);
             packer.addPayload(new byte[] {VERSION});
             packer.packInt(type.code());
             packer.packLong(frame.correlation());
-            type.write(new FieldWriter(packer), frame.message());
+            type.write(new FieldWriter(packer), message);
             byte[] bytes = packer.toByteArray();
             return bytes.length <= MAX_FRAME_BYTES
                     ? Either.right(bytes)
