--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -7,37 +7,68 @@
 import org.cyclamenpaddle.core.config.BackendSpec;
 
 /**
- * Makes HTTP clients of backend servers that open a connection for each call.
+ * Makes HTTP clients of backend servers: for calls, and for reading what they report.
  *
- * <p>An open connection can go silent for good while new ones work, and a server may close a kept
- * one while a call is written to it, after which nobody can tell whether the call ran. A connection
- * that carries one call only has neither fault: a failed connect proves that nothing left, and a
- * retry always meets a new connection. It costs one round trip, about 3 ms at worst between failure
- * domains. HTTP/1.1, because an upgrade to HTTP/2 would put a second exchange before the call.
+ * <p>Calls open a connection each. An open connection can go silent for good while new ones work,
+ * and a server may close a kept one while a call is written to it, after which nobody can tell
+ * whether the call ran. A connection that carries one call only has neither fault: a failed connect
+ * proves that nothing left, and a retry always meets a new connection. It costs one round trip,
+ * about 3 ms at worst between failure domains.
+ *
+ * <p>Reports are read again and again, so that new connections would cost more processor time than
+ * the reading. They are read over kept connections, and once more over a new one if that fails.
+ *
+ * <p>All is HTTP/1.1: an upgrade to HTTP/2 would put a second exchange before a call, and a kept
+ * connection on which an answer times out is closed by the library rather than shared further.
  */
 public final class BackendConnections implements AutoCloseable {
 
     private static final long CONNECT_TIMEOUT_MILLIS = 300;
+    private static final long KEPT_IDLE_MILLIS = 10_000;
     private static final long MAX_RESPONSE_BYTES = 16L << 20;
 
-    private final ClientFactory mFactory =
+    private final ClientFactory mSingleUse =
             ClientFactory.builder()
                     .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                     .maxNumRequestsPerConnection(1)
                     .build();
 
-    /** Returns a client of a backend server; its calls have no timeout unless they set one. */
+    private final ClientFactory mKept =
+            ClientFactory.builder()
+                    .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
+                    .idleTimeoutMillis(KEPT_IDLE_MILLIS)
+                    .build();
+
+    /**
+     * Returns a client that opens a connection for each call.
+     *
+     * @param backend the backend server; calls have no timeout unless they set one
+     */
     public WebClient client(BackendSpec backend) {
+        return client(backend, mSingleUse);
+    }
+
+    /**
+     * Returns a client that keeps connections, for reads that may be repeated.
+     *
+     * @param backend the backend server; reads have no timeout unless they set one
+     */
+    public WebClient keptClient(BackendSpec backend) {
+        return client(backend, mKept);
+    }
+
+    @Override
+    public void close() {
+        mSingleUse.close();
+        mKept.close();
+    }
+
+    private static WebClient client(BackendSpec backend, ClientFactory factory) {
         return WebClient.builder(
                         SessionProtocol.H1C, Endpoint.of(backend.address(), backend.port()))
-                .factory(mFactory)
+                .factory(factory)
                 .responseTimeoutMillis(0)
                 .maxResponseLength(MAX_RESPONSE_BYTES)
                 .build();
     }
-
-    @Override
-    public void close() {
-        mFactory.close();
-    }
 }
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/HttpEngineClient.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/HttpEngineClient.java
@@ -20,12 +20,13 @@
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.engine.http.CallFailure;
 
-/** {@link EngineClient} over HTTP/1.1, each call over a connection of its own. */
+/** {@link EngineClient} over HTTP/1.1; see {@link BackendConnections} for its connections. */
 public final class HttpEngineClient implements EngineClient {
 
     private static final String ATTEMPTS = "/v1/attempts";
 
     private final WebClient mClient;
+    private final WebClient mKeptClient;
     private final long mTimeoutMillis;
     private final EngineJson mJson = new EngineJson();
 
@@ -35,11 +36,13 @@
      * @param connections opens the connections
      * @param engine the engine
      * @param timeoutMillis longest wait for an answer, in milliseconds; a prefill, an order and a
-     *     decode wait as long as their calls say
+     *     decode wait as long as their calls say, and a read that fails over a kept connection is
+     *     made a second time over a new one
      */
     public HttpEngineClient(
             BackendConnections connections, BackendSpec engine, long timeoutMillis) {
         mClient = connections.client(engine);
+        mKeptClient = connections.keptClient(engine);
         mTimeoutMillis = timeoutMillis;
     }
 
@@ -105,20 +108,40 @@
 
     private <B, T> CompletableFuture<Either<EngineFailure, T>> read(
             String path, Class<B> type, Function<B, Either<EngineFailure, T>> result) {
-        return ask(HttpRequest.of(HttpMethod.GET, path), mTimeoutMillis, type)
+        return readOver(mKeptClient, path, type)
+                .thenCompose(
+                        answer ->
+                                answer.isLeft() && keptConnectionSuspect(answer.getLeft())
+                                        ? readOver(mClient, path, type)
+                                        : CompletableFuture.completedFuture(answer))
                 .thenApply(answer -> answer.flatMap(result));
     }
 
+    // Failure: a kept connection went silent, or was closed by the engine just now, and a sound
+    // engine would look dead. Only a failure over a new connection speaks of the engine itself.
+    private static boolean keptConnectionSuspect(EngineFailure failure) {
+        return failure instanceof EngineFailure.TimedOut
+                || failure instanceof EngineFailure.Unreachable unreachable
+                        && unreachable.connected();
+    }
+
+    private <B> CompletableFuture<Either<EngineFailure, B>> readOver(
+            WebClient client, String path, Class<B> type) {
+        return ask(client, HttpRequest.of(HttpMethod.GET, path), mTimeoutMillis, type);
+    }
+
     private <B> CompletableFuture<Either<EngineFailure, B>> ask(
             HttpRequest request, long timeoutMillis, Class<B> type) {
+        return ask(mClient, request, timeoutMillis, type);
+    }
+
+    private <B> CompletableFuture<Either<EngineFailure, B>> ask(
+            WebClient client, HttpRequest request, long timeoutMillis, Class<B> type) {
+        RequestOptions options =
+                RequestOptions.builder().responseTimeoutMillis(timeoutMillis).build();
         try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
             CompletableFuture<AggregatedHttpResponse> answer =
-                    mClient.execute(
-                                    request,
-                                    RequestOptions.builder()
-                                            .responseTimeoutMillis(timeoutMillis)
-                                            .build())
-                            .aggregate();
+                    client.execute(request, options).aggregate();
             ClientRequestContext context = captor.get();
             return answer.handle(
                     (response, failure) ->
--- a/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/model/HttpEngineClientTest.java
+++ b/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/model/HttpEngineClientTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import org.cyclamenpaddle.core.config.BackendRole;
 import org.cyclamenpaddle.core.id.AttemptId;
@@ -22,6 +23,7 @@
 
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final long SHORT_TIMEOUT_MILLIS = 300;
+    private static final long READ_TIMEOUT_MILLIS = 3_000;
     private static final AttemptId ATTEMPT = new AttemptId("ahm-1:1:1");
     private static final PrefillCall PREFILL =
             new PrefillCall(ATTEMPT, "lot 7", List.of("a"), 2, TIMEOUT_MILLIS);
@@ -151,6 +153,32 @@
         }
     }
 
+    @Test
+    public void readOverSilentKeptConnectionIsMadeOnceMoreOverNewOne() throws Exception {
+        // A sound engine would be held for dead. The kept connection answers once and then goes
+        // silent; the next read times out on it, is made again over a new connection, and the
+        // silent one is closed and used no more.
+        CountDownLatch closed = new CountDownLatch(1);
+        try (RawServer server =
+                new RawServer(
+                        (socket, number) -> {
+                            RawServer.readRequest(socket);
+                            RawServer.answer(socket, 200, STATE);
+                            if (number == 1) {
+                                RawServer.readRequest(socket);
+                                if (socket.getInputStream().read() < 0) {
+                                    closed.countDown();
+                                }
+                            }
+                        })) {
+            EngineClient client = client(server, READ_TIMEOUT_MILLIS);
+            assertTrue(client.state().join().isRight());
+            assertTrue(client.state().join().isRight());
+            assertEquals(server.connections(), 2);
+            closed.await();
+        }
+    }
+
     private <T> void assertAnswer(
             Function<EngineClient, CompletableFuture<Either<EngineFailure, T>>> call,
             String request,
