--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/HoldCurve.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/HoldCurve.java
@@ -20,7 +20,7 @@
     private final double[] mLongerThanBin = new double[BINS + 1];
 
     private double mSamples;
-    private boolean mStale;
+    private boolean mStale = true;
 
     /** Takes in an attempt that ended. */
     void ended(long expectedMillis, long actualMillis) {
@@ -55,11 +55,6 @@
     }
 
     private double longerThan(double ratio) {
-        double prior = PRIOR_SAMPLES * Math.exp(-ratio);
-        return prior + samplesLongerThan(ratio);
-    }
-
-    private double samplesLongerThan(double ratio) {
         if (mStale) {
             sum();
         }
@@ -70,13 +65,19 @@
     }
 
     private void sum() {
-        mLongerThanBin[BINS] = 0;
+        double samples = 0;
+        mLongerThanBin[BINS] = prior(BINS);
         for (int bin = BINS - 1; bin >= 0; bin--) {
-            mLongerThanBin[bin] = mLongerThanBin[bin + 1] + mEndedInBin[bin];
+            samples += mEndedInBin[bin];
+            mLongerThanBin[bin] = samples + prior(bin);
         }
         mStale = false;
     }
 
+    private static double prior(int bin) {
+        return PRIOR_SAMPLES * Math.exp(-(double) bin / BINS_PER_UNIT);
+    }
+
     private void halve() {
         mSamples /= 2;
         for (int bin = 0; bin < BINS; bin++) {
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerRandomTest.java
@@ -0,0 +1,182 @@
+package org.cyclamenpaddle.routing.grant;
+
+import static org.cyclamenpaddle.routing.Fixtures.decodeAsk;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenpaddle.core.config.BackendRole;
+import org.cyclamenpaddle.core.id.AttemptId;
+import org.cyclamenpaddle.core.message.GrantAnswer;
+import org.cyclamenpaddle.core.message.GrantAsk;
+import org.cyclamenpaddle.core.message.GrantDecision;
+import org.cyclamenpaddle.core.message.LedgerSummary;
+import org.cyclamenpaddle.core.time.VirtualClock;
+import org.cyclamenpaddle.routing.Fixtures;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Random asks, repeats, late ends, lost ends, engine lists and changes of owner, over a full engine
+ * whose attempts run for random times.
+ */
+public class GrantLedgerRandomTest {
+
+    private static final int SLOTS = 20;
+    private static final int STEPS = 6_000;
+    private static final long LATEST = 400;
+
+    private final VirtualClock mClock = new VirtualClock(0);
+    private final Map<AttemptId, Long> mEndsAt = new HashMap<>();
+    private final Map<AttemptId, GrantAsk> mGranted = new HashMap<>();
+    private final Set<AttemptId> mEnded = new HashSet<>();
+
+    private UniformRandomProvider mRandom;
+    private GrantLedger mLedger;
+    private int mLateStarts;
+    private int mStarts;
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}};
+    }
+
+    @Test(dataProvider = "seeds")
+    public void keepsItsPromises(long seed) {
+        mRandom = Fixtures.random(seed);
+        mEndsAt.clear();
+        mGranted.clear();
+        mEnded.clear();
+        mLateStarts = 0;
+        mStarts = 0;
+        mLedger = newLedger();
+        for (int step = 0; step < STEPS; step++) {
+            mClock.advance(mRandom.nextInt(20));
+            endRunning();
+            startDue();
+            ask(step);
+            if (step % 100 == 0) {
+                mLedger.observe(engineList(), now());
+            }
+            if (step % 2_000 == 1_999) {
+                changeOwner();
+            }
+            checkSummary();
+        }
+        assertTrue(mStarts > 500, "starts " + mStarts);
+        assertTrue(mLateStarts < mStarts / 4, mLateStarts + " late of " + mStarts);
+    }
+
+    private void ask(int number) {
+        GrantAsk ask = decodeAsk(number, mRandom.nextInt(150), LATEST, 1_000);
+        GrantAnswer answer = mLedger.ask(ask, now());
+        assertEquals(mLedger.ask(ask, now()), answer, "asked twice");
+        boolean granted = answer.decision() == GrantDecision.GRANTED;
+        assertEquals(mLedger.attempts().contains(ask.attempt()), granted);
+        if (granted) {
+            assertTrue(answer.startInMillis() <= LATEST, "start " + answer);
+            assertTrue(answer.startInMillis() >= ask.neededInMillis(), "start " + answer);
+            mGranted.put(ask.attempt(), promised(ask, answer));
+        }
+    }
+
+    private GrantAsk promised(GrantAsk ask, GrantAnswer answer) {
+        long startsAt = now() + answer.startInMillis();
+        return new GrantAsk(
+                ask.attempt(), ask.backend(), ask.role(), 0, 1, 0, startsAt, LATEST, 1_000);
+    }
+
+    private void startDue() {
+        List<GrantAsk> due =
+                mGranted.values().stream().filter(ask -> ask.neededInMillis() <= now()).toList();
+        for (GrantAsk ask : due) {
+            if (mEndsAt.size() < SLOTS) {
+                mGranted.remove(ask.attempt());
+                mStarts++;
+                mLateStarts += now() - ask.neededInMillis() > 100 ? 1 : 0;
+                mEndsAt.put(ask.attempt(), now() + 100 + mRandom.nextInt(1_800));
+            } else if (now() - ask.neededInMillis() > LATEST) {
+                mGranted.remove(ask.attempt());
+                mLateStarts++;
+                end(ask.attempt());
+            }
+        }
+    }
+
+    private void endRunning() {
+        List<AttemptId> over =
+                mEndsAt.keySet().stream().filter(id -> mEndsAt.get(id) <= now()).sorted().toList();
+        for (AttemptId attempt : over) {
+            mEndsAt.remove(attempt);
+            boolean lost = mRandom.nextInt(50) == 0;
+            if (!lost) {
+                end(attempt);
+            }
+        }
+    }
+
+    private void end(AttemptId attempt) {
+        mLedger.end(attempt, now());
+        mEnded.add(attempt);
+        assertEquals(
+                mLedger.ask(again(attempt), now()).decision(), GrantDecision.UNAVAILABLE, "ended");
+    }
+
+    private void changeOwner() {
+        mLedger = newLedger();
+        mLedger.recoverUntil(now() + 500);
+        assertEquals(
+                mLedger.ask(decodeAsk(1_000_000, 0, LATEST, 1), now()).decision(),
+                GrantDecision.UNAVAILABLE);
+        mLedger.observe(engineList(), now());
+        for (GrantAsk ask : new ArrayList<>(mGranted.values())) {
+            long startsIn = ask.neededInMillis() - now();
+            mLedger.register(
+                    new GrantAsk(
+                            ask.attempt(),
+                            ask.backend(),
+                            ask.role(),
+                            0,
+                            1,
+                            0,
+                            startsIn,
+                            LATEST,
+                            1_000),
+                    now());
+        }
+        assertEquals(mLedger.attempts().size(), mEndsAt.size() + mGranted.size());
+    }
+
+    private void checkSummary() {
+        LedgerSummary summary = mLedger.summary(now());
+        assertTrue(summary.freeSlots() >= 0 && summary.freeSlots() <= SLOTS, "" + summary);
+        assertTrue(summary.freePieces() >= 0 && summary.freeInMillis() >= 0, "" + summary);
+        int known = mLedger.attempts().size();
+        assertTrue(summary.freeSlots() <= Math.max(0, SLOTS - known), summary + " of " + known);
+    }
+
+    private List<ObservedAttempt> engineList() {
+        return mEndsAt.keySet().stream()
+                .map(id -> new ObservedAttempt(id, BackendRole.DECODE, 1, false))
+                .toList();
+    }
+
+    private GrantAsk again(AttemptId attempt) {
+        return new GrantAsk(attempt, Fixtures.id(1), BackendRole.DECODE, 0, 1, 0, 0, LATEST, 1_000);
+    }
+
+    private GrantLedger newLedger() {
+        return new GrantLedger(
+                Fixtures.backend(1, SLOTS), BackendRole.DECODE, LedgerSettings.DEFAULTS);
+    }
+
+    private long now() {
+        return mClock.millis();
+    }
+}
