--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
@@ -103,9 +103,12 @@
                         .toList();
         long begin = fromMillis;
         for (long next : starts) {
-            long first = firstRoom(wanted, held, new Interval(begin, next), nowMillis);
-            if (first < next && leavesRoomLater(wanted, held, first, nowMillis)) {
-                return first;
+            if (fitsAt(wanted, held, next - 1, 0, nowMillis)) {
+                Interval stretch = new Interval(begin, next - 1);
+                long first = firstRoom(wanted, held, stretch, nowMillis);
+                if (leavesRoomLater(wanted, held, first, nowMillis)) {
+                    return first;
+                }
             }
             begin = next;
         }
@@ -113,7 +116,7 @@
         return firstRoom(wanted, held, rest, nowMillis);
     }
 
-    /** Returns the first instant of a stretch with room, or its end if there is none. */
+    /** Returns the first instant of a stretch with room, its end taken to have room. */
     private long firstRoom(
             Wanted wanted, Collection<Reservation> held, Interval stretch, long nowMillis) {
         long low = stretch.startMillis();
