--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/CallerGoneTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/CallerGoneTest.java
@@ -54,7 +54,8 @@
         Await.until("engines hold nothing", () -> mFleet.heldPieces() == 0);
     }
 
-    // The caller leaves while the prefill of a long prompt, 0.6 s, is computed, before any token. The
+    // The caller leaves while the prefill of a long prompt, 0.6 s, is computed, before any token.
+    // The
     // prefill must be cancelled and no decode started for it.
     @Test
     public void freesMemoryWhenCallerLeavesDuringPrefill() {
