--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -50,15 +50,19 @@
 import org.cyclamenpaddle.router.peering.PeerDispatch;
 import org.cyclamenpaddle.router.request.Decisions;
 import org.cyclamenpaddle.router.request.HostEnvironment;
+import org.cyclamenpaddle.router.request.Learning;
 import org.cyclamenpaddle.router.request.ModelRequests;
 import org.cyclamenpaddle.router.request.RequestServices;
 import org.cyclamenpaddle.router.settings.RouterSettings;
 import org.cyclamenpaddle.router.worker.Workers;
 import org.cyclamenpaddle.routing.admission.Admission;
 import org.cyclamenpaddle.routing.admission.AdmissionSettings;
+import org.cyclamenpaddle.routing.expect.OutputLengthEstimator;
+import org.cyclamenpaddle.routing.limit.ConcurrencyLimit;
 import org.cyclamenpaddle.routing.placement.PlacementPolicy;
 import org.cyclamenpaddle.routing.quarantine.Quarantine;
 import org.cyclamenpaddle.routing.quarantine.QuarantineSettings;
+import org.cyclamenpaddle.routing.queue.TeamShares;
 import org.cyclamenpaddle.routing.request.RequestSettings;
 import org.cyclamenpaddle.routing.retry.RetryBudget;
 
@@ -69,6 +73,9 @@
     private static final long MILLIS_PER_HOUR = 3_600_000;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final long FAR_DOMAIN_MILLIS = 2;
+    private static final double LENGTH_QUANTILE = 0.7;
+    private static final int LENGTH_SOURCES = 4_096;
+    private static final double SCARCE_FROM = 0.8;
     private static final int EXPLAINED_REQUESTS = 10_000;
     private static final int DECISIONS_KEPT = 64;
 
@@ -95,6 +102,7 @@
     private final EngineMonitor mEngineMonitor;
     private final PrefixMonitor mPrefixes;
     private final RetryBudget mRetries;
+    private final Learning mLearning;
     private final HostEnvironment mEnvironment;
     private final ModelRequests mRequests;
     private final PlainServiceClient mPlainClient;
@@ -123,6 +131,7 @@
                 new EngineMonitor(mLedgers, mClients, mMembership, mBlackboard, mClock, log);
         mPrefixes = new PrefixMonitor(mBlackboard, mClients, settings.host().failureDomain());
         mRetries = new RetryBudget(retrySettings());
+        mLearning = learning();
         mEnvironment = environment();
         mRequests = modelRequests();
         mPlainClient = new PlainServiceClient(mConnections);
@@ -293,16 +302,25 @@
                 random(2));
     }
 
+    private Learning learning() {
+        return new Learning(
+                new OutputLengthEstimator(LENGTH_QUANTILE, LENGTH_SOURCES),
+                new ConcurrencyLimit(
+                        new ConcurrencyLimit.Settings(
+                                mSettings.limits().concurrentRequests(), SCARCE_FROM),
+                        TeamShares.EQUAL),
+                mSettings.routing().expectedOutputTokens());
+    }
+
     private HostEnvironment environment() {
         PlacementPolicy policy = mSettings.routing().policy();
-        int expected = mSettings.routing().expectedOutputTokens();
         Decisions decisions =
                 new Decisions(
                         policy,
                         new Admission(policy, AdmissionSettings.DEFAULTS),
                         mRetries,
                         mPrefixes,
-                        shape -> Math.min(shape.maxTokens(), expected),
+                        mLearning,
                         (from, to) -> from.equals(to) ? 0 : FAR_DOMAIN_MILLIS);
         return new HostEnvironment(
                 mSelf,
@@ -334,7 +352,7 @@
                         defaults.recoveryMillis(),
                         defaults.maxDecodeChoices(),
                         defaults.maxPlacements());
-        return new ModelRequests(services, mEnvironment, bounds, mDecisionLog::record);
+        return new ModelRequests(services, mEnvironment, bounds, mDecisionLog::record, mLearning);
     }
 
     private long retentionMillis() {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/Decisions.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/Decisions.java
@@ -12,7 +12,7 @@
  * @param admission whether a request is taken at all
  * @param retries budget of retries, locked by its own monitor
  * @param prefixes hints of cached prefixes
- * @param expectedOutput expected length of answers
+ * @param learning expected lengths and limits
  * @param distances times between failure domains
  */
 public record Decisions(
@@ -20,5 +20,5 @@
         Admission admission,
         RetryBudget retries,
         PrefixHints prefixes,
-        ExpectedOutput expectedOutput,
+        Learning learning,
         DomainDistances distances) {}
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
@@ -44,7 +44,7 @@
     private final Admission mAdmission;
     private final RetryBudget mRetries;
     private final PrefixHints mPrefixes;
-    private final ExpectedOutput mExpectedOutput;
+    private final Learning mLearning;
     private final DomainDistances mDistances;
     private final LossListener mLosses;
     private final UniformRandomProvider mRandom;
@@ -75,7 +75,7 @@
         mAdmission = decisions.admission();
         mRetries = decisions.retries();
         mPrefixes = decisions.prefixes();
-        mExpectedOutput = decisions.expectedOutput();
+        mLearning = decisions.learning();
         mDistances = decisions.distances();
         mLosses = losses;
         mRandom = random;
@@ -101,6 +101,10 @@
             return quarantined.map(
                     millis -> new Refusal(RefusalReason.QUARANTINED, "", Math.max(1, millis)));
         }
+        Optional<Refusal> overLimit = mLearning.begin(shape);
+        if (overLimit.isPresent()) {
+            return overLimit;
+        }
         synchronized (mRetries) {
             mRetries.freshRequest(shape.service(), now);
         }
@@ -140,7 +144,7 @@
             long now) {
         PlacementRequest request = request(shape, 0, shape.firstTokenMillis());
         PlacementView view = view(shape, excluded, now);
-        int expected = mExpectedOutput.tokens(shape);
+        int expected = mLearning.tokens(shape);
         synchronized (mRandom) {
             return choices(
                     shape,
@@ -208,7 +212,7 @@
     }
 
     private PlacementRequest request(RequestShape shape, int generated, long millisLeft) {
-        int expected = mExpectedOutput.tokens(shape);
+        int expected = mLearning.tokens(shape);
         long tokens = shape.promptTokens() + (long) generated + expected;
         return new PlacementRequest(
                 shape.service(),
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/ModelRequests.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/ModelRequests.java
@@ -19,6 +19,7 @@
     private final RequestEnvironment mEnvironment;
     private final RequestSettings mSettings;
     private final StepRecorder mRecorder;
+    private final Learning mLearning;
     private final Map<RequestId, RequestRun> mRuns = new ConcurrentHashMap<>();
 
     /**
@@ -40,16 +41,19 @@
      * @param environment what state machines decide by
      * @param settings bounds on the steps of a request
      * @param recorder keeps the steps for operators
+     * @param learning learns from answers
      */
     public ModelRequests(
             RequestServices services,
             RequestEnvironment environment,
             RequestSettings settings,
-            StepRecorder recorder) {
+            StepRecorder recorder,
+            Learning learning) {
         mServices = services;
         mEnvironment = environment;
         mSettings = settings;
         mRecorder = recorder;
+        mLearning = learning;
     }
 
     /** Starts a request; its answer goes to the sink. */
@@ -69,7 +73,7 @@
                         mServices,
                         new RequestMachine(shape, mSettings, mEnvironment),
                         journal,
-                        new ReleasingSink(call.id(), sink));
+                        new ReleasingSink(shape, sink));
         mRuns.put(call.id(), run);
         mServices.blackboard().requests().write(table -> table.requests(1));
         run.start();
@@ -101,11 +105,11 @@
     /** Forgets the run when it ends. */
     private final class ReleasingSink implements AnswerSink {
 
-        private final RequestId mId;
+        private final RequestShape mShape;
         private final AnswerSink mSink;
 
-        ReleasingSink(RequestId id, AnswerSink sink) {
-            mId = id;
+        ReleasingSink(RequestShape shape, AnswerSink sink) {
+            mShape = shape;
             mSink = sink;
         }
 
@@ -117,6 +121,7 @@
         @Override
         public void finished(int tokens, String finishReason) {
             release();
+            mLearning.completed(mShape, tokens);
             mSink.finished(tokens, finishReason);
         }
 
@@ -127,7 +132,8 @@
         }
 
         private void release() {
-            mRuns.remove(mId);
+            mRuns.remove(mShape.id());
+            mLearning.end(mShape.id());
             mServices.blackboard().requests().write(table -> table.requests(-1));
         }
     }
