--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineStreamListener.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineStreamListener.java
@@ -4,7 +4,8 @@
  * Hears the events of one decode stream, one at a time and in order.
  *
  * <p>Exactly one of {@link #onEnd}, {@link #onFailed} and {@link #onBroken} comes last, unless the
- * stream is closed before. Callbacks run on an I/O thread and must not block.
+ * stream is closed before. Callbacks run on an I/O thread, perhaps before the call that opened the
+ * stream has returned, and must not block.
  */
 public interface EngineStreamListener {
 
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/plain/PlainServiceClient.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/plain/PlainServiceClient.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import io.vavr.control.Try;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.engine.http.BackendConnections;
@@ -38,15 +39,25 @@
      * Forwards a call once; it is never sent again from here.
      *
      * @param backend the plain service instance
-     * @param call the call
+     * @param call the call; one that HTTP has no form for, such as an unknown method, is not sent
      * @return completes with a result in every case; never exceptionally
      */
     public CompletableFuture<PlainResult> call(BackendSpec backend, PlainRequest call) {
+        return Try.of(() -> request(call))
+                .map(request -> send(backend, request, call.timeoutMillis()))
+                .getOrElseGet(
+                        unfit ->
+                                CompletableFuture.completedFuture(
+                                        new PlainResult.NothingSent(String.valueOf(unfit))));
+    }
+
+    private CompletableFuture<PlainResult> send(
+            BackendSpec backend, HttpRequest request, long timeoutMillis) {
         RequestOptions options =
-                RequestOptions.builder().responseTimeoutMillis(call.timeoutMillis()).build();
+                RequestOptions.builder().responseTimeoutMillis(timeoutMillis).build();
         try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
             CompletableFuture<AggregatedHttpResponse> answer =
-                    mConnections.client(backend).execute(request(call), options).aggregate();
+                    mConnections.client(backend).execute(request, options).aggregate();
             ClientRequestContext context = captor.get();
             return answer.handle(
                     (response, failure) ->
--- a/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/plain/PlainServiceClientTest.java
+++ b/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/plain/PlainServiceClientTest.java
@@ -98,6 +98,25 @@
         assertTrue(result instanceof PlainResult.NothingSent, result.toString());
     }
 
+    @Test
+    public void callThatHttpHasNoFormForIsNotSent() throws Exception {
+        PlainRequest good = request(LONG_TIMEOUT_MILLIS);
+        PlainRequest unknownMethod =
+                new PlainRequest(
+                        good.attempt(),
+                        "BOOK",
+                        good.pathAndQuery(),
+                        good.contentType(),
+                        good.body(),
+                        good.idempotencyKey(),
+                        good.timeoutMillis());
+        try (RawServer server = hanging()) {
+            PlainResult result = mClient.call(server.spec(), unknownMethod).join();
+            assertTrue(result instanceof PlainResult.NothingSent, result.toString());
+            assertEquals(server.connections(), 0);
+        }
+    }
+
     @Test
     public void serverThatClosesAfterOneByteMayHaveRunTheCall() throws Exception {
         // The caller books a lot, the service reads and dies before it answers. Whether it booked
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
@@ -157,6 +157,9 @@
      */
     public CompletableFuture<Optional<HostRecord>> hello(
             String address, int port, long timeoutMillis) {
+        if (mClosed) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         CompletableFuture<Optional<HostRecord>> answered = new CompletableFuture<>();
         OutgoingConnection.Events events =
                 (context, frame) ->
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/PeerNetworkTest.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/PeerNetworkTest.java
@@ -101,6 +101,18 @@
         }
     }
 
+    @Test
+    public void closedNetworkRefusesAtOnce() throws Exception {
+        Node a = node("a", SILENT);
+        a.close();
+        HostRecord other = host("b", 1);
+        a.network().send(other, claimAsk("key"));
+        assertEquals(
+                a.network().ask(other, claimAsk("key"), PATIENCE_MILLIS).get().getLeft(),
+                PeerError.CLOSED);
+        assertFalse(a.network().probe(other, PATIENCE_MILLIS).get());
+    }
+
     static ClaimAsk claimAsk(String key) {
         return new ClaimAsk(new ServiceName("spot-book"), key);
     }
