--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/HttpObjectStoreTest.java
+++ b/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/HttpObjectStoreTest.java
@@ -10,7 +10,9 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -149,6 +151,24 @@
         }
     }
 
+    @Test
+    public void platformThatHangsUpMayHaveTakenTheWrite() throws Exception {
+        // A claim would be told as not made though it stands. The platform reads the write and its
+        // connection breaks before the answer.
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                HttpObjectStore store =
+                        new HttpObjectStore("127.0.0.1", socket.getLocalPort(), TIMEOUT_MILLIS)) {
+            CompletableFuture<Either<PlatformError, WriteResult>> answer =
+                    store.put(KEY, "v", WritePrecondition.absent());
+            try (Socket connection = socket.accept()) {
+                connection.getInputStream().read();
+            }
+            PlatformError error = await(answer).getLeft();
+            assertTrue(error instanceof PlatformError.Unreachable, error.toString());
+            assertTrue(error.mayHaveTakenEffect());
+        }
+    }
+
     private static PlatformError writeError(HttpResponse response) throws Exception {
         try (FakePlatform platform = new FakePlatform(request -> response);
                 HttpObjectStore store =
