Ask the engine for the whole answer's length; word grants as measured; split the request machine

Cause: the protocol counts maxTokens from index 0, but the machine passed the tokens still to come. After a crash in the middle the answer of the second engine ended early, and a caller would have taken 110 tokens for 120. The test crashed the engine during the import and so missed it; it now waits for ten tokens, was seen failing (BrokenEngineTest.answerIsWholeAfterDecodeEngineCrash), and the seeded run's fake now honours the length too.

The search for a pair is a class of its own, and what a failure says of an engine stands on the enum.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
@@ -3,10 +3,10 @@
 import io.vavr.control.Either;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenpaddle.core.config.BackendRole;
@@ -16,11 +16,13 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.message.GrantAsk;
 import org.cyclamenpaddle.core.outcome.Refusal;
 import org.cyclamenpaddle.core.outcome.RefusalReason;
 import org.cyclamenpaddle.core.outcome.RetryReason;
 import org.cyclamenpaddle.router.blackboard.Blackboard;
 import org.cyclamenpaddle.routing.admission.Admission;
+import org.cyclamenpaddle.routing.admission.GrantAsks;
 import org.cyclamenpaddle.routing.placement.BackendView;
 import org.cyclamenpaddle.routing.placement.Candidate;
 import org.cyclamenpaddle.routing.placement.CostFactors;
@@ -124,14 +126,8 @@
             RequestShape shape, int generated, Set<BackendId> excluded, long now) {
         PlacementRequest request = request(shape, generated, shape.firstTokenMillis());
         PlacementView view = view(shape, excluded, now);
-        int tokens = shape.promptTokens() + generated;
         synchronized (mRandom) {
-            return choices(
-                    shape,
-                    mPolicy.rankPrefill(request, view, mRandom),
-                    candidate -> tokens - candidate.cachedTokens(),
-                    Candidate::predictedMillis,
-                    now);
+            return choices(shape, mPolicy.rankPrefill(request, view, mRandom), now);
         }
     }
 
@@ -144,15 +140,37 @@
             long now) {
         PlacementRequest request = request(shape, 0, shape.firstTokenMillis());
         PlacementView view = view(shape, excluded, now);
-        int expected = mLearning.tokens(shape);
         synchronized (mRandom) {
-            return choices(
-                    shape,
-                    mPolicy.rankDecode(request, view, mRandom, neededInMillis),
-                    candidate -> expected,
-                    candidate -> expected * tokenMillis(candidate.backend()),
-                    now);
+            return choices(shape, mPolicy.rankDecode(request, view, mRandom, neededInMillis), now);
+        }
+    }
+
+    @Override
+    public GrantAsk prefillAsk(
+            AttemptId attempt, RequestShape shape, int generated, Choice choice, long millisLeft) {
+        return GrantAsks.DEFAULTS.prefill(
+                attempt, request(shape, generated, millisLeft), candidate(choice), millisLeft);
+    }
+
+    @Override
+    public GrantAsk decodeAsk(
+            AttemptId attempt,
+            RequestShape shape,
+            int generated,
+            Choice choice,
+            BackendId prefill,
+            long prefillEndInMillis,
+            long millisLeft) {
+        Map<BackendId, BackendSpec> backends = mBlackboard.view().backends();
+        PlacementRequest request = request(shape, generated, millisLeft);
+        BackendSpec decode = backends.get(choice.backend());
+        BackendSpec source = backends.get(prefill);
+        if (decode == null || source == null) {
+            // Deleted since it was ranked; its owner will refuse.
+            return GrantAsks.DEFAULTS.prefill(attempt, request, candidate(choice), 0);
         }
+        return GrantAsks.DEFAULTS.decode(
+                attempt, request, decode, source, prefillEndInMillis, millisLeft);
     }
 
     @Override
@@ -173,11 +191,7 @@
     }
 
     private Either<Refusal, List<Choice>> choices(
-            RequestShape shape,
-            List<Candidate> ranked,
-            java.util.function.ToIntFunction<Candidate> tokens,
-            ToLongFunction<Candidate> hold,
-            long now) {
+            RequestShape shape, List<Candidate> ranked, long now) {
         if (ranked.isEmpty()) {
             return Either.left(noChoice(shape, now));
         }
@@ -188,11 +202,14 @@
                                         new Choice(
                                                 candidate.backend(),
                                                 candidate.predictedMillis(),
-                                                Math.max(0, tokens.applyAsInt(candidate)),
-                                                Math.max(0, hold.applyAsLong(candidate))))
+                                                candidate.cachedTokens()))
                         .collect(Collectors.toList()));
     }
 
+    private static Candidate candidate(Choice choice) {
+        return new Candidate(choice.backend(), choice.predictedMillis(), choice.cachedTokens());
+    }
+
     private Refusal noChoice(RequestShape shape, long now) {
         return mBlackboard
                 .suspects()
@@ -205,12 +222,6 @@
                                         "No backend server of " + shape.service() + " is left."));
     }
 
-    private long tokenMillis(BackendId backend) {
-        return Optional.ofNullable(mBlackboard.view().backends().get(backend))
-                .map(BackendSpec::tokenMillis)
-                .orElse(0L);
-    }
-
     private PlacementRequest request(RequestShape shape, int generated, long millisLeft) {
         int expected = mLearning.tokens(shape);
         long tokens = shape.promptTokens() + (long) generated + expected;
--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/BrokenEngineTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/BrokenEngineTest.java
@@ -4,9 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.http.HttpResponse;
-import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.router.fixture.Await;
 import org.cyclamenpaddle.router.fixture.Caller;
+import org.cyclamenpaddle.router.fixture.OpenAnswer;
 import org.cyclamenpaddle.router.fixture.TestFleet;
 import org.cyclamenpaddle.standins.engine.AnswerText;
 import org.cyclamenpaddle.standins.engine.EngineSettings;
@@ -37,14 +37,13 @@
     // already sent. The caller sees one whole answer, token for token that of no failure.
     @Test
     public void answerIsWholeAfterDecodeEngineCrash() {
-        CompletableFuture<HttpResponse<String>> answer =
-                mFleet.caller("h1").completeLater(PROMPT, TOKENS);
+        OpenAnswer answer = mFleet.caller("h1").stream(PROMPT, TOKENS).awaitEvents(10);
         int busy = busyDecode();
         mFleet.decode(busy).restartAfterCrash(200);
 
         mFleet.decode(busy).crash();
 
-        assertEquals(Caller.text(answer.join().body()), AnswerText.whole(PROMPT, TOKENS));
+        assertEquals(answer.text(), AnswerText.whole(PROMPT, TOKENS));
         Await.until("engines hold nothing", () -> mFleet.heldPieces() == 0);
     }
 
@@ -53,13 +52,11 @@
     // index by a new connection.
     @Test
     public void answerIsWholeAfterOpenStreamsGoSilent() {
-        CompletableFuture<HttpResponse<String>> answer =
-                mFleet.caller("h1").completeLater(PROMPT, TOKENS);
-        int busy = busyDecode();
+        OpenAnswer answer = mFleet.caller("h1").stream(PROMPT, TOKENS).awaitEvents(10);
 
-        mFleet.decode(busy).silenceStreams();
+        mFleet.decode(busyDecode()).silenceStreams();
 
-        assertEquals(Caller.text(answer.join().body()), AnswerText.whole(PROMPT, TOKENS));
+        assertEquals(answer.text(), AnswerText.whole(PROMPT, TOKENS));
     }
 
     // The first transfer stalls. Its deadline passes, the attempt is cancelled, and the request is
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/Choice.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/Choice.java
@@ -7,8 +7,6 @@
  *
  * @param backend the backend server
  * @param predictedMillis when its part of the work is predicted to be done, from now
- * @param uncachedTokens for prefill: tokens to compute; for decode: tokens expected to come
- * @param holdMillis how long the work is expected to hold its room
+ * @param cachedTokens tokens of the prompt believed to be cached there; 0 for decode
  */
-public record Choice(
-        BackendId backend, long predictedMillis, int uncachedTokens, long holdMillis) {}
+public record Choice(BackendId backend, long predictedMillis, int cachedTokens) {}
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEffect.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEffect.java
@@ -63,7 +63,7 @@
      * @param source the prefill attempt
      * @param sourceBackend the prefill server
      * @param firstIndex index of the first token to come
-     * @param maxTokens tokens still to generate
+     * @param maxTokens most tokens of the whole answer, counted from index 0
      * @param transferMillis longest transfer
      */
     record StartDecode(
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEnvironment.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestEnvironment.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.message.GrantAsk;
 import org.cyclamenpaddle.core.outcome.Refusal;
 import org.cyclamenpaddle.core.outcome.RetryReason;
 
@@ -46,6 +47,32 @@
             Set<BackendId> excluded,
             long now);
 
+    /**
+     * Words the ask for a prefill server.
+     *
+     * @param generated tokens already sent to the caller
+     * @param millisLeft until the first token, or the next one, is due
+     */
+    GrantAsk prefillAsk(
+            AttemptId attempt, RequestShape shape, int generated, Choice choice, long millisLeft);
+
+    /**
+     * Words the ask for a decode server.
+     *
+     * @param generated tokens already sent to the caller
+     * @param prefill where the prefill runs
+     * @param prefillEndInMillis when prefill and transfer are expected to have ended
+     * @param millisLeft until the first token, or the next one, is due
+     */
+    GrantAsk decodeAsk(
+            AttemptId attempt,
+            RequestShape shape,
+            int generated,
+            Choice choice,
+            BackendId prefill,
+            long prefillEndInMillis,
+            long millisLeft);
+
     /** Takes one retry from the service's budget; returns whether there was one. */
     boolean mayRetry(RequestShape shape, RetryReason reason, long now);
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
@@ -1,12 +1,8 @@
 package org.cyclamenpaddle.routing.request;
 
-import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import org.cyclamenpaddle.core.config.BackendRole;
-import org.cyclamenpaddle.core.config.BackendSpec;
+import java.util.Optional;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.invariant.Invariants;
@@ -34,20 +30,14 @@
     private final RequestEnvironment mEnvironment;
     private final AnswerRelay mRelay = new AnswerRelay();
     private final OpenWork mOpen = new OpenWork();
-    private final Set<BackendId> mFailed = new HashSet<>();
-    private final Set<BackendId> mRefused = new HashSet<>();
+    private final PlacementRound mRound;
 
     private List<RequestEffect> mEffects = new ArrayList<>();
     private RequestPhase mPhase = RequestPhase.NEW;
-    private Placed mPrefill;
-    private Placed mDecode;
-    private long mPlaceBy;
     private long mResultUntil;
     private int mUnusedTokens;
     private int mPlacements;
-    private int mDecodeChoices;
     private int mResumes;
-    private long mSoonestMillis = Long.MAX_VALUE;
     private long mTimerGeneration;
     private long mLastProgress;
 
@@ -63,6 +53,7 @@
         mShape = shape;
         mSettings = settings;
         mEnvironment = environment;
+        mRound = new PlacementRound(shape, environment, settings.maxDecodeChoices());
     }
 
     /** Returns where the request stands. */
@@ -78,7 +69,7 @@
     /** Admits and places the request; called once. */
     public List<RequestEffect> start(long now) {
         Invariants.require(mPhase == RequestPhase.NEW, () -> mShape.id() + " started twice");
-        mPlaceBy = now + mShape.firstTokenMillis();
+        mRound.begin(now + mShape.firstTokenMillis());
         mEnvironment.admit(mShape, now).ifPresentOrElse(this::endRefused, () -> placePrefill(now));
         return drain();
     }
@@ -86,22 +77,18 @@
     /** Takes an owner's answer. */
     public List<RequestEffect> onGrantAnswer(GrantAnswer answer, long now) {
         boolean granted = answer.decision() == GrantDecision.GRANTED;
-        if (mPhase == RequestPhase.PLACING_PREFILL && isCurrent(mPrefill, answer.attempt())) {
-            if (granted) {
-                mPrefill = mPrefill.readyAt(now + answer.endInMillis());
-                startPlacingDecode(now);
-            } else {
-                grantRefused(answer, now);
-            }
-        } else if (mPhase == RequestPhase.PLACING_DECODE && isCurrent(mDecode, answer.attempt())) {
-            if (granted) {
-                mDecode = mDecode.readyAt(now + answer.startInMillis());
-                awaitPrefillStart(now);
-            } else {
-                grantRefused(answer, now);
+        if (!isAsked(answer.attempt())) {
+            if (granted && !isHeld(answer.attempt())) {
+                mEffects.add(new RequestEffect.EndGrant(answer.attempt(), answer.backend()));
             }
-        } else if (granted && !isOpen(answer.attempt())) {
-            mEffects.add(new RequestEffect.EndGrant(answer.attempt(), answer.backend()));
+        } else if (!granted) {
+            mOpen.grantRefused(answer.attempt());
+            tryNextChoice(answer.backend(), Optional.of(answer), now);
+        } else if (mPhase == RequestPhase.PLACING_PREFILL) {
+            mRound.prefillGranted(answer, now);
+            placeDecode(now);
+        } else {
+            awaitPrefillStart(mRound.decodeGranted(answer, now), now);
         }
         return drain();
     }
@@ -114,7 +101,7 @@
      */
     public List<RequestEffect> onPrefillDone(
             AttemptId attempt, int computedTokens, long resultMillis, long now) {
-        if (mPhase == RequestPhase.PREFILLING && isCurrent(mPrefill, attempt)) {
+        if (mPhase == RequestPhase.PREFILLING && mRound.isPrefill(attempt)) {
             mUnusedTokens = computedTokens;
             mResultUntil = now + resultMillis;
             startDecode(now);
@@ -124,7 +111,7 @@
 
     /** Takes the failure of a prefill. */
     public List<RequestEffect> onPrefillFailed(AttemptId attempt, StepFailure failure, long now) {
-        if (mPhase == RequestPhase.PREFILLING && isCurrent(mPrefill, attempt)) {
+        if (mPhase == RequestPhase.PREFILLING && mRound.isPrefill(attempt)) {
             prefillFailed(failure, now);
         }
         return drain();
@@ -163,7 +150,7 @@
 
     /** Takes the failure of a transfer or stream, of its start or of a resumption. */
     public List<RequestEffect> onStreamFailed(AttemptId attempt, StepFailure failure, long now) {
-        if (isCurrent(mDecode, attempt)) {
+        if (mRound.isDecode(attempt)) {
             if (mPhase == RequestPhase.TRANSFERRING) {
                 transferFailed(failure, now);
             } else if (mPhase == RequestPhase.STREAMING) {
@@ -195,9 +182,10 @@
         switch (kind) {
             case PLACE -> placePrefill(now);
             case GRANT -> {
-                Placed asked = mPhase == RequestPhase.PLACING_PREFILL ? mPrefill : mDecode;
+                Placed asked =
+                        mPhase == RequestPhase.PLACING_PREFILL ? mRound.prefill() : mRound.decode();
                 mEffects.addAll(mOpen.closeGrant(asked.attempt()));
-                tryNextChoice(asked, now);
+                tryNextChoice(asked.backend(), Optional.empty(), now);
             }
             case PREFILL_START -> startPrefill(now);
             case PREFILL -> prefillFailed(StepFailure.TIMED_OUT, now);
@@ -211,95 +199,40 @@
 
     private void placePrefill(long now) {
         mPhase = RequestPhase.PLACING_PREFILL;
-        mDecode = null;
-        Either<Refusal, List<Choice>> ranked =
-                mEnvironment.rankPrefill(mShape, mRelay.nextIndex(), excluded(), now);
-        if (ranked.isLeft()) {
-            noPlace(ranked.getLeft(), now);
-            return;
-        }
-        Choice choice = ranked.get().get(0);
-        AttemptId attempt = mEnvironment.newAttempt();
-        mPrefill = new Placed(attempt, choice, now + choice.predictedMillis());
-        if (mEnvironment.usesGrants()) {
-            askGrant(mPrefill, BackendRole.PREFILL, 0, now);
-        } else {
-            startPlacingDecode(now);
-        }
-    }
-
-    private void startPlacingDecode(long now) {
-        mDecodeChoices = 0;
-        placeDecode(now);
+        mRound.choosePrefill(mRelay.nextIndex(), now)
+                .peekLeft(refusal -> noPlace(refusal, now))
+                .peek(ask -> ask.ifPresentOrElse(this::askGrant, () -> placeDecode(now)));
     }
 
     private void placeDecode(long now) {
         mPhase = RequestPhase.PLACING_DECODE;
-        long neededIn = Math.max(0, mPrefill.readyAt() - now);
-        Either<Refusal, List<Choice>> ranked =
-                mEnvironment.rankDecode(mShape, mPrefill.backend(), neededIn, excluded(), now);
-        if (ranked.isLeft()) {
-            noPlace(ranked.getLeft(), now);
-            return;
-        }
-        Choice choice = ranked.get().get(0);
-        mDecode = new Placed(mEnvironment.newAttempt(), choice, mPrefill.readyAt());
-        mDecodeChoices++;
-        if (mEnvironment.usesGrants()) {
-            askGrant(mDecode, BackendRole.DECODE, neededIn, now);
-        } else {
-            startPrefill(now);
-        }
+        mRound.chooseDecode(mRelay.nextIndex(), now)
+                .peekLeft(refusal -> noPlace(refusal, now))
+                .peek(ask -> ask.ifPresentOrElse(this::askGrant, () -> startPrefill(now)));
     }
 
-    private void askGrant(Placed placed, BackendRole role, long neededIn, long now) {
-        int generated = mRelay.nextIndex();
-        Choice choice = placed.choice();
-        long tokens = mShape.promptTokens() + (long) generated;
-        long grown = role == BackendRole.DECODE ? tokens + choice.uncachedTokens() : tokens;
-        GrantAsk ask =
-                new GrantAsk(
-                        placed.attempt(),
-                        placed.backend(),
-                        role,
-                        choice.uncachedTokens(),
-                        BackendSpec.piecesFor(grown),
-                        mShape.kvBytes(generated),
-                        neededIn,
-                        Math.max(0, mPlaceBy - now),
-                        choice.holdMillis());
+    private void askGrant(GrantAsk ask) {
         // Held from the ask on: the owner may have granted although its answer is lost.
-        mOpen.openGrant(placed.attempt(), placed.backend());
+        mOpen.openGrant(ask.attempt(), ask.backend());
         mEffects.add(new RequestEffect.AskGrant(ask));
         setTimer(TimerKind.GRANT, mSettings.grantMillis());
     }
 
-    private void grantRefused(GrantAnswer answer, long now) {
-        Placed asked = mPhase == RequestPhase.PLACING_PREFILL ? mPrefill : mDecode;
-        mOpen.grantRefused(answer.attempt());
-        if (answer.decision() == GrantDecision.TOO_LATE) {
-            mSoonestMillis = Math.min(mSoonestMillis, answer.startInMillis());
-        }
-        tryNextChoice(asked, now);
-    }
-
-    private void tryNextChoice(Placed refused, long now) {
-        mRefused.add(refused.backend());
-        boolean decode = mPhase == RequestPhase.PLACING_DECODE;
-        if (now >= mPlaceBy || decode && mDecodeChoices >= mSettings.maxDecodeChoices()) {
-            noPlace(tooLate(), now);
+    private void tryNextChoice(BackendId refused, Optional<GrantAnswer> answer, long now) {
+        Optional<Refusal> last = mRound.refused(refused, answer, now);
+        if (last.isPresent()) {
+            noPlace(last.get(), now);
             return;
         }
         mEffects.add(new RequestEffect.CountRetry(RetryReason.GRANT_REFUSED));
-        if (decode) {
+        if (mPhase == RequestPhase.PLACING_DECODE) {
             placeDecode(now);
         } else {
             placePrefill(now);
         }
     }
 
-    private void awaitPrefillStart(long now) {
-        long wait = mDecode.readyAt() - mPrefill.readyAt();
+    private void awaitPrefillStart(long wait, long now) {
         if (wait <= 0) {
             startPrefill(now);
             return;
@@ -314,110 +247,67 @@
      */
     private void noPlace(Refusal refusal, long now) {
         boolean recovering = mPlacements > 0 && refusal.reason().waitingHelps();
-        if (!recovering || now + PLACE_PAUSE_MILLIS >= mPlaceBy) {
-            endRefused(placementRefusal(refusal));
+        if (!recovering || mRound.late(now + PLACE_PAUSE_MILLIS)) {
+            endRefused(refusal);
             return;
         }
         mPhase = RequestPhase.REPLACING;
         mEffects.addAll(mOpen.closeAll());
-        mRefused.clear();
+        mRound.forgetRefusals();
         setTimer(TimerKind.PLACE, PLACE_PAUSE_MILLIS);
     }
 
-    /** A ranking without choices after owners refused means too late, not that none exist. */
-    private Refusal placementRefusal(Refusal ranking) {
-        boolean none = ranking.reason() == RefusalReason.NO_BACKEND;
-        return none && mSoonestMillis != Long.MAX_VALUE ? tooLate() : ranking;
-    }
-
-    private Refusal tooLate() {
-        if (mSoonestMillis == Long.MAX_VALUE) {
-            return Refusal.of(RefusalReason.NO_BACKEND, "No owner granted room.");
-        }
-        return new Refusal(
-                RefusalReason.DEADLINE_UNREACHABLE,
-                "Room is expected in " + mSoonestMillis + " ms.",
-                Math.max(1, mSoonestMillis));
-    }
-
-    private Set<BackendId> excluded() {
-        Set<BackendId> both = new HashSet<>(mFailed);
-        both.addAll(mRefused);
-        return both;
-    }
-
     // Prefill
 
     private void startPrefill(long now) {
         mPhase = RequestPhase.PREFILLING;
         mPlacements++;
-        mOpen.openAttempt(mPrefill.attempt(), mPrefill.backend());
-        long predicted = Math.max(0, mPrefill.readyAt() - now);
+        Placed prefill = mRound.prefill();
+        mOpen.openAttempt(prefill.attempt(), prefill.backend());
+        long predicted = Math.max(0, prefill.readyAt() - now);
         long timeout = 2 * predicted + mSettings.prefillSlackMillis();
         mEffects.add(
                 new RequestEffect.StartPrefill(
-                        mPrefill.attempt(), mPrefill.backend(), mRelay.sent(), timeout));
+                        prefill.attempt(), prefill.backend(), mRelay.sent(), timeout));
         setTimer(TimerKind.PREFILL, timeout);
     }
 
     private void prefillFailed(StepFailure failure, long now) {
-        noteFailure(mPrefill, failure, failure == StepFailure.BROKEN, now);
-        RetryReason reason =
-                switch (failure) {
-                    case FULL -> RetryReason.ENGINE_FULL;
-                    case UNREACHABLE -> RetryReason.CONNECT_FAILED;
-                    default -> RetryReason.PREFILL_FAILED;
-                };
-        placeAgain(mPrefill, reason, now);
+        noteFailure(mRound.prefill(), failure, failure.duringPrefillProvesDeath(), now);
+        placeAgain(mRound.prefill(), failure.prefillReason(), now);
     }
 
     // Transfer and decode
 
     private void startDecode(long now) {
         mPhase = RequestPhase.TRANSFERRING;
-        mOpen.openAttempt(mDecode.attempt(), mDecode.backend());
+        Placed decode = mRound.decode();
+        mOpen.openAttempt(decode.attempt(), decode.backend());
         mLastProgress = now;
         mEffects.add(
                 new RequestEffect.StartDecode(
-                        mDecode.attempt(),
-                        mDecode.backend(),
-                        mPrefill.attempt(),
-                        mPrefill.backend(),
+                        decode.attempt(),
+                        decode.backend(),
+                        mRound.prefill().attempt(),
+                        mRound.prefill().backend(),
                         mRelay.nextIndex(),
-                        mShape.maxTokens() - mRelay.nextIndex(),
+                        mShape.maxTokens(),
                         mSettings.transferMillis()));
         setTimer(TimerKind.TRANSFER, mSettings.transferMillis());
     }
 
     private void transferFailed(StepFailure failure, long now) {
+        Placed decode = mRound.decode();
+        noteFailure(decode, failure, failure.duringTransferProvesDeath(), now);
         if (failure == StepFailure.EVICTED || now >= mResultUntil) {
-            noteFailure(mDecode, failure, failure == StepFailure.UNKNOWN_ATTEMPT, now);
-            placeAgain(mDecode, RetryReason.RESULT_EVICTED, now);
-            return;
-        }
-        noteFailure(mDecode, failure, failure == StepFailure.UNKNOWN_ATTEMPT, now);
-        mFailed.add(mDecode.backend());
-        RetryReason reason =
-                failure == StepFailure.FULL
-                        ? RetryReason.ENGINE_FULL
-                        : RetryReason.TRANSFER_STALLED;
-        mEffects.addAll(mOpen.close(mDecode.attempt()));
-        if (!retryAllowed(reason, now)) {
+            placeAgain(decode, RetryReason.RESULT_EVICTED, now);
             return;
         }
-        decodeElsewhere(now);
-    }
-
-    /** Uses the same result while it lives; there is no time left to ask for a grant. */
-    private void decodeElsewhere(long now) {
-        Either<Refusal, List<Choice>> ranked =
-                mEnvironment.rankDecode(mShape, mPrefill.backend(), 0, mFailed, now);
-        if (ranked.isLeft()) {
-            endRefused(placementRefusal(ranked.getLeft()));
-            return;
+        mRound.failed(decode.backend());
+        mEffects.addAll(mOpen.close(decode.attempt()));
+        if (retryAllowed(failure.transferReason(), now)) {
+            mRound.decodeElsewhere(now).peekLeft(this::endRefused).peek(other -> startDecode(now));
         }
-        mDecode = new Placed(mEnvironment.newAttempt(), ranked.get().get(0), now);
-        startDecode(now);
     }
 
     private void imported(long now) {
@@ -427,8 +317,8 @@
         }
         mPhase = RequestPhase.STREAMING;
         mUnusedTokens = 0;
-        mOpen.attemptEnded(mPrefill.attempt());
-        mEffects.addAll(mOpen.closeGrant(mPrefill.attempt()));
+        mOpen.attemptEnded(mRound.prefill().attempt());
+        mEffects.addAll(mOpen.closeGrant(mRound.prefill().attempt()));
         setTimer(TimerKind.SILENCE, mSettings.silenceMillis());
     }
 
@@ -457,13 +347,14 @@
     private void resume(long now) {
         mResumes++;
         if (mResumes > MAX_RESUMES_WITHOUT_TOKEN) {
-            placeAgain(mDecode, RetryReason.DECODE_LOST, now);
+            placeAgain(mRound.decode(), RetryReason.DECODE_LOST, now);
             return;
         }
         mLastProgress = now;
         mEffects.add(new RequestEffect.CountRetry(RetryReason.STREAM_RESUMED));
         mEffects.add(
-                new RequestEffect.Resume(mDecode.attempt(), mDecode.backend(), mRelay.nextIndex()));
+                new RequestEffect.Resume(
+                        mRound.decode().attempt(), mRound.decode().backend(), mRelay.nextIndex()));
         setTimer(TimerKind.SILENCE, mSettings.silenceMillis());
     }
 
@@ -473,8 +364,8 @@
             return;
         }
         boolean died = failure == StepFailure.UNREACHABLE || failure == StepFailure.UNKNOWN_ATTEMPT;
-        noteFailure(mDecode, failure, died, now);
-        placeAgain(mDecode, RetryReason.DECODE_LOST, now);
+        noteFailure(mRound.decode(), failure, died, now);
+        placeAgain(mRound.decode(), RetryReason.DECODE_LOST, now);
     }
 
     // Endings
@@ -495,14 +386,12 @@
     }
 
     private void placeAgain(Placed culprit, RetryReason reason, long now) {
-        mFailed.add(culprit.backend());
-        mRefused.clear();
-        mSoonestMillis = Long.MAX_VALUE;
+        mRound.failed(culprit.backend());
         countWaste();
         mEffects.addAll(mOpen.closeAll());
         if (retryAllowed(reason, now)) {
             mResumes = 0;
-            mPlaceBy = now + mSettings.recoveryMillis();
+            mRound.begin(now + mSettings.recoveryMillis());
             placePrefill(now);
         }
     }
@@ -550,19 +439,20 @@
         mEffects.add(new RequestEffect.SetTimer(kind, mTimerGeneration, delay));
     }
 
-    private static boolean isCurrent(Placed placed, AttemptId attempt) {
-        return placed != null && placed.attempt().equals(attempt);
+    private boolean isAsked(AttemptId attempt) {
+        return mPhase == RequestPhase.PLACING_PREFILL && mRound.isPrefill(attempt)
+                || mPhase == RequestPhase.PLACING_DECODE && mRound.isDecode(attempt);
+    }
+
+    private boolean isHeld(AttemptId attempt) {
+        return mPhase != RequestPhase.DONE
+                && (mRound.isPrefill(attempt) || mRound.isDecode(attempt));
     }
 
     /** An event of a stream that is over comes late; acting on it would answer twice. */
     private boolean isReceiving(AttemptId attempt) {
         boolean receiving = mPhase == RequestPhase.TRANSFERRING || mPhase == RequestPhase.STREAMING;
-        return receiving && isCurrent(mDecode, attempt);
-    }
-
-    private boolean isOpen(AttemptId attempt) {
-        return mPhase != RequestPhase.DONE
-                && (isCurrent(mPrefill, attempt) || isCurrent(mDecode, attempt));
+        return receiving && mRound.isDecode(attempt);
     }
 
     private List<RequestEffect> drain() {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/request/FakeEngines.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/request/FakeEngines.java
@@ -33,6 +33,7 @@
     private final double mFaultShare;
     private final Map<AttemptId, Integer> mHolding = new HashMap<>();
     private final Map<AttemptId, Integer> mIncarnationOfStream = new HashMap<>();
+    private final Map<AttemptId, Integer> mLength = new HashMap<>();
     private final Set<AttemptId> mGranted = new HashSet<>();
     private final List<String> mAnswer = new ArrayList<>();
     private final List<RequestEffect> mFinals = new ArrayList<>();
@@ -170,6 +171,7 @@
                     mHolding.remove(effect.source());
                     return mMachine.onImported(attempt, now);
                 });
+        mLength.put(attempt, effect.maxTokens());
         stream(attempt, effect.firstIndex(), 40);
     }
 
@@ -177,7 +179,7 @@
     private void stream(AttemptId attempt, int from, long delay) {
         int life = mIncarnationOfStream.merge(attempt, 1, Integer::sum);
         long when = delay;
-        for (int index = from; index < ANSWER_TOKENS; index++) {
+        for (int index = from; index < mLength.get(attempt); index++) {
             if (fault()) {
                 if (mRandom.nextBoolean()) {
                     at(when, now -> mMachine.onStreamFailed(attempt, StepFailure.BROKEN, now));
@@ -205,7 +207,7 @@
 
     private List<RequestEffect> finishStream(AttemptId attempt, long now) {
         mHolding.remove(attempt);
-        return mMachine.onEnd(attempt, ANSWER_TOKENS, "stop", now);
+        return mMachine.onEnd(attempt, mLength.get(attempt), "length", now);
     }
 
     @Override
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/request/RequestMachineRandomTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/request/RequestMachineRandomTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.cyclamenpaddle.core.config.BackendRole;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.HostId;
@@ -18,6 +19,7 @@
 import org.cyclamenpaddle.core.id.RequestId;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.GrantAsk;
 import org.cyclamenpaddle.core.outcome.Refusal;
 import org.cyclamenpaddle.core.outcome.RefusalReason;
 import org.cyclamenpaddle.core.outcome.RetryReason;
@@ -83,7 +85,7 @@
                         7L,
                         900,
                         List.of(),
-                        64,
+                        FakeEngines.ANSWER_TOKENS,
                         580,
                         1_000);
         return new RequestMachine(shape, RequestSettings.defaults(), new RandomEnvironment(random));
@@ -138,7 +140,7 @@
                     IntStream.range(0, 4)
                             .mapToObj(i -> new BackendId(role + i))
                             .filter(id -> !excluded.contains(id))
-                            .map(id -> new Choice(id, 80, 64, 400))
+                            .map(id -> new Choice(id, 80, 0))
                             .collect(Collectors.toList());
             if (free.isEmpty()) {
                 return Either.left(Refusal.of(RefusalReason.NO_BACKEND, ""));
@@ -146,6 +148,33 @@
             return Either.right(List.of(free.get(mRandom.nextInt(free.size()))));
         }
 
+        @Override
+        public GrantAsk prefillAsk(
+                AttemptId attempt,
+                RequestShape shape,
+                int generated,
+                Choice choice,
+                long millisLeft) {
+            return ask(attempt, choice, BackendRole.PREFILL, 0);
+        }
+
+        @Override
+        public GrantAsk decodeAsk(
+                AttemptId attempt,
+                RequestShape shape,
+                int generated,
+                Choice choice,
+                BackendId prefill,
+                long prefillEndInMillis,
+                long millisLeft) {
+            return ask(attempt, choice, BackendRole.DECODE, prefillEndInMillis);
+        }
+
+        private static GrantAsk ask(
+                AttemptId attempt, Choice choice, BackendRole role, long neededIn) {
+            return new GrantAsk(attempt, choice.backend(), role, 64, 1, 1_000, neededIn, 500, 400);
+        }
+
         @Override
         public boolean mayRetry(RequestShape shape, RetryReason reason, long now) {
             return mRandom.nextInt(20) != 0;
