Let a broken invariant in a callback stop the process

Cause: what a callback of a future throws is kept in the next future, so an invariant broken there was seen by nobody. Results now come back to the pool, whose handler stops the process, and threads of libraries have an uncaught handler.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -128,8 +128,10 @@
         mClients = new BackendClients(mConnections);
         mCanceller = new Canceller(mClients, mBlackboard, mWorkers, mMetrics);
         mEngineMonitor =
-                new EngineMonitor(mLedgers, mClients, mMembership, mBlackboard, mClock, log);
-        mPrefixes = new PrefixMonitor(mBlackboard, mClients, settings.host().failureDomain());
+                new EngineMonitor(
+                        mLedgers, mClients, mMembership, mBlackboard, mWorkers, mClock, log);
+        mPrefixes =
+                new PrefixMonitor(mBlackboard, mClients, mWorkers, settings.host().failureDomain());
         mRetries = new RetryBudget(retrySettings());
         mLearning = learning();
         mEnvironment = environment();
@@ -268,6 +270,7 @@
                 membership,
                 settings,
                 mTransport,
+                mWorkers,
                 mClock,
                 mLog,
                 later ->
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/RouterMain.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/RouterMain.java
@@ -81,6 +81,8 @@
         }
         LogOutput.configure(settings.get().log());
         EventLog log = new EventLog();
+        // I/O threads of libraries hand a broken invariant on only this way.
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> broken(log, failure));
         EntryHost host = new EntryHost(settings.get(), failure -> broken(log, failure));
         Try<Void> started = host.start();
         if (started.isFailure()) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
@@ -23,6 +23,7 @@
 import org.cyclamenpaddle.router.event.LogEvent;
 import org.cyclamenpaddle.router.grant.LedgerKeeper;
 import org.cyclamenpaddle.router.peering.MembershipDriver;
+import org.cyclamenpaddle.router.worker.Workers;
 import org.cyclamenpaddle.routing.grant.ObservedAttempt;
 
 /**
@@ -35,6 +36,7 @@
     private final BackendClients mClients;
     private final MembershipDriver mMembership;
     private final Blackboard mBlackboard;
+    private final Workers mWorkers;
     private final Clock mClock;
     private final EventLog mLog;
     private final Map<BackendId, AttemptReconciler> mReconcilers = new ConcurrentHashMap<>();
@@ -47,6 +49,7 @@
      * @param clients engines
      * @param membership which lives of hosts have ended
      * @param blackboard tables of this host
+     * @param workers pool
      * @param clock time in milliseconds
      * @param log events
      */
@@ -55,12 +58,14 @@
             BackendClients clients,
             MembershipDriver membership,
             Blackboard blackboard,
+            Workers workers,
             Clock clock,
             EventLog log) {
         mLedgers = ledgers;
         mClients = clients;
         mMembership = membership;
         mBlackboard = blackboard;
+        mWorkers = workers;
         mClock = clock;
         mLog = log;
     }
@@ -79,13 +84,13 @@
             return;
         }
         long askedAt = mClock.millis();
-        mClients.engine(engine)
-                .attempts()
-                .whenComplete((answer, failure) -> mReading.remove(engine.id()))
-                .thenAccept(
-                        answer ->
-                                answer.peek(listed -> take(engine, listed, askedAt))
-                                        .peekLeft(failure -> failed(engine, failure)));
+        mWorkers.onResult(
+                mClients.engine(engine).attempts(),
+                answer -> {
+                    mReading.remove(engine.id());
+                    answer.peek(listed -> take(engine, listed, askedAt))
+                            .peekLeft(failure -> failed(engine, failure));
+                });
     }
 
     private void failed(BackendSpec engine, EngineFailure failure) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/PrefixMonitor.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/PrefixMonitor.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.engine.model.CacheEvents;
 import org.cyclamenpaddle.router.blackboard.Blackboard;
 import org.cyclamenpaddle.router.request.PrefixLearner;
+import org.cyclamenpaddle.router.worker.Workers;
 import org.cyclamenpaddle.routing.placement.CacheEvent;
 import org.cyclamenpaddle.routing.placement.PrefixHints;
 import org.cyclamenpaddle.routing.placement.PrefixIndex;
@@ -31,6 +32,7 @@
 
     private final Blackboard mBlackboard;
     private final BackendClients mClients;
+    private final Workers mWorkers;
     private final FailureDomain mDomain;
     private final PrefixIndex mIndex = new PrefixIndex(MOST_BLOCKS);
     private final Map<BackendId, Long> mLastSequence = new ConcurrentHashMap<>();
@@ -41,11 +43,14 @@
      *
      * @param blackboard tells which engines prefill
      * @param clients engines
+     * @param workers pool
      * @param domain this host's failure domain
      */
-    public PrefixMonitor(Blackboard blackboard, BackendClients clients, FailureDomain domain) {
+    public PrefixMonitor(
+            Blackboard blackboard, BackendClients clients, Workers workers, FailureDomain domain) {
         mBlackboard = blackboard;
         mClients = clients;
+        mWorkers = workers;
         mDomain = domain;
     }
 
@@ -78,10 +83,12 @@
         if (!mReading.add(engine.id())) {
             return;
         }
-        mClients.engine(engine)
-                .cacheEvents(mLastSequence.getOrDefault(engine.id(), 0L))
-                .whenComplete((answer, failure) -> mReading.remove(engine.id()))
-                .thenAccept(answer -> answer.peek(events -> take(engine.id(), events)));
+        mWorkers.onResult(
+                mClients.engine(engine).cacheEvents(mLastSequence.getOrDefault(engine.id(), 0L)),
+                answer -> {
+                    mReading.remove(engine.id());
+                    answer.peek(events -> take(engine.id(), events));
+                });
     }
 
     private void take(BackendId engine, CacheEvents events) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
@@ -25,6 +25,7 @@
 import org.cyclamenpaddle.router.event.EventLog;
 import org.cyclamenpaddle.router.event.LogEvent;
 import org.cyclamenpaddle.router.grant.HostView;
+import org.cyclamenpaddle.router.worker.Workers;
 
 /** Performs what {@link Membership} decides; the view of the hosts for everyone else. */
 public final class MembershipDriver implements HostView {
@@ -32,6 +33,7 @@
     private final Table<Membership> mMembership;
     private final MembershipSettings mSettings;
     private final PeerTransport mTransport;
+    private final Workers mWorkers;
     private final Clock mClock;
     private final EventLog mLog;
     private final Consumer<Incarnation> mSuperseded;
@@ -42,6 +44,7 @@
      * @param membership the state machine; reached only through this driver from now on
      * @param settings its timings
      * @param transport messages and new connections to peers
+     * @param workers pool
      * @param clock time in milliseconds
      * @param log events
      * @param superseded told when a later life of this very host was heard of
@@ -50,12 +53,14 @@
             Membership membership,
             MembershipSettings settings,
             PeerTransport transport,
+            Workers workers,
             Clock clock,
             EventLog log,
             Consumer<Incarnation> superseded) {
         mMembership = new Table<>(TableOrder.HOSTS, membership);
         mSettings = settings;
         mTransport = transport;
+        mWorkers = workers;
         mClock = clock;
         mLog = log;
         mSuperseded = superseded;
@@ -148,16 +153,13 @@
     }
 
     private void probe(HostRecord target) {
-        mTransport
-                .probe(target, mSettings.probeTimeoutMillis())
-                .thenAccept(
-                        reachable ->
-                                act(
-                                        membership ->
-                                                membership.onConnectionProbe(
-                                                        target.incarnation(),
-                                                        reachable,
-                                                        mClock.millis())));
+        mWorkers.onResult(
+                mTransport.probe(target, mSettings.probeTimeoutMillis()),
+                reachable ->
+                        act(
+                                membership ->
+                                        membership.onConnectionProbe(
+                                                target.incarnation(), reachable, mClock.millis())));
     }
 
     private void log(HostRecord host) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/worker/Workers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/worker/Workers.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.router.worker;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -45,6 +46,24 @@
         }
     }
 
+    /**
+     * Runs work with the result of a future that never fails by contract.
+     *
+     * <p>What is thrown in a callback of a future is kept in the next future and seen by nobody; a
+     * broken invariant there would leave the process running. Here it reaches the handler.
+     */
+    public <T> void onResult(CompletableFuture<T> future, Consumer<T> work) {
+        future.whenComplete(
+                (result, failure) ->
+                        execute(
+                                () -> {
+                                    if (failure != null) {
+                                        throw new IllegalStateException(failure);
+                                    }
+                                    work.accept(result);
+                                }));
+    }
+
     /** Runs work once after a delay in milliseconds. */
     public ScheduledFuture<?> after(long delayMillis, Runnable work) {
         return mPool.schedule(guarded(work), delayMillis, TimeUnit.MILLISECONDS);
