--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Cluster.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Cluster.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.message.LedgerSummary;
+import org.cyclamenpaddle.routing.expect.TokenPace;
 import org.cyclamenpaddle.routing.grant.GrantLedger;
 import org.cyclamenpaddle.routing.placement.BackendView;
 import org.cyclamenpaddle.routing.placement.CacheEvent;
@@ -43,6 +44,8 @@
     private final Map<BackendId, Long> mSequences = new HashMap<>();
     private final PrefixIndex mPrefixes = new PrefixIndex(INDEX_BLOCKS);
 
+    private final TokenPace mPace = new TokenPace();
+
     private Map<BackendId, LedgerSummary> mHints = Map.of();
     private long mHintsAt;
 
@@ -92,6 +95,10 @@
         return new PlacementView(prefill, decode, mPrefixes, CostFactors.NEUTRAL, turn);
     }
 
+    TokenPace pace() {
+        return mPace;
+    }
+
     double wastedShare() {
         long computed = mPrefill.values().stream().mapToLong(PrefillModel::computedTokens).sum();
         long used = mPrefill.values().stream().mapToLong(PrefillModel::usedTokens).sum();
@@ -107,7 +114,7 @@
     }
 
     private void addDecode(BackendSpec spec) {
-        mDecode.put(spec.id(), new DecodeModel(mLoop, spec));
+        mDecode.put(spec.id(), new DecodeModel(mLoop, spec, mScenario.idleShare()));
         mLedgers.put(
                 spec.id(), new GrantLedger(spec, BackendRole.DECODE, mScenario.ledgerSettings()));
     }
@@ -172,6 +179,11 @@
         }
         mPrefill.forEach((id, server) -> ledger(id).observe(server.attempts(), mLoop.now()));
         mDecode.forEach((id, server) -> ledger(id).observe(server.attempts(), mLoop.now()));
+        mDecode.keySet().forEach(id -> ledger(id).limitSlots(mostSlots(id)));
+    }
+
+    private int mostSlots(BackendId id) {
+        return mPace.mostWithin(id, Scenario.PER_TOKEN_MILLIS, Scenario.SLOTS);
     }
 
     private void cached(BackendId id, List<Long> hashes) {
@@ -199,7 +211,7 @@
         return new BackendView(spec, hint, age, 0, false, false, 0);
     }
 
-    private static BackendSpec spec(String name, int slots) {
+    private BackendSpec spec(String name, int slots) {
         return new BackendSpec(
                 new BackendId(name),
                 DOMAIN,
@@ -208,7 +220,7 @@
                 slots,
                 MEMORY_PIECES,
                 Scenario.PREFILL_RATE,
-                Scenario.TOKEN_MILLIS,
+                mScenario.tokenMillis(),
                 Scenario.LINK_RATE,
                 FencingSupport.IGNORES,
                 false);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/ExperimentRun.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/ExperimentRun.java
@@ -54,7 +54,8 @@
         mRandom = random(scenario.seed() + 1);
         mWorkload = new Workload(random(scenario.seed() + 2));
         mAdmission = new Admission(scenario.strategy().policy(), AdmissionSettings.DEFAULTS);
-        double hold = Workload.meanHoldMillis(random(0), Scenario.TOKEN_MILLIS, Scenario.LINK_RATE);
+        double hold =
+                Workload.meanHoldMillis(random(0), scenario.tokenMillis(), Scenario.LINK_RATE);
         mCapacityPerSecond = scenario.decodeServers() * Scenario.SLOTS * MILLIS_PER_SECOND / hold;
         mPerSecond = scenario.load() * mCapacityPerSecond;
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/RequestRun.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/RequestRun.java
@@ -248,7 +248,13 @@
         long begunAt = mRun.loop().now();
         long firstAt = begunAt + decode.tokenMillis();
         decode.start(
-                mAttempt, mRequest.outputTokens(), endedAt -> served(firstAt, endedAt - begunAt));
+                mAttempt,
+                mRequest.outputTokens(),
+                endedAt -> {
+                    double pace = (double) (endedAt - begunAt) / mRequest.outputTokens();
+                    mRun.cluster().pace().observed(server, decode.batch() + 1, pace);
+                    served(firstAt, endedAt - begunAt);
+                });
     }
 
     private void served(long firstAt, long generatingMillis) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Scenario.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/Scenario.java
@@ -11,6 +11,7 @@
  * @param seed of all random numbers
  * @param seconds virtual time with arrivals
  * @param hintMillis time between two hints from a server
+ * @param steep whether the full batch is too slow for the per-token target
  * @param deviations see {@link LedgerSettings#deviations()}
  */
 record Scenario(
@@ -20,10 +21,14 @@
         long seed,
         int seconds,
         long hintMillis,
+        boolean steep,
         double deviations) {
 
     static final int SLOTS = 20;
-    static final long TOKEN_MILLIS = 30;
+    private static final long TOKEN_MILLIS = 30;
+    private static final long STEEP_TOKEN_MILLIS = 56;
+    private static final double IDLE_SHARE = 0.7;
+    private static final double STEEP_IDLE_SHARE = 0.3;
     static final long PREFILL_RATE = 28_000;
     static final long LINK_RATE = 4_000_000_000L;
     static final long FIRST_TOKEN_MILLIS = 580;
@@ -44,6 +49,16 @@
                 usual.endedKept());
     }
 
+    /** Time between tokens at the full batch. */
+    long tokenMillis() {
+        return steep ? STEEP_TOKEN_MILLIS : TOKEN_MILLIS;
+    }
+
+    /** Time between tokens of a lone request, as a share of that at the full batch. */
+    double idleShare() {
+        return steep ? STEEP_IDLE_SHARE : IDLE_SHARE;
+    }
+
     int prefillServers() {
         return (int) Math.round(runners * PREFILL_SHARE);
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
@@ -198,6 +198,19 @@
         mSpec = spec;
     }
 
+    /**
+     * Gives out no more than some of a decode server's slots from now on, so that its tokens keep
+     * their pace; what is held stays held.
+     *
+     * @param most slots, at least 1
+     */
+    public void limitSlots(int most) {
+        if (most < 1) {
+            throw new IllegalArgumentException("slot limit " + most + " must be above 0");
+        }
+        mPlan.limitSlots(most);
+    }
+
     /** Returns the attempts that hold or are promised room. */
     public Set<AttemptId> attempts() {
         return Set.copyOf(mHeld.keySet());
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/QueuePlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/QueuePlan.java
@@ -68,6 +68,11 @@
         // The room of a prefill is bounded by its computed times alone.
     }
 
+    @Override
+    public void limitSlots(int most) {
+        // Prefill is serial; its slots are no batch.
+    }
+
     /** A result that is across only after it was needed is as useless as one that starts late. */
     @Override
     public boolean tooLate(GrantAsk ask, Interval span, long nowMillis) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/RoomPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/RoomPlan.java
@@ -21,6 +21,9 @@
     /** Takes in that an attempt ended by word of its host. */
     void ended(Reservation reservation, long nowMillis);
 
+    /** Gives out no more than some of the slots from now on. */
+    void limitSlots(int most);
+
     /** Returns whether the ask is expected to come too late if it gets {@code span}. */
     boolean tooLate(GrantAsk ask, Interval span, long nowMillis);
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
@@ -25,6 +25,8 @@
     private final LedgerSettings mSettings;
     private final HoldCurve mCurve = new HoldCurve();
 
+    private int mMostSlots = Integer.MAX_VALUE;
+
     SlotPlan(BackendSpec spec, LedgerSettings settings) {
         mSpec = spec;
         mSettings = settings;
@@ -56,6 +58,11 @@
                 nowMillis - reservation.startMillis());
     }
 
+    @Override
+    public void limitSlots(int most) {
+        mMostSlots = most;
+    }
+
     @Override
     public boolean tooLate(GrantAsk ask, Interval span, long nowMillis) {
         return span.startMillis() - nowMillis > ask.latestInMillis();
@@ -175,7 +182,7 @@
     }
 
     private int slotLimit(int reservedSlots) {
-        return Math.max(1, mSpec.slots() - reservedSlots);
+        return Math.max(1, Math.min(mMostSlots, mSpec.slots()) - reservedSlots);
     }
 
     private int pieceLimit() {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
@@ -198,6 +198,32 @@
         assertEquals(ledger.ask(prefillAsk(4, 2_000, 0, 1_000), 0).startInMillis(), 400);
     }
 
+    /**
+     * Callers are sent to quicker engines. A prefill engine is slower than declared, and none of
+     * its results has ended by its promised time. Its queue would look empty without a word of what
+     * is overdue.
+     */
+    @Test
+    public void slowPrefillEngineLooksBusy() {
+        GrantLedger ledger = prefill();
+        ledger.ask(prefillAsk(1, 1_000, 0, 1_000), 0);
+        ledger.ask(prefillAsk(2, 1_000, 0, 1_000), 0);
+
+        assertEquals(ledger.summary(150).freeInMillis(), 50 + SETTINGS.overdueMillis());
+        assertEquals(ledger.summary(900).freeInMillis(), 2 * SETTINGS.overdueMillis());
+    }
+
+    @Test
+    public void limitedSlotsAreNotGiven() {
+        GrantLedger ledger = decode(20);
+        ledger.limitSlots(1);
+        ledger.ask(decodeAsk(1, 0, 10, 300), 0);
+
+        assertEquals(ledger.ask(decodeAsk(2, 0, 10, 300), 0).decision(), GrantDecision.TOO_LATE);
+        ledger.limitSlots(2);
+        assertEquals(ledger.ask(decodeAsk(2, 0, 10, 300), 0).decision(), GrantDecision.GRANTED);
+    }
+
     private static GrantAsk sized(GrantAsk ask, int pieces) {
         return new GrantAsk(
                 ask.attempt(),
