Serve long prompts that have a slot exactly on time

Cause: the margin for late slots refused every prompt whose prefill takes most of the time, even on an idle pool.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/admission/GrantAsks.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/admission/GrantAsks.java
@@ -15,16 +15,25 @@
  * other attempts. With no margin each late one would make the first token late as well, and the
  * request would use its slot in vain.
  *
- * @param marginMillis time kept back for slots that come late
+ * <p>A request whose prompt leaves no time for that margin may still have a slot that is free
+ * exactly when it is needed; refusing it would be certain, its lateness is not.
+ *
+ * @param workMarginMillis time kept back for prefill and transfer that take longer
+ * @param slotMarginMillis time kept back for slots that come late
  */
-public record GrantAsks(long marginMillis) {
+public record GrantAsks(long workMarginMillis, long slotMarginMillis) {
 
-    /** The margin that the model runs of ADR 0001 were made with. */
-    public static final GrantAsks DEFAULTS = new GrantAsks(80);
+    /** The margins that the model runs of ADR 0001 were made with. */
+    public static final GrantAsks DEFAULTS = new GrantAsks(30, 80);
 
     public GrantAsks {
-        if (marginMillis < 0) {
-            throw new IllegalArgumentException("margin " + marginMillis + " must not be negative");
+        if (workMarginMillis < 0 || slotMarginMillis < workMarginMillis) {
+            throw new IllegalArgumentException(
+                    "margins are contradictory: work "
+                            + workMarginMillis
+                            + " ms, slot "
+                            + slotMarginMillis
+                            + " ms");
         }
     }
 
@@ -46,7 +55,7 @@
                 request.pieces(),
                 request.kvBytes(),
                 0,
-                millisLeft - marginMillis,
+                millisLeft - workMarginMillis,
                 0);
     }
 
@@ -72,7 +81,10 @@
             long prefillEndInMillis,
             long millisLeft) {
         long transfer = LinkBudget.transferMillis(request.kvBytes(), prefill.linkBytesPerSecond());
-        long latest = millisLeft - transfer - server.tokenMillis() - marginMillis;
+        long needed = Math.max(0, prefillEndInMillis - transfer);
+        long last = millisLeft - transfer - server.tokenMillis();
+        long onTime = Math.min(needed, last - workMarginMillis);
+        long latest = Math.max(last - slotMarginMillis, onTime);
         return new GrantAsk(
                 attempt,
                 server.id(),
@@ -80,7 +92,7 @@
                 request.expectedOutputTokens(),
                 request.pieces(),
                 request.kvBytes(),
-                Math.max(0, prefillEndInMillis - transfer),
+                needed,
                 latest,
                 transfer + request.expectedOutputTokens() * server.tokenMillis());
     }
