--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/outcome/RefusalReason.java
@@ -29,12 +29,15 @@
     RETRY_BUDGET_EMPTY(503, UNKNOWN, true, "An attempt failed and no retry is left."),
     QUARANTINED(422, NOT_RUN, true, "Requests like this one crashed backend servers."),
     PLATFORM_AWAY(503, NOT_RUN, true, "No claim could be had for the key."),
+    CLAIM_UNREADABLE(503, UNKNOWN, true, "No claim could be had, and the key may be in use."),
     CLAIM_BUSY(409, UNKNOWN, true, "The key is claimed and its answer is not known yet."),
     BACKEND_FAILED(502, UNKNOWN, true, "The backend server failed during the call."),
     DEADLINE_PASSED(504, UNKNOWN, true, "The answer did not come in time."),
     CALLER_GONE(499, UNKNOWN, false, "The caller left before the answer."),
+    UNKNOWN_OBJECT(404, NOT_RUN, false, "There is no such object or request."),
     CONFLICT(409, NOT_RUN, false, "Another change came first."),
     BAD_CONFIGURATION(422, NOT_RUN, false, "The configuration object fails its checks."),
+    CHANGE_UNKNOWN(503, UNKNOWN, true, "The platform did not say whether the change was made."),
     ANSWER_EXPIRED(410, RAN, false, "The call ran, but its answer is no longer kept.");
 
     private final int mStatus;
