Leave deviations only where slots are scarce

Cause: at the pool's capacity a promise that is not kept costs little, since another server has a free slot, and a ledger that left one deviation refused 5 in 100 that could have been served.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
@@ -6,7 +6,7 @@
  * @param startGraceMillis how long after its start a promise may stay unseen on the engine
  * @param overdueMillis how much longer a prefill past its expected end is expected to take
  * @param deviations standard deviations of the expected use of a decode engine that a promise
- *     leaves room for
+ *     leaves room for while slots are scarce
  * @param unknownHoldMillis expected rest of an attempt that only the engine's list tells of
  * @param recoveryReserve share of the slots kept free for unknown promises while recovering
  * @param endedKept ended attempts that are remembered
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/SlotPlan.java
@@ -12,8 +12,8 @@
 /**
  * Timed slots and memory pieces: decode engines and plain services.
  *
- * <p>A slot is promised from the first instant at which the slots expected to be in use, and some
- * standard deviations more, leave one free.
+ * <p>A slot is promised from the first instant at which the slots expected to be in use, and while
+ * slots are scarce some standard deviations more, leave one free.
  */
 final class SlotPlan implements RoomPlan {
 
@@ -22,14 +22,14 @@
     private record Wanted(int pieces, long holdMillis, int slotLimit) {}
 
     private final BackendSpec mSpec;
-    private final LedgerSettings mSettings;
     private final HoldCurve mCurve = new HoldCurve();
+    private final Caution mCaution;
 
     private int mMostSlots = Integer.MAX_VALUE;
 
     SlotPlan(BackendSpec spec, LedgerSettings settings) {
         mSpec = spec;
-        mSettings = settings;
+        mCaution = new Caution(settings.deviations());
     }
 
     @Override
@@ -65,7 +65,12 @@
 
     @Override
     public boolean tooLate(GrantAsk ask, Interval span, long nowMillis) {
-        return span.startMillis() - nowMillis > ask.latestInMillis();
+        boolean late = span.startMillis() - nowMillis > ask.latestInMillis();
+        if (ask.latestInMillis() > 0) {
+            // Asks for a slot at this very instant are those of late promises, and tell nothing.
+            mCaution.decided(late);
+        }
+        return late;
     }
 
     @Override
@@ -156,7 +161,7 @@
         Occupancy occupancy = occupancy(held, atMillis, nowMillis);
         double running = mCurve.survival(wanted.holdMillis(), 0, elapsedMillis);
         occupancy.add(running, wanted.pieces());
-        return occupancy.within(wanted.slotLimit(), pieceLimit(), mSettings.deviations());
+        return occupancy.within(wanted.slotLimit(), pieceLimit(), mCaution.deviations());
     }
 
     private Occupancy occupancy(Collection<Reservation> held, long atMillis, long nowMillis) {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
@@ -213,6 +213,29 @@
         assertEquals(ledger.summary(900).freeInMillis(), 2 * SETTINGS.overdueMillis());
     }
 
+    /**
+     * Under overload callers are refused at once in place of after their prefill. Every slot is
+     * taken and every ask in vain for a while; the ledger then promises later than one that has
+     * refused nobody.
+     */
+    @Test
+    public void promisesMoreCarefullyWhenSlotsAreScarce() {
+        GrantLedger ample = decode(20);
+        GrantLedger scarce = decode(20);
+        for (int i = 0; i < 20; i++) {
+            ample.ask(decodeAsk(i, 0, 1, 3_000), 0);
+            scarce.ask(decodeAsk(i, 0, 1, 3_000), 0);
+        }
+        for (int i = 100; i < 300; i++) {
+            scarce.ask(decodeAsk(i, 0, 1, 3_000), 0);
+        }
+        long trusting = ample.ask(decodeAsk(20, 0, 3_000, 3_000), 0).startInMillis();
+        long careful = scarce.ask(decodeAsk(20, 0, 3_000, 3_000), 0).startInMillis();
+
+        assertBetween(trusting, 50, 150);
+        assertBetween(careful, 2 * trusting, 600);
+    }
+
     @Test
     public void limitedSlotsAreNotGiven() {
         GrantLedger ledger = decode(20);
