--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
@@ -198,6 +198,55 @@
         assertEquals(ledger.ask(prefillAsk(4, 2_000, 0, 1_000), 0).startInMillis(), 400);
     }
 
+    /**
+     * Callers are sent to quicker engines. A prefill engine is slower than declared, and none of
+     * its results has ended by its promised time. Its queue would look empty without a word of what
+     * is overdue.
+     */
+    @Test
+    public void slowPrefillEngineLooksBusy() {
+        GrantLedger ledger = prefill();
+        ledger.ask(prefillAsk(1, 1_000, 0, 1_000), 0);
+        ledger.ask(prefillAsk(2, 1_000, 0, 1_000), 0);
+
+        assertEquals(ledger.summary(150).freeInMillis(), 50 + SETTINGS.overdueMillis());
+        assertEquals(ledger.summary(900).freeInMillis(), 2 * SETTINGS.overdueMillis());
+    }
+
+    /**
+     * Under overload callers are refused at once in place of after their prefill. Every slot is
+     * taken and every ask in vain for a while; the ledger then promises later than one that has
+     * refused nobody.
+     */
+    @Test
+    public void promisesMoreCarefullyWhenSlotsAreScarce() {
+        GrantLedger ample = decode(20);
+        GrantLedger scarce = decode(20);
+        for (int i = 0; i < 20; i++) {
+            ample.ask(decodeAsk(i, 0, 1, 3_000), 0);
+            scarce.ask(decodeAsk(i, 0, 1, 3_000), 0);
+        }
+        for (int i = 100; i < 300; i++) {
+            scarce.ask(decodeAsk(i, 0, 1, 3_000), 0);
+        }
+        long trusting = ample.ask(decodeAsk(20, 0, 3_000, 3_000), 0).startInMillis();
+        long careful = scarce.ask(decodeAsk(20, 0, 3_000, 3_000), 0).startInMillis();
+
+        assertBetween(trusting, 50, 150);
+        assertBetween(careful, 2 * trusting, 600);
+    }
+
+    @Test
+    public void limitedSlotsAreNotGiven() {
+        GrantLedger ledger = decode(20);
+        ledger.limitSlots(1);
+        ledger.ask(decodeAsk(1, 0, 10, 300), 0);
+
+        assertEquals(ledger.ask(decodeAsk(2, 0, 10, 300), 0).decision(), GrantDecision.TOO_LATE);
+        ledger.limitSlots(2);
+        assertEquals(ledger.ask(decodeAsk(2, 0, 10, 300), 0).decision(), GrantDecision.GRANTED);
+    }
+
     private static GrantAsk sized(GrantAsk ask, int pieces) {
         return new GrantAsk(
                 ask.attempt(),
