Let only a change end as unknown

In a trial with the platform away, 'cyclamenctl service list' ended with code 8, as the entry host answered the list with outcome unknown. A question changes nothing. Before the change onlyAChangeCanBeUnknown's second line was what the trial showed: UNKNOWN.

--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Answer.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Answer.java
@@ -21,7 +21,18 @@
         return Json.read(response.contentUtf8()).filter(JsonNode::isObject).isPresent();
     }
 
-    static Either<CommandError, JsonNode> read(AggregatedHttpResponse response) {
+    /** Reads the answer to a question; whatever is refused of it, nothing was changed. */
+    static Either<CommandError, JsonNode> toRead(AggregatedHttpResponse response) {
+        return read(response, false);
+    }
+
+    /** Reads the answer to a change, of which it may be unknown whether it was made. */
+    static Either<CommandError, JsonNode> toChange(AggregatedHttpResponse response) {
+        return read(response, true);
+    }
+
+    private static Either<CommandError, JsonNode> read(
+            AggregatedHttpResponse response, boolean change) {
         Optional<JsonNode> document = Json.read(response.contentUtf8());
         int status = response.status().code();
         if (response.status().isSuccess()) {
@@ -30,19 +41,17 @@
         }
         return Either.left(
                 document.filter(JsonNode::isObject)
-                        .map(problem -> refusal(status, problem))
+                        .map(problem -> refusal(status, problem, change))
                         .orElseGet(() -> unreadable(status)));
     }
 
-    private static CommandError refusal(int status, JsonNode problem) {
-        ExitCode code = code(status, problem);
+    private static CommandError refusal(int status, JsonNode problem, boolean change) {
+        boolean unknown = change && problem.path("outcome").asText().equals("unknown");
+        ExitCode code = unknown ? ExitCode.UNKNOWN : code(status);
         return new CommandError(code, message(problem), Optional.of(problem));
     }
 
-    private static ExitCode code(int status, JsonNode problem) {
-        if (problem.path("outcome").asText().equals("unknown")) {
-            return ExitCode.UNKNOWN;
-        }
+    private static ExitCode code(int status) {
         return switch (status) {
             case NOT_FOUND -> ExitCode.NOT_FOUND;
             case CONFLICT -> ExitCode.CONFLICT;
--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Servers.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/client/Servers.java
@@ -48,7 +48,7 @@
             if (sent.isFailure()) {
                 continue;
             }
-            last = Answer.read(sent.get());
+            last = Answer.toRead(sent.get());
             boolean unknown = last.isLeft() && last.getLeft().code() == ExitCode.NOT_FOUND;
             if (!seek || !unknown) {
                 return last;
@@ -70,7 +70,7 @@
             Try<AggregatedHttpResponse> sent = send(endpoint, headers, body);
             if (sent.isSuccess()) {
                 return Answer.said(sent.get())
-                        ? Either.right(Answer.read(sent.get()))
+                        ? Either.right(Answer.toChange(sent.get()))
                         : Either.left(new IllegalStateException("status " + sent.get().status()));
             }
             Throwable cause = Exceptions.peel(sent.getCause());
--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/CyclamenctlTest.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/CyclamenctlTest.java
@@ -159,6 +159,16 @@
         assertEquals(mApi.changeRequests(), 1);
     }
 
+    // The platform does not answer the entry host, which says so with an unknown outcome. A change
+    // may have been made; a list has changed nothing, and scripts must not take it for a change.
+    @Test
+    public void onlyAChangeCanBeUnknown() {
+        mApi.beUnsure();
+
+        assertEquals(run("preset", "use", "ordinary"), ExitCode.UNKNOWN);
+        assertEquals(run("service", "list"), ExitCode.REFUSED);
+    }
+
     @Test
     public void triesTheNextServerWhenOneCannotBeReached() {
         List<String> line = new ArrayList<>(List.of("--server", "127.0.0.1:1"));
--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/FakeOperatorApi.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/FakeOperatorApi.java
@@ -36,6 +36,7 @@
     private long mRevision;
     private Loss mLoss = Loss.NEVER;
     private int mChangeRequests;
+    private boolean mUnsure;
 
     /** Loses the answers to all changes from now on. */
     public synchronized void lose(Loss loss) {
@@ -47,6 +48,11 @@
         mStatuses.addAll(java.util.List.of(statuses));
     }
 
+    /** Refuses all lists and changes with an unknown outcome. */
+    public synchronized void beUnsure() {
+        mUnsure = true;
+    }
+
     public synchronized int changeRequests() {
         return mChangeRequests;
     }
@@ -67,6 +73,9 @@
 
     @Get("/objects/{kind}")
     public synchronized HttpResponse list(@Param("kind") String kind) {
+        if (mUnsure) {
+            return problem(503, "change-unknown", Json.object().put("outcome", "unknown"));
+        }
         ObjectNode answer = Json.object();
         var array = answer.putArray("objects");
         mObjects.entrySet().stream()
@@ -134,6 +143,9 @@
             AggregatedHttpRequest request,
             java.util.function.Function<String, Long> change) {
         mChangeRequests++;
+        if (mUnsure) {
+            return problem(503, "change-unknown", Json.object().put("outcome", "unknown"));
+        }
         if (mLoss == Loss.BEFORE_CHANGE) {
             return HttpResponse.of(500);
         }
