Drop settings that nothing reads

limits.queue_per_service, limits.team_share, timing.heartbeat_ms, suspect_ms and probe_ms and routing.ledger were checked and documented, but changed nothing: no queue is assembled, teams have equal shares, membership timings are laid out together in MembershipSettings, and the policy says whether grants are used. A key that has no effect misleads whoever is on call. They return with what they set.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/RouterSettings.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/RouterSettings.java
@@ -103,8 +103,6 @@
      *
      * @param bodyBytes longest request body, in bytes
      * @param promptTokens longest prompt, in estimated tokens
-     * @param queuePerService requests of one service that may wait
-     * @param teamShare part of that queue that one team may fill, above 0 and at most 1
      * @param concurrentRequests requests in flight on this host
      * @param retryShare retries for each fresh request, 0 to 1
      * @param quarantineMillis how long a crashing request is refused, in milliseconds
@@ -112,8 +110,6 @@
     public record Limits(
             long bodyBytes,
             int promptTokens,
-            int queuePerService,
-            double teamShare,
             int concurrentRequests,
             double retryShare,
             long quarantineMillis) {
@@ -122,8 +118,6 @@
             return new Limits(
                     values.millis(SettingKey.LIMITS_BODY_BYTES),
                     values.number(SettingKey.LIMITS_PROMPT_TOKENS),
-                    values.number(SettingKey.LIMITS_QUEUE_PER_SERVICE),
-                    values.share(SettingKey.LIMITS_TEAM_SHARE),
                     values.number(SettingKey.LIMITS_CONCURRENT_REQUESTS),
                     values.share(SettingKey.LIMITS_RETRY_SHARE),
                     values.millis(SettingKey.LIMITS_QUARANTINE));
@@ -133,9 +127,6 @@
     /**
      * Periods and timeouts, all in milliseconds.
      *
-     * @param heartbeatMillis time between heartbeats
-     * @param suspectMillis silence after which a host is suspected, above the heartbeat
-     * @param probeMillis time for a suspected host to answer
      * @param reconcileMillis time between comparisons of backend servers with the preset
      * @param stopGraceMillis time in a planned stop for the balancer to turn away
      * @param loadPollMillis time between reads of an engine's load
@@ -143,30 +134,14 @@
      * @param transferMillis longest transfer of KV cache
      */
     public record Timing(
-            long heartbeatMillis,
-            long suspectMillis,
-            long probeMillis,
             long reconcileMillis,
             long stopGraceMillis,
             long loadPollMillis,
             long streamSilenceMillis,
             long transferMillis) {
 
-        public Timing {
-            if (suspectMillis <= heartbeatMillis) {
-                throw new IllegalArgumentException(
-                        "timing.suspect_ms "
-                                + suspectMillis
-                                + " must be above timing.heartbeat_ms "
-                                + heartbeatMillis);
-            }
-        }
-
         static Timing of(SettingValues values) {
             return new Timing(
-                    values.millis(SettingKey.TIMING_HEARTBEAT),
-                    values.millis(SettingKey.TIMING_SUSPECT),
-                    values.millis(SettingKey.TIMING_PROBE),
                     values.millis(SettingKey.TIMING_RECONCILE),
                     values.millis(SettingKey.TIMING_STOP_GRACE),
                     values.millis(SettingKey.TIMING_LOAD_POLL),
@@ -180,15 +155,13 @@
      *
      * @param policy how backend servers are ordered
      * @param expectedOutputTokens output tokens expected of a request without a history
-     * @param ledger whether decode slots are granted by the owner of the backend server
      */
-    public record Routing(PlacementPolicy policy, int expectedOutputTokens, boolean ledger) {
+    public record Routing(PlacementPolicy policy, int expectedOutputTokens) {
 
         static Routing of(SettingValues values) {
             return new Routing(
                     PlacementPolicy.valueOf(values.text(SettingKey.ROUTING_POLICY)),
-                    values.number(SettingKey.ROUTING_EXPECTED_OUTPUT_TOKENS),
-                    values.on(SettingKey.ROUTING_LEDGER));
+                    values.number(SettingKey.ROUTING_EXPECTED_OUTPUT_TOKENS));
         }
     }
 
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingKey.java
@@ -55,25 +55,13 @@
             SettingRange.between(1, 1_000_000),
             whole(65_536),
             "Longest prompt, in estimated tokens."),
-    LIMITS_QUEUE_PER_SERVICE(
-            "limits",
-            "queue_per_service",
-            SettingRange.between(0, 100_000),
-            whole(256),
-            "Requests of one service that may wait for a grant on this host."),
-    LIMITS_TEAM_SHARE(
-            "limits",
-            "team_share",
-            SettingType.SHARE,
-            SettingRange.between(0.01, 1),
-            share(0.5),
-            "Part of a service's queue that one team may fill."),
     LIMITS_CONCURRENT_REQUESTS(
             "limits",
             "concurrent_requests",
             SettingRange.between(1, 1_000_000),
             whole(4_096),
-            "Requests in flight on this host."),
+            "Requests of one service in progress on this host; from four fifths of it on, each"
+                    + " team is held to its share."),
     LIMITS_RETRY_SHARE(
             "limits",
             "retry_share",
@@ -88,24 +76,6 @@
             whole(600_000),
             "How long a request that crashed backend servers is refused, in milliseconds."),
 
-    TIMING_HEARTBEAT(
-            "timing",
-            "heartbeat_ms",
-            SettingRange.between(10, 60_000),
-            whole(500),
-            "Time between heartbeats, in milliseconds."),
-    TIMING_SUSPECT(
-            "timing",
-            "suspect_ms",
-            SettingRange.between(20, 600_000),
-            whole(800),
-            "Silence after which a host is suspected, in milliseconds."),
-    TIMING_PROBE(
-            "timing",
-            "probe_ms",
-            SettingRange.between(10, 60_000),
-            whole(300),
-            "Time for a suspected host to answer a new connection, in milliseconds."),
     TIMING_RECONCILE(
             "timing",
             "reconcile_ms",
@@ -150,13 +120,6 @@
             SettingRange.between(1, 100_000),
             whole(128),
             "Output tokens expected of a request before its service has a history."),
-    ROUTING_LEDGER(
-            "routing",
-            "ledger",
-            SettingType.SWITCH,
-            SettingRange.ANY,
-            JsonNodeFactory.instance.booleanNode(true),
-            "Whether decode slots are granted by the owner of the backend server."),
 
     BOOKINGS_RETENTION(
             "bookings",
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingType.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingType.java
@@ -36,13 +36,6 @@
             return value.isNumber() && range.contains(value.doubleValue());
         }
     },
-    /** True or false. */
-    SWITCH("true or false") {
-        @Override
-        boolean accepts(JsonNode value, SettingRange range) {
-            return value.isBoolean();
-        }
-    },
     /** One of a few words. */
     WORD("one of") {
         @Override
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingValues.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/settings/SettingValues.java
@@ -23,10 +23,6 @@
         return values.get(key).doubleValue();
     }
 
-    boolean on(SettingKey key) {
-        return values.get(key).booleanValue();
-    }
-
     List<PeerAddress> addresses(SettingKey key) {
         return values.get(key)
                 .valueStream()
