See in tests that a change is sent to one entry host only

The tests name the server twice. With the check of UnprocessedRequestException and of a document in the answer taken out of Servers.change, aLostAnswerIsSettledByTheChangeId ends in a conflict of the operator with himself and aChangeThatCannotBeSettledIsUnknown fails too; restored, all 28 pass.

--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/CyclamenctlTest.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/CyclamenctlTest.java
@@ -290,8 +290,10 @@
     }
 
     private ExitCode run(String... line) {
+        // The one server stands for two entry hosts, so that a change sent to both is seen twice.
+        String server = "127.0.0.1:" + mServer.activeLocalPort();
         List<String> all = new ArrayList<>(Arrays.asList(line));
-        all.addAll(List.of("--server", "127.0.0.1:" + mServer.activeLocalPort()));
+        all.addAll(List.of("--server", server, "--server", server));
         return runBare(all.toArray(String[]::new));
     }
 
