--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Confirmation.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Confirmation.java
@@ -32,9 +32,10 @@
         mRandom = random;
     }
 
-    /** Takes in that {@code gapMillis} passed since the last tick. */
-    void forgiveOwnPause(long gapMillis, long nowMillis) {
-        if (gapMillis > PAUSE_TICKS * mSettings.tickMillis()) {
+    /** Takes in the time since the last tick; returns whether it shows a pause of this process. */
+    boolean forgiveOwnPause(long gapMillis, long nowMillis) {
+        boolean paused = gapMillis > PAUSE_TICKS * mSettings.tickMillis();
+        if (paused) {
             // This process was paused, so all others look silent and its probes look failed.
             // Without this it would call every host dead at once on waking up. What it missed is
             // not held against them, and rounds of confirmation start afresh.
@@ -42,6 +43,7 @@
                     nowMillis - mSettings.suspectAfterMillis() + mSettings.probeTimeoutMillis();
             mView.table().members().forEach(member -> member.forgive(gapMillis, retry));
         }
+        return paused;
     }
 
     /** Suspects the hosts that this one watches and that are silent. */
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Membership.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/membership/Membership.java
@@ -78,9 +78,8 @@
      */
     public List<MembershipEffect> tick(long nowMillis) {
         List<MembershipEffect> effects = new ArrayList<>();
-        long gap = mLastTickMillis.map(last -> nowMillis - last).orElse(0L);
+        noticeOwnPause(nowMillis);
         mLastTickMillis = Optional.of(nowMillis);
-        mConfirmation.forgiveOwnPause(gap, nowMillis);
         if (due(mNextHeartbeatMillis, nowMillis)) {
             mNextHeartbeatMillis = Optional.of(nowMillis + mSettings.heartbeatMillis());
             effects.addAll(mWriter.regular(nowMillis));
@@ -98,6 +97,7 @@
     /** Takes a heartbeat in. */
     public List<MembershipEffect> onHeartbeat(Heartbeat heartbeat, long nowMillis) {
         List<MembershipEffect> effects = new ArrayList<>();
+        noticeOwnPause(nowMillis);
         HostRecord sender = heartbeat.sender();
         if (mView.isSelf(sender)) {
             mGossip.readOwn(sender, sender, effects);
@@ -133,6 +133,7 @@
     /** Takes in what a host that was asked found out. */
     public List<MembershipEffect> onProbeAnswer(ProbeAnswer answer, long nowMillis) {
         List<MembershipEffect> effects = new ArrayList<>();
+        noticeOwnPause(nowMillis);
         mView.table()
                 .member(answer.target())
                 .ifPresent(m -> mConfirmation.answer(m, answer.reachable(), nowMillis, effects));
@@ -148,6 +149,7 @@
     public List<MembershipEffect> onConnectionProbe(
             Incarnation target, boolean reachable, long nowMillis) {
         List<MembershipEffect> effects = new ArrayList<>();
+        noticeOwnPause(nowMillis);
         Optional.ofNullable(mAskers.remove(target)).orElse(Set.of()).stream()
                 .map(asker -> new SendTo(asker, new ProbeAnswer(target, reachable)))
                 .forEach(effects::add);
@@ -253,6 +255,17 @@
         return Map.copyOf(mDigests);
     }
 
+    /**
+     * Looks for a gap since the last tick before any event is judged: after a pause of this process
+     * the expired timers of its probes may run before its next tick.
+     */
+    private void noticeOwnPause(long nowMillis) {
+        long gap = mLastTickMillis.map(last -> nowMillis - last).orElse(0L);
+        if (mConfirmation.forgiveOwnPause(gap, nowMillis)) {
+            mLastTickMillis = Optional.of(nowMillis);
+        }
+    }
+
     private static boolean due(Optional<Long> atMillis, long nowMillis) {
         return atMillis.isEmpty() || nowMillis >= atMillis.get();
     }
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/OrderRun.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/OrderRun.java
@@ -43,6 +43,7 @@
     private final Map<Long, Incarnation> mFences = new HashMap<>();
     private Optional<EngineSetup> mEngine = Optional.empty();
     private long mObeyed;
+    private boolean mFaults;
     private int mOrders;
     private int mRefused;
 
@@ -54,12 +55,14 @@
     }
 
     void steps(int steps) {
+        mFaults = true;
         for (int i = 0; i < steps; i++) {
             mQueue.runFor(mRandom.nextInt(800));
             step(mRandom.nextInt(8));
         }
         mPlatform.mAway = false;
         mPlatform.mLoss = 0;
+        mFaults = false;
         mQueue.runFor(LATEST_NEWS_MILLIS);
         EngineSetup asked = setup();
         Holder last = mHolders[mRandom.nextInt(2)];
@@ -161,6 +164,9 @@
         }
 
         private void apply(OrderEffect effect) {
+            if (mFaults && mRandom.nextInt(10) == 0) {
+                mPausedUntil = mQueue.now() + mRandom.nextInt(1_500);
+            }
             if (effect instanceof OrderEffect.ReadState) {
                 long fence = mFencing == FencingSupport.HONOURS ? mObeyed : 0;
                 EngineReport report = new EngineReport(mEngine, fence);
