--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEvent.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingEvent.java
@@ -81,6 +81,16 @@
         public PeersAnswered {
             states = List.copyOf(states);
         }
+
+        /** Returns whether no call under the key has run or may be running on any host. */
+        boolean provesUnused() {
+            return complete
+                    && states.stream()
+                            .allMatch(
+                                    state ->
+                                            state == ClaimAnswer.State.NO_RECORD
+                                                    || state == ClaimAnswer.State.NOT_RUN);
+        }
     }
 
     /** The time named by {@link BookingEffect.WakeAt} has come. */
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingMachine.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/BookingMachine.java
@@ -179,20 +179,18 @@
         if (mState != State.CLAIMING && mState != State.READING_BACK) {
             return;
         }
-        if (existing.isEmpty() || freedByOther(existing.get())) {
+        Optional<ClaimRecord> standing =
+                existing.filter(claim -> claim.sameAttempt(mClaim) || !claim.state().frees());
+        if (standing.isEmpty()) {
             mState = State.CLAIMING;
             effects.add(new WriteClaim(mClaim));
-        } else if (existing.get().sameAttempt(mClaim)) {
+        } else if (standing.get().sameAttempt(mClaim)) {
             dispatch(nowMillis, effects);
         } else {
-            foreign(existing.get(), effects);
+            foreign(standing.get(), effects);
         }
     }
 
-    private boolean freedByOther(ClaimRecord existing) {
-        return existing.state().frees() && !existing.sameAttempt(mClaim);
-    }
-
     private void foreign(ClaimRecord existing, List<BookingEffect> effects) {
         mForeign = Optional.of(existing);
         if (!existing.fingerprint().equals(mClaim.fingerprint())) {
@@ -343,14 +341,11 @@
             return;
         }
         mState = State.NOT_RUN;
-        boolean unused =
-                answered.complete()
-                        && answered.states().stream().allMatch(BookingMachine::provesNotRun);
-        refuse(unused ? RefusalReason.PLATFORM_AWAY : RefusalReason.CLAIM_UNREADABLE, effects);
-    }
-
-    private static boolean provesNotRun(ClaimAnswer.State state) {
-        return state == ClaimAnswer.State.NO_RECORD || state == ClaimAnswer.State.NOT_RUN;
+        refuse(
+                answered.provesUnused()
+                        ? RefusalReason.PLATFORM_AWAY
+                        : RefusalReason.CLAIM_UNREADABLE,
+                effects);
     }
 
     private ClaimAsk ask() {
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/ClaimIntent.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/ClaimIntent.java
@@ -13,6 +13,11 @@
         return target == ClaimState.CLAIMED;
     }
 
+    /** Returns whether somebody waits for it: a caller, or the next attempt on a freed key. */
+    boolean urgent() {
+        return makesClaim() || target.frees();
+    }
+
     ClaimIntent asSent() {
         return new ClaimIntent(claim, target, true);
     }
--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/ClaimShard.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/claim/ClaimShard.java
@@ -42,6 +42,8 @@
     private Optional<Long> mLostOnVersion = Optional.empty();
     private Optional<ClaimMerge> mInFlight = Optional.empty();
     private long mRetryAtMillis;
+    private Optional<Long> mFlushAtMillis = Optional.empty();
+    private boolean mFlush;
     private long mNowEpochMillis;
 
     /**
@@ -95,15 +97,20 @@
     }
 
     /**
-     * Goes on after the platform was found away.
+     * Goes on after the platform was found away, and writes outcomes that have waited long enough.
      *
      * @param nowMillis reading of this host's clock
      */
     public List<ClaimShardEffect> tick(long nowMillis) {
-        if (mPhase != Phase.WAITING || nowMillis < mRetryAtMillis) {
-            return List.of();
+        if (mPhase == Phase.WAITING && nowMillis >= mRetryAtMillis) {
+            mPhase = Phase.IDLE;
         }
-        mPhase = Phase.IDLE;
+        if (mPending.isEmpty()) {
+            mFlushAtMillis = Optional.empty();
+        } else if (mFlushAtMillis.isEmpty()) {
+            mFlushAtMillis = Optional.of(nowMillis + mSettings.flushMillis());
+        }
+        mFlush = mFlushAtMillis.filter(at -> nowMillis >= at).isPresent();
         return proceed();
     }
 
@@ -122,6 +129,8 @@
         ClaimMerge written = mInFlight.orElseThrow();
         rebase(version, written.document());
         mFresh = false;
+        mFlush = false;
+        mFlushAtMillis = Optional.empty();
         List<ClaimShardEffect> effects = new ArrayList<>();
         written.written().forEach(intent -> settleKept(intent, effects));
         effects.addAll(proceed());
@@ -192,7 +201,8 @@
     }
 
     private List<ClaimShardEffect> proceed() {
-        if (mPhase != Phase.IDLE || mPending.isEmpty()) {
+        boolean due = mFlush || mPending.values().stream().anyMatch(ClaimIntent::urgent);
+        if (mPhase != Phase.IDLE || mPending.isEmpty() || !due) {
             return List.of();
         }
         if (mBase.isEmpty()) {
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/claim/ClaimShardTest.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/claim/ClaimShardTest.java
@@ -20,7 +20,7 @@
 public class ClaimShardTest {
 
     private static final ClaimShardSettings SETTINGS =
-            new ClaimShardSettings(1, TimeUnit.HOURS.toMillis(24), 300, 500);
+            new ClaimShardSettings(1, TimeUnit.HOURS.toMillis(24), 300, 500, 1_000);
     private static final ClaimRecord FIRST = claim("host-a", 1, "key 1", 0);
     private static final ClaimRecord SECOND = claim("host-a", 2, "key 2", 0);
     private static final ClaimRecord RIVAL = claim("host-b", 1, "key 1", 0);
@@ -84,6 +84,33 @@
                 List.of(new WriteShard(0, 1, document(FIRST.in(ClaimState.NOT_RUN)))));
     }
 
+    @Test
+    public void outcomeWaitsForTheNextWriteButNotForLong() {
+        mShard.onRead(0, ClaimDocument.EMPTY);
+        mShard.onWritten(1);
+        ClaimRecord ran = FIRST.in(ClaimState.RAN);
+
+        assertEquals(mShard.outcome(FIRST, ClaimState.RAN), List.of());
+        assertEquals(mShard.tick(0), List.of());
+        assertEquals(mShard.tick(999), List.of());
+        assertEquals(mShard.tick(1_000), List.of(new WriteShard(0, 1, document(ran))));
+        mShard.onWritten(2);
+        mShard.claim(SECOND, 0);
+        mShard.onWritten(3);
+        mShard.outcome(SECOND, ClaimState.RAN);
+
+        assertEquals(
+                mShard.claim(claim("host-a", 3, "key 3", 0), 0),
+                List.of(
+                        new WriteShard(
+                                0,
+                                3,
+                                document(
+                                        ran,
+                                        SECOND.in(ClaimState.RAN),
+                                        claim("host-a", 3, "key 3", 0)))));
+    }
+
     @Test
     public void refusesAtOnceWhileThePlatformIsAway() {
         mShard.onPlatformAway(0);
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingRun.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingRun.java
@@ -41,8 +41,7 @@
     final UniformRandomProvider mRandom;
     final List<BookingHost> mHosts = new ArrayList<>();
     final FakePlatform<String> mPlatform;
-    final ClaimShardSettings mShards =
-            new ClaimShardSettings(16, TimeUnit.HOURS.toMillis(24), 900_000, 200);
+    final ClaimShardSettings mShards;
     final Map<RunOutcome, Integer> mReplies = new EnumMap<>(RunOutcome.class);
     final Map<RefusalReason, Integer> mRefusals = new EnumMap<>(RefusalReason.class);
     int mRan;
@@ -53,7 +52,8 @@
     private long mLives = 1;
     private boolean mFaults = true;
 
-    BookingRun(int hosts, long seed) {
+    BookingRun(int hosts, int shards, long seed) {
+        mShards = new ClaimShardSettings(shards, TimeUnit.HOURS.toMillis(24), 900_000, 200, 1_000);
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         mPlatform = new FakePlatform<>(mQueue, mRandom);
         for (int i = 0; i < hosts; i++) {
@@ -95,6 +95,18 @@
                 .forEach(claim -> require(false, () -> claim + " was never settled"));
     }
 
+    /** Sends bookings without faults and returns the platform's calls for each. */
+    double callsPerBooking(int keys, int perSecond) {
+        mFaults = false;
+        long before = mPlatform.mCalls;
+        for (int i = 0; i < keys; i++) {
+            ClaimKey key = new ClaimKey(new ServiceName("spot-book"), perSecond + "-" + i);
+            mQueue.after(i * 1_000L / perSecond, () -> send(key, 1));
+        }
+        mQueue.runFor(keys * 1_000L / perSecond + 10_000);
+        return (double) (mPlatform.mCalls - before) / keys;
+    }
+
     /** Has a call written to a backend server. */
     void send(ClaimRecord claim, Consumer<BookingEvent> report) {
         require(!mRefused.contains(claim.attempt()), () -> claim + " sent after not run");
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingRunTest.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/BookingRunTest.java
@@ -19,7 +19,7 @@
      */
     @Test(dataProvider = "seeds")
     public void runsEachKeyAtMostOnce(long seed, int keys) {
-        BookingRun run = new BookingRun(4, RunOptions.seed(seed));
+        BookingRun run = new BookingRun(4, 16, RunOptions.seed(seed));
 
         run.bookings(RunOptions.length(keys));
 
--- a/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/ScaleMeasurement.java
+++ b/cyclamenpaddle-fleet/src/test/java/org/cyclamenpaddle/fleet/simulation/ScaleMeasurement.java
@@ -1,7 +1,9 @@
 package org.cyclamenpaddle.fleet.simulation;
 
 import java.util.List;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.cyclamenpaddle.core.message.HostState;
 import org.cyclamenpaddle.fleet.membership.Membership;
 import org.cyclamenpaddle.fleet.ownership.Ownership;
@@ -14,6 +16,7 @@
 public class ScaleMeasurement {
 
     private static final int DOMAINS = 6;
+    private static final int SAMPLES = 5;
 
     @DataProvider
     public Object[][] sizes() {
@@ -38,21 +41,39 @@
         report(hosts, "messages sent per host and second", (fleet.mMessages - messages) / share);
         report(hosts, "bytes sent per host and second", (fleet.mBytes - bytes) / share);
         report(hosts, "core share in percent", (fleet.mNanos - nanos) / share / 1e7);
-        report(hosts, "ms until all see a machine as dead", kill(fleet, true));
-        fleet.mQueue.runFor(10_000);
-        report(hosts, "ms until all see a process as dead", kill(fleet, false));
-        fleet.mQueue.runFor(10_000);
-        report(hosts, "ms until all have a change", spread(fleet));
+        report(hosts, "longest ms until all see a dead machine", longest(() -> kill(fleet)));
+        report(hosts, "longest ms until all have a change", longest(() -> spread(fleet)));
+    }
+
+    @DataProvider
+    public Object[][] claims() {
+        return new Object[][] {{9, 4, 100}, {9, 4, 1_000}, {9, 64, 1_000}, {9, 1_024, 1_000}};
+    }
+
+    @Test(dataProvider = "claims")
+    public void measureClaims(int hosts, int shards, int perSecond) {
+        BookingRun run = new BookingRun(hosts, shards, RunOptions.seed(1));
+        double calls = run.callsPerBooking(3 * perSecond, perSecond);
+        Reporter.log(
+                String.format(
+                        "%d hosts, %d shards, %d bookings/s: %.2f calls each",
+                        hosts, shards, perSecond, calls),
+                true);
+    }
+
+    private static long longest(LongSupplier measured) {
+        return LongStream.generate(measured).limit(SAMPLES).max().orElseThrow();
     }
 
     private static boolean unseen(Host a, Host b) {
         return a.view(b) != HostState.ALIVE;
     }
 
-    private static long kill(MembershipFleet fleet, boolean machine) {
+    private static long kill(MembershipFleet fleet) {
+        fleet.mQueue.runFor(1_000 + fleet.mRandom.nextInt(500));
         Host victim = fleet.up().get(fleet.mRandom.nextInt(fleet.up().size()));
         victim.mUp = false;
-        victim.mMachineDown = machine;
+        victim.mMachineDown = true;
         long start = fleet.mQueue.now();
         while (fleet.up().stream().anyMatch(host -> host.view(victim) != HostState.DEAD)
                 && fleet.mQueue.now() - start < 20_000) {
@@ -71,9 +92,10 @@
                         .flatMap(d -> Ownership.watchers(d, view.alive(), 2).stream())
                         .map(record -> fleet.mHosts.get(record.incarnation().host()))
                         .collect(Collectors.toList());
-        watchers.forEach(host -> host.mDigest = 7);
+        long digest = fleet.mQueue.now();
+        watchers.forEach(host -> host.mDigest = digest);
         long start = fleet.mQueue.now();
-        while (fleet.up().stream().anyMatch(host -> host.mDigest != 7)
+        while (fleet.up().stream().anyMatch(host -> host.mDigest != digest)
                 && fleet.mQueue.now() - start < 60_000) {
             fleet.mQueue.runFor(10);
         }
