--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -369,7 +369,8 @@
                         mSettings.bookings().shards(),
                         retentionMillis(),
                         defaults.maxCharacters(),
-                        defaults.retryMillis());
+                        defaults.retryMillis(),
+                        defaults.flushMillis());
         ObjectStore store = mStore;
         return new BookingServices(
                 mSelf,
