--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/placement/PlacementPolicy.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/placement/PlacementPolicy.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -55,17 +54,16 @@
     TIMED_GRANTS(true) {
         @Override
         List<Scored> order(List<Scored> servers, long turn, UniformRandomProvider random) {
-            Map<Scored, Double> costs = new HashMap<>();
-            for (Scored scored : servers) {
-                double near = NEAR_MILLIS + NEAR_PER_AGE * scored.view().hintAgeMillis();
-                costs.put(scored, scored.cost() + near * random.nextDouble());
-            }
-            List<Scored> ordered = new ArrayList<>(servers);
-            ordered.sort(Comparator.comparing(costs::get));
-            return ordered;
+            return servers.stream()
+                    .map(scored -> new Costed(scored, spread(scored, random)))
+                    .sorted(Comparator.comparingDouble(Costed::cost))
+                    .map(Costed::scored)
+                    .toList();
         }
     };
 
+    private record Costed(Scored scored, double cost) {}
+
     private static final Comparator<Scored> BY_REPORTED_LOAD =
             Comparator.comparingDouble(Scored::load).thenComparingLong(Scored::waitMillis);
 
@@ -142,6 +140,11 @@
         return ordered.stream().map(Scored::candidate).toList();
     }
 
+    private static double spread(Scored scored, UniformRandomProvider random) {
+        double near = NEAR_MILLIS + NEAR_PER_AGE * scored.view().hintAgeMillis();
+        return scored.cost() + near * random.nextDouble();
+    }
+
     private static List<Scored> shuffled(List<Scored> servers, UniformRandomProvider random) {
         List<Scored> shuffled = new ArrayList<>(servers);
         for (int i = shuffled.size() - 1; i > 0; i--) {
