--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/page/ArchitecturePageTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/page/ArchitecturePageTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -19,6 +20,7 @@
 
     private static final Path ROOT = Path.of("..");
     private static final Pattern MODULE = Pattern.compile("<module>(.*?)</module>");
+    private static final Pattern TYPE = Pattern.compile("`([A-Z][a-z]+[A-Z]?[A-Za-z]*)[.`]");
     private static final Pattern LINK = Pattern.compile("]\\(([^)#:]+)(#[^)]*)?\\)");
 
     @Test
@@ -60,6 +62,26 @@
         packages.forEach(page::assertNames);
     }
 
+    @Test
+    public void everyTypeThatItNamesExists() throws IOException {
+        Set<String> types;
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            types =
+                    files.map(file -> file.getFileName().toString())
+                            .filter(name -> name.endsWith(".java"))
+                            .map(name -> name.substring(0, name.length() - ".java".length()))
+                            .collect(Collectors.toSet());
+        }
+        List<String> named =
+                TYPE.matcher(Files.readString(ROOT.resolve("docs").resolve("ARCHITECTURE.md")))
+                        .results()
+                        .map(match -> match.group(1))
+                        .toList();
+
+        assertTrue(named.size() > 10, named.toString());
+        assertEquals(named.stream().filter(type -> !types.contains(type)).toList(), List.of());
+    }
+
     @Test
     public void everyLinkOfAPageLeadsToAFile() throws IOException {
         List<Path> pages;
