Let the engine subcommand die on a crash; fix the plots' axes

A crash of an engine that has its process to itself ends the process with exit code 1, as seen with a prompt that carries the crash mark. Plots had an unreadable load axis with a single load.

--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineSettings.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineSettings.java
@@ -127,6 +127,13 @@
         return Answers.JSON.convertValue(merged, EngineSettings.class);
     }
 
+    /** Returns these settings for an engine that has its process to itself and dies with it. */
+    public EngineSettings haltingOnCrash() {
+        ObjectNode settings = Answers.JSON.valueToTree(this);
+        settings.put("haltOnCrash", true);
+        return fromTree(settings);
+    }
+
     /** Returns the length of a decode step with {@code batch} attempts, in modelled ms. */
     public double stepMillis(int batch) {
         return tokenMillis * (1 + batchSlope * (batch - 1));
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/main/Subcommand.java
@@ -54,7 +54,7 @@
                             ? EngineSettings.fromJson(
                                     Files.readString(Path.of(line.getOptionValue("config"))))
                             : EngineSettings.DEFAULT;
-            new EngineStandin(settings).start(port(line));
+            new EngineStandin(settings.haltingOnCrash()).start(port(line));
             serve();
         }
     },
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/report/SharePlot.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/report/SharePlot.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.standins.report;
 
+import java.awt.Color;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.jfree.chart.ChartUtils;
 import org.jfree.chart.JFreeChart;
 import org.jfree.chart.plot.PlotOrientation;
+import org.jfree.chart.plot.XYPlot;
 import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
@@ -23,6 +25,7 @@
 
     private static final int WIDTH = 900;
     private static final int HEIGHT = 560;
+    private static final double MAX_LOAD = 1.6;
 
     private final String mTitle;
     private final ToDoubleFunction<MergedRuns> mValue;
@@ -65,7 +68,11 @@
                         true,
                         false,
                         false);
-        chart.getXYPlot().setRenderer(new XYLineAndShapeRenderer(true, true));
+        XYPlot plot = chart.getXYPlot();
+        plot.setRenderer(new XYLineAndShapeRenderer(true, true));
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+        plot.getDomainAxis().setRange(0, MAX_LOAD);
         return chart;
     }
 }
