Keep a preset that is put in force while it is deleted; mend what the operators' side found

Cause: references are checked on a listing, and one key is written; a deletion and a 'use' of one preset could both pass, after which every host refused all requests. Each side now looks again after its own write and restores the preset.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -142,7 +142,9 @@
         mRepeatable =
                 new RepeatableCalls(
                         choice, mPlainClient, mEnvironment::newAttempt, mRetries, mMetrics, mClock);
-        mFinder = new HostFinder(settings.peers().seeds(), mHostList, mMembership, mTransport);
+        mFinder =
+                new HostFinder(
+                        settings.peers().seeds(), mHostList, mMembership, mTransport, mHealth);
         mNetwork = peerNetwork();
         mMetrics.gauges(gauges());
     }
@@ -171,6 +173,10 @@
                 + mCanceller.pending();
     }
 
+    int ledgersKept() {
+        return mLedgers.owned().size();
+    }
+
     OperatorApi operatorApi() {
         return new OperatorApi(
                 new PlatformAdmin(mStore, mCodec, mConfiguration),
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/EntryHost.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/EntryHost.java
@@ -29,6 +29,8 @@
     private final EventLog mLog;
     private final Table<StopSequence> mStop;
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private volatile long mStopStartedAt;
+    private volatile int mLedgersToHandOver;
     private final AtomicBoolean mReadyLogged = new AtomicBoolean();
 
     /**
@@ -129,17 +131,20 @@
             return;
         }
         switch (entered.stage()) {
-            case NOT_READY ->
-                    mLog.log(
-                            LogEvent.STOPPING,
-                            mControllers.blackboard().requests().read(RequestTable::inFlight),
-                            mSettings.timing().stopGraceMillis());
+            case NOT_READY -> {
+                mStopStartedAt = mControllers.clock().millis();
+                mLog.log(
+                        LogEvent.STOPPING,
+                        mControllers.blackboard().requests().read(RequestTable::inFlight),
+                        mSettings.timing().stopGraceMillis());
+            }
             case HANDING_OVER -> {
-                mLog.log(LogEvent.DRAINED, mControllers.clock().millis());
+                mLog.log(LogEvent.DRAINED, mControllers.clock().millis() - mStopStartedAt);
+                mLedgersToHandOver = mControllers.ledgersKept();
                 mControllers.membership().leave();
             }
             case STOPPED -> {
-                mLog.log(LogEvent.STOPPED, 0);
+                mLog.log(LogEvent.STOPPED, mLedgersToHandOver);
                 mStopped.complete(null);
             }
             default -> {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
@@ -2,7 +2,9 @@
 
 import io.vavr.control.Either;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -11,6 +13,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenpaddle.core.config.ConfigurationObject;
 import org.cyclamenpaddle.core.config.ObjectKey;
+import org.cyclamenpaddle.core.config.ObjectKind;
 import org.cyclamenpaddle.core.id.PresetName;
 import org.cyclamenpaddle.core.message.ConfigurationAnswer;
 import org.cyclamenpaddle.core.message.ConfigurationAsk;
@@ -57,6 +60,7 @@
     private final SerialExecutor mSerial;
     private final ConfigurationReplica mReplica = new ConfigurationReplica();
     private final ConfigurationSync mSync;
+    private final Map<ObjectKey, String> mLastPresets = new HashMap<>();
     private long mGeneration;
 
     /**
@@ -148,11 +152,11 @@
         return done;
     }
 
-    /** Returns a copy of the replica's objects, for whoever must not wait for the platform. */
-    public CompletableFuture<List<ConfigurationObject>> objects() {
-        CompletableFuture<List<ConfigurationObject>> copy = new CompletableFuture<>();
-        mSerial.execute(() -> copy.complete(mReplica.objects()));
-        return copy;
+    /** Returns the last document that this host had of a preset, be it deleted since or not. */
+    public CompletableFuture<Optional<String>> lastDocument(ObjectKey key) {
+        CompletableFuture<Optional<String>> document = new CompletableFuture<>();
+        mSerial.execute(() -> document.complete(Optional.ofNullable(mLastPresets.get(key))));
+        return document;
     }
 
     private void perform(List<ConfigurationEffect> effects) {
@@ -253,6 +257,12 @@
         Optional<PresetName> previous = mBlackboard.view().inForce();
         long before = mBlackboard.configuration().read(ConfigurationCell::inForceVersion);
         mBlackboard.configuration().write(cell -> cell.apply(parsed.view(), inForce, digest));
+        objects.stream()
+                .filter(object -> object.key().kind() == ObjectKind.PRESET)
+                .forEach(
+                        object ->
+                                object.document()
+                                        .ifPresent(text -> mLastPresets.put(object.key(), text)));
         objects.forEach(
                 object ->
                         mLog.log(
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
@@ -84,7 +84,7 @@
         return mStore.get(key.path())
                 .thenApply(
                         answer ->
-                                answer.mapLeft(PlatformAdmin::away)
+                                answer.mapLeft(PlatformAdmin::unread)
                                         .map(
                                                 found ->
                                                         found.flatMap(
@@ -141,7 +141,49 @@
                                                 refusal ->
                                                         CompletableFuture.completedFuture(
                                                                 Either.left(refusal)),
-                                                version -> inForce(key, spec, change, version)));
+                                                version ->
+                                                        keepPreset(spec)
+                                                                .thenCompose(
+                                                                        kept ->
+                                                                                inForce(
+                                                                                        key, spec,
+                                                                                        change,
+                                                                                        version))));
+    }
+
+    /**
+     * Restores a preset that was deleted while it was being put in force.
+     *
+     * <p>Failure: one operator deletes a preset while another puts it in force; each check passes
+     * before the other's write, and every host would refuse all requests for want of a preset. Both
+     * look again after their own write, so at least one of them sees both writes and restores it.
+     */
+    private CompletableFuture<Void> keepPreset(Object spec) {
+        if (!(spec instanceof InForceSpec inForce)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        ObjectKey key = new ObjectKey(ObjectKind.PRESET, inForce.preset().value());
+        return mStore.get(key.path())
+                .thenCompose(
+                        answer ->
+                                answer.isRight() && answer.get().isEmpty()
+                                        ? restore(key)
+                                        : CompletableFuture.completedFuture(null));
+    }
+
+    /** Writes the preset back as this host's replica still has it, unless someone has done so. */
+    private CompletableFuture<Void> restore(ObjectKey key) {
+        return mDriver.lastDocument(key)
+                .thenCompose(
+                        document ->
+                                document.map(
+                                                text ->
+                                                        mStore.put(
+                                                                        key.path(),
+                                                                        text,
+                                                                        WritePrecondition.absent())
+                                                                .<Void>thenApply(done -> null))
+                                        .orElseGet(() -> CompletableFuture.completedFuture(null)));
     }
 
     /** Puts the change in force on this host before its operator hears of it. */
@@ -170,7 +212,36 @@
                                                 refusal ->
                                                         CompletableFuture.completedFuture(
                                                                 Either.left(refusal)),
-                                                deleted -> removed(key, version, deleted)));
+                                                deleted ->
+                                                        keepPresetInForce(key)
+                                                                .thenCompose(
+                                                                        kept ->
+                                                                                removed(
+                                                                                        key,
+                                                                                        version,
+                                                                                        deleted))));
+    }
+
+    private CompletableFuture<Void> keepPresetInForce(ObjectKey deleted) {
+        if (deleted.kind() != ObjectKind.PRESET) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return mStore.get(ObjectKey.inForce().path())
+                .thenCompose(
+                        answer ->
+                                answer.toJavaOptional()
+                                        .flatMap(found -> found)
+                                        .flatMap(
+                                                found ->
+                                                        mCodec.inForce(found.value())
+                                                                .toJavaOptional())
+                                        .filter(
+                                                inForce ->
+                                                        inForce.preset()
+                                                                .value()
+                                                                .equals(deleted.name()))
+                                        .map(this::keepPreset)
+                                        .orElseGet(() -> CompletableFuture.completedFuture(null)));
     }
 
     private CompletableFuture<Either<ChangeRefusal, Long>> removed(
@@ -187,7 +258,7 @@
     private Either<ChangeRefusal, OptionalLong> settle(
             ObjectKey key, Either<PlatformError, ChangeResult> answer) {
         if (answer.isLeft()) {
-            return Either.left(ChangeRefusal.of(away(answer.getLeft())));
+            return Either.left(ChangeRefusal.of(unwritten(answer.getLeft())));
         }
         if (answer.get() instanceof ChangeResult.Accepted accepted) {
             return Either.right(accepted.version());
@@ -245,7 +316,7 @@
         return mStore.list(ObjectKey.PREFIX)
                 .thenApply(
                         answer ->
-                                answer.mapLeft(PlatformAdmin::away)
+                                answer.mapLeft(PlatformAdmin::unread)
                                         .map(listing -> objects(listing.objects())));
     }
 
@@ -282,12 +353,14 @@
                         new StoredObject(object.key(), object.version(), change.get(), spec.get()));
     }
 
-    private static Refusal away(PlatformError error) {
-        return Refusal.of(
-                error.mayHaveTakenEffect()
-                        ? RefusalReason.CHANGE_UNKNOWN
-                        : RefusalReason.PLATFORM_AWAY,
-                error.toString());
+    private static Refusal unread(PlatformError error) {
+        return Refusal.of(RefusalReason.PLATFORM_AWAY, error.toString());
+    }
+
+    private static Refusal unwritten(PlatformError error) {
+        return error.mayHaveTakenEffect()
+                ? Refusal.of(RefusalReason.CHANGE_UNKNOWN, error.toString())
+                : unread(error);
     }
 
     private static <T> CompletableFuture<Either<ChangeRefusal, T>> refused(Refusal refusal) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HostFinder.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HostFinder.java
@@ -10,6 +10,7 @@
 import org.cyclamenpaddle.core.message.HostState;
 import org.cyclamenpaddle.platform.hosts.HostList;
 import org.cyclamenpaddle.platform.hosts.HostListing;
+import org.cyclamenpaddle.router.configuration.PlatformHealth;
 import org.cyclamenpaddle.router.settings.PeerAddress;
 
 /**
@@ -26,6 +27,7 @@
     private final HostList mHostList;
     private final MembershipDriver mMembership;
     private final Greeter mGreeter;
+    private final PlatformHealth mHealth;
 
     /** Asks who answers at an address. */
     @FunctionalInterface
@@ -42,16 +44,19 @@
      * @param hostList the platform's list
      * @param membership takes what is found
      * @param greeter asks an address who it is
+     * @param health told whether the platform answers
      */
     public HostFinder(
             List<PeerAddress> seeds,
             HostList hostList,
             MembershipDriver membership,
-            Greeter greeter) {
+            Greeter greeter,
+            PlatformHealth health) {
         mSeeds = List.copyOf(seeds);
         mHostList = hostList;
         mMembership = membership;
         mGreeter = greeter;
+        mHealth = health;
     }
 
     /** Greets every address that no live member has. */
--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/ConfigurationFailureTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/ConfigurationFailureTest.java
@@ -64,6 +64,31 @@
         awaitInForce(winner);
     }
 
+    // One operator deletes a preset while another puts it in force at another host. Each check
+    // passes
+    // before the other's write in some of the rounds. Whoever wins, the preset in force must exist
+    // afterwards, or every host would refuse all requests.
+    @Test
+    public void presetInForceSurvivesRacingDeletion() {
+        for (int round = 0; round < 12; round++) {
+            String preset = "race-" + round;
+            mFleet.operator("h1").create("preset", preset, presetLike(preset));
+            long seen = mFleet.operator("h1").show("in-force", "preset").path("version").asLong();
+            long version = mFleet.operator("h1").show("preset", preset).path("version").asLong();
+
+            CompletableFuture<HttpResponse<String>> used =
+                    CompletableFuture.supplyAsync(() -> use("h1", preset, seen));
+            CompletableFuture<HttpResponse<String>> deleted =
+                    CompletableFuture.supplyAsync(
+                            () -> mFleet.operator("h2").delete("preset", preset, version));
+
+            boolean inForce = used.join().statusCode() == 200;
+            deleted.join();
+            boolean exists = mFleet.platform().value("config/preset/" + preset).isPresent();
+            assertTrue(exists || !inForce, "round " + round + ": preset in force is gone");
+        }
+    }
+
     // The platform puts the preset in force, but its answer to the host is lost. The host finds its
     // own change id in the object, so the operator hears that the change was accepted.
     @Test
