Look at engines at once when a host ends; bound the ask of the peers

Cause: the fleet's arithmetic frees a dead host's engine memory within 2 s only if owners list attempts as soon as the death is confirmed; a regular reading came up to half a second later. And a booking's ask of its peers after the deadline had no end of its own.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -146,6 +146,7 @@
                 new HostFinder(
                         settings.peers().seeds(), mHostList, mMembership, mTransport, mHealth);
         mNetwork = peerNetwork();
+        mMembership.onHostChanged(this::hostChanged);
         mMetrics.gauges(gauges());
     }
 
@@ -157,6 +158,20 @@
         mBookings.tick();
     }
 
+    /**
+     * Lets owners look at their engines at once.
+     *
+     * <p>Two seconds after a host died its attempts must hold no engine memory; waiting for the
+     * next regular reading would spend a quarter of them.
+     */
+    private void hostChanged(HostRecord host) {
+        mWorkers.execute(
+                () -> {
+                    mLedgers.tick();
+                    mEngineMonitor.tick();
+                });
+    }
+
     /** Follows the preset in force and the view of the hosts. */
     void ledgerTick() {
         mLedgers.tick();
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingRun.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -27,6 +26,9 @@
 /** One keyed call under way: feeds its machine and performs the effects. */
 final class BookingRun {
 
+    /** Longest ask of the peers after the deadline, in milliseconds. */
+    private static final long PEERS_MILLIS = 400;
+
     private final Bookings.KeyedCall mCall;
     private final BookingServices mServices;
     private final BookingMachine mMachine;
@@ -34,7 +36,6 @@
     private final SerialExecutor mSerial;
     private final CompletableFuture<BookingReply> mReply = new CompletableFuture<>();
     private final Set<BackendId> mTried = new HashSet<>();
-    private Optional<ScheduledFuture<?>> mDeadline = Optional.empty();
 
     /** What this host itself knows of a key; called on the serial executor. */
     @FunctionalInterface
@@ -59,13 +60,10 @@
 
     /** Starts the call; to be run on the serial executor. */
     void start() {
-        mDeadline =
-                Optional.of(
-                        mServices
-                                .workers()
-                                .after(
-                                        mCall.call().timeoutMillis(),
-                                        () -> feed(new BookingEvent.Timeout())));
+        long deadline = mCall.call().timeoutMillis();
+        mServices.workers().after(deadline, () -> feed(new BookingEvent.Timeout()));
+        // The first may only have led to an ask of the peers, which must not last for ever.
+        mServices.workers().after(deadline + PEERS_MILLIS, () -> feed(new BookingEvent.Timeout()));
         perform(mMachine.start());
     }
 
@@ -200,7 +198,6 @@
     }
 
     private void reply(BookingReply reply) {
-        mDeadline.ifPresent(timer -> timer.cancel(false));
         RunOutcome outcome = reply.outcome();
         mServices.metrics().booking(outcome);
         if (reply instanceof BookingReply.Refused refused) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/MembershipDriver.java
@@ -37,6 +37,7 @@
     private final Clock mClock;
     private final EventLog mLog;
     private final Consumer<Incarnation> mSuperseded;
+    private volatile Consumer<HostRecord> mChanged = host -> {};
 
     /**
      * Creates the driver.
@@ -66,6 +67,15 @@
         mSuperseded = superseded;
     }
 
+    /**
+     * Sets who is told at once of each change of a host's state or life.
+     *
+     * @param changed takes the host; must not block
+     */
+    public void onHostChanged(Consumer<HostRecord> changed) {
+        mChanged = changed;
+    }
+
     /** Sends what is due and follows suspicions. */
     public void tick() {
         act(membership -> membership.tick(mClock.millis()));
@@ -147,6 +157,7 @@
             probe(probe.target());
         } else if (effect instanceof MembershipEffect.HostChanged changed) {
             log(changed.host());
+            mChanged.accept(changed.host());
         } else if (effect instanceof MembershipEffect.Superseded superseded) {
             mSuperseded.accept(superseded.by());
         }
