Order engines into line with the preset in force

The owner of a ledger runs one controller per engine. A ledger stays closed until the engine reports what is asked, so work that it must refuse is not granted. Engines say in their state whether they serve unordered: such an engine with an empty setup is left alone, as an order would cut off what it runs. Grants of a role just left count until they end, so a drain waits for them too.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineBodies.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineBodies.java
@@ -132,7 +132,13 @@
         }
     }
 
-    record StateAnswer(String service, String model, String role, long fence, boolean busy) {
+    record StateAnswer(
+            String service,
+            String model,
+            String role,
+            long fence,
+            boolean busy,
+            Boolean servesUnordered) {
         Either<EngineFailure, EngineState> result() {
             return checked(
                     () ->
@@ -143,7 +149,8 @@
                                             .map(code -> code.toUpperCase(Locale.ROOT))
                                             .map(BackendRole::valueOf),
                                     fence,
-                                    busy));
+                                    busy,
+                                    Boolean.TRUE.equals(servesUnordered)));
         }
     }
 
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineState.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineState.java
@@ -12,10 +12,23 @@
  * @param role its role, if any
  * @param fence the greatest fencing number it has seen
  * @param busy whether it is carrying out an order
+ * @param servesUnordered whether it serves any role as long as it was ordered nothing
  */
 public record EngineState(
         Optional<ServiceName> service,
         Optional<String> model,
         Optional<BackendRole> role,
         long fence,
-        boolean busy) {}
+        boolean busy,
+        boolean servesUnordered) {
+
+    /** Creates the state of an engine that serves nothing before it is ordered to. */
+    public EngineState(
+            Optional<ServiceName> service,
+            Optional<String> model,
+            Optional<BackendRole> role,
+            long fence,
+            boolean busy) {
+        this(service, model, role, fence, busy, false);
+    }
+}
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -42,6 +42,10 @@
 import org.cyclamenpaddle.router.metric.GaugeSources;
 import org.cyclamenpaddle.router.metric.RouterMetrics;
 import org.cyclamenpaddle.router.operator.OperatorApi;
+import org.cyclamenpaddle.router.order.FenceStore;
+import org.cyclamenpaddle.router.order.OrderDriver;
+import org.cyclamenpaddle.router.order.OrderServices;
+import org.cyclamenpaddle.router.order.SlotStore;
 import org.cyclamenpaddle.router.peering.CountingPeers;
 import org.cyclamenpaddle.router.peering.HeartbeatContents;
 import org.cyclamenpaddle.router.peering.HostFinder;
@@ -99,6 +103,7 @@
     private final LedgerKeeper mLedgers;
     private final BackendClients mClients;
     private final Canceller mCanceller;
+    private final OrderDriver mOrders;
     private final EngineMonitor mEngineMonitor;
     private final PrefixMonitor mPrefixes;
     private final RetryBudget mRetries;
@@ -127,8 +132,10 @@
         mLedgers = new LedgerKeeper(mBlackboard, mMembership, mTransport, mClock, log, mMetrics);
         mClients = new BackendClients(mConnections);
         mCanceller = new Canceller(mClients, mBlackboard, mWorkers, mMetrics);
+        mOrders = orderDriver();
         mEngineMonitor =
-                new EngineMonitor(mLedgers, mClients, mMembership, mBlackboard, mClock, log);
+                new EngineMonitor(
+                        mLedgers, mClients, mMembership, mBlackboard, mOrders, mClock, log);
         mPrefixes = new PrefixMonitor(mBlackboard, mClients, settings.host().failureDomain());
         mRetries = new RetryBudget(retrySettings());
         mLearning = learning();
@@ -200,6 +207,10 @@
         return mMembership;
     }
 
+    OrderDriver orders() {
+        return mOrders;
+    }
+
     EngineMonitor engineMonitor() {
         return mEngineMonitor;
     }
@@ -302,6 +313,20 @@
                 random(2));
     }
 
+    private OrderDriver orderDriver() {
+        return new OrderDriver(
+                new OrderServices(
+                        mSelf,
+                        mBlackboard,
+                        mLedgers,
+                        mClients,
+                        new FenceStore(mStore),
+                        new SlotStore(mStore, mSelf, mMembership::standing),
+                        mWorkers,
+                        mClock,
+                        mLog));
+    }
+
     private Learning learning() {
         return new Learning(
                 new OutputLengthEstimator(LENGTH_QUANTILE, LENGTH_SOURCES),
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/EntryHost.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/EntryHost.java
@@ -19,6 +19,7 @@
 
     private static final long HOST_TICK_MILLIS = 50;
     private static final long LEDGER_TICK_MILLIS = 200;
+    private static final long ORDER_TICK_MILLIS = 100;
     private static final long FINDER_TICK_MILLIS = 1_000;
     private static final long STOP_TICK_MILLIS = 50;
     private static final long HAND_OVER_MILLIS = 1_000;
@@ -94,6 +95,7 @@
         mControllers.workers().execute(mControllers.finder()::tick);
         mControllers.workers().every(HOST_TICK_MILLIS, this::hostTick);
         mControllers.workers().every(LEDGER_TICK_MILLIS, mControllers::ledgerTick);
+        mControllers.workers().every(ORDER_TICK_MILLIS, mControllers.orders()::tick);
         mControllers
                 .workers()
                 .every(mSettings.timing().reconcileMillis(), mControllers.engineMonitor()::tick);
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
@@ -35,6 +35,7 @@
     private final BackendClients mClients;
     private final MembershipDriver mMembership;
     private final Blackboard mBlackboard;
+    private final AttemptsListener mListener;
     private final Clock mClock;
     private final EventLog mLog;
     private final Map<BackendId, AttemptReconciler> mReconcilers = new ConcurrentHashMap<>();
@@ -47,6 +48,7 @@
      * @param clients engines
      * @param membership which lives of hosts have ended
      * @param blackboard tables of this host
+     * @param listener hears how many attempts each engine runs
      * @param clock time in milliseconds
      * @param log events
      */
@@ -55,12 +57,14 @@
             BackendClients clients,
             MembershipDriver membership,
             Blackboard blackboard,
+            AttemptsListener listener,
             Clock clock,
             EventLog log) {
         mLedgers = ledgers;
         mClients = clients;
         mMembership = membership;
         mBlackboard = blackboard;
+        mListener = listener;
         mClock = clock;
         mLog = log;
     }
@@ -98,6 +102,8 @@
     private void take(BackendSpec engine, List<EngineAttempt> listed, long askedAt) {
         mBlackboard.backends().write(table -> table.answered(engine.id()));
         mLedgers.observe(engine.id(), observed(listed));
+        int running = (int) listed.stream().filter(seen -> !seen.ended()).count();
+        mListener.onListed(engine.id(), running, askedAt);
         Set<AttemptId> own = mBlackboard.requests().read(RequestTable::attempts);
         mReconcilers
                 .computeIfAbsent(engine.id(), id -> reconciler())
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/grant/LedgerKeeper.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/grant/LedgerKeeper.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cyclamenpaddle.core.config.Assignment;
 import org.cyclamenpaddle.core.config.BackendRole;
 import org.cyclamenpaddle.core.config.BackendSpec;
@@ -51,6 +52,7 @@
     private final Clock mClock;
     private final EventLog mLog;
     private final RouterMetrics mMetrics;
+    private final Map<BackendId, GrantLedger> mFormerRoles = new ConcurrentHashMap<>();
     private final Map<BackendId, HostId> mLastOwner = new ConcurrentHashMap<>();
 
     /**
@@ -131,8 +133,8 @@
                 .grants()
                 .write(
                         ledgers ->
-                                Optional.ofNullable(ledgers.get(end.backend()))
-                                        .ifPresent(
+                                kept(ledgers, end.backend())
+                                        .forEach(
                                                 ledger ->
                                                         ledger.end(
                                                                 end.attempt(), mClock.millis())));
@@ -154,12 +156,39 @@
                 .grants()
                 .write(
                         ledgers ->
-                                Optional.ofNullable(ledgers.get(backend))
-                                        .ifPresent(
+                                kept(ledgers, backend)
+                                        .forEach(
                                                 ledger ->
                                                         ledger.observe(attempts, mClock.millis())));
     }
 
+    /** Grants nothing new on a backend server until {@link #open}. */
+    public void close(BackendId backend) {
+        mBlackboard.grants().write(ledgers -> kept(ledgers, backend).forEach(GrantLedger::close));
+    }
+
+    /** Grants again on a backend server, if its ledger has this role. */
+    public void open(BackendId backend, BackendRole role) {
+        mBlackboard
+                .grants()
+                .write(
+                        ledgers ->
+                                kept(ledgers, backend)
+                                        .filter(ledger -> ledger.role() == role)
+                                        .forEach(GrantLedger::open));
+    }
+
+    /** Returns how many attempts hold or are promised room, also by a role just left. */
+    public int grants(BackendId backend) {
+        return mBlackboard
+                .grants()
+                .read(
+                        ledgers ->
+                                kept(ledgers, backend)
+                                        .mapToInt(ledger -> ledger.attempts().size())
+                                        .sum());
+    }
+
     /** Follows the preset in force and the view of the hosts: takes and gives ledgers. */
     public synchronized void tick() {
         ConfigurationView view = mBlackboard.view();
@@ -237,6 +266,7 @@
                                                 .collect(Collectors.toList()));
         for (BackendId backend : given) {
             mBlackboard.grants().write(ledgers -> ledgers.remove(backend));
+            mFormerRoles.remove(backend);
             mMetrics.ownershipGiven();
             mLog.log(
                     LogEvent.OWNERSHIP_GIVEN,
@@ -303,12 +333,26 @@
         }
         GrantLedger fresh = new GrantLedger(spec, role, LedgerSettings.DEFAULTS);
         fresh.recoverUntil(mClock.millis() + RECOVERY_MILLIS);
+        if (role != BackendRole.PLAIN) {
+            // Until the engine was asked, it may still be set up for something else; work that it
+            // must refuse would come back to the caller as a failed attempt.
+            fresh.close();
+        }
+        if (kept != null) {
+            // What was granted in the former role must still end before the engine is changed.
+            mFormerRoles.put(spec.id(), kept);
+        }
         ledgers.put(spec.id(), fresh);
         mMetrics.ownershipTaken();
         mLog.log(LogEvent.OWNERSHIP_TAKEN, spec.id(), lastOwner(spec.id()));
         return fresh;
     }
 
+    private Stream<GrantLedger> kept(Map<BackendId, GrantLedger> ledgers, BackendId backend) {
+        return Stream.of(ledgers, mFormerRoles)
+                .flatMap(kept -> Optional.ofNullable(kept.get(backend)).stream());
+    }
+
     private String lastOwner(BackendId backend) {
         return Optional.ofNullable(mLastOwner.get(backend)).map(HostId::value).orElse("nobody");
     }
--- /dev/null
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/FenceStore.java
@@ -0,0 +1,57 @@
+package org.cyclamenpaddle.router.order;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.fleet.order.FenceStatus;
+import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.platform.objects.ObjectStore;
+import org.cyclamenpaddle.platform.objects.StoredObject;
+import org.cyclamenpaddle.platform.objects.WritePrecondition;
+import org.cyclamenpaddle.platform.objects.WriteResult;
+
+/** Status objects of engines, in the platform. */
+public final class FenceStore {
+
+    private final ObjectStore mStore;
+
+    /**
+     * Creates the store.
+     *
+     * @param store the platform's object API
+     */
+    public FenceStore(ObjectStore store) {
+        mStore = store;
+    }
+
+    /**
+     * A status object as read.
+     *
+     * @param version its version; 0 if there is none
+     * @param status its content; empty if there is none that can be read
+     */
+    record Found(long version, Optional<FenceStatus> status) {}
+
+    CompletableFuture<Either<PlatformError, Found>> read(BackendId engine) {
+        return mStore.get(FenceStatus.path(engine.value()))
+                .thenApply(answer -> answer.map(FenceStore::found));
+    }
+
+    /** Returns whether this write took effect; false also if that is not known. */
+    CompletableFuture<Boolean> take(BackendId engine, long expectedVersion, FenceStatus status) {
+        WritePrecondition precondition =
+                expectedVersion == 0
+                        ? WritePrecondition.absent()
+                        : WritePrecondition.atVersion(expectedVersion);
+        return mStore.put(FenceStatus.path(engine.value()), status.text(), precondition)
+                .thenApply(
+                        answer -> answer.isRight() && answer.get() instanceof WriteResult.Written);
+    }
+
+    private static Found found(Optional<StoredObject> object) {
+        return new Found(
+                object.map(StoredObject::version).orElse(0L),
+                object.flatMap(o -> FenceStatus.parse(o.value()).toJavaOptional()));
+    }
+}
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
@@ -36,6 +36,7 @@
 
     private BackendSpec mSpec;
     private boolean mObserved;
+    private boolean mClosed;
     private long mRecoverUntil = Long.MIN_VALUE;
 
     /**
@@ -71,7 +72,7 @@
             Interval promised = new Interval(held.startMillis(), held.endMillis());
             return answer(ask, GrantDecision.GRANTED, promised, nowMillis);
         }
-        if (mSpec.leaving() || mRole != ask.role() || mEnded.contains(ask.attempt())) {
+        if (closed() || mRole != ask.role() || mEnded.contains(ask.attempt())) {
             return unavailable(ask, 0);
         }
         if (recovering(nowMillis) && !mObserved) {
@@ -166,8 +167,8 @@
      */
     public LedgerSummary summary(long nowMillis) {
         LedgerSummary summary = mPlan.summary(mHeld.values(), reservedSlots(nowMillis), nowMillis);
-        if (mSpec.leaving() || (recovering(nowMillis) && !mObserved)) {
-            return new LedgerSummary(mSpec.id(), summary.freeInMillis(), 0, 0, !mSpec.leaving());
+        if (closed() || (recovering(nowMillis) && !mObserved)) {
+            return new LedgerSummary(mSpec.id(), summary.freeInMillis(), 0, 0, !closed());
         }
         return summary;
     }
@@ -198,6 +199,16 @@
         mSpec = spec;
     }
 
+    /** Grants nothing new until {@link #open}; what is held stays held. */
+    public void close() {
+        mClosed = true;
+    }
+
+    /** Grants again after {@link #close}. */
+    public void open() {
+        mClosed = false;
+    }
+
     /** Returns the role that the backend server has in this ledger. */
     public BackendRole role() {
         return mRole;
@@ -239,6 +250,10 @@
         return nowMillis - held.startMillis() > mSettings.startGraceMillis();
     }
 
+    private boolean closed() {
+        return mClosed || mSpec.leaving();
+    }
+
     private boolean recovering(long nowMillis) {
         return nowMillis < mRecoverUntil;
     }
--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineOrders.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/engine/EngineOrders.java
@@ -8,12 +8,13 @@
 
     private final EngineTimer mTimer;
     private final EngineSettings mSettings;
-    private State mState = new State("", "", "", 0, false);
+    private State mState;
     private long mLoads;
 
     EngineOrders(EngineTimer timer, EngineSettings settings) {
         mTimer = timer;
         mSettings = settings;
+        mState = state("", "", "", 0, false);
     }
 
     /** Body of {@code POST /v1/orders}. */
@@ -27,7 +28,13 @@
     }
 
     /** Body of {@code GET /v1/state}. */
-    record State(String service, String model, String role, long fence, boolean busy) {}
+    record State(
+            String service,
+            String model,
+            String role,
+            long fence,
+            boolean busy,
+            boolean servesUnordered) {}
 
     /** Refusal of an order whose fencing number is older than {@code fence}. */
     record Stale(long fence) {}
@@ -46,7 +53,7 @@
             cutOff.run();
         }
         boolean busy = otherModel ? !order.model().isEmpty() : mState.busy();
-        mState = new State(order.service(), order.model(), order.role(), order.fence(), busy);
+        mState = state(order.service(), order.model(), order.role(), order.fence(), busy);
         if (otherModel) {
             long load = ++mLoads;
             long micros = EngineModel.micros(mSettings.modelLoadMillis());
@@ -69,11 +76,13 @@
                 : mState.role().equalsIgnoreCase(role);
     }
 
+    private State state(String service, String model, String role, long fence, boolean busy) {
+        return new State(service, model, role, fence, busy, !mSettings.requiresOrder());
+    }
+
     private void loaded(long load) {
         if (load == mLoads) {
-            mState =
-                    new State(
-                            mState.service(), mState.model(), mState.role(), mState.fence(), false);
+            mState = state(mState.service(), mState.model(), mState.role(), mState.fence(), false);
         }
     }
 }
