Test orders under a platform outage and closed ledgers

Cause: two promises had no test of their own: nothing is ordered while the platform is away, and a closed ledger keeps what it promised.

--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/OrderTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/OrderTest.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.router.fixture.TestFleet;
 import org.cyclamenpaddle.standins.engine.AnswerText;
 import org.cyclamenpaddle.standins.engine.EngineSettings;
+import org.cyclamenpaddle.standins.platform.Outage;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -111,6 +112,26 @@
         assertEquals(cutOff(), 0);
     }
 
+    // While the platform is away, an engine is set up wrongly from outside. No host may order,
+    // since
+    // no fencing number can be had, and the other engines serve on; once the platform is back, the
+    // engine is ordered as asked.
+    @Test
+    public void nothingIsOrderedWhilePlatformIsAway() {
+        long above = mFleet.engineState("d1").path("fence").asLong() + 50;
+        mFleet.platform().outage(Outage.REFUSE);
+
+        assertEquals(mFleet.orderEngine("d1", above, "prefill"), 200);
+        for (int i = 0; i < 5; i++) {
+            awaitServed("h2");
+        }
+
+        assertEquals(mFleet.engineState("d1").path("fence").asLong(), above);
+        assertEquals(mFleet.engineState("d1").path("role").asText(), "prefill");
+        mFleet.platform().outage(Outage.NONE);
+        awaitRoles(ORDINARY);
+    }
+
     private String owner(String backend) {
         for (var node : mFleet.operator(anyHost()).status().path("backends")) {
             if (node.path("backend").asText().equals(backend)) {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/grant/GrantLedgerTest.java
@@ -4,6 +4,7 @@
 import static org.cyclamenpaddle.routing.Fixtures.decodeAsk;
 import static org.cyclamenpaddle.routing.Fixtures.prefillAsk;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -80,6 +81,21 @@
         assertEquals(ledger.attempts().size(), 1);
     }
 
+    @Test
+    public void closedLedgerKeepsItsPromisesAndMakesNone() {
+        GrantLedger ledger = decode(2);
+        ledger.ask(decodeAsk(1, 100, 500, 300), 0);
+
+        ledger.close();
+
+        assertEquals(ledger.ask(decodeAsk(1, 100, 500, 300), 1).decision(), GrantDecision.GRANTED);
+        assertEquals(
+                ledger.ask(decodeAsk(2, 100, 500, 300), 1).decision(), GrantDecision.UNAVAILABLE);
+        assertFalse(ledger.summary(1).reachable());
+        ledger.open();
+        assertEquals(ledger.ask(decodeAsk(2, 100, 500, 300), 1).decision(), GrantDecision.GRANTED);
+    }
+
     @Test
     public void askingTwiceGivesOnePromise() {
         GrantLedger ledger = decode(2);
