Give back shared slots also after an engine changed owner

Cause: a host that lost an engine while it acquired a slot, or while the platform was away, kept the slot for as long as it lived; with a limit of one, no other engine of the service could be changed (found by reading).

A run now outlives its ownership and gives back until that is sure. OrderTest and PlannedStopTest green.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/OrderDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/OrderDriver.java
@@ -31,7 +31,10 @@
         Map<BackendId, BackendSpec> owned =
                 mServices.ledgers().owned().stream()
                         .collect(Collectors.toMap(BackendSpec::id, Function.identity()));
-        mRuns.keySet().stream().filter(id -> !owned.containsKey(id)).forEach(this::giveUp);
+        // A run is kept when its engine has another owner, since only it knows the shared slots
+        // that
+        // could not be given back yet while the platform was away.
+        mRuns.forEach((id, run) -> stopUnless(owned.containsKey(id), run));
         ConfigurationView view = mServices.blackboard().view();
         owned.values()
                 .forEach(
@@ -47,8 +50,10 @@
                 .ifPresent(run -> run.onListed(running, askedAtMillis));
     }
 
-    private void giveUp(BackendId engine) {
-        Optional.ofNullable(mRuns.remove(engine)).ifPresent(OrderRun::stop);
+    private static void stopUnless(boolean owned, OrderRun run) {
+        if (!owned) {
+            run.stop();
+        }
     }
 
     private static Optional<EngineSetup> asked(ConfigurationView view, BackendSpec spec) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/OrderRun.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/OrderRun.java
@@ -64,9 +64,15 @@
         mSerial.execute(() -> mDrain.onListed(running, askedAtMillis));
     }
 
-    /** Gives the engine up because this host does not own it any more. */
+    /** Gives the engine up because this host does not own it; called for as long as that is so. */
     void stop() {
-        mSerial.execute(() -> perform(mController.stop()));
+        mSerial.execute(
+                () -> {
+                    mAsked = Optional.empty();
+                    mReadAgain = false;
+                    perform(mController.stop());
+                    mSlots.giveUp();
+                });
     }
 
     private void ticked(BackendSpec spec, Optional<EngineSetup> asked) {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/SlotHolding.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/SlotHolding.java
@@ -42,6 +42,20 @@
         mLast = mLast.thenCompose(done -> releaseAll());
     }
 
+    /**
+     * Gives back what is held or being acquired, until it is surely given back.
+     *
+     * <p>A slot that a living host keeps after it lost the engine would hold up changes of others
+     * for as long as that host lives.
+     */
+    void giveUp() {
+        if (mWanted) {
+            release();
+        } else {
+            retry();
+        }
+    }
+
     /** Tries again to give back what a lost answer may have left behind. */
     void retry() {
         if (!mWanted && !mPaths.isEmpty() && mLast.isDone()) {
--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/OrderTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/OrderTest.java
@@ -86,7 +86,7 @@
 
     // The owner of an engine is killed while it drains it for another role. The next owner finds
     // the engine in its old role, drains and orders it anew, and the answer that runs on it still
-    // ends whole; the slot of the dead owner does not hold the change up.
+    // ends whole.
     @Test
     public void nextOwnerEndsChangeOfKilledOne() {
         String owner = owner("d1");
