--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -77,7 +77,7 @@
     private static final long MILLIS_PER_HOUR = 3_600_000;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final long FAR_DOMAIN_MILLIS = 2;
-    private static final double LENGTH_QUANTILE = 0.7;
+    private static final double LENGTH_QUANTILE = 0.5;
     private static final int LENGTH_SOURCES = 4_096;
     private static final double SCARCE_FROM = 0.8;
     private static final int EXPLAINED_REQUESTS = 10_000;
@@ -135,8 +135,16 @@
         mOrders = orderDriver();
         mEngineMonitor =
                 new EngineMonitor(
-                        mLedgers, mClients, mMembership, mBlackboard, mOrders, mClock, log);
-        mPrefixes = new PrefixMonitor(mBlackboard, mClients, settings.host().failureDomain());
+                        mLedgers,
+                        mClients,
+                        mMembership,
+                        mBlackboard,
+                        mOrders,
+                        mWorkers,
+                        mClock,
+                        log);
+        mPrefixes =
+                new PrefixMonitor(mBlackboard, mClients, mWorkers, settings.host().failureDomain());
         mRetries = new RetryBudget(retrySettings());
         mLearning = learning();
         mEnvironment = environment();
@@ -279,6 +287,7 @@
                 membership,
                 settings,
                 mTransport,
+                mWorkers,
                 mClock,
                 mLog,
                 later ->
@@ -391,7 +400,8 @@
                         mSettings.bookings().shards(),
                         retentionMillis(),
                         defaults.maxCharacters(),
-                        defaults.retryMillis());
+                        defaults.retryMillis(),
+                        defaults.flushMillis());
         ObjectStore store = mStore;
         return new BookingServices(
                 mSelf,
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
@@ -23,6 +23,7 @@
 import org.cyclamenpaddle.router.event.LogEvent;
 import org.cyclamenpaddle.router.grant.LedgerKeeper;
 import org.cyclamenpaddle.router.peering.MembershipDriver;
+import org.cyclamenpaddle.router.worker.Workers;
 import org.cyclamenpaddle.routing.grant.ObservedAttempt;
 
 /**
@@ -36,6 +37,7 @@
     private final MembershipDriver mMembership;
     private final Blackboard mBlackboard;
     private final AttemptsListener mListener;
+    private final Workers mWorkers;
     private final Clock mClock;
     private final EventLog mLog;
     private final Map<BackendId, AttemptReconciler> mReconcilers = new ConcurrentHashMap<>();
@@ -49,6 +51,7 @@
      * @param membership which lives of hosts have ended
      * @param blackboard tables of this host
      * @param listener hears how many attempts each engine runs
+     * @param workers pool
      * @param clock time in milliseconds
      * @param log events
      */
@@ -58,6 +61,7 @@
             MembershipDriver membership,
             Blackboard blackboard,
             AttemptsListener listener,
+            Workers workers,
             Clock clock,
             EventLog log) {
         mLedgers = ledgers;
@@ -65,6 +69,7 @@
         mMembership = membership;
         mBlackboard = blackboard;
         mListener = listener;
+        mWorkers = workers;
         mClock = clock;
         mLog = log;
     }
@@ -83,13 +88,13 @@
             return;
         }
         long askedAt = mClock.millis();
-        mClients.engine(engine)
-                .attempts()
-                .whenComplete((answer, failure) -> mReading.remove(engine.id()))
-                .thenAccept(
-                        answer ->
-                                answer.peek(listed -> take(engine, listed, askedAt))
-                                        .peekLeft(failure -> failed(engine, failure)));
+        mWorkers.onResult(
+                mClients.engine(engine).attempts(),
+                answer -> {
+                    mReading.remove(engine.id());
+                    answer.peek(listed -> take(engine, listed, askedAt))
+                            .peekLeft(failure -> failed(engine, failure));
+                });
     }
 
     private void failed(BackendSpec engine, EngineFailure failure) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/RequestRun.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/experiment/RequestRun.java
@@ -19,7 +19,7 @@
 final class RequestRun {
 
     private static final int MOST_ASKS = 4;
-    private static final int MOST_MOVES = 2;
+    private static final int MOST_MOVES = 4;
     private static final long RETRY_MILLIS = 10;
     private static final GrantAsks ASKS = GrantAsks.DEFAULTS;
 
@@ -248,7 +248,13 @@
         long begunAt = mRun.loop().now();
         long firstAt = begunAt + decode.tokenMillis();
         decode.start(
-                mAttempt, mRequest.outputTokens(), endedAt -> served(firstAt, endedAt - begunAt));
+                mAttempt,
+                mRequest.outputTokens(),
+                endedAt -> {
+                    double pace = (double) (endedAt - begunAt) / mRequest.outputTokens();
+                    mRun.cluster().pace().observed(server, decode.batch() + 1, pace);
+                    served(firstAt, endedAt - begunAt);
+                });
     }
 
     private void served(long firstAt, long generatingMillis) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/GrantLedger.java
@@ -209,6 +209,19 @@
         mClosed = false;
     }
 
+    /**
+     * Gives out no more than some of a decode server's slots from now on, so that its tokens keep
+     * their pace; what is held stays held.
+     *
+     * @param most slots, at least 1
+     */
+    public void limitSlots(int most) {
+        if (most < 1) {
+            throw new IllegalArgumentException("slot limit " + most + " must be above 0");
+        }
+        mPlan.limitSlots(most);
+    }
+
     /** Returns the role that the backend server has in this ledger. */
     public BackendRole role() {
         return mRole;
