--- /dev/null
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/order/SlotHoldingTest.java
@@ -0,0 +1,106 @@
+package org.cyclamenpaddle.router.order;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.fleet.membership.Standing;
+import org.cyclamenpaddle.fleet.order.SharedSlots;
+import org.cyclamenpaddle.platform.objects.HttpObjectStore;
+import org.cyclamenpaddle.platform.objects.StoredObject;
+import org.cyclamenpaddle.router.fixture.Await;
+import org.cyclamenpaddle.standins.platform.Outage;
+import org.cyclamenpaddle.standins.platform.PlatformStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Slots are had all or none, and are given back whatever the platform does. */
+public class SlotHoldingTest {
+
+    private static final String FIRST = "status/rollout/malt-reader";
+    private static final String SECOND = "status/weight-loads";
+    private static final BackendId ENGINE = new BackendId("d1");
+    private static final BackendId OTHER = new BackendId("d2");
+    private static final List<SlotHolding.Slot> BOTH =
+            List.of(new SlotHolding.Slot(FIRST, 1), new SlotHolding.Slot(SECOND, 1));
+
+    private PlatformStandin mPlatform;
+    private HttpObjectStore mStore;
+
+    @BeforeMethod
+    public void start() {
+        mPlatform = new PlatformStandin();
+        mPlatform.start(0);
+        mStore = new HttpObjectStore("127.0.0.1", mPlatform.port(), 500);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mStore.close();
+        mPlatform.close();
+    }
+
+    // Another host holds the second of two slots. The first is given back, so that it does not hold
+    // up a third host; both are had once the other host's life has ended.
+    @Test
+    public void allOrNoneAndNoneOfDeadHost() {
+        assertTrue(slots("h2", Standing.RUNNING).acquire(SECOND, OTHER, 1).join());
+        SlotHolding holding = new SlotHolding(slots("h1", Standing.RUNNING), ENGINE);
+
+        assertFalse(holding.acquire(BOTH).join());
+        holding.release();
+        Await.until("the first slot is free", () -> holders(FIRST) == 0);
+        assertEquals(holders(SECOND), 1);
+
+        SlotHolding later = new SlotHolding(slots("h1", Standing.ENDED), ENGINE);
+        assertTrue(later.acquire(BOTH).join());
+        assertEquals(holders(SECOND), 1);
+    }
+
+    // A host loses an engine while the platform is away, so its slot can't be given back at once.
+    // It goes on trying: when the platform is back, the slot becomes free.
+    @Test
+    public void slotIsGivenBackAfterOutage() {
+        SlotHolding holding = new SlotHolding(slots("h1", Standing.RUNNING), ENGINE);
+        assertTrue(holding.acquire(BOTH).join());
+        mPlatform.outage(Outage.REFUSE);
+        holding.giveUp();
+        assertFalse(slots("h1", Standing.RUNNING).release(FIRST, ENGINE).join());
+
+        mPlatform.outage(Outage.NONE);
+
+        Await.until(
+                "both slots are free",
+                () -> {
+                    holding.giveUp();
+                    return holders(FIRST) + holders(SECOND) == 0;
+                });
+    }
+
+    private SlotStore slots(String host, Standing standingOfOthers) {
+        Incarnation self = new Incarnation(new HostId(host), 1);
+        return new SlotStore(
+                mStore, self, one -> one.equals(self) ? Standing.RUNNING : standingOfOthers);
+    }
+
+    private int holders(String path) {
+        CompletableFuture<Integer> holders =
+                mStore.get(path)
+                        .thenApply(Either::get)
+                        .thenApply(
+                                (Optional<StoredObject> found) ->
+                                        found.map(object -> SharedSlots.parse(object.value()).get())
+                                                .orElse(SharedSlots.EMPTY)
+                                                .holders()
+                                                .size());
+        return holders.join();
+    }
+}
