--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/backend/EngineMonitor.java
@@ -36,6 +36,7 @@
     private final BackendClients mClients;
     private final MembershipDriver mMembership;
     private final Blackboard mBlackboard;
+    private final AttemptsListener mListener;
     private final Workers mWorkers;
     private final Clock mClock;
     private final EventLog mLog;
@@ -49,6 +50,7 @@
      * @param clients engines
      * @param membership which lives of hosts have ended
      * @param blackboard tables of this host
+     * @param listener hears how many attempts each engine runs
      * @param workers pool
      * @param clock time in milliseconds
      * @param log events
@@ -58,6 +60,7 @@
             BackendClients clients,
             MembershipDriver membership,
             Blackboard blackboard,
+            AttemptsListener listener,
             Workers workers,
             Clock clock,
             EventLog log) {
@@ -65,6 +68,7 @@
         mClients = clients;
         mMembership = membership;
         mBlackboard = blackboard;
+        mListener = listener;
         mWorkers = workers;
         mClock = clock;
         mLog = log;
@@ -103,6 +107,8 @@
     private void take(BackendSpec engine, List<EngineAttempt> listed, long askedAt) {
         mBlackboard.backends().write(table -> table.answered(engine.id()));
         mLedgers.observe(engine.id(), observed(listed));
+        int running = (int) listed.stream().filter(seen -> !seen.ended()).count();
+        mListener.onListed(engine.id(), running, askedAt);
         Set<AttemptId> own = mBlackboard.requests().read(RequestTable::attempts);
         mReconcilers
                 .computeIfAbsent(engine.id(), id -> reconciler())
