--- a/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/plain/PlainServiceStandin.java
+++ b/cyclamenpaddle-standins/src/main/java/org/cyclamenpaddle/standins/plain/PlainServiceStandin.java
@@ -24,6 +24,7 @@
     private final StandinServer mServer = new StandinServer(this::routes);
     private final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
     private final AtomicLong mBookings = new AtomicLong();
+    private final AtomicLong mCalls = new AtomicLong();
     private final AtomicInteger mFailBeforeRun = new AtomicInteger();
     private final AtomicInteger mLoseAnswers = new AtomicInteger();
     private volatile long mDelayMillis;
@@ -61,6 +62,11 @@
         return runs == null ? 0 : runs.get();
     }
 
+    /** Returns the calls that came in, also those that have not run. */
+    public long calls() {
+        return mCalls.get();
+    }
+
     /** Returns the bookings run under any key. */
     public long bookings() {
         return mBookings.get();
@@ -105,6 +111,7 @@
 
     private HttpResponse delayed(
             ServiceRequestContext ctx, java.util.function.Supplier<HttpResponse> call) {
+        mCalls.incrementAndGet();
         long delayMillis = mDelayMillis;
         return delayMillis == 0
                 ? call.get()
