Show the decisions behind a refusal in the rolling restart test

What the test now prints: in the half second between peers seeing the restarted host alive and that host having its configuration, the owner of p2, d1 and d2 answers UNAVAILABLE with 0 ms, and the request is refused within 14 ms instead of waiting for its deadline.

--- a/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/HostSignalTest.java
+++ b/cyclamenpaddle-router/src/test/java/org/cyclamenpaddle/router/failure/HostSignalTest.java
@@ -113,19 +113,25 @@
     private void keepCalling(int number) {
         for (int i = 0; !mEnough.get(); i++) {
             String prompt = PROMPT + number + " " + i;
-            HttpResponse<String> answer = readyCaller(number + i).complete(prompt, TOKENS, true);
-            assertEquals(answer.statusCode(), 200, answer.body());
+            String host = readyHost(number + i);
+            HttpResponse<String> answer = mFleet.caller(host).complete(prompt, TOKENS, true);
+            assertEquals(
+                    answer.statusCode(), 200, answer.statusCode() == 200 ? "" : told(host, answer));
             assertEquals(Caller.text(answer.body()), AnswerText.whole(prompt, TOKENS));
             mAnswers.incrementAndGet();
         }
     }
 
-    private Caller readyCaller(int first) {
+    private String told(String host, HttpResponse<String> answer) {
+        String request = answer.headers().firstValue("X-Request-Id").orElse("");
+        return host + ": " + answer.body() + " " + mFleet.operator(host).explain(request);
+    }
+
+    private String readyHost(int first) {
         return IntStream.range(first, first + HOSTS.size())
                 .mapToObj(i -> HOSTS.get(i % HOSTS.size()))
                 .filter(mFleet::takesCallers)
                 .findFirst()
-                .map(mFleet::caller)
                 .orElseThrow(() -> new AssertionError("no host is ready"));
     }
 }
