Join with a configuration and a settled view; wait while ledgers move

Cause: HostSignalTest.rollingRestartFailsNoRequest is red: after a restart the others' requests are refused with no-backend. A returning host was made owner of ledgers before it knew the preset, and answered every ask UNAVAILABLE; and /readyz passed before it saw a peer.

Change: a host learns the configuration before it joins (platform or peers, 5 s at most), is ready 1.5 s after joining, and a request whose asks were all refused without a time is placed again up to six times, 100 ms apart, within its deadline.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -1,6 +1,9 @@
 package org.cyclamenpaddle.router.assembly;
 
+import io.vavr.control.Try;
 import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenpaddle.core.config.BackendSpec;
@@ -74,6 +77,8 @@
 final class Controllers implements AutoCloseable {
 
     private static final int WORKERS = 4;
+    private static final long START_PAUSE_MILLIS = 100;
+    private static final long HELLO_MILLIS = 300;
     private static final long MILLIS_PER_HOUR = 3_600_000;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final long FAR_DOMAIN_MILLIS = 2;
@@ -163,6 +168,35 @@
         mMetrics.gauges(gauges());
     }
 
+    /**
+     * Learns the configuration, from the platform or from peers, before this host becomes a member.
+     *
+     * <p>A member without configuration would be made the owner of ledgers and refuse every ask; at
+     * each restart of a host the others' requests would fail for some 100 ms.
+     *
+     * @param longestMillis after which the host joins without
+     */
+    void learnConfiguration(long longestMillis) {
+        ScheduledFuture<?> asking = mWorkers.every(START_PAUSE_MILLIS, this::askForConfiguration);
+        Try.run(() -> mConfiguration.known().get(longestMillis, TimeUnit.MILLISECONDS));
+        asking.cancel(false);
+    }
+
+    private void askForConfiguration() {
+        mConfiguration.tick();
+        mSettings
+                .peers()
+                .seeds()
+                .forEach(
+                        seed ->
+                                mTransport
+                                        .hello(seed.address(), seed.port(), HELLO_MILLIS)
+                                        .thenAccept(
+                                                found ->
+                                                        found.ifPresent(
+                                                                mConfiguration::askAtStart)));
+    }
+
     /** Runs what follows the hosts and the platform; called often. */
     void hostTick() {
         mHeartbeat.refresh(mBlackboard, mLedgers);
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/EntryHost.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/EntryHost.java
@@ -17,6 +17,12 @@
 /** One entry host: starts its controllers and takes it through a planned stop. */
 public final class EntryHost implements AutoCloseable {
 
+    /** Longest wait for the configuration before this host joins without it. */
+    private static final long LEARN_MILLIS = 5_000;
+
+    /** Time from joining until members and ledgers have settled, and callers may come. */
+    private static final long SETTLE_MILLIS = 1_500;
+
     private static final long HOST_TICK_MILLIS = 50;
     private static final long LEDGER_TICK_MILLIS = 200;
     private static final long ORDER_TICK_MILLIS = 100;
@@ -30,6 +36,7 @@
     private final EventLog mLog;
     private final Table<StopSequence> mStop;
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private volatile long mJoinedAt = -1;
     private volatile long mStopStartedAt;
     private volatile int mLedgersToHandOver;
     private final AtomicBoolean mReadyLogged = new AtomicBoolean();
@@ -50,11 +57,12 @@
                                 new StopSettings(
                                         settings.timing().stopGraceMillis(), HAND_OVER_MILLIS)));
         mControllers = new Controllers(settings, mLog, failure);
-        mFront = new HttpFront(settings, mControllers, this::stage);
+        mFront = new HttpFront(settings, mControllers, this::stage, this::settled);
     }
 
     /** Binds its ports and starts its controllers; returns why that failed, if it did. */
     public Try<Void> start() {
+        mControllers.learnConfiguration(LEARN_MILLIS);
         return mControllers
                 .network()
                 .start(mSettings.host().address(), mSettings.host().peerPort())
@@ -86,7 +94,13 @@
         mControllers.close();
     }
 
+    private boolean settled() {
+        long joined = mJoinedAt;
+        return joined >= 0 && mControllers.clock().millis() - joined >= SETTLE_MILLIS;
+    }
+
     private void startTicks() {
+        mJoinedAt = mControllers.clock().millis();
         mLog.log(
                 LogEvent.STARTED,
                 mSettings.host().name(),
@@ -111,6 +125,7 @@
     private void hostTick() {
         mControllers.hostTick();
         if (mControllers.blackboard().view().presetInForce().isPresent()
+                && settled()
                 && mReadyLogged.compareAndSet(false, true)) {
             mLog.log(
                     LogEvent.READY,
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/HttpFront.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/HttpFront.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cyclamenpaddle.core.outcome.Refusal;
 import org.cyclamenpaddle.core.outcome.RefusalReason;
@@ -29,12 +30,18 @@
     private final RouterSettings mSettings;
     private final Controllers mControllers;
     private final Supplier<StopStage> mStage;
+    private final BooleanSupplier mSettled;
     private final Server mServer;
 
-    HttpFront(RouterSettings settings, Controllers controllers, Supplier<StopStage> stage) {
+    HttpFront(
+            RouterSettings settings,
+            Controllers controllers,
+            Supplier<StopStage> stage,
+            BooleanSupplier settled) {
         mSettings = settings;
         mControllers = controllers;
         mStage = stage;
+        mSettled = settled;
         mServer = build();
     }
 
@@ -91,7 +98,8 @@
         if (!mStage.get().ready()) {
             return Optional.of(Refusal.of(RefusalReason.STOPPING, ""));
         }
-        return mControllers.blackboard().view().presetInForce().isEmpty()
+        return !mSettled.getAsBoolean()
+                        || mControllers.blackboard().view().presetInForce().isEmpty()
                 ? Optional.of(Refusal.of(RefusalReason.NO_CONFIGURATION, ""))
                 : Optional.empty();
     }
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
@@ -61,6 +61,7 @@
     private final ConfigurationReplica mReplica = new ConfigurationReplica();
     private final ConfigurationSync mSync;
     private final Map<ObjectKey, String> mLastPresets = new HashMap<>();
+    private final CompletableFuture<Void> mKnown = new CompletableFuture<>();
     private long mGeneration;
 
     /**
@@ -111,6 +112,16 @@
         mSerial.execute(() -> perform(mSync.tick(mAlive.get(), mClock.millis())));
     }
 
+    /** Completes once the platform or a peer has told this host the configuration. */
+    public CompletableFuture<Void> known() {
+        return mKnown;
+    }
+
+    /** Asks a host that is not known as a member yet. */
+    public void askAtStart(HostRecord peer) {
+        mSerial.execute(() -> askPeer(peer, new ConfigurationAsk(mReplica.known())));
+    }
+
     /** Takes the digest in a peer's heartbeat. */
     public void peerDigest(HostRecord peer, long digest) {
         mSerial.execute(
@@ -171,7 +182,7 @@
         } else if (effect instanceof ConfigurationEffect.StopWatch) {
             mGeneration++;
         } else if (effect instanceof ConfigurationEffect.AskPeer ask) {
-            askPeer(ask);
+            askPeer(ask.peer(), ask.ask());
         } else if (effect instanceof ConfigurationEffect.Applied applied) {
             apply(applied.objects());
         }
@@ -191,6 +202,7 @@
                             perform(
                                     mSync.onListing(
                                             listing.revision(), objects(listing.objects())));
+                            mKnown.complete(null);
                         });
     }
 
@@ -237,8 +249,8 @@
         mBlackboard.configuration().write(cell -> cell.confirm(mClock.millis()));
     }
 
-    private void askPeer(ConfigurationEffect.AskPeer ask) {
-        mPeers.ask(ask.peer(), ask.ask(), PEER_ASK_MILLIS)
+    private void askPeer(HostRecord peer, ConfigurationAsk ask) {
+        mPeers.ask(peer, ask, PEER_ASK_MILLIS)
                 .thenAccept(answer -> mSerial.execute(() -> answered(answer)));
     }
 
@@ -248,6 +260,9 @@
                 usable
                         ? mSync.onPeerAnswer((ConfigurationAnswer) answer.get())
                         : mSync.onPeerFailed());
+        if (usable) {
+            mKnown.complete(null);
+        }
     }
 
     private void apply(List<ConfigurationObject> objects) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/PlacementRound.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/PlacementRound.java
@@ -54,6 +54,11 @@
         mFailed.add(backend);
     }
 
+    /** Returns whether servers were asked, and no owner granted or named a time. */
+    boolean onlyOwnersRefused() {
+        return !mRefused.isEmpty() && mSoonestMillis == Long.MAX_VALUE;
+    }
+
     boolean late(long now) {
         return now >= mPlaceBy;
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
@@ -23,7 +23,10 @@
 public final class RequestMachine {
 
     private static final int MAX_RESUMES_WITHOUT_TOKEN = 3;
-    private static final long PLACE_PAUSE_MILLIS = 250;
+    private static final long PLACE_PAUSE_MILLIS = 100;
+
+    /** Pauses of a fresh request while ledgers move. */
+    private static final int MOST_MOVES = 6;
 
     /** How long a result may wait for its slot; engines keep it for about 800 ms. */
     private static final long RESULT_WAITS_MILLIS = 500;
@@ -48,6 +51,7 @@
     private int mPlacements;
     private int mResumes;
     private int mSlotTries;
+    private int mMoves;
     private long mTimerGeneration;
     private long mLastProgress;
 
@@ -260,12 +264,18 @@
     }
 
     /**
-     * Refuses a fresh request at once; one that lost its backend server is placed again a little
-     * later, as long as recovery may take. Its caller may have half an answer already.
+     * Refuses a fresh request at once, but for two cases in which it is placed again a little
+     * later.
+     *
+     * <p>One that lost its backend server may wait as long as recovery may take: its caller may
+     * have half an answer already. And where owners neither granted nor named a time, ledgers are
+     * moving to another host, which takes some 100 ms; refusing meanwhile would fail requests at
+     * each planned restart of a host.
      */
     private void noPlace(Refusal refusal, long now) {
         boolean recovering = mPlacements > 0 && refusal.reason().waitingHelps();
-        if (!recovering || mRound.late(now + PLACE_PAUSE_MILLIS)) {
+        boolean moving = mRound.onlyOwnersRefused() && ++mMoves <= MOST_MOVES;
+        if (!(recovering || moving) || mRound.late(now + PLACE_PAUSE_MILLIS)) {
             endRefused(refusal);
             return;
         }
