--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -2,12 +2,14 @@
 
 import io.vavr.control.Try;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
@@ -89,6 +91,7 @@
     private static final int DECISIONS_KEPT = 64;
 
     private final RouterSettings mSettings;
+    private final Map<HostId, HostRecord> mLastHeard = new ConcurrentHashMap<>();
     private final EventLog mLog;
     private final Clock mClock = new MonotonicClock();
     private final RouterMetrics mMetrics = new RouterMetrics();
@@ -212,6 +215,17 @@
      * next regular reading would spend a quarter of them.
      */
     private void hostChanged(HostRecord host) {
+        HostRecord last = mLastHeard.put(host.incarnation().host(), host);
+        boolean cameBack =
+                last != null
+                        && host.state() == HostState.ALIVE
+                        && (last.state() == HostState.DEAD
+                                || !last.incarnation().equals(host.incarnation()));
+        if (cameBack) {
+            // The connection to the life before is backing off for up to two seconds. Asks of the
+            // ledgers that the host now owns would fail all that time, and requests be refused.
+            mNetwork.forget(host.incarnation().host());
+        }
         mWorkers.execute(
                 () -> {
                     mLedgers.tick();
