--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -17,7 +17,6 @@
 import org.cyclamenpaddle.core.time.MonotonicClock;
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.engine.plain.PlainServiceClient;
-import org.cyclamenpaddle.fleet.claim.ClaimShardSettings;
 import org.cyclamenpaddle.fleet.membership.Membership;
 import org.cyclamenpaddle.fleet.membership.MembershipSettings;
 import org.cyclamenpaddle.peer.net.PeerNetwork;
@@ -25,7 +24,6 @@
 import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
 import org.cyclamenpaddle.platform.hosts.HttpHostList;
 import org.cyclamenpaddle.platform.objects.HttpObjectStore;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
 import org.cyclamenpaddle.router.backend.BackendClients;
 import org.cyclamenpaddle.router.backend.Canceller;
 import org.cyclamenpaddle.router.backend.EngineMonitor;
@@ -66,13 +64,8 @@
 import org.cyclamenpaddle.router.worker.Workers;
 import org.cyclamenpaddle.routing.admission.Admission;
 import org.cyclamenpaddle.routing.admission.AdmissionSettings;
-import org.cyclamenpaddle.routing.expect.OutputLengthEstimator;
-import org.cyclamenpaddle.routing.limit.ConcurrencyLimit;
 import org.cyclamenpaddle.routing.placement.PlacementPolicy;
 import org.cyclamenpaddle.routing.quarantine.Quarantine;
-import org.cyclamenpaddle.routing.quarantine.QuarantineSettings;
-import org.cyclamenpaddle.routing.queue.TeamShares;
-import org.cyclamenpaddle.routing.request.RequestSettings;
 import org.cyclamenpaddle.routing.retry.RetryBudget;
 
 /** All controllers of one entry host, wired to each other and to the blackboard. */
@@ -81,16 +74,12 @@
     private static final int WORKERS = 4;
     private static final long START_PAUSE_MILLIS = 100;
     private static final long HELLO_MILLIS = 300;
-    private static final long MILLIS_PER_HOUR = 3_600_000;
     private static final double MILLIS_PER_SECOND = 1_000;
-    private static final long FAR_DOMAIN_MILLIS = 2;
-    private static final double LENGTH_QUANTILE = 0.5;
-    private static final int LENGTH_SOURCES = 4_096;
-    private static final double SCARCE_FROM = 0.8;
     private static final int EXPLAINED_REQUESTS = 10_000;
     private static final int DECISIONS_KEPT = 64;
 
     private final RouterSettings mSettings;
+    private final DecisionSettings mDecisions;
     private final Map<HostId, HostRecord> mLastHeard = new ConcurrentHashMap<>();
     private final EventLog mLog;
     private final Clock mClock = new MonotonicClock();
@@ -126,10 +115,11 @@
 
     Controllers(RouterSettings settings, EventLog log, FailureStop failure) {
         mSettings = settings;
+        mDecisions = new DecisionSettings(settings);
         mLog = log;
         mSelf = new Incarnation(settings.host().name(), System.currentTimeMillis());
         mWorkers = new Workers(WORKERS, failure::stop);
-        mBlackboard = Blackboard.create(new Quarantine(quarantineSettings()));
+        mBlackboard = Blackboard.create(new Quarantine(mDecisions.quarantine()));
         mDecisionLog = new DecisionLog(mClock, EXPLAINED_REQUESTS, DECISIONS_KEPT);
         mHealth = new PlatformHealth(log, mMetrics, mClock);
         mStore = store();
@@ -153,13 +143,13 @@
                         log);
         mPrefixes =
                 new PrefixMonitor(mBlackboard, mClients, mWorkers, settings.host().failureDomain());
-        mRetries = new RetryBudget(retrySettings());
-        mLearning = learning();
+        mRetries = new RetryBudget(mDecisions.retries());
+        mLearning = mDecisions.learning();
         mEnvironment = environment();
         mRequests = modelRequests();
         mPlainClient = new PlainServiceClient(mConnections);
         PlainChoice choice = new PlainChoice(mBlackboard, settings.host().failureDomain(), mClock);
-        mBookings = new Bookings(bookingServices(choice), retentionMillis());
+        mBookings = new Bookings(bookingServices(choice), mDecisions.retentionMillis());
         mRepeatable =
                 new RepeatableCalls(
                         choice, mPlainClient, mEnvironment::newAttempt, mRetries, mMetrics, mClock);
@@ -325,20 +315,6 @@
         mHostList.close();
     }
 
-    private QuarantineSettings quarantineSettings() {
-        QuarantineSettings defaults = QuarantineSettings.DEFAULTS;
-        return new QuarantineSettings(
-                defaults.strikesToQuarantine(),
-                mSettings.limits().quarantineMillis(),
-                defaults.mostFingerprints());
-    }
-
-    private RetryBudget.Settings retrySettings() {
-        RetryBudget.Settings defaults = RetryBudget.Settings.DEFAULTS;
-        return new RetryBudget.Settings(
-                mSettings.limits().retryShare(), defaults.floorPerSecond(), defaults.most());
-    }
-
     private HttpObjectStore store() {
         RouterSettings.Platform platform = mSettings.platform();
         return new HttpObjectStore(platform.address(), platform.port(), platform.timeoutMillis());
@@ -351,7 +327,8 @@
 
     private MembershipDriver membership(FailureStop failure) {
         MembershipSettings settings = MembershipSettings.DEFAULTS;
-        Membership membership = new Membership(selfRecord(), settings, mHeartbeat, random(1));
+        Membership membership =
+                new Membership(mDecisions.self(mSelf), settings, mHeartbeat, random(1));
         return new MembershipDriver(
                 membership,
                 settings,
@@ -368,20 +345,9 @@
                                                 + later)));
     }
 
-    private HostRecord selfRecord() {
-        RouterSettings.Host host = mSettings.host();
-        return new HostRecord(
-                mSelf,
-                host.failureDomain(),
-                host.address(),
-                host.peerPort(),
-                host.httpPort(),
-                HostState.ALIVE);
-    }
-
     private ConfigurationDriver configuration() {
         return new ConfigurationDriver(
-                selfRecord(),
+                mDecisions.self(mSelf),
                 mStore,
                 mCodec,
                 mBlackboard,
@@ -405,16 +371,6 @@
                         mLog));
     }
 
-    private Learning learning() {
-        return new Learning(
-                new OutputLengthEstimator(LENGTH_QUANTILE, LENGTH_SOURCES),
-                new ConcurrencyLimit(
-                        new ConcurrencyLimit.Settings(
-                                mSettings.limits().concurrentRequests(), SCARCE_FROM),
-                        TeamShares.EQUAL),
-                mSettings.routing().expectedOutputTokens());
-    }
-
     private HostEnvironment environment() {
         PlacementPolicy policy = mSettings.routing().policy();
         Decisions decisions =
@@ -424,7 +380,7 @@
                         mRetries,
                         mPrefixes,
                         mLearning,
-                        (from, to) -> from.equals(to) ? 0 : FAR_DOMAIN_MILLIS);
+                        DecisionSettings::distanceMillis);
         return new HostEnvironment(
                 mSelf,
                 mSettings.host().failureDomain(),
@@ -445,33 +401,11 @@
                         mLedgers,
                         mPrefixes,
                         mMetrics);
-        RequestSettings defaults = RequestSettings.defaults();
-        RequestSettings bounds =
-                new RequestSettings(
-                        defaults.grantMillis(),
-                        defaults.prefillSlackMillis(),
-                        mSettings.timing().transferMillis(),
-                        mSettings.timing().streamSilenceMillis(),
-                        defaults.recoveryMillis(),
-                        defaults.maxDecodeChoices(),
-                        defaults.maxPlacements());
-        return new ModelRequests(services, mEnvironment, bounds, mDecisionLog::record, mLearning);
-    }
-
-    private long retentionMillis() {
-        return mSettings.bookings().retentionHours() * MILLIS_PER_HOUR;
+        return new ModelRequests(
+                services, mEnvironment, mDecisions.requests(), mDecisionLog::record, mLearning);
     }
 
     private BookingServices bookingServices(PlainChoice choice) {
-        ClaimShardSettings defaults = ClaimShardSettings.DEFAULTS;
-        ClaimShardSettings shards =
-                new ClaimShardSettings(
-                        mSettings.bookings().shards(),
-                        retentionMillis(),
-                        defaults.maxCharacters(),
-                        defaults.retryMillis(),
-                        defaults.flushMillis());
-        ObjectStore store = mStore;
         return new BookingServices(
                 mSelf,
                 mClock,
@@ -479,10 +413,15 @@
                 mWorkers,
                 mEnvironment::newAttempt,
                 BookingServices.claims(
-                        store, shards, mWorkers, mClock, System::currentTimeMillis, mHealth),
+                        mStore,
+                        mDecisions.claims(),
+                        mWorkers,
+                        mClock,
+                        System::currentTimeMillis,
+                        mHealth),
                 choice,
                 mPlainClient,
-                new PeerClaimers(mMembership, mTransport, retentionMillis()),
+                new PeerClaimers(mMembership, mTransport, mDecisions.retentionMillis()),
                 mMetrics,
                 mLog,
                 mDecisionLog::record);
