Never decode without a grant where grants are used

A request whose promised slot was late went to another engine without a grant after 60 ms, took a slot promised there, made that one late too, and so on.

Change: such a request tries the promised engine only, until its result dies.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
@@ -34,9 +34,6 @@
     /** Pause before a decode server whose promised slot is late is asked again. */
     private static final long SLOT_PAUSE_MILLIS = 15;
 
-    /** Tries for a late slot before another decode server is tried for the same result. */
-    private static final int SLOT_TRIES = 4;
-
     private final RequestShape mShape;
     private final RequestSettings mSettings;
     private final RequestEnvironment mEnvironment;
@@ -50,7 +47,6 @@
     private int mUnusedTokens;
     private int mPlacements;
     private int mResumes;
-    private int mSlotTries;
     private int mMoves;
     private long mTimerGeneration;
     private long mLastProgress;
@@ -351,10 +347,9 @@
     private void slotLate(long now) {
         mOpen.attemptEnded(mRound.decode().attempt());
         mEffects.add(new RequestEffect.CountRetry(RetryReason.ENGINE_FULL));
-        mSlotTries++;
-        boolean elsewhere = !mEnvironment.usesGrants() || mSlotTries % SLOT_TRIES == 0;
-        if (elsewhere) {
-            mEffects.addAll(mOpen.closeGrant(mRound.decode().attempt()));
+        // With grants never elsewhere: an attempt without one takes a slot that is promised to
+        // another request, whose slot then is late too, and so on until promises mean nothing.
+        if (!mEnvironment.usesGrants()) {
             mRound.decodeAfterFull(now);
         }
         setTimer(TimerKind.SLOT, SLOT_PAUSE_MILLIS);
@@ -366,7 +361,6 @@
             return;
         }
         mPhase = RequestPhase.STREAMING;
-        mSlotTries = 0;
         mUnusedTokens = 0;
         mOpen.attemptEnded(mRound.prefill().attempt());
         mEffects.addAll(mOpen.closeGrant(mRound.prefill().attempt()));
