Sort candidates once; drop an interface with one implementation

ConfigurationView.serving returns backend servers in id order, and HostEnvironment sorted them by id again for each ranking, up to six times a request. ExpectedOutput was implemented by Learning alone, and no one named it since requests learn lengths.

No behaviour changes.

--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/HostEnvironment.java
@@ -1,7 +1,6 @@
 package org.cyclamenpaddle.router.request;
 
 import io.vavr.control.Either;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -272,7 +271,6 @@
                                                                 mDistances.millis(
                                                                         mDomain,
                                                                         spec.failureDomain())))
-                                        .sorted(Comparator.comparing(BackendView::id))
                                         .collect(Collectors.toList()));
     }
 
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/Learning.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/Learning.java
@@ -8,7 +8,7 @@
 import org.cyclamenpaddle.routing.request.RequestShape;
 
 /** What this host learns from its requests and holds against new ones; safe for many threads. */
-public final class Learning implements ExpectedOutput {
+public final class Learning {
 
     private final OutputLengthEstimator mLengths;
     private final ConcurrencyLimit mLimit;
@@ -27,7 +27,7 @@
         mFallbackTokens = fallbackTokens;
     }
 
-    @Override
+    /** Returns the expected tokens of an answer, at most those that the caller allowed. */
     public synchronized int tokens(RequestShape shape) {
         int most = Math.min(shape.maxTokens(), mFallbackTokens);
         int learned = mLengths.expectedTokens(shape.service(), shape.team(), shape.maxTokens());
