Rename the object API's client module to cyclamenpaddle-store

One folder alone is to be called platform: the adapter to the users' machines. The module that speaks the project's own object API keeps its code; only its name and package change.

--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/ExampleObjectsTest.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/ExampleObjectsTest.java
@@ -12,8 +12,8 @@
 import org.cyclamenpaddle.core.config.ConfigurationView;
 import org.cyclamenpaddle.core.id.PresetName;
 import org.cyclamenpaddle.ctl.report.Json;
-import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
-import org.cyclamenpaddle.platform.codec.ParsedConfiguration;
+import org.cyclamenpaddle.store.codec.ConfigurationCodec;
+import org.cyclamenpaddle.store.codec.ParsedConfiguration;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/assembly/Controllers.java
@@ -21,9 +21,6 @@
 import org.cyclamenpaddle.fleet.membership.MembershipSettings;
 import org.cyclamenpaddle.peer.net.PeerNetwork;
 import org.cyclamenpaddle.peer.net.PeerSettings;
-import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
-import org.cyclamenpaddle.platform.hosts.HttpHostList;
-import org.cyclamenpaddle.platform.objects.HttpObjectStore;
 import org.cyclamenpaddle.router.backend.BackendClients;
 import org.cyclamenpaddle.router.backend.Canceller;
 import org.cyclamenpaddle.router.backend.EngineMonitor;
@@ -67,6 +64,9 @@
 import org.cyclamenpaddle.routing.placement.PlacementPolicy;
 import org.cyclamenpaddle.routing.quarantine.Quarantine;
 import org.cyclamenpaddle.routing.retry.RetryBudget;
+import org.cyclamenpaddle.store.codec.ConfigurationCodec;
+import org.cyclamenpaddle.store.hosts.HttpHostList;
+import org.cyclamenpaddle.store.objects.HttpObjectStore;
 
 /** All controllers of one entry host, wired to each other and to the blackboard. */
 final class Controllers implements AutoCloseable {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingServices.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/BookingServices.java
@@ -8,12 +8,12 @@
 import org.cyclamenpaddle.engine.plain.PlainServiceClient;
 import org.cyclamenpaddle.fleet.claim.ClaimLines;
 import org.cyclamenpaddle.fleet.claim.ClaimShardSettings;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
 import org.cyclamenpaddle.router.configuration.PlatformHealth;
 import org.cyclamenpaddle.router.event.EventLog;
 import org.cyclamenpaddle.router.metric.RouterMetrics;
 import org.cyclamenpaddle.router.request.StepRecorder;
 import org.cyclamenpaddle.router.worker.Workers;
+import org.cyclamenpaddle.store.objects.ObjectStore;
 
 /**
  * What every keyed call uses.
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/ClaimStore.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/booking/ClaimStore.java
@@ -19,14 +19,14 @@
 import org.cyclamenpaddle.fleet.claim.ClaimShardSettings;
 import org.cyclamenpaddle.fleet.claim.ClaimState;
 import org.cyclamenpaddle.fleet.claim.ClaimVerdict;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
-import org.cyclamenpaddle.platform.objects.StoredObject;
-import org.cyclamenpaddle.platform.objects.WritePrecondition;
-import org.cyclamenpaddle.platform.objects.WriteResult;
 import org.cyclamenpaddle.router.configuration.PlatformHealth;
 import org.cyclamenpaddle.router.worker.SerialExecutor;
 import org.cyclamenpaddle.router.worker.Workers;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.ObjectStore;
+import org.cyclamenpaddle.store.objects.StoredObject;
+import org.cyclamenpaddle.store.objects.WritePrecondition;
+import org.cyclamenpaddle.store.objects.WriteResult;
 
 /** Keeps claims in the platform: performs what each {@link ClaimShard} decides. */
 public final class ClaimStore {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/ConfigurationDriver.java
@@ -25,19 +25,19 @@
 import org.cyclamenpaddle.fleet.configuration.ConfigurationSync;
 import org.cyclamenpaddle.fleet.configuration.ConfigurationSyncSettings;
 import org.cyclamenpaddle.peer.net.PeerError;
-import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
-import org.cyclamenpaddle.platform.codec.ParsedConfiguration;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.Listing;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
-import org.cyclamenpaddle.platform.objects.StoredObject;
-import org.cyclamenpaddle.platform.objects.WatchResult;
 import org.cyclamenpaddle.router.blackboard.Blackboard;
 import org.cyclamenpaddle.router.blackboard.ConfigurationCell;
 import org.cyclamenpaddle.router.event.EventLog;
 import org.cyclamenpaddle.router.event.LogEvent;
 import org.cyclamenpaddle.router.worker.SerialExecutor;
 import org.cyclamenpaddle.router.worker.Workers;
+import org.cyclamenpaddle.store.codec.ConfigurationCodec;
+import org.cyclamenpaddle.store.codec.ParsedConfiguration;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.Listing;
+import org.cyclamenpaddle.store.objects.ObjectStore;
+import org.cyclamenpaddle.store.objects.StoredObject;
+import org.cyclamenpaddle.store.objects.WatchResult;
 
 /**
  * Performs what {@link ConfigurationSync} decides, and puts what it takes in on the blackboard.
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformAdmin.java
@@ -23,16 +23,16 @@
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.outcome.Refusal;
 import org.cyclamenpaddle.core.outcome.RefusalReason;
-import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.ChangeResult;
-import org.cyclamenpaddle.platform.objects.ConditionalChange;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
-import org.cyclamenpaddle.platform.objects.WritePrecondition;
 import org.cyclamenpaddle.router.operator.ChangeRefusal;
 import org.cyclamenpaddle.router.operator.ConfigurationAdmin;
 import org.cyclamenpaddle.router.operator.Precondition;
 import org.cyclamenpaddle.router.operator.StoredObject;
+import org.cyclamenpaddle.store.codec.ConfigurationCodec;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.ChangeResult;
+import org.cyclamenpaddle.store.objects.ConditionalChange;
+import org.cyclamenpaddle.store.objects.ObjectStore;
+import org.cyclamenpaddle.store.objects.WritePrecondition;
 
 /**
  * Operators' changes, made in the platform by conditional updates.
@@ -321,7 +321,7 @@
     }
 
     private static List<ConfigurationObject> objects(
-            List<org.cyclamenpaddle.platform.objects.StoredObject> stored) {
+            List<org.cyclamenpaddle.store.objects.StoredObject> stored) {
         return stored.stream()
                 .flatMap(
                         object ->
@@ -336,7 +336,7 @@
     }
 
     private Optional<StoredObject> stored(
-            ObjectKey key, org.cyclamenpaddle.platform.objects.StoredObject object) {
+            ObjectKey key, org.cyclamenpaddle.store.objects.StoredObject object) {
         return stored(new ConfigurationObject(key, object.version(), Optional.of(object.value())));
     }
 
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformHealth.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/configuration/PlatformHealth.java
@@ -3,10 +3,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cyclamenpaddle.core.outcome.RetryReason;
 import org.cyclamenpaddle.core.time.Clock;
-import org.cyclamenpaddle.platform.http.PlatformError;
 import org.cyclamenpaddle.router.event.EventLog;
 import org.cyclamenpaddle.router.event.LogEvent;
 import org.cyclamenpaddle.router.metric.RouterMetrics;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /** Whether the platform answered lately; logs the change, not each failure. */
 public final class PlatformHealth {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/FenceStore.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/FenceStore.java
@@ -5,11 +5,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.fleet.order.FenceStatus;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
-import org.cyclamenpaddle.platform.objects.StoredObject;
-import org.cyclamenpaddle.platform.objects.WritePrecondition;
-import org.cyclamenpaddle.platform.objects.WriteResult;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.ObjectStore;
+import org.cyclamenpaddle.store.objects.StoredObject;
+import org.cyclamenpaddle.store.objects.WritePrecondition;
+import org.cyclamenpaddle.store.objects.WriteResult;
 
 /** Status objects of engines, in the platform. */
 public final class FenceStore {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/OrderRun.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/OrderRun.java
@@ -18,9 +18,9 @@
 import org.cyclamenpaddle.fleet.order.OrderSettings;
 import org.cyclamenpaddle.fleet.order.RolloutBudget;
 import org.cyclamenpaddle.fleet.order.WeightLoadBudget;
-import org.cyclamenpaddle.platform.http.PlatformError;
 import org.cyclamenpaddle.router.event.LogEvent;
 import org.cyclamenpaddle.router.worker.SerialExecutor;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /**
  * Runs the {@link OrderController} of one owned engine, one event at a time.
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/SlotStore.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/order/SlotStore.java
@@ -8,11 +8,11 @@
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.fleet.membership.Standing;
 import org.cyclamenpaddle.fleet.order.SharedSlots;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.ObjectStore;
-import org.cyclamenpaddle.platform.objects.StoredObject;
-import org.cyclamenpaddle.platform.objects.WritePrecondition;
-import org.cyclamenpaddle.platform.objects.WriteResult;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.ObjectStore;
+import org.cyclamenpaddle.store.objects.StoredObject;
+import org.cyclamenpaddle.store.objects.WritePrecondition;
+import org.cyclamenpaddle.store.objects.WriteResult;
 
 /** Shared slots, changed in the platform by conditional updates. */
 public final class SlotStore {
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HostFinder.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/peering/HostFinder.java
@@ -8,10 +8,10 @@
 import java.util.stream.Collectors;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
-import org.cyclamenpaddle.platform.hosts.HostList;
-import org.cyclamenpaddle.platform.hosts.HostListing;
 import org.cyclamenpaddle.router.configuration.PlatformHealth;
 import org.cyclamenpaddle.router.settings.PeerAddress;
+import org.cyclamenpaddle.store.hosts.HostList;
+import org.cyclamenpaddle.store.hosts.HostListing;
 
 /**
  * Finds hosts by address: from the settings, and from the platform's lagging list.
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/ParsedConfiguration.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/codec/ParsedConfiguration.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.codec;
+package org.cyclamenpaddle.store.codec;
 
 import java.util.Map;
 import org.cyclamenpaddle.core.config.ConfigurationView;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/SpecMembers.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/codec/SpecMembers.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.codec;
+package org.cyclamenpaddle.store.codec;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.lang.reflect.ParameterizedType;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/codec/package-info.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/codec/package-info.java
@@ -1,2 +1,2 @@
 /** Configuration objects between their documents in the object API and their typed specs. */
-package org.cyclamenpaddle.platform.codec;
+package org.cyclamenpaddle.store.codec;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/hosts/HostList.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/hosts/HostList.java
@@ -1,8 +1,8 @@
-package org.cyclamenpaddle.platform.hosts;
+package org.cyclamenpaddle.store.hosts;
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /** The platform's list of entry hosts. */
 @FunctionalInterface
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/hosts/HostListing.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/hosts/HostListing.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.hosts;
+package org.cyclamenpaddle.store.hosts;
 
 import java.util.List;
 
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/hosts/HttpHostList.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/hosts/HttpHostList.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.hosts;
+package org.cyclamenpaddle.store.hosts;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
@@ -10,8 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
-import org.cyclamenpaddle.platform.http.PlatformConnection;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.http.PlatformConnection;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /** {@link HostList} over HTTP/1.1. */
 public final class HttpHostList implements HostList, AutoCloseable {
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/hosts/package-info.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/hosts/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the platform's lagging list of hosts. */
-package org.cyclamenpaddle.platform.hosts;
+package org.cyclamenpaddle.store.hosts;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/http/PlatformConnection.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/http/PlatformConnection.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.http;
+package org.cyclamenpaddle.store.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/http/PlatformError.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/http/PlatformError.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.http;
+package org.cyclamenpaddle.store.http;
 
 /** Why a platform call gave no answer that can be used. */
 public sealed interface PlatformError {
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/ChangeProgress.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/ChangeProgress.java
@@ -1,10 +1,10 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Predicate;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /**
  * Decides after each try of a change whether it is settled; immutable.
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/ChangeResult.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/ChangeResult.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import java.util.Optional;
 import java.util.OptionalLong;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/ConditionalChange.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/ConditionalChange.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import io.vavr.control.Either;
 import java.util.Optional;
@@ -8,8 +8,8 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.cyclamenpaddle.core.id.ChangeId;
-import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.codec.ConfigurationCodec;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /**
  * Makes one configuration change end to end: also a lost answer is settled.
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/HttpObjectStore.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -14,12 +14,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
-import org.cyclamenpaddle.platform.http.PlatformConnection;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.ObjectBodies.ConflictBody;
-import org.cyclamenpaddle.platform.objects.ObjectBodies.EventsBody;
-import org.cyclamenpaddle.platform.objects.ObjectBodies.PutBody;
-import org.cyclamenpaddle.platform.objects.ObjectBodies.WrittenBody;
+import org.cyclamenpaddle.store.http.PlatformConnection;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.ObjectBodies.ConflictBody;
+import org.cyclamenpaddle.store.objects.ObjectBodies.EventsBody;
+import org.cyclamenpaddle.store.objects.ObjectBodies.PutBody;
+import org.cyclamenpaddle.store.objects.ObjectBodies.WrittenBody;
 
 /** {@link ObjectStore} over HTTP/1.1. */
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/ObjectStore.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/ObjectStore.java
@@ -1,9 +1,9 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /**
  * The platform's object API.
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/StoredObject.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/StoredObject.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 /**
  * An object as the platform holds it.
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/WritePrecondition.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/WritePrecondition.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 /** What must hold at the platform for a write to be done. */
 public sealed interface WritePrecondition {
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/objects/package-info.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/objects/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the object API: conditional writes, watches, and changes settled by read back. */
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
--- a/cyclamenpaddle-platform/src/main/java/org/cyclamenpaddle/platform/package-info.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the object API and the host list. */
-package org.cyclamenpaddle.platform;
+package org.cyclamenpaddle.store;
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/codec/ConfigurationCodecTest.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/codec/ConfigurationCodecTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.codec;
+package org.cyclamenpaddle.store.codec;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/hosts/HttpHostListTest.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/hosts/HttpHostListTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.hosts;
+package org.cyclamenpaddle.store.hosts;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -8,8 +8,8 @@
 import java.util.List;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.FakePlatform;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.FakePlatform;
 import org.testng.annotations.Test;
 
 public class HttpHostListTest {
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/ConditionalChangeTest.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/objects/ConditionalChangeTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -14,9 +14,9 @@
 import org.cyclamenpaddle.core.config.PresetSpec;
 import org.cyclamenpaddle.core.id.ChangeId;
 import org.cyclamenpaddle.core.id.PresetName;
-import org.cyclamenpaddle.platform.codec.ConfigurationCodec;
-import org.cyclamenpaddle.platform.http.PlatformError;
-import org.cyclamenpaddle.platform.objects.FaultyStore.Fault;
+import org.cyclamenpaddle.store.codec.ConfigurationCodec;
+import org.cyclamenpaddle.store.http.PlatformError;
+import org.cyclamenpaddle.store.objects.FaultyStore.Fault;
 import org.testng.annotations.Test;
 
 public class ConditionalChangeTest {
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/FakePlatform.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/objects/FakePlatform.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/FaultyStore.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/objects/FaultyStore.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.http.PlatformError;
 
 /** Store of one object in memory whose writes meet the faults that a test names. */
 final class FaultyStore implements ObjectStore {
--- a/cyclamenpaddle-platform/src/test/java/org/cyclamenpaddle/platform/objects/HttpObjectStoreTest.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/objects/HttpObjectStoreTest.java
@@ -1,6 +1,6 @@
-package org.cyclamenpaddle.platform.objects;
+package org.cyclamenpaddle.store.objects;
 
-import static org.cyclamenpaddle.platform.objects.FakePlatform.json;
+import static org.cyclamenpaddle.store.objects.FakePlatform.json;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -18,7 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.cyclamenpaddle.platform.http.PlatformError;
+import org.cyclamenpaddle.store.http.PlatformError;
 import org.testng.annotations.Test;
 
 public class HttpObjectStoreTest {
