--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -13,5 +13,6 @@
     GRANTS,
     REQUESTS,
     CLAIMS,
-    SUSPECTS
+    SUSPECTS,
+    RETRIES
 }
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -45,7 +45,17 @@
      * @param backend the backend server; calls have no timeout unless they set one
      */
     public WebClient client(BackendSpec backend) {
-        return client(backend, mSingleUse);
+        return client(backend.address(), backend.port());
+    }
+
+    /**
+     * Returns a client that opens a connection for each call.
+     *
+     * @param address IP number of the backend server; calls have no timeout unless they set one
+     * @param port its TCP port
+     */
+    public WebClient client(String address, int port) {
+        return client(address, port, mSingleUse);
     }
 
     /**
@@ -54,7 +64,7 @@
      * @param backend the backend server; reads have no timeout unless they set one
      */
     public WebClient keptClient(BackendSpec backend) {
-        return client(backend, mKept);
+        return client(backend.address(), backend.port(), mKept);
     }
 
     @Override
@@ -63,9 +73,8 @@
         mKept.close();
     }
 
-    private static WebClient client(BackendSpec backend, ClientFactory factory) {
-        return WebClient.builder(
-                        SessionProtocol.H1C, Endpoint.of(backend.address(), backend.port()))
+    private static WebClient client(String address, int port, ClientFactory factory) {
+        return WebClient.builder(SessionProtocol.H1C, Endpoint.of(address, port))
                 .factory(factory)
                 .responseTimeoutMillis(0)
                 .maxResponseLength(MAX_RESPONSE_BYTES)
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Beliefs.java
@@ -0,0 +1,135 @@
+package org.cyclamenpaddle.relay.assembly;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendBoard;
+import org.cyclamenpaddle.relay.front.ConfigurationCell;
+import org.cyclamenpaddle.relay.log.DecisionLog;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.store.Entry;
+import org.cyclamenpaddle.relay.store.EntryListener;
+import org.cyclamenpaddle.relay.store.StoreFailure;
+
+/** Brings what the store says to the tables that requests are decided by, one log line each. */
+final class Beliefs {
+
+    private final DecisionLog mLog;
+    private final ConfigurationCell mConfiguration;
+    private final BackendBoard mBoard;
+    private final Clock mClock;
+    private volatile boolean mBackendsListed;
+
+    Beliefs(DecisionLog log, ConfigurationCell configuration, BackendBoard board, Clock clock) {
+        mLog = log;
+        mConfiguration = configuration;
+        mBoard = board;
+        mClock = clock;
+    }
+
+    /** Returns whether requests can be decided: there are routes and known backend servers. */
+    boolean complete() {
+        return mBackendsListed && mConfiguration.inForce().isPresent();
+    }
+
+    EntryListener<RelayConfiguration> configurations() {
+        return new ConfigurationListener();
+    }
+
+    EntryListener<Backend> backends() {
+        return new BackendListener();
+    }
+
+    private final class ConfigurationListener implements EntryListener<RelayConfiguration> {
+
+        @Override
+        public void listed(List<Entry<RelayConfiguration>> entries) {
+            entries.forEach(this::changed);
+            mConfiguration.confirmed(true);
+        }
+
+        @Override
+        public void changed(Entry<RelayConfiguration> entry) {
+            long was = mConfiguration.inForce().map(RelayConfiguration::version).orElse(0L);
+            if (entry.value().isLeft()) {
+                mLog.log(RelayEvent.CONFIGURATION_IGNORED, entry.value().getLeft(), was);
+                return;
+            }
+            RelayConfiguration offered = entry.value().get();
+            if (mConfiguration.offer(offered)) {
+                mLog.log(
+                        RelayEvent.CONFIGURATION_IN_FORCE,
+                        offered.version(),
+                        was,
+                        offered.routes());
+            }
+        }
+
+        @Override
+        public void contactLost(StoreFailure failure) {
+            mConfiguration.confirmed(false);
+            mLog.log(RelayEvent.STORE_LOST, "configuration", failure);
+        }
+
+        @Override
+        public void contactRegained(long awayMillis) {
+            mConfiguration.confirmed(true);
+            mLog.log(RelayEvent.STORE_REGAINED, "configuration", awayMillis);
+        }
+    }
+
+    private final class BackendListener implements EntryListener<Backend> {
+
+        @Override
+        public void listed(List<Entry<Backend>> entries) {
+            Map<BackendId, Backend> named = new HashMap<>();
+            entries.forEach(
+                    entry -> entry.value().forEach(backend -> named.put(backend.id(), backend)));
+            mBoard.listed(named, mClock.millis());
+            mBackendsListed = true;
+            mLog.log(RelayEvent.BACKENDS_LISTED, named.size(), entries.size() - named.size());
+        }
+
+        @Override
+        public void changed(Entry<Backend> entry) {
+            Optional<Backend> backend = entry.value().toJavaOptional();
+            backendId(entry.name())
+                    .ifPresent(id -> mBoard.changed(id, backend, mClock.millis()));
+            if (backend.isPresent()) {
+                Backend now = backend.get();
+                mLog.log(
+                        RelayEvent.BACKEND_CHANGED,
+                        now.id(),
+                        now.endpoint(),
+                        now.stage(),
+                        now.leaving());
+            } else {
+                mLog.log(RelayEvent.BACKEND_GONE, entry.name(), entry.value().getLeft());
+            }
+        }
+
+        @Override
+        public void contactLost(StoreFailure failure) {
+            mLog.log(RelayEvent.STORE_LOST, "backends", failure);
+        }
+
+        @Override
+        public void contactRegained(long awayMillis) {
+            mLog.log(RelayEvent.STORE_REGAINED, "backends", awayMillis);
+        }
+
+        private Optional<BackendId> backendId(String name) {
+            try {
+                return Optional.of(new BackendId(name));
+            } catch (IllegalArgumentException noName) {
+                // No backend server can have been known by it.
+                return Optional.empty();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
@@ -0,0 +1,67 @@
+package org.cyclamenpaddle.relay.assembly;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.cyclamenpaddle.core.time.Clock;
+
+/** The planned stop of a relay, which cuts off no request in flight. */
+final class PlannedStop {
+
+    /**
+     * How long requests are taken after the signal, in milliseconds.
+     *
+     * <p>The balancer asks every second and takes a host out after two misses; a connection that it
+     * forwards in the last moment needs as long again to be opened and used.
+     */
+    static final long HANDOVER_MILLIS = 3_200;
+
+    /** Time left before the process is killed at which it ends by itself, in milliseconds. */
+    static final long MARGIN_MILLIS = 500;
+
+    /** How long no request has to be in flight before the end, in milliseconds. */
+    static final long QUIET_MILLIS = 200;
+
+    private static final long STEP_MILLIS = 50;
+
+    private final long mGraceMillis;
+    private final Clock mClock;
+    private volatile boolean mStopping;
+
+    PlannedStop(long graceMillis, Clock clock) {
+        mGraceMillis = graceMillis;
+        mClock = clock;
+    }
+
+    boolean isStopping() {
+        return mStopping;
+    }
+
+    /** Waits until the process may end, and returns how long that took. */
+    long run(IntSupplier inFlight) {
+        mStopping = true;
+        long start = mClock.millis();
+        long busy = start;
+        long now = start;
+        while (!mayEnd(start, busy, now)) {
+            pause();
+            now = mClock.millis();
+            if (inFlight.getAsInt() > 0) {
+                busy = now;
+            }
+        }
+        return now - start;
+    }
+
+    private boolean mayEnd(long start, long busy, long now) {
+        boolean done = now - start >= HANDOVER_MILLIS && now - busy >= QUIET_MILLIS;
+        return done || now - start >= mGraceMillis - MARGIN_MILLIS;
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
+        } catch (InterruptedException hurry) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -0,0 +1,216 @@
+package org.cyclamenpaddle.relay.assembly;
+
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.Server;
+import io.vavr.control.Try;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
+import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.core.time.MonotonicClock;
+import org.cyclamenpaddle.engine.http.BackendConnections;
+import org.cyclamenpaddle.relay.backend.BackendBoard;
+import org.cyclamenpaddle.relay.backend.CostSettings;
+import org.cyclamenpaddle.relay.front.ConfigurationCell;
+import org.cyclamenpaddle.relay.front.RelayParts;
+import org.cyclamenpaddle.relay.front.RelayService;
+import org.cyclamenpaddle.relay.front.SharedRetryBudget;
+import org.cyclamenpaddle.relay.log.DecisionLog;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.settings.Endpoint;
+import org.cyclamenpaddle.relay.settings.RelaySettings;
+import org.cyclamenpaddle.relay.store.Follower;
+
+/** One relay process: its parts, its start and its planned stop. */
+public final class RelayProcess implements AutoCloseable {
+
+    /**
+     * Longest pause of a caller between two requests on one connection, in milliseconds.
+     *
+     * <p>Above what any configuration grants, so that a caller never meets a connection that has
+     * just been closed here.
+     */
+    private static final long CALLER_IDLE_MILLIS = 120_000;
+
+    /** Largest body taken, in bytes; the configurations grant 4 MiB. */
+    private static final long MAX_BODY_BYTES = 8L << 20;
+
+    /** Longest header block taken, in bytes; the configurations grant 16 KiB. */
+    private static final int MAX_HEADER_BYTES = 32 << 10;
+
+    private static final String READY_PATH = "/v1/ready";
+    private static final String METRICS_PATH = "/metrics";
+
+    private final RelaySettings mSettings;
+    private final Clock mClock = new MonotonicClock();
+    private final DoubleSupplier mRandom = () -> ThreadLocalRandom.current().nextDouble();
+    private final DecisionLog mLog;
+    private final RelayMetrics mMetrics = new RelayMetrics();
+    private final ConfigurationCell mConfiguration = new ConfigurationCell();
+    private final BackendConnections mConnections = new BackendConnections();
+    private final ScheduledExecutorService mFollowing =
+            Executors.newSingleThreadScheduledExecutor(RelayProcess::daemon);
+    private final BackendBoard mBoard;
+    private final Beliefs mBeliefs;
+    private final RelayService mService;
+    private final Sources mSources;
+    private final PlannedStop mStop;
+    private final Server mCallerServer;
+    private final Server mCheckServer;
+
+    /**
+     * Composes a process; {@link #start} begins.
+     *
+     * @param settings checked settings
+     * @param sources what the deployment brings along
+     * @param log decision lines
+     */
+    public RelayProcess(RelaySettings settings, Sources sources, DecisionLog log) {
+        mSettings = settings;
+        mSources = sources;
+        mLog = log;
+        mBoard =
+                new BackendBoard(
+                        new FailureDomain(settings.host().domain()),
+                        CostSettings.DEFAULTS,
+                        mRandom);
+        mBeliefs = new Beliefs(mLog, mConfiguration, mBoard, mClock);
+        RelaySettings.Retry retry = settings.retry();
+        SharedRetryBudget budget =
+                new SharedRetryBudget(
+                        retry.share(), retry.slack(), retry.windowMillis(), mClock);
+        RelayParts parts =
+                new RelayParts(
+                        mBoard,
+                        budget,
+                        mConnections,
+                        sources.backendMessages(),
+                        mLog,
+                        mMetrics,
+                        mClock,
+                        mRandom);
+        mStop = new PlannedStop(settings.stop().graceMillis(), mClock);
+        mService =
+                new RelayService(
+                        parts, sources.callerMessages(), mConfiguration, mStop::isStopping);
+        mCallerServer = callerServer();
+        mCheckServer = checkServer();
+        mMetrics.gauge("requests_in_flight", mService::inFlight);
+        mMetrics.gauge("backends_named", mBoard::size);
+        mMetrics.gauge("configuration_version", this::version);
+    }
+
+    /** Begins to listen and to follow the store. */
+    public Try<Void> start() {
+        return Try.run(
+                () -> {
+                    follow();
+                    mCallerServer.start().join();
+                    mCheckServer.start().join();
+                    mLog.log(
+                            RelayEvent.STARTED,
+                            mSettings.host().name(),
+                            mSettings.host().domain(),
+                            mSettings.listen().callers(),
+                            ProcessHandle.current().pid());
+                });
+    }
+
+    /** Returns the port at which callers are served. */
+    public int callerPort() {
+        return BoundPorts.of(mCallerServer, mSettings.listen().callers());
+    }
+
+    /** Returns the port at which readiness and metrics are served. */
+    public int checkPort() {
+        return BoundPorts.of(mCheckServer, mSettings.listen().checks());
+    }
+
+    /** Returns whether new work is wanted. */
+    public boolean ready() {
+        return mBeliefs.complete() && !mStop.isStopping();
+    }
+
+    /** Takes the host out of service, waits for the requests in flight, and closes. */
+    public void stop() {
+        mLog.log(RelayEvent.STOPPING, mService.inFlight(), mSettings.stop().graceMillis());
+        long tookMillis = mStop.run(mService::inFlight);
+        mLog.log(RelayEvent.STOPPED, mService.inFlight(), tookMillis);
+        mLog.flush();
+        close();
+    }
+
+    @Override
+    public void close() {
+        mCheckServer.stop().join();
+        mCallerServer.stop().join();
+        mFollowing.shutdownNow();
+        mConnections.close();
+    }
+
+    private void follow() {
+        new Follower<>(
+                        mSources.configurations(),
+                        mBeliefs.configurations(),
+                        mFollowing,
+                        mClock,
+                        mRandom)
+                .start();
+        new Follower<>(mSources.backends(), mBeliefs.backends(), mFollowing, mClock, mRandom)
+                .start();
+    }
+
+    private Server callerServer() {
+        return Server.builder()
+                .http(address(mSettings.listen().callers()))
+                .requestTimeout(Duration.ZERO)
+                .idleTimeoutMillis(CALLER_IDLE_MILLIS)
+                .maxRequestLength(MAX_BODY_BYTES)
+                .http1MaxHeaderSize(MAX_HEADER_BYTES)
+                .http1MaxInitialLineLength(MAX_HEADER_BYTES)
+                .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
+                .disableServerHeader()
+                .disableDateHeader()
+                .serviceUnder("/", mService)
+                .build();
+    }
+
+    private Server checkServer() {
+        return Server.builder()
+                .http(address(mSettings.listen().checks()))
+                .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
+                .service(READY_PATH, (context, request) -> readiness())
+                .service(METRICS_PATH, (context, request) -> metrics())
+                .build();
+    }
+
+    private static InetSocketAddress address(Endpoint endpoint) {
+        return new InetSocketAddress(endpoint.address(), endpoint.port());
+    }
+
+    private HttpResponse readiness() {
+        return HttpResponse.of(ready() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+    }
+
+    private HttpResponse metrics() {
+        return HttpResponse.of(MediaType.PLAIN_TEXT_UTF_8, mMetrics.text());
+    }
+
+    private long version() {
+        return mConfiguration.inForce().map(RelayConfiguration::version).orElse(0L);
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "store-follower");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
@@ -0,0 +1,21 @@
+package org.cyclamenpaddle.relay.assembly;
+
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.store.EntrySource;
+import org.cyclamenpaddle.relay.wire.BackendMessages;
+import org.cyclamenpaddle.relay.wire.CallerMessages;
+
+/**
+ * What a deployment brings along: its store's objects and its messages.
+ *
+ * @param configurations the operators' configuration
+ * @param backends backend servers, each under its id
+ * @param callerMessages decodes callers' requests
+ * @param backendMessages speaks to backend servers
+ */
+public record Sources(
+        EntrySource<RelayConfiguration> configurations,
+        EntrySource<Backend> backends,
+        CallerMessages callerMessages,
+        BackendMessages backendMessages) {}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -0,0 +1,251 @@
+package org.cyclamenpaddle.relay.backend;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.table.Table;
+import org.cyclamenpaddle.core.table.TableOrder;
+
+/**
+ * Blackboard of the backend servers: entries, own open work, outcomes, and the choice among them.
+ *
+ * <p>Safe for use by many threads; choosing a server and noting the work on it is one step, so that
+ * two requests never both see the same last free place.
+ */
+public final class BackendBoard {
+
+    private static final class State {
+        private final BackendDirectory mDirectory = new BackendDirectory();
+        private final Map<BackendId, BackendState> mStates = new HashMap<>();
+
+        private BackendState of(Backend backend) {
+            return mStates.compute(
+                    backend.id(),
+                    (id, old) ->
+                            // A server born anew holds nothing of before: its open work, its
+                            // failures and its waits are those of another life.
+                            old == null || old.bornMillis() != backend.bornMillis()
+                                    ? new BackendState(backend.bornMillis())
+                                    : old);
+        }
+    }
+
+    private final FailureDomain mOwnDomain;
+    private final CostSettings mCosts;
+    private final DoubleSupplier mRandom;
+    private final Table<State> mTable = new Table<>(TableOrder.BACKENDS, new State());
+
+    /**
+     * Creates an empty board.
+     *
+     * @param ownDomain failure domain of this host
+     * @param costs weights of the comparison
+     * @param random even draws from 0 to 1, to break ties
+     */
+    public BackendBoard(FailureDomain ownDomain, CostSettings costs, DoubleSupplier random) {
+        mOwnDomain = ownDomain;
+        mCosts = costs;
+        mRandom = random;
+    }
+
+    /** Takes in a whole listing; see {@link BackendDirectory#listed}. */
+    public void listed(Map<BackendId, Backend> listed, long nowMillis) {
+        mTable.write(
+                state -> {
+                    state.mDirectory.listed(listed, nowMillis);
+                    state.mStates.keySet().removeIf(id -> unused(state, id));
+                });
+    }
+
+    /** Takes in a changed entry; see {@link BackendDirectory#changed}. */
+    public void changed(BackendId id, Optional<Backend> entry, long nowMillis) {
+        mTable.write(state -> state.mDirectory.changed(id, entry, nowMillis));
+    }
+
+    /** Returns the number of servers that the store names. */
+    public int size() {
+        return mTable.read(state -> state.mDirectory.size());
+    }
+
+    /**
+     * Chooses where a request runs and notes its work there.
+     *
+     * @param service its service
+     * @param size its work
+     * @param memoryTokens tokens that a runner's memory holds; {@link Long#MAX_VALUE} if unbounded
+     * @param avoid servers that were already tried
+     * @param nowMillis reading of the clock
+     * @return empty if the service has no server that could take it
+     */
+    public Optional<Placement> place(
+            ServiceName service,
+            WorkSize size,
+            long memoryTokens,
+            Set<BackendId> avoid,
+            long nowMillis) {
+        return mTable.read(
+                state -> {
+                    List<Backend> runners =
+                            candidates(state, service, avoid, nowMillis)
+                                    .filter(backend -> backend.stage().runs())
+                                    .filter(backend -> fits(state, backend, size, memoryTokens))
+                                    .toList();
+                    Optional<Placement> placement =
+                            best(runners, runner -> runCost(state, runner, size, nowMillis))
+                                    .map(runner -> withPrefill(state, runner, size, nowMillis));
+                    placement.ifPresent(chosen -> note(state, chosen, size));
+                    return placement;
+                });
+    }
+
+    /** Notes that a server has read a prompt. */
+    public void promptRead(Backend backend, WorkSize size) {
+        mTable.write(state -> state.of(backend).open().promptRead(size));
+    }
+
+    /**
+     * Notes when the first byte of an answer came.
+     *
+     * @param backend the server
+     * @param size the work
+     * @param waitedMillis time since the send
+     * @param nowMillis reading of the clock
+     */
+    public void answered(Backend backend, WorkSize size, long waitedMillis, long nowMillis) {
+        mTable.write(
+                state -> {
+                    double explained = readMillis(backend, size.promptTokens());
+                    state.of(backend).waited(waitedMillis - explained, nowMillis);
+                });
+    }
+
+    /**
+     * Takes work off a server.
+     *
+     * @param backend the server
+     * @param size the work
+     * @param promptRead whether {@link #promptRead} was noted for it
+     * @param outcome what became of it
+     * @param nowMillis reading of the clock
+     * @return whether the server is left out for a time from now on
+     */
+    public boolean ended(
+            Backend backend,
+            WorkSize size,
+            boolean promptRead,
+            SendOutcome outcome,
+            long nowMillis) {
+        return mTable.read(
+                state -> {
+                    BackendState known = state.of(backend);
+                    known.open().ended(size, promptRead);
+                    return known.health().ended(outcome, nowMillis);
+                });
+    }
+
+    private Stream<Backend> candidates(
+            State state, ServiceName service, Set<BackendId> avoid, long nowMillis) {
+        List<Backend> named = except(state.mDirectory.usable(service), avoid);
+        List<Backend> admitted =
+                named.stream()
+                        .filter(backend -> state.of(backend).health().admits(nowMillis))
+                        .toList();
+        boolean runs = admitted.stream().anyMatch(backend -> backend.stage().runs());
+        if (runs) {
+            return admitted.stream();
+        }
+        // Never leave out a whole service: what looks like the failure of all its servers is more
+        // often this host's own, and a request refused for it would have been served.
+        return named.stream().anyMatch(backend -> backend.stage().runs())
+                ? named.stream()
+                : except(state.mDirectory.lapsed(service, nowMillis), avoid).stream();
+    }
+
+    private static List<Backend> except(Stream<Backend> backends, Set<BackendId> avoid) {
+        return backends.filter(backend -> !avoid.contains(backend.id())).toList();
+    }
+
+    private boolean fits(State state, Backend backend, WorkSize size, long memoryTokens) {
+        return state.of(backend).open().tokens() + size.memoryTokens() <= memoryTokens;
+    }
+
+    private Optional<Backend> best(List<Backend> backends, ToDoubleFunction<Backend> cost) {
+        Map<Backend, Double> costs = new HashMap<>();
+        backends.forEach(
+                backend -> costs.put(backend, cost.applyAsDouble(backend) + mRandom.getAsDouble()));
+        return backends.stream().min(Comparator.comparing(costs::get));
+    }
+
+    private double runCost(State state, Backend backend, WorkSize size, long nowMillis) {
+        BackendState known = state.of(backend);
+        return readMillis(backend, known.open().unreadTokens() + size.promptTokens())
+                + known.open().requests() * mCosts.requestMillis()
+                + (backend.domain().equals(mOwnDomain) ? 0 : mCosts.domainMillis())
+                + known.health().failureRate(nowMillis) * mCosts.failureMillis()
+                + known.excessMillis(nowMillis);
+    }
+
+    private double readMillis(Backend backend, long promptTokens) {
+        double share = backend.stage() == BackendStage.PREFILL ? 1 : mCosts.inPlaceShare();
+        return promptTokens / (mCosts.promptTokensPerMilli() * share);
+    }
+
+    /** Adds a prefill engine where reading there and handing over beats reading in place. */
+    private Placement withPrefill(State state, Backend runner, WorkSize size, long nowMillis) {
+        if (runner.stage() != BackendStage.DECODE || size.promptTokens() == 0) {
+            return new Placement(runner, Optional.empty());
+        }
+        List<Backend> readers =
+                state.mDirectory
+                        .usable(runner.service())
+                        .filter(backend -> backend.stage() == BackendStage.PREFILL)
+                        .filter(backend -> state.of(backend).health().admits(nowMillis))
+                        .toList();
+        BackendState known = state.of(runner);
+        double inPlace =
+                readMillis(runner, known.open().unreadTokens() + size.promptTokens())
+                        + known.excessMillis(nowMillis);
+        Optional<Backend> reader =
+                best(readers, backend -> prefillCost(state, backend, runner, size, nowMillis))
+                        .filter(
+                                backend ->
+                                        prefillCost(state, backend, runner, size, nowMillis)
+                                                < inPlace);
+        return new Placement(runner, reader);
+    }
+
+    private double prefillCost(
+            State state, Backend reader, Backend runner, WorkSize size, long nowMillis) {
+        BackendState known = state.of(reader);
+        return readMillis(reader, known.open().unreadTokens() + size.promptTokens())
+                + mCosts.handOverMillis()
+                + (reader.domain().equals(runner.domain()) ? 0 : mCosts.domainMillis())
+                + known.health().failureRate(nowMillis) * mCosts.failureMillis()
+                + known.excessMillis(nowMillis);
+    }
+
+    private static void note(State state, Placement chosen, WorkSize size) {
+        Stream.concat(Stream.of(chosen.runner()), chosen.prefill().stream())
+                .map(state::of)
+                .forEach(
+                        known -> {
+                            known.open().started(size);
+                            known.health().sent();
+                        });
+        // Its prompt is read elsewhere, so it keeps no other prompt waiting at the runner.
+        chosen.prefill().ifPresent(reader -> state.of(chosen.runner()).open().promptRead(size));
+    }
+
+    private static boolean unused(State state, BackendId id) {
+        return state.mDirectory.find(id).isEmpty() && state.mStates.get(id).open().requests() == 0;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -0,0 +1,83 @@
+package org.cyclamenpaddle.relay.backend;
+
+/**
+ * What the outcomes of this host's own sends say about one backend server.
+ *
+ * <p>Two signs are kept apart. A server that cannot be reached or breaks off is left out at once
+ * for a time that doubles, then gets one trial request. A server that answers, but fails or rejects
+ * more than others do, only becomes less attractive: its failures may be the requests' own. Not
+ * thread-safe.
+ */
+final class BackendHealth {
+
+    /** First time out, in milliseconds: a few round trips longer than a restart of a connection. */
+    static final long FIRST_EJECTION_MILLIS = 500;
+
+    /** Longest time out, in milliseconds; a crashed server is back after some seconds. */
+    static final long LONGEST_EJECTION_MILLIS = 4_000;
+
+    /** Weight of the newest outcome in the failure rate; about the last ten outcomes count. */
+    private static final double NEWEST_WEIGHT = 0.1;
+
+    /** Time after which half of a bad rate is forgotten, in milliseconds. */
+    private static final double HALF_LIFE_MILLIS = 5_000;
+
+    private int mSuspicions;
+    private long mEjectedUntilMillis = Long.MIN_VALUE;
+    private boolean mTrialRunning;
+    private double mFailureRate;
+    private long mRateAtMillis;
+
+    /** Returns whether new work may go to the server now, a trial included. */
+    boolean admits(long nowMillis) {
+        return mSuspicions == 0 || nowMillis >= mEjectedUntilMillis && !mTrialRunning;
+    }
+
+    /** Returns whether the server has to prove itself with the next request. */
+    boolean onTrial() {
+        return mSuspicions > 0;
+    }
+
+    /** Notes a send, which is the trial if the server was ejected. */
+    void sent() {
+        mTrialRunning = mSuspicions > 0;
+    }
+
+    /**
+     * Notes the outcome of a send.
+     *
+     * @return whether the server was ejected by it
+     */
+    boolean ended(SendOutcome outcome, long nowMillis) {
+        mTrialRunning = false;
+        if (outcome == SendOutcome.ABANDONED) {
+            return false;
+        }
+        boolean good = outcome == SendOutcome.SUCCEEDED;
+        mFailureRate =
+                failureRate(nowMillis) * (1 - NEWEST_WEIGHT) + (good ? 0 : NEWEST_WEIGHT);
+        mRateAtMillis = nowMillis;
+        if (!outcome.serverSuspect()) {
+            mSuspicions = 0;
+            return false;
+        }
+        return eject(nowMillis);
+    }
+
+    /** Returns the share of recent sends that did not succeed, faded by the time since. */
+    double failureRate(long nowMillis) {
+        double halvings = Math.max(0, nowMillis - mRateAtMillis) / HALF_LIFE_MILLIS;
+        return mFailureRate * Math.pow(0.5, halvings);
+    }
+
+    private boolean eject(long nowMillis) {
+        if (nowMillis < mEjectedUntilMillis) {
+            return false;
+        }
+        long millis =
+                Math.min(LONGEST_EJECTION_MILLIS, FIRST_EJECTION_MILLIS << Math.min(mSuspicions, 8));
+        mSuspicions++;
+        mEjectedUntilMillis = nowMillis + millis;
+        return true;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
@@ -0,0 +1,25 @@
+package org.cyclamenpaddle.relay.backend;
+
+/**
+ * Size of one request's work on an engine.
+ *
+ * @param promptTokens tokens to be read; 0 for a plain call
+ * @param outputTokens tokens to be generated at most
+ */
+public record WorkSize(long promptTokens, long outputTokens) {
+
+    /** A call of a plain service. */
+    public static final WorkSize PLAIN = new WorkSize(0, 0);
+
+    public WorkSize {
+        if (promptTokens < 0 || outputTokens < 0) {
+            throw new IllegalArgumentException(
+                    "work of " + promptTokens + " and " + outputTokens + " tokens");
+        }
+    }
+
+    /** Returns the tokens that the work holds in an engine's memory at its end. */
+    public long memoryTokens() {
+        return promptTokens + outputTokens;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
@@ -0,0 +1,121 @@
+package org.cyclamenpaddle.relay.course;
+
+import java.util.function.BooleanSupplier;
+import org.cyclamenpaddle.core.invariant.Invariants;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+
+/**
+ * The course of one request through its sends to backend servers.
+ *
+ * <p>From the outcomes of the sends alone follow what may be sent again and what the caller may be
+ * told. A request that must not repeat is never sent after a send that may have reached a server,
+ * and "not run" is said only if no send may have. Not thread-safe.
+ */
+public final class Course {
+
+    /** Least time left that is worth another send, in milliseconds: a short call takes as long. */
+    static final long LEAST_USEFUL_MILLIS = 20;
+
+    /** Sends that never left, after which a host gives up: its own paths are the trouble then. */
+    static final int MOST_UNSENT = 4;
+
+    private final CourseTerms mTerms;
+    private final long mStartMillis;
+    private int mSends;
+    private int mUnsent;
+    private boolean mSending;
+    private boolean mMayHaveRun;
+    private boolean mForwarding;
+    private boolean mEnded;
+
+    /**
+     * Creates the course of a request that has just arrived.
+     *
+     * @param terms its bounds
+     * @param nowMillis reading of the clock
+     */
+    public Course(CourseTerms terms, long nowMillis) {
+        mTerms = terms;
+        mStartMillis = nowMillis;
+    }
+
+    /** Returns the time left for the final answer, in milliseconds; never negative. */
+    public long leftMillis(long nowMillis) {
+        return Math.max(0, mStartMillis + mTerms.patienceMillis() - nowMillis);
+    }
+
+    /** Notes that the request is handed to a backend server now. */
+    public void sending() {
+        Invariants.require(!mSending && !mEnded, () -> "a request is sent while another send runs");
+        Invariants.require(
+                mSends < mTerms.maxAttempts(),
+                () -> "more sends than " + mTerms.maxAttempts() + " attempts allow");
+        Invariants.require(
+                !mMayHaveRun || mTerms.repeatable(), () -> "a request is sent that may have run");
+        mSending = true;
+        mSends++;
+    }
+
+    /** Notes that the caller has got the head of an answer. */
+    public void forwarding() {
+        mForwarding = true;
+    }
+
+    /** Returns whether the caller has got the head of an answer. */
+    public boolean isForwarding() {
+        return mForwarding;
+    }
+
+    /** Returns the sends so far, those that never left not counted. */
+    public int sends() {
+        return mSends;
+    }
+
+    /**
+     * Decides what follows a send.
+     *
+     * @param outcome how it ended
+     * @param nowMillis reading of the clock
+     * @param budget takes one repeat out of the shared budget; asked only if one would be sent
+     */
+    public NextStep ended(SendOutcome outcome, long nowMillis, BooleanSupplier budget) {
+        Invariants.require(mSending, () -> "a send ends that was not begun");
+        mSending = false;
+        if (outcome == SendOutcome.NOT_SENT) {
+            mSends--;
+            mUnsent++;
+        }
+        mMayHaveRun |= outcome.mayHaveRun();
+        if (outcome == SendOutcome.SUCCEEDED) {
+            return NextStep.PASS_ON;
+        }
+        if (mayRepeat(outcome, nowMillis) && (mSends == 0 || budget.getAsBoolean())) {
+            return NextStep.SEND_AGAIN;
+        }
+        return outcome == SendOutcome.FAILED && !mForwarding ? NextStep.PASS_ON : NextStep.END;
+    }
+
+    /**
+     * Ends the course without a backend server's answer and returns what the caller is told.
+     *
+     * @param outcome how the send ended that still ran, {@link SendOutcome#NOT_SENT} if none did
+     * @param nowMillis reading of the clock
+     */
+    public CallerReply reply(SendOutcome outcome, long nowMillis) {
+        mEnded = true;
+        mMayHaveRun |= outcome.mayHaveRun();
+        if (!mMayHaveRun) {
+            return CallerReply.NOT_RUN;
+        }
+        return leftMillis(nowMillis) == 0 ? CallerReply.TIMED_OUT : CallerReply.FAILED;
+    }
+
+    private boolean mayRepeat(SendOutcome outcome, long nowMillis) {
+        boolean harmless = !mMayHaveRun || mTerms.repeatable();
+        return harmless
+                && outcome != SendOutcome.ABANDONED
+                && mSends < mTerms.maxAttempts()
+                && mUnsent < MOST_UNSENT
+                && leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/CourseTerms.java
@@ -0,0 +1,33 @@
+package org.cyclamenpaddle.relay.course;
+
+import org.cyclamenpaddle.relay.route.Route;
+
+/**
+ * What bounds the course of one request.
+ *
+ * @param repeatable whether it may be sent again after it may have run
+ * @param maxAttempts backend servers that it may be sent to
+ * @param patienceMillis longest wait for its final answer
+ */
+public record CourseTerms(boolean repeatable, int maxAttempts, long patienceMillis) {
+
+    public CourseTerms {
+        if (maxAttempts < 1 || patienceMillis < 0) {
+            throw new IllegalArgumentException(
+                    "course of " + maxAttempts + " attempts in " + patienceMillis + " ms");
+        }
+    }
+
+    /**
+     * Returns the terms of a request.
+     *
+     * @param route its route
+     * @param callerMillis how long its caller waits
+     */
+    public static CourseTerms of(Route route, long callerMillis) {
+        return new CourseTerms(
+                route.repeatable(),
+                route.maxAttempts(),
+                Math.max(0, Math.min(route.timeoutMillis(), callerMillis)));
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -0,0 +1,239 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpStatus;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.backend.WorkSize;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.wire.BackendAnswer;
+import org.cyclamenpaddle.relay.wire.BackendCall;
+
+/** One send of a request to the backend server that runs it, up to its typed outcome. */
+final class BackendSend implements ExchangeListener {
+
+    /** Told the outcome, once, unless the send was cancelled or given up. */
+    interface EndListener {
+        void ended(SendOutcome outcome, String cause);
+    }
+
+    /**
+     * Statuses that promise a caller that its request never ran.
+     *
+     * <p>Safeguard: a server that answers one of them without saying that it did not run the
+     * request may have run it. Passed on, the caller would send it again, and it would run twice.
+     */
+    private static final Set<HttpStatus> PROMISES =
+            Set.of(
+                    HttpStatus.REQUEST_TIMEOUT,
+                    HttpStatus.MISDIRECTED_REQUEST,
+                    HttpStatus.TOO_MANY_REQUESTS,
+                    HttpStatus.SERVICE_UNAVAILABLE);
+
+    /** Multiple of the target after which a silent server is given up for another one. */
+    private static final double PATIENCE_TARGETS = 2.5;
+
+    /** Share of the time left that may be spent on one server while others could still be asked. */
+    private static final double PATIENCE_SHARE = 0.45;
+
+    /**
+     * Longest pause within a resumable stream, in milliseconds.
+     *
+     * <p>A stream is late after a pause of some hundred milliseconds anyway; callers leave after
+     * two seconds at the earliest. Between the two, going on elsewhere still serves them.
+     */
+    private static final long STREAM_PAUSE_MILLIS = 1_400;
+
+    private final RelayParts mParts;
+    private final RelayRequest mRequest;
+    private final BackendCall mCall;
+    private final CallerAnswer mAnswer;
+    private final EndListener mEndListener;
+    private final long mStartMillis;
+    private EventLoop mLoop;
+    private BackendExchange mExchange;
+    private ScheduledFuture<?> mPatience;
+    private BackendAnswer mHead;
+    private boolean mPromptRead;
+    private boolean mFlowing;
+    private boolean mEnded;
+
+    BackendSend(
+            RelayParts parts,
+            RelayRequest request,
+            BackendCall call,
+            CallerAnswer answer,
+            boolean promptReadElsewhere,
+            EndListener endListener) {
+        mParts = parts;
+        mRequest = request;
+        mCall = call;
+        mAnswer = answer;
+        mPromptRead = promptReadElsewhere;
+        mEndListener = endListener;
+        mStartMillis = parts.clock().millis();
+    }
+
+    void start(EventLoop loop) {
+        mLoop = loop;
+        waitFor(patienceMillis());
+        mExchange =
+                BackendExchange.open(
+                        mParts.connections().client(target().address(), target().port()),
+                        mParts.messages().request(mRequest.caller(), mCall),
+                        mRequest.body(),
+                        mParts.messages(),
+                        loop,
+                        this);
+    }
+
+    /** Ends the send because the caller has gone. */
+    void cancel() {
+        mExchange.cancel();
+        close(SendOutcome.ABANDONED, "caller gone");
+    }
+
+    /** Ends the send because no time is left, and returns how far it had come. */
+    SendOutcome giveUp() {
+        SendOutcome outcome = mExchange.cancel();
+        close(mFlowing ? SendOutcome.ABANDONED : outcome, "no time left");
+        return outcome;
+    }
+
+    long spentMillis() {
+        return mParts.clock().millis() - mStartMillis;
+    }
+
+    @Override
+    public void head(BackendAnswer head) {
+        mHead = head;
+        if (head.notRun()) {
+            mExchange.cancel();
+            end(SendOutcome.REJECTED, "status " + head.headers().status().code());
+        } else if (!ownAnswer(head)) {
+            // The connection carries another request's answer, or bytes of no server's making.
+            // Neither may reach the caller, and what became of the request nobody can tell.
+            mExchange.cancel();
+            end(SendOutcome.UNKNOWN, "answer of status " + head.headers().status().code()
+                    + " for " + head.requestId().orElse("no request"));
+        } else {
+            mAnswer.head(head);
+            if (!mRequest.route().kind().streams()) {
+                answered();
+            }
+            mExchange.more();
+        }
+    }
+
+    @Override
+    public void data(HttpData data) {
+        if (mRequest.route().kind().streams() && mHead.success()) {
+            answered();
+            waitFor(STREAM_PAUSE_MILLIS);
+        }
+        if (mHead.success() || !mAnswer.isForwarding()) {
+            mAnswer.data(data, mParts.clock().millis(), this::more);
+        } else {
+            mExchange.more();
+        }
+    }
+
+    @Override
+    public void complete() {
+        end(mHead.success() ? SendOutcome.SUCCEEDED : SendOutcome.FAILED,
+                "status " + mHead.headers().status().code());
+    }
+
+    @Override
+    public void failed(SendOutcome outcome, Throwable cause) {
+        end(outcome, String.valueOf(cause));
+    }
+
+    private void more() {
+        if (mLoop.inEventLoop()) {
+            mExchange.more();
+        } else {
+            mLoop.execute(mExchange::more);
+        }
+    }
+
+    private boolean ownAnswer(BackendAnswer head) {
+        boolean named = head.requestId().map(mRequest.caller().id()::equals).orElse(false);
+        boolean misleading = PROMISES.contains(head.headers().status());
+        return named && head.signed() && !misleading;
+    }
+
+    private void answered() {
+        if (mFlowing) {
+            return;
+        }
+        mFlowing = true;
+        long now = mParts.clock().millis();
+        mPatience.cancel(false);
+        mParts.board().answered(target(), explainedSize(), now - mStartMillis, now);
+        if (!mPromptRead) {
+            mPromptRead = true;
+            mParts.board().promptRead(target(), mRequest.caller().size());
+        }
+    }
+
+    private WorkSize explainedSize() {
+        return mPromptRead ? WorkSize.PLAIN : mRequest.caller().size();
+    }
+
+    private long patienceMillis() {
+        double targets = mRequest.route().targetMillis() * PATIENCE_TARGETS;
+        return (long) Math.min(targets, mCall.leftMillis() * PATIENCE_SHARE);
+    }
+
+    /** Gives a server up after a silence, where the request may be sent to another one. */
+    private void waitFor(long millis) {
+        if (!mRequest.route().repeatable()) {
+            mPatience = mLoop.schedule(() -> {}, 0, TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (mPatience != null) {
+            mPatience.cancel(false);
+        }
+        mPatience = mLoop.schedule(() -> silent(millis), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void silent(long millis) {
+        if (!mEnded) {
+            SendOutcome outcome = mExchange.cancel();
+            end(outcome, "silent for " + millis + " ms");
+        }
+    }
+
+    private void end(SendOutcome outcome, String cause) {
+        if (mEnded) {
+            return;
+        }
+        close(outcome, cause);
+        mEndListener.ended(outcome, cause);
+    }
+
+    private void close(SendOutcome outcome, String cause) {
+        mEnded = true;
+        mPatience.cancel(false);
+        boolean ejected =
+                mParts.board()
+                        .ended(
+                                target(),
+                                mRequest.caller().size(),
+                                mPromptRead,
+                                outcome,
+                                mParts.clock().millis());
+        if (ejected) {
+            mParts.log().log(RelayEvent.BACKEND_EJECTED, target().id(), outcome, cause);
+        }
+    }
+
+    private Backend target() {
+        return mCall.target();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
@@ -0,0 +1,153 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.stream.AbortedStreamException;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import org.cyclamenpaddle.relay.course.CallerReply;
+import org.cyclamenpaddle.relay.course.Course;
+import org.cyclamenpaddle.relay.course.EventTail;
+import org.cyclamenpaddle.relay.wire.BackendAnswer;
+
+/**
+ * The one answer that a caller gets, put together from what backend servers send.
+ *
+ * <p>Nothing reaches the caller before there is something that it can use: the whole of a short
+ * answer, or the first event of a stream. Until then a failed send leaves no trace and another one
+ * can take its place.
+ */
+final class CallerAnswer {
+
+    /** Bytes of a plain answer that are held back at most; longer ones are forwarded as they come. */
+    private static final int HELD_BYTES = 64 << 10;
+
+    private final HttpResponseWriter mWriter;
+    private final RetryAfter mRetryAfter;
+    private final Course mCourse;
+    private final boolean mStreams;
+    private final boolean mWholeEvents;
+    private final EventTail mTail;
+    private final ByteArrayOutputStream mHeld = new ByteArrayOutputStream();
+    private BackendAnswer mHead;
+    private long mFirstMillis = -1;
+    private int mStatus;
+
+    CallerAnswer(
+            HttpResponseWriter writer, RelayRequest request, RetryAfter retryAfter, Course course) {
+        mWriter = writer;
+        mRetryAfter = retryAfter;
+        mCourse = course;
+        mStreams = request.route().kind().streams();
+        mWholeEvents = request.route().resumable();
+        mTail = new EventTail(request.caller().resumeAfter());
+    }
+
+    /** Takes the head of a backend server's answer that may become the caller's. */
+    void head(BackendAnswer head) {
+        if (!mCourse.isForwarding()) {
+            mHead = head;
+        }
+    }
+
+    /**
+     * Takes a piece of the body.
+     *
+     * @param next run when there is room for the next piece
+     */
+    void data(HttpData data, long nowMillis, Runnable next) {
+        byte[] ready = ready(data.array());
+        if (ready.length == 0) {
+            next.run();
+            return;
+        }
+        if (mFirstMillis < 0) {
+            mFirstMillis = nowMillis;
+        }
+        writeHead();
+        if (mWriter.tryWrite(HttpData.wrap(ready))) {
+            mWriter.whenConsumed().thenRun(next);
+        }
+    }
+
+    /** Forgets what came of an answer that another one takes the place of. */
+    void dropUnfinished() {
+        mTail.dropRest();
+        mHeld.reset();
+    }
+
+    /** Ends the answer as complete. */
+    void finish() {
+        writeHead();
+        byte[] rest = mStreams && mWholeEvents ? mTail.takeRest() : mHeld.toByteArray();
+        if (rest.length > 0) {
+            mWriter.tryWrite(HttpData.wrap(rest));
+        }
+        mWriter.close();
+    }
+
+    /** Ends the answer so that it cannot be taken for a complete one. */
+    void cut() {
+        mWriter.close(AbortedStreamException.get());
+    }
+
+    /** Answers without any backend server's answer. */
+    void refuse(CallerReply reply) {
+        mStatus = reply.status();
+        ResponseHeadersBuilder headers = ResponseHeaders.builder(HttpStatus.valueOf(mStatus));
+        if (reply.comeBack()) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, mRetryAfter.seconds(mStreams));
+        }
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, "0");
+        mWriter.tryWrite(mRetryAfter.whileStopping(headers).build());
+        mWriter.close();
+    }
+
+    /** Returns the id of the last whole event that the caller was given or already had. */
+    Optional<String> lastEventId() {
+        return mTail.lastId();
+    }
+
+    boolean isForwarding() {
+        return mCourse.isForwarding();
+    }
+
+    int status() {
+        return mStatus;
+    }
+
+    /** Returns how long the first byte took, or -1. */
+    long firstMillis(long startMillis) {
+        return mFirstMillis < 0 ? -1 : mFirstMillis - startMillis;
+    }
+
+    private byte[] ready(byte[] bytes) {
+        if (mStreams) {
+            return mWholeEvents ? mTail.offer(bytes) : bytes;
+        }
+        if (mCourse.isForwarding()) {
+            return bytes;
+        }
+        mHeld.writeBytes(bytes);
+        if (mHeld.size() < HELD_BYTES) {
+            return new byte[0];
+        }
+        byte[] held = mHeld.toByteArray();
+        mHeld.reset();
+        return held;
+    }
+
+    private void writeHead() {
+        if (mCourse.isForwarding()) {
+            return;
+        }
+        mCourse.forwarding();
+        ResponseHeaders headers = ConnectionHeaders.without(mHead.headers());
+        mStatus = headers.status().code();
+        mWriter.tryWrite(mRetryAfter.whileStopping(headers.toBuilder()).build());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
@@ -0,0 +1,153 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpData;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.wire.BackendAnswer;
+import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.relay.wire.PromptHandle;
+
+/** Has one prompt read by a prefill engine; a failure here never means that the request ran. */
+final class PromptReading implements ExchangeListener {
+
+    /**
+     * Longest wait for a prompt to be read, in milliseconds.
+     *
+     * <p>Safeguard: an engine that went dark would hold the request until its timeout. The longest
+     * prompts take 200 ms; after three times that, reading at the runner still ends within a second.
+     */
+    private static final long PATIENCE_MILLIS = 600;
+
+    private final RelayParts mParts;
+    private final RelayRequest mRequest;
+    private final Backend mReader;
+    private final Consumer<Optional<PromptHandle>> mDone;
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final long mStartMillis;
+    private ScheduledFuture<?> mPatience;
+    private BackendExchange mExchange;
+    private BackendAnswer mAnswer;
+    private boolean mEnded;
+    private boolean mRejected;
+
+    /**
+     * Creates a reading.
+     *
+     * @param done told the handle, or nothing if the prompt was not read; not after a cancel
+     */
+    PromptReading(
+            RelayParts parts,
+            RelayRequest request,
+            Backend reader,
+            Consumer<Optional<PromptHandle>> done) {
+        mParts = parts;
+        mRequest = request;
+        mReader = reader;
+        mDone = done;
+        mStartMillis = parts.clock().millis();
+    }
+
+    void start(EventLoop loop, long leftMillis) {
+        BackendCall call =
+                new BackendCall(mReader, leftMillis, true, Optional.empty(), Optional.empty());
+        mExchange =
+                BackendExchange.open(
+                        mParts.connections().client(mReader.address(), mReader.port()),
+                        mParts.messages().request(mRequest.caller(), call),
+                        mRequest.body(),
+                        mParts.messages(),
+                        loop,
+                        this);
+        mPatience = loop.schedule(this::tooLong, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns whether the engine answered that it did not take the prompt. */
+    boolean rejected() {
+        return mRejected;
+    }
+
+    /** Ends the reading because the request has ended. */
+    void cancel() {
+        if (!mEnded) {
+            mExchange.cancel();
+            end(SendOutcome.ABANDONED);
+        }
+    }
+
+    @Override
+    public void head(BackendAnswer answer) {
+        mAnswer = answer;
+        mExchange.more();
+    }
+
+    @Override
+    public void data(HttpData data) {
+        mBody.writeBytes(data.array());
+        mExchange.more();
+    }
+
+    @Override
+    public void complete() {
+        if (mEnded) {
+            return;
+        }
+        if (mAnswer.notRun() || !mAnswer.success()) {
+            mRejected = true;
+            fail(SendOutcome.REJECTED, "status " + mAnswer.headers().status().code());
+            return;
+        }
+        Either<String, PromptHandle> handle =
+                mParts.messages().prompt(mReader, mBody.toByteArray());
+        if (handle.isLeft()) {
+            fail(SendOutcome.UNKNOWN, handle.getLeft());
+            return;
+        }
+        long now = mParts.clock().millis();
+        mParts.board()
+                .answered(mReader, mRequest.caller().size(), now - mStartMillis, now);
+        end(SendOutcome.SUCCEEDED);
+        mDone.accept(Optional.of(handle.get()));
+    }
+
+    @Override
+    public void failed(SendOutcome outcome, Throwable cause) {
+        if (!mEnded) {
+            fail(outcome, String.valueOf(cause));
+        }
+    }
+
+    private void tooLong() {
+        if (!mEnded) {
+            mExchange.cancel();
+            fail(SendOutcome.UNKNOWN, "no answer in " + PATIENCE_MILLIS + " ms");
+        }
+    }
+
+    private void fail(SendOutcome outcome, String cause) {
+        end(outcome);
+        mParts.log()
+                .log(
+                        RelayEvent.PROMPT_NOT_READ,
+                        mRequest.caller().id(),
+                        mReader.id(),
+                        outcome,
+                        cause,
+                        mParts.clock().millis() - mStartMillis);
+        mDone.accept(Optional.empty());
+    }
+
+    private void end(SendOutcome outcome) {
+        mEnded = true;
+        mPatience.cancel(false);
+        long now = mParts.clock().millis();
+        mParts.board().ended(mReader, mRequest.caller().size(), false, outcome, now);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
@@ -0,0 +1,31 @@
+package org.cyclamenpaddle.relay.front;
+
+import java.util.function.DoubleSupplier;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.engine.http.BackendConnections;
+import org.cyclamenpaddle.relay.backend.BackendBoard;
+import org.cyclamenpaddle.relay.log.DecisionLog;
+import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.wire.BackendMessages;
+
+/**
+ * What the courses of all requests share.
+ *
+ * @param board backend servers
+ * @param budget repeats
+ * @param connections to backend servers
+ * @param messages how they are spoken to
+ * @param log decision lines
+ * @param metrics counters
+ * @param clock this host's clock
+ * @param random even draws from 0 to 1
+ */
+public record RelayParts(
+        BackendBoard board,
+        SharedRetryBudget budget,
+        BackendConnections connections,
+        BackendMessages messages,
+        DecisionLog log,
+        RelayMetrics metrics,
+        Clock clock,
+        DoubleSupplier random) {}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -0,0 +1,32 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpData;
+import java.util.Optional;
+import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.relay.route.EngineShape;
+import org.cyclamenpaddle.relay.route.Route;
+import org.cyclamenpaddle.relay.wire.CallerRequest;
+
+/**
+ * A request on its way, with what its configuration says of it.
+ *
+ * @param caller what the caller sent
+ * @param body its whole body
+ * @param route its route
+ * @param service the one of the route's services that it goes to
+ * @param engine shape of that service's engines; empty for a plain service
+ * @param version configuration that all this is taken from
+ */
+record RelayRequest(
+        CallerRequest caller,
+        HttpData body,
+        Route route,
+        ServiceName service,
+        Optional<EngineShape> engine,
+        long version) {
+
+    /** Returns the tokens that a backend server's memory holds. */
+    long memoryTokens() {
+        return engine.map(EngineShape::memoryTokens).orElse(Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -0,0 +1,266 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.Placement;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.course.CallerReply;
+import org.cyclamenpaddle.relay.course.Course;
+import org.cyclamenpaddle.relay.course.CourseTerms;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.relay.wire.PromptHandle;
+
+/**
+ * Carries one request through its course: places it, sends it, and ends it exactly once.
+ *
+ * <p>All methods run on the event loop of the caller's connection.
+ */
+final class RelayRun {
+
+    /** What is told to whoever waits for the end of all runs. */
+    interface EndListener {
+        void ended(RelayRun run);
+    }
+
+    private final RelayParts mParts;
+    private final RelayRequest mRequest;
+    private final EventLoop mLoop;
+    private final CallerAnswer mAnswer;
+    private final EndListener mEndListener;
+    private final Course mCourse;
+    private final long mStartMillis;
+    private final Set<BackendId> mTried = new HashSet<>();
+    private ScheduledFuture<?> mGiveUp;
+    private Optional<PromptReading> mReading = Optional.empty();
+    private Optional<BackendSend> mSend = Optional.empty();
+    private Optional<Backend> mLast = Optional.empty();
+    private Optional<Backend> mReader = Optional.empty();
+    private boolean mEnded;
+
+    RelayRun(
+            RelayParts parts,
+            RelayRequest request,
+            EventLoop loop,
+            HttpResponseWriter writer,
+            RetryAfter retryAfter,
+            EndListener endListener) {
+        mParts = parts;
+        mRequest = request;
+        mLoop = loop;
+        mEndListener = endListener;
+        mStartMillis = parts.clock().millis();
+        long callerMillis = request.caller().callerMillis().orElse(Long.MAX_VALUE);
+        mCourse = new Course(CourseTerms.of(request.route(), callerMillis), mStartMillis);
+        mAnswer = new CallerAnswer(writer, request, retryAfter, mCourse);
+    }
+
+    void start() {
+        mParts.budget().requested(mRequest.service());
+        long left = mCourse.leftMillis(mStartMillis);
+        mGiveUp = mLoop.schedule(this::giveUp, left, TimeUnit.MILLISECONDS);
+        place();
+    }
+
+    /** The caller's connection has gone, or its stream was cancelled. */
+    void callerGone() {
+        if (mEnded) {
+            return;
+        }
+        mSend.ifPresent(BackendSend::cancel);
+        mParts.metrics().callerGone();
+        mParts.log()
+                .log(
+                        RelayEvent.CALLER_GONE,
+                        mRequest.caller().id(),
+                        mRequest.route().name(),
+                        backend(),
+                        mCourse.sends(),
+                        spentMillis());
+        end();
+    }
+
+    private void place() {
+        Optional<Placement> placement =
+                mParts.board()
+                        .place(
+                                mRequest.service(),
+                                mRequest.caller().size(),
+                                mRequest.memoryTokens(),
+                                mTried,
+                                mParts.clock().millis());
+        if (placement.isEmpty()) {
+            reply(SendOutcome.NOT_SENT, "no backend server has room");
+            return;
+        }
+        Backend runner = placement.get().runner();
+        mReader = placement.get().prefill();
+        if (mReader.isEmpty()) {
+            send(runner, Optional.empty());
+            return;
+        }
+        PromptReading reading =
+                new PromptReading(
+                        mParts, mRequest, mReader.get(), handle -> promptRead(runner, handle));
+        mReading = Optional.of(reading);
+        // Until the prompt is read, only the place at the runner is taken there.
+        mLast = Optional.of(runner);
+        reading.start(mLoop, mCourse.leftMillis(mParts.clock().millis()));
+    }
+
+    private void promptRead(Backend runner, Optional<PromptHandle> handle) {
+        boolean rejected = mReading.map(PromptReading::rejected).orElse(false);
+        mReading = Optional.empty();
+        if (rejected && !mParts.budget().tryTake(mRequest.service())) {
+            release(runner);
+            reply(SendOutcome.NOT_SENT, "prefill engine full, retry budget empty");
+            return;
+        }
+        send(runner, handle);
+    }
+
+    private void release(Backend runner) {
+        mParts.board()
+                .ended(
+                        runner,
+                        mRequest.caller().size(),
+                        true,
+                        SendOutcome.ABANDONED,
+                        mParts.clock().millis());
+    }
+
+    private void send(Backend runner, Optional<PromptHandle> prompt) {
+        long now = mParts.clock().millis();
+        mTried.add(runner.id());
+        mLast = Optional.of(runner);
+        mCourse.sending();
+        Optional<String> resumeAfter = mAnswer.lastEventId();
+        BackendCall call =
+                new BackendCall(runner, mCourse.leftMillis(now), false, prompt, resumeAfter);
+        BackendSend send =
+                new BackendSend(
+                        mParts, mRequest, call, mAnswer, mReader.isPresent(), this::sendEnded);
+        mSend = Optional.of(send);
+        send.start(mLoop);
+    }
+
+    private void sendEnded(SendOutcome outcome, String cause) {
+        long now = mParts.clock().millis();
+        BackendSend send = mSend.orElseThrow();
+        mSend = Optional.empty();
+        switch (mCourse.ended(outcome, now, () -> mParts.budget().tryTake(mRequest.service()))) {
+            case SEND_AGAIN -> {
+                logSend(send, outcome, cause, "send-again");
+                mParts.metrics().retried(outcome);
+                mAnswer.dropUnfinished();
+                place();
+            }
+            case PASS_ON -> passOn();
+            case END -> {
+                logSend(send, outcome, cause, "end");
+                reply(outcome, cause);
+            }
+            default -> throw new IllegalStateException("no such step");
+        }
+    }
+
+    private void passOn() {
+        mAnswer.finish();
+        mParts.metrics().answered(mRequest.route().kind(), spentMillis());
+        mParts.log()
+                .log(
+                        RelayEvent.REQUEST_ENDED,
+                        mRequest.caller().id(),
+                        mRequest.route().name(),
+                        mRequest.version(),
+                        backend(),
+                        mAnswer.status(),
+                        mCourse.sends(),
+                        spentMillis(),
+                        mAnswer.firstMillis(mStartMillis),
+                        mReader.map(reader -> reader.id().value()).orElse("none"));
+        end();
+    }
+
+    private void giveUp() {
+        if (mEnded) {
+            return;
+        }
+        SendOutcome outcome =
+                mSend.map(BackendSend::giveUp).orElse(SendOutcome.NOT_SENT);
+        mSend = Optional.empty();
+        reply(outcome, "no time left");
+    }
+
+    /** Ends the request without a whole answer of a backend server. */
+    private void reply(SendOutcome outcome, String reason) {
+        CallerReply reply = mCourse.reply(outcome, mParts.clock().millis());
+        if (mCourse.isForwarding()) {
+            mAnswer.cut();
+            mParts.log()
+                    .log(
+                            RelayEvent.REQUEST_CUT,
+                            mRequest.caller().id(),
+                            mRequest.route().name(),
+                            backend(),
+                            reason,
+                            mAnswer.lastEventId().orElse("none"),
+                            mCourse.sends(),
+                            spentMillis());
+        } else {
+            mAnswer.refuse(reply);
+            mParts.log()
+                    .log(
+                            RelayEvent.REQUEST_FAILED,
+                            mRequest.caller().id(),
+                            mRequest.route().name(),
+                            mRequest.version(),
+                            reply.status(),
+                            reason,
+                            mCourse.sends(),
+                            spentMillis());
+        }
+        mParts.metrics().refused(reply);
+        end();
+    }
+
+    private void end() {
+        mEnded = true;
+        mGiveUp.cancel(false);
+        if (mReading.isPresent()) {
+            PromptReading reading = mReading.get();
+            mReading = Optional.empty();
+            reading.cancel();
+            release(mLast.orElseThrow());
+        }
+        mEndListener.ended(this);
+    }
+
+    private void logSend(BackendSend send, SendOutcome outcome, String cause, String next) {
+        mParts.log()
+                .log(
+                        RelayEvent.SEND_ENDED,
+                        mRequest.caller().id(),
+                        backend(),
+                        outcome,
+                        cause,
+                        send.spentMillis(),
+                        next);
+    }
+
+    private String backend() {
+        return mLast.map(backend -> backend.id().value()).orElse("none");
+    }
+
+    private long spentMillis() {
+        return mParts.clock().millis() - mStartMillis;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RetryAfter.java
@@ -0,0 +1,44 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
+
+/** When refused callers are asked to come back, and whether kept connections should end. */
+final class RetryAfter {
+
+    /**
+     * Wait before a plain call comes back, in milliseconds: several calls' work, so that a place is
+     * free, and a small part of the second and a half that such callers have.
+     */
+    private static final long PLAIN_MILLIS = 150;
+
+    /** Wait before a generation comes back, in milliseconds: about as long as one takes. */
+    private static final long STREAM_MILLIS = 500;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final DoubleSupplier mRandom;
+    private final BooleanSupplier mStopping;
+
+    RetryAfter(DoubleSupplier random, BooleanSupplier stopping) {
+        mRandom = random;
+        mStopping = stopping;
+    }
+
+    /** Returns the wait in seconds, spread so that callers refused together come back apart. */
+    String seconds(boolean stream) {
+        double millis = (stream ? STREAM_MILLIS : PLAIN_MILLIS) * (1 + mRandom.getAsDouble());
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+
+    /** Ends the caller's connection with this answer while the host is stopping. */
+    ResponseHeadersBuilder whileStopping(ResponseHeadersBuilder headers) {
+        if (mStopping.getAsBoolean()) {
+            headers.set(HttpHeaderNames.CONNECTION, "close");
+        }
+        return headers;
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/package-info.java
@@ -0,0 +1,2 @@
+/** Decision lines: bounded, structured and never blocking. */
+package org.cyclamenpaddle.relay.log;
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -0,0 +1,79 @@
+package org.cyclamenpaddle.relay.metric;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Metrics of the relay; safe for use by many threads. */
+public final class RelayMetrics {
+
+    private static final String PREFIX = "cyclamenpaddle_relay_";
+    private static final String REASON = "reason";
+
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /**
+     * Counts a request that was answered with a backend server's own answer.
+     *
+     * @param kind kind of its route
+     * @param millis from its arrival to its end
+     */
+    public void answered(Enum<?> kind, long millis) {
+        Timer.builder(PREFIX + "request")
+                .tag("kind", tag(kind))
+                .publishPercentileHistogram(false)
+                .serviceLevelObjectives(
+                        Duration.ofMillis(50),
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(300),
+                        Duration.ofMillis(1_000),
+                        Duration.ofMillis(4_000))
+                .register(mRegistry)
+                .record(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts a request that ended without a backend server's answer. */
+    public void refused(Enum<?> reason) {
+        counter("refusals", REASON, tag(reason)).increment();
+    }
+
+    /** Counts a send that was followed by another one. */
+    public void retried(Enum<?> reason) {
+        counter("retries", REASON, tag(reason)).increment();
+    }
+
+    /** Counts a caller that left before its answer. */
+    public void callerGone() {
+        counter("callers_gone", REASON, "left").increment();
+    }
+
+    /**
+     * Shows a reading.
+     *
+     * @param name what it is
+     * @param reading read whenever the metrics are read
+     */
+    public void gauge(String name, Supplier<Number> reading) {
+        Gauge.builder(PREFIX + name, reading).register(mRegistry);
+    }
+
+    /** Returns all metrics in the text format of Prometheus. */
+    public String text() {
+        return mRegistry.scrape();
+    }
+
+    private Counter counter(String name, String tag, String value) {
+        return Counter.builder(PREFIX + name).tag(tag, value).register(mRegistry);
+    }
+
+    private static String tag(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms of the relay. */
+package org.cyclamenpaddle.relay.metric;
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Forwarding of requests by routes: the product's second front. */
+package org.cyclamenpaddle.relay;
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
@@ -0,0 +1,68 @@
+package org.cyclamenpaddle.relay.route;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cyclamenpaddle.core.id.ServiceName;
+
+/** One version of the routes and services, whole and unchanging. */
+public final class RelayConfiguration {
+
+    private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+            Comparator.comparing((Route route) -> route.pathPrefix().length()).reversed();
+
+    private final long mVersion;
+    private final Map<String, List<Route>> mRoutesByHost;
+    private final Map<ServiceName, ServicePolicy> mServices;
+
+    /**
+     * Creates a version.
+     *
+     * @param version rises with each change, in uneven steps
+     * @param routes in any order
+     * @param services each under a name of its own
+     */
+    public RelayConfiguration(long version, List<Route> routes, List<ServicePolicy> services) {
+        mVersion = version;
+        mRoutesByHost =
+                routes.stream()
+                        .sorted(LONGEST_PREFIX_FIRST)
+                        .collect(Collectors.groupingBy(Route::host));
+        mServices =
+                services.stream()
+                        .collect(Collectors.toMap(ServicePolicy::name, Function.identity()));
+    }
+
+    /** Returns the number of this version. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the number of routes. */
+    public int routes() {
+        return mRoutesByHost.values().stream().mapToInt(List::size).sum();
+    }
+
+    /**
+     * Returns the route of a request: of the routes of its host, the one with the longest prefix.
+     *
+     * @param authority host name of the request, with or without a port
+     * @param path path of the request, with or without a query
+     */
+    public Optional<Route> find(String authority, String path) {
+        int port = authority.lastIndexOf(':');
+        String host = port < 0 ? authority : authority.substring(0, port);
+        return mRoutesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+
+    /** Returns the shape of a service's engines; empty for a plain or unknown service. */
+    public Optional<EngineShape> engine(ServiceName service) {
+        return Optional.ofNullable(mServices.get(service)).flatMap(ServicePolicy::engine);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
@@ -0,0 +1,105 @@
+package org.cyclamenpaddle.relay.settings;
+
+/**
+ * Settings of a relay process.
+ *
+ * @param host who this host is
+ * @param listen where it listens
+ * @param store where configuration and backend servers are found
+ * @param stop timings of a planned stop
+ * @param retry the shared budget of repeats
+ */
+public record RelaySettings(Host host, Listen listen, Store store, Stop stop, Retry retry) {
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    public RelaySettings {
+        required("host", host);
+        required("listen", listen);
+        required("store", store);
+        required("stop", stop);
+        required("retry", retry);
+    }
+
+    /**
+     * Who this host is.
+     *
+     * @param name unique among the hosts
+     * @param domain its failure domain
+     */
+    public record Host(String name, String domain) {
+        public Host {
+            required("host.name", name);
+            required("host.domain", domain);
+        }
+    }
+
+    /**
+     * Where the process listens, each an IP number with a port.
+     *
+     * @param callers for callers
+     * @param checks for the balancer's readiness check and for metrics
+     */
+    public record Listen(Endpoint callers, Endpoint checks) {
+        public Listen {
+            required("listen.callers", callers);
+            required("listen.checks", checks);
+        }
+    }
+
+    /**
+     * Where the store is.
+     *
+     * @param address its IP number with a port
+     */
+    public record Store(Endpoint address) {
+        public Store {
+            required("store.address", address);
+        }
+    }
+
+    /**
+     * Timings of a planned stop.
+     *
+     * @param graceSeconds time from the signal after which the process is killed
+     */
+    public record Stop(double graceSeconds) {
+        public Stop {
+            if (graceSeconds <= 0) {
+                throw new IllegalArgumentException("stop.graceSeconds must be above 0");
+            }
+        }
+
+        /** Returns the time from the signal after which the process is killed. */
+        public long graceMillis() {
+            return Math.round(graceSeconds * MILLIS_PER_SECOND);
+        }
+    }
+
+    /**
+     * The budget of repeats that all hosts share.
+     *
+     * @param share repeats for each request of a service, over all hosts
+     * @param slack repeats within a window besides, over all hosts
+     * @param windowSeconds length of the window
+     */
+    public record Retry(double share, long slack, double windowSeconds) {
+        public Retry {
+            if (share < 0 || share > 1 || slack < 0 || windowSeconds <= 0) {
+                throw new IllegalArgumentException(
+                        "retry: share from 0 to 1, slack from 0, windowSeconds above 0");
+            }
+        }
+
+        /** Returns the length of the window. */
+        public long windowMillis() {
+            return Math.round(windowSeconds * MILLIS_PER_SECOND);
+        }
+    }
+
+    private static void required(String key, Object value) {
+        if (value == null) {
+            throw new IllegalArgumentException(key + " is missing");
+        }
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a relay process. */
+package org.cyclamenpaddle.relay.settings;
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntrySource.java
@@ -0,0 +1,30 @@
+package org.cyclamenpaddle.relay.store;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One kind of objects in a store.
+ *
+ * <p>Futures never fail; a call that brought nothing is a {@link StoreFailure}.
+ *
+ * @param <T> type of what the objects say
+ */
+public interface EntrySource<T> {
+
+    /**
+     * Lists the objects.
+     *
+     * @param after name after which to go on; empty for the beginning
+     */
+    CompletableFuture<Either<StoreFailure, EntryPage<T>>> list(Optional<String> after);
+
+    /**
+     * Waits for changes.
+     *
+     * @param revision revision after which changes are wanted
+     * @param waitMillis longest wait, in milliseconds; the result is then empty
+     */
+    CompletableFuture<Either<StoreFailure, EntryPage<T>>> watch(long revision, long waitMillis);
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendAnswer.java
@@ -0,0 +1,27 @@
+package org.cyclamenpaddle.relay.wire;
+
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.util.Optional;
+
+/**
+ * Head of a backend server's answer, decoded.
+ *
+ * @param headers as they came
+ * @param requestId id of the request that it answers, if it says so
+ * @param signed whether the server vouches for the answer
+ * @param notRun whether the server says that it has not run the request and never will
+ */
+public record BackendAnswer(
+        ResponseHeaders headers, Optional<String> requestId, boolean signed, boolean notRun) {
+
+    public BackendAnswer {
+        if (headers == null || requestId == null) {
+            throw new IllegalArgumentException("answer needs headers");
+        }
+    }
+
+    /** Returns whether the status says success. */
+    public boolean success() {
+        return headers.status().isSuccess();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
@@ -0,0 +1,27 @@
+package org.cyclamenpaddle.relay.wire;
+
+import java.util.Optional;
+import org.cyclamenpaddle.relay.backend.Backend;
+
+/**
+ * What the relay itself says to a backend server along with a caller's request.
+ *
+ * @param target the server that is meant; another one at its address must not run the request
+ * @param leftMillis time left for the answer
+ * @param promptOnly whether only the prompt is to be read
+ * @param prompt the prompt read elsewhere; empty if there is none
+ * @param resumeAfter id of the event after which to go on; empty for the beginning
+ */
+public record BackendCall(
+        Backend target,
+        long leftMillis,
+        boolean promptOnly,
+        Optional<PromptHandle> prompt,
+        Optional<String> resumeAfter) {
+
+    public BackendCall {
+        if (target == null || leftMillis < 0) {
+            throw new IllegalArgumentException("call needs a target and time");
+        }
+    }
+}
