--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -64,7 +64,17 @@
      * @param backend the backend server; reads have no timeout unless they set one
      */
     public WebClient keptClient(BackendSpec backend) {
-        return client(backend.address(), backend.port(), mKept);
+        return keptClient(backend.address(), backend.port());
+    }
+
+    /**
+     * Returns a client that keeps connections, for calls that may be repeated.
+     *
+     * @param address IP number of the backend server; calls have no timeout unless they set one
+     * @param port its TCP port
+     */
+    public WebClient keptClient(String address, int port) {
+        return client(address, port, mKept);
     }
 
     @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -77,36 +77,60 @@
     }
 
     /**
-     * Chooses where a request runs and notes its work there.
+     * Chooses the server that runs a request and notes its work there.
      *
      * @param service its service
      * @param size its work
-     * @param memoryTokens tokens that a runner's memory holds; {@link Long#MAX_VALUE} if unbounded
      * @param avoid servers that were already tried
      * @param nowMillis reading of the clock
-     * @return empty if the service has no server that could take it
+     * @return empty if the service has no server that could take it now
      */
-    public Optional<Placement> place(
-            ServiceName service,
-            WorkSize size,
-            long memoryTokens,
-            Set<BackendId> avoid,
-            long nowMillis) {
+    public Optional<Backend> place(
+            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
         return mTable.read(
                 state -> {
                     List<Backend> runners =
                             candidates(state, service, avoid, nowMillis)
                                     .filter(backend -> backend.stage().runs())
-                                    .filter(backend -> fits(state, backend, size, memoryTokens))
+                                    .filter(backend -> !state.of(backend).isFull(nowMillis))
                                     .toList();
-                    Optional<Placement> placement =
-                            best(runners, runner -> runCost(state, runner, size, nowMillis))
-                                    .map(runner -> withPrefill(state, runner, size, nowMillis));
-                    placement.ifPresent(chosen -> note(state, chosen, size));
-                    return placement;
+                    Optional<Backend> chosen =
+                            best(runners, runner -> runCost(state, runner, nowMillis));
+                    chosen.ifPresent(runner -> state.of(runner).started(size));
+                    return chosen;
+                });
+    }
+
+    /**
+     * Chooses a prefill engine for a request that has a place at a decode engine, where reading
+     * there and handing over beats reading in place, and notes the work on it.
+     *
+     * @param runner decode engine of the request
+     * @param size its work
+     * @param nowMillis reading of the clock
+     */
+    public Optional<Backend> reader(Backend runner, WorkSize size, long nowMillis) {
+        if (runner.stage() != BackendStage.DECODE || size.promptTokens() == 0) {
+            return Optional.empty();
+        }
+        return mTable.read(
+                state -> {
+                    Optional<Backend> chosen = cheapestReader(state, runner, size, nowMillis);
+                    chosen.ifPresent(
+                            reader -> {
+                                state.of(reader).started(size);
+                                // Read elsewhere, it keeps no other prompt waiting at the runner.
+                                state.of(runner).open().promptRead(size);
+                            });
+                    return chosen;
                 });
     }
 
+    /** Notes that a server has no room for a request of usual size at this moment. */
+    public void full(Backend backend, long nowMillis) {
+        mTable.write(state -> state.of(backend).full(nowMillis));
+    }
+
     /** Notes that a server has read a prompt. */
     public void promptRead(Backend backend, WorkSize size) {
         mTable.write(state -> state.of(backend).open().promptRead(size));
@@ -174,10 +198,6 @@
         return backends.filter(backend -> !avoid.contains(backend.id())).toList();
     }
 
-    private boolean fits(State state, Backend backend, WorkSize size, long memoryTokens) {
-        return state.of(backend).open().tokens() + size.memoryTokens() <= memoryTokens;
-    }
-
     private Optional<Backend> best(List<Backend> backends, ToDoubleFunction<Backend> cost) {
         Map<Backend, Double> costs = new HashMap<>();
         backends.forEach(
@@ -185,9 +205,9 @@
         return backends.stream().min(Comparator.comparing(costs::get));
     }
 
-    private double runCost(State state, Backend backend, WorkSize size, long nowMillis) {
+    private double runCost(State state, Backend backend, long nowMillis) {
         BackendState known = state.of(backend);
-        return readMillis(backend, known.open().unreadTokens() + size.promptTokens())
+        return readMillis(backend, known.open().unreadTokens())
                 + known.open().requests() * mCosts.requestMillis()
                 + (backend.domain().equals(mOwnDomain) ? 0 : mCosts.domainMillis())
                 + known.health().failureRate(nowMillis) * mCosts.failureMillis()
@@ -199,28 +219,21 @@
         return promptTokens / (mCosts.promptTokensPerMilli() * share);
     }
 
-    /** Adds a prefill engine where reading there and handing over beats reading in place. */
-    private Placement withPrefill(State state, Backend runner, WorkSize size, long nowMillis) {
-        if (runner.stage() != BackendStage.DECODE || size.promptTokens() == 0) {
-            return new Placement(runner, Optional.empty());
-        }
+    private Optional<Backend> cheapestReader(
+            State state, Backend runner, WorkSize size, long nowMillis) {
         List<Backend> readers =
                 state.mDirectory
                         .usable(runner.service())
                         .filter(backend -> backend.stage() == BackendStage.PREFILL)
                         .filter(backend -> state.of(backend).health().admits(nowMillis))
                         .toList();
-        BackendState known = state.of(runner);
         double inPlace =
-                readMillis(runner, known.open().unreadTokens() + size.promptTokens())
-                        + known.excessMillis(nowMillis);
-        Optional<Backend> reader =
-                best(readers, backend -> prefillCost(state, backend, runner, size, nowMillis))
-                        .filter(
-                                backend ->
-                                        prefillCost(state, backend, runner, size, nowMillis)
-                                                < inPlace);
-        return new Placement(runner, reader);
+                readMillis(runner, state.of(runner).open().unreadTokens())
+                        + state.of(runner).excessMillis(nowMillis);
+        return best(readers, reader -> prefillCost(state, reader, runner, size, nowMillis))
+                .filter(
+                        reader ->
+                                prefillCost(state, reader, runner, size, nowMillis) < inPlace);
     }
 
     private double prefillCost(
@@ -233,18 +246,6 @@
                 + known.excessMillis(nowMillis);
     }
 
-    private static void note(State state, Placement chosen, WorkSize size) {
-        Stream.concat(Stream.of(chosen.runner()), chosen.prefill().stream())
-                .map(state::of)
-                .forEach(
-                        known -> {
-                            known.open().started(size);
-                            known.health().sent();
-                        });
-        // Its prompt is read elsewhere, so it keeps no other prompt waiting at the runner.
-        chosen.prefill().ifPresent(reader -> state.of(chosen.runner()).open().promptRead(size));
-    }
-
     private static boolean unused(State state, BackendId id) {
         return state.mDirectory.find(id).isEmpty() && state.mStates.get(id).open().requests() == 0;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -9,11 +9,20 @@
     /** Time after which half of an excess wait is forgotten, in milliseconds: bursts are short. */
     private static final double HALF_LIFE_MILLIS = 1_500;
 
+    /**
+     * How long a server counts as full after it said so, in milliseconds.
+     *
+     * <p>An engine ends a generation about every half second, and asking again costs a call and a
+     * few milliseconds of the request's time.
+     */
+    static final long FULL_MILLIS = 40;
+
     private final long mBornMillis;
     private final OpenWork mOpen = new OpenWork();
     private final BackendHealth mHealth = new BackendHealth();
     private double mExcessMillis;
     private long mExcessAtMillis;
+    private long mFullUntilMillis = Long.MIN_VALUE;
 
     BackendState(long bornMillis) {
         mBornMillis = bornMillis;
@@ -31,6 +40,19 @@
         return mHealth;
     }
 
+    void started(WorkSize size) {
+        mOpen.started(size);
+        mHealth.sent();
+    }
+
+    void full(long nowMillis) {
+        mFullUntilMillis = nowMillis + FULL_MILLIS;
+    }
+
+    boolean isFull(long nowMillis) {
+        return nowMillis < mFullUntilMillis;
+    }
+
     /** Notes by how much a first answer byte came later than this host's own work explains. */
     void waited(double excessMillis, long nowMillis) {
         double old = excessMillis(nowMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/CostSettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/CostSettings.java
@@ -13,7 +13,7 @@
  *     price of the bytes
  * @param failureMillis what a certain failure would cost: the attempt and the next one
  * @param handOverMillis what moving a read prompt to a decode engine is worth avoiding: setting up
- *     the transfer, and its price
+ *     the transfer, and its price: a thousandth of what a generation is worth
  */
 public record CostSettings(
         double promptTokensPerMilli,
@@ -24,7 +24,7 @@
         double handOverMillis) {
 
     /** Figures for engines that read 55 tokens in a millisecond, and domains 1 ms apart. */
-    public static final CostSettings DEFAULTS = new CostSettings(55, 0.5, 4, 5, 400, 150);
+    public static final CostSettings DEFAULTS = new CostSettings(55, 0.5, 4, 5, 400, 20);
 
     public CostSettings {
         if (promptTokensPerMilli <= 0 || inPlaceShare <= 0 || requestMillis < 0) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
@@ -66,6 +66,11 @@
         return mForwarding;
     }
 
+    /** Returns whether the attempts allow another send after the present one. */
+    public boolean mayGoOn() {
+        return mSends < mTerms.maxAttempts();
+    }
+
     /** Returns the sends so far, those that never left not counted. */
     public int sends() {
         return mSends;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -12,6 +13,7 @@
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendAnswer;
 import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.relay.wire.PromptHandle;
 
 /** One send of a request to the backend server that runs it, up to its typed outcome. */
 final class BackendSend implements ExchangeListener {
@@ -21,6 +23,14 @@
         void ended(SendOutcome outcome, String cause);
     }
 
+    /**
+     * What a send is bound by.
+     *
+     * @param promptReadElsewhere whether no prompt has to be read by the server
+     * @param othersLeft whether another server could still be asked after a silence
+     */
+    record Terms(boolean promptReadElsewhere, boolean othersLeft) {}
+
     /**
      * Statuses that promise a caller that its request never ran.
      *
@@ -56,8 +66,9 @@
     private final long mStartMillis;
     private EventLoop mLoop;
     private BackendExchange mExchange;
-    private ScheduledFuture<?> mPatience;
+    private Optional<ScheduledFuture<?>> mPatience = Optional.empty();
     private BackendAnswer mHead;
+    private final boolean mOthersLeft;
     private boolean mPromptRead;
     private boolean mFlowing;
     private boolean mEnded;
@@ -67,13 +78,14 @@
             RelayRequest request,
             BackendCall call,
             CallerAnswer answer,
-            boolean promptReadElsewhere,
+            Terms terms,
             EndListener endListener) {
         mParts = parts;
         mRequest = request;
         mCall = call;
         mAnswer = answer;
-        mPromptRead = promptReadElsewhere;
+        mPromptRead = terms.promptReadElsewhere();
+        mOthersLeft = terms.othersLeft();
         mEndListener = endListener;
         mStartMillis = parts.clock().millis();
     }
@@ -104,6 +116,11 @@
         return outcome;
     }
 
+    /** Returns the prompt that was read for this send. */
+    Optional<PromptHandle> prompt() {
+        return mCall.prompt();
+    }
+
     long spentMillis() {
         return mParts.clock().millis() - mStartMillis;
     }
@@ -173,7 +190,7 @@
         }
         mFlowing = true;
         long now = mParts.clock().millis();
-        mPatience.cancel(false);
+        mPatience.ifPresent(timer -> timer.cancel(false));
         mParts.board().answered(target(), explainedSize(), now - mStartMillis, now);
         if (!mPromptRead) {
             mPromptRead = true;
@@ -192,14 +209,13 @@
 
     /** Gives a server up after a silence, where the request may be sent to another one. */
     private void waitFor(long millis) {
-        if (!mRequest.route().repeatable()) {
-            mPatience = mLoop.schedule(() -> {}, 0, TimeUnit.MILLISECONDS);
-            return;
-        }
-        if (mPatience != null) {
-            mPatience.cancel(false);
-        }
-        mPatience = mLoop.schedule(() -> silent(millis), millis, TimeUnit.MILLISECONDS);
+        mPatience.ifPresent(timer -> timer.cancel(false));
+        mPatience =
+                mOthersLeft
+                        ? Optional.of(
+                                mLoop.schedule(
+                                        () -> silent(millis), millis, TimeUnit.MILLISECONDS))
+                        : Optional.empty();
     }
 
     private void silent(long millis) {
@@ -219,7 +235,7 @@
 
     private void close(SendOutcome outcome, String cause) {
         mEnded = true;
-        mPatience.cancel(false);
+        mPatience.ifPresent(timer -> timer.cancel(false));
         boolean ejected =
                 mParts.board()
                         .ended(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
@@ -57,7 +57,13 @@
 
     void start(EventLoop loop, long leftMillis) {
         BackendCall call =
-                new BackendCall(mReader, leftMillis, true, Optional.empty(), Optional.empty());
+                new BackendCall(
+                        mReader,
+                        leftMillis,
+                        true,
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty());
         mExchange =
                 BackendExchange.open(
                         mParts.connections().client(mReader.address(), mReader.port()),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -23,10 +23,4 @@
         Route route,
         ServiceName service,
         Optional<EngineShape> engine,
-        long version) {
-
-    /** Returns the tokens that a backend server's memory holds. */
-    long memoryTokens() {
-        return engine.map(EngineShape::memoryTokens).orElse(Long.MAX_VALUE);
-    }
-}
+        long version) {}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -1,6 +1,5 @@
 package org.cyclamenpaddle.relay.front;
 
-import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -10,11 +9,11 @@
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
-import org.cyclamenpaddle.relay.backend.Placement;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.course.CallerReply;
 import org.cyclamenpaddle.relay.course.Course;
 import org.cyclamenpaddle.relay.course.CourseTerms;
+import org.cyclamenpaddle.relay.course.NextStep;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendCall;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
@@ -40,10 +39,13 @@
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mGiveUp;
+    private Optional<EnginePlaces> mPlaces = Optional.empty();
+    private Optional<EnginePlaces.Place> mPlace = Optional.empty();
     private Optional<PromptReading> mReading = Optional.empty();
     private Optional<BackendSend> mSend = Optional.empty();
     private Optional<Backend> mLast = Optional.empty();
     private Optional<Backend> mReader = Optional.empty();
+    private long mPlaceMillis = -1;
     private boolean mEnded;
 
     RelayRun(
@@ -89,42 +91,65 @@
     }
 
     private void place() {
-        Optional<Placement> placement =
+        if (mRequest.engine().isPresent()) {
+            EnginePlaces places =
+                    new EnginePlaces(mParts, mRequest, mLoop, mTried, this::placeFound);
+            mPlaces = Optional.of(places);
+            places.find();
+            return;
+        }
+        Optional<Backend> runner =
                 mParts.board()
                         .place(
                                 mRequest.service(),
                                 mRequest.caller().size(),
-                                mRequest.memoryTokens(),
                                 mTried,
                                 mParts.clock().millis());
-        if (placement.isEmpty()) {
-            reply(SendOutcome.NOT_SENT, "no backend server has room");
+        if (runner.isEmpty()) {
+            reply(SendOutcome.NOT_SENT, "no backend server can be reached");
+        } else {
+            send(new EnginePlaces.Place(runner.get(), Optional.empty()), Optional.empty());
+        }
+    }
+
+    private void placeFound(Optional<EnginePlaces.Place> found) {
+        mPlaces = Optional.empty();
+        if (found.isEmpty()) {
+            reply(SendOutcome.NOT_SENT, "no engine has room");
             return;
         }
-        Backend runner = placement.get().runner();
-        mReader = placement.get().prefill();
+        long now = mParts.clock().millis();
+        mPlaceMillis = now - mStartMillis;
+        EnginePlaces.Place place = found.get();
+        mReader = mParts.board().reader(place.runner(), mRequest.caller().size(), now);
         if (mReader.isEmpty()) {
-            send(runner, Optional.empty());
+            send(place, Optional.empty());
             return;
         }
         PromptReading reading =
                 new PromptReading(
-                        mParts, mRequest, mReader.get(), handle -> promptRead(runner, handle));
+                        mParts, mRequest, mReader.get(), handle -> promptRead(place, handle));
         mReading = Optional.of(reading);
-        // Until the prompt is read, only the place at the runner is taken there.
-        mLast = Optional.of(runner);
-        reading.start(mLoop, mCourse.leftMillis(mParts.clock().millis()));
+        mPlace = Optional.of(place);
+        reading.start(mLoop, mCourse.leftMillis(now));
     }
 
-    private void promptRead(Backend runner, Optional<PromptHandle> handle) {
+    private void promptRead(EnginePlaces.Place place, Optional<PromptHandle> handle) {
         boolean rejected = mReading.map(PromptReading::rejected).orElse(false);
         mReading = Optional.empty();
         if (rejected && !mParts.budget().tryTake(mRequest.service())) {
-            release(runner);
+            giveBack(place);
             reply(SendOutcome.NOT_SENT, "prefill engine full, retry budget empty");
             return;
         }
-        send(runner, handle);
+        send(place, handle);
+    }
+
+    /** Frees the place of a request that ends before it was sent. */
+    private void giveBack(EnginePlaces.Place place) {
+        place.reservation()
+                .ifPresent(name -> EnginePlaces.cancel(mParts, place.runner(), name));
+        release(place.runner());
     }
 
     private void release(Backend runner) {
@@ -137,38 +162,65 @@
                         mParts.clock().millis());
     }
 
-    private void send(Backend runner, Optional<PromptHandle> prompt) {
-        long now = mParts.clock().millis();
+    private void send(EnginePlaces.Place place, Optional<PromptHandle> prompt) {
+        Backend runner = place.runner();
         mTried.add(runner.id());
         mLast = Optional.of(runner);
         mCourse.sending();
-        Optional<String> resumeAfter = mAnswer.lastEventId();
         BackendCall call =
-                new BackendCall(runner, mCourse.leftMillis(now), false, prompt, resumeAfter);
+                new BackendCall(
+                        runner,
+                        mCourse.leftMillis(mParts.clock().millis()),
+                        false,
+                        prompt,
+                        place.reservation(),
+                        mAnswer.lastEventId());
+        boolean othersLeft = mRequest.route().repeatable() && mCourse.mayGoOn();
         BackendSend send =
                 new BackendSend(
-                        mParts, mRequest, call, mAnswer, mReader.isPresent(), this::sendEnded);
+                        mParts,
+                        mRequest,
+                        call,
+                        mAnswer,
+                        new BackendSend.Terms(mReader.isPresent(), othersLeft),
+                        this::sendEnded);
         mSend = Optional.of(send);
         send.start(mLoop);
     }
 
     private void sendEnded(SendOutcome outcome, String cause) {
-        long now = mParts.clock().millis();
         BackendSend send = mSend.orElseThrow();
         mSend = Optional.empty();
-        switch (mCourse.ended(outcome, now, () -> mParts.budget().tryTake(mRequest.service()))) {
-            case SEND_AGAIN -> {
-                logSend(send, outcome, cause, "send-again");
-                mParts.metrics().retried(outcome);
-                mAnswer.dropUnfinished();
-                place();
-            }
-            case PASS_ON -> passOn();
-            case END -> {
-                logSend(send, outcome, cause, "end");
-                reply(outcome, cause);
-            }
-            default -> throw new IllegalStateException("no such step");
+        freeUnused(send, outcome);
+        NextStep next =
+                mCourse.ended(
+                        outcome,
+                        mParts.clock().millis(),
+                        () -> mParts.budget().tryTake(mRequest.service()));
+        if (next == NextStep.PASS_ON) {
+            passOn();
+            return;
+        }
+        logSend(send, outcome, cause, next);
+        if (next == NextStep.SEND_AGAIN) {
+            mParts.metrics().retried(outcome);
+            mAnswer.dropUnfinished();
+            place();
+        } else {
+            reply(outcome, cause);
+        }
+    }
+
+    /** Frees a prompt that was read for a server that did not take it. */
+    private void freeUnused(BackendSend send, SendOutcome outcome) {
+        if (!outcome.mayHaveRun()) {
+            mReader.ifPresent(
+                    reader ->
+                            send.prompt()
+                                    .map(mParts.messages()::release)
+                                    .ifPresent(
+                                            call ->
+                                                    EnginePlaces.quietly(mParts, reader, call)));
         }
     }
 
@@ -181,11 +233,14 @@
                         mRequest.caller().id(),
                         mRequest.route().name(),
                         mRequest.version(),
+                        mRequest.caller().size().promptTokens(),
+                        mRequest.caller().size().outputTokens(),
                         backend(),
                         mAnswer.status(),
                         mCourse.sends(),
                         spentMillis(),
                         mAnswer.firstMillis(mStartMillis),
+                        mPlaceMillis,
                         mReader.map(reader -> reader.id().value()).orElse("none"));
         end();
     }
@@ -239,12 +294,14 @@
             PromptReading reading = mReading.get();
             mReading = Optional.empty();
             reading.cancel();
-            release(mLast.orElseThrow());
+            giveBack(mPlace.orElseThrow());
         }
+        mPlaces.ifPresent(EnginePlaces::cancel);
+        mPlaces = Optional.empty();
         mEndListener.ended(this);
     }
 
-    private void logSend(BackendSend send, SendOutcome outcome, String cause, String next) {
+    private void logSend(BackendSend send, SendOutcome outcome, String cause, NextStep next) {
         mParts.log()
                 .log(
                         RelayEvent.SEND_ENDED,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RetryAfter.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RetryAfter.java
@@ -15,8 +15,13 @@
      */
     private static final long PLAIN_MILLIS = 150;
 
-    /** Wait before a generation comes back, in milliseconds: about as long as one takes. */
-    private static final long STREAM_MILLIS = 500;
+    /**
+     * Wait before a generation comes back, in milliseconds.
+     *
+     * <p>A place comes free as generations end, which take three to five seconds; who comes back
+     * sooner meets the same full engines. Callers give a wait of up to a third of their time.
+     */
+    private static final long STREAM_MILLIS = 2_200;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -37,8 +37,9 @@
             Weight.ORDINARY,
             "request answered",
             List.of(
-                    "request", "route", "version", "backend", "status", "sends", "millis",
-                    "firstMillis", "reader")),
+                    "request", "route", "version", "prompt", "output", "backend", "status", "sends",
+                    "millis",
+                    "firstMillis", "placeMillis", "reader")),
     REQUEST_FAILED(
             2202,
             Weight.TELLING,
@@ -64,6 +65,16 @@
             Weight.TELLING,
             "prompt not read by a prefill engine",
             List.of("request", "backend", "outcome", "cause", "millis")),
+    PLACE_NOT_KEPT(
+            2208,
+            Weight.TELLING,
+            "engine did not say whether it keeps a place",
+            List.of("request", "backend", "cause")),
+    NOT_FREED(
+            2209,
+            Weight.TELLING,
+            "what an engine keeps was not freed",
+            List.of("backend", "cause")),
     REQUEST_REFUSED(
             2207,
             Weight.TELLING,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
@@ -10,6 +10,7 @@
  * @param leftMillis time left for the answer
  * @param promptOnly whether only the prompt is to be read
  * @param prompt the prompt read elsewhere; empty if there is none
+ * @param reservation name of the place that is kept for the request; empty if there is none
  * @param resumeAfter id of the event after which to go on; empty for the beginning
  */
 public record BackendCall(
@@ -17,6 +18,7 @@
         long leftMillis,
         boolean promptOnly,
         Optional<PromptHandle> prompt,
+        Optional<String> reservation,
         Optional<String> resumeAfter) {
 
     public BackendCall {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendMessages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendMessages.java
@@ -1,8 +1,11 @@
 package org.cyclamenpaddle.relay.wire;
 
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.vavr.control.Either;
+import java.util.Optional;
 import org.cyclamenpaddle.relay.backend.Backend;
 
 /** Encodes what backend servers are sent, and decodes what they answer. */
@@ -23,6 +26,24 @@
      */
     Either<String, PromptHandle> prompt(Backend reader, byte[] body);
 
+    /**
+     * Returns the call that keeps a place at an engine.
+     *
+     * @param tokens memory to keep
+     * @param millis how long it is kept at most
+     */
+    AggregatedHttpRequest reserve(long tokens, long millis);
+
+    /**
+     * Decodes the answer to {@link #reserve}.
+     *
+     * @return the name of the place; empty if the engine has no room
+     */
+    Either<String, Optional<String>> reservation(AggregatedHttpResponse answer);
+
+    /** Returns the call that gives a place back that no request will take. */
+    RequestHeaders cancel(String reservation);
+
     /** Returns the call that frees a prompt that nobody will take. */
     RequestHeaders release(PromptHandle prompt);
 }
