--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
@@ -16,14 +16,14 @@
     static final long HANDOVER_MILLIS = 3_200;
 
     /** Time left before the process is killed at which it ends by itself, in milliseconds. */
-    static final long MARGIN_MILLIS = 500;
+    static final long MARGIN_MILLIS = 350;
 
     /** How long no request has to be in flight before the end, in milliseconds. */
     static final long QUIET_MILLIS = 200;
 
     private static final long STEP_MILLIS = 50;
 
-    private final long mGraceMillis;
+    private volatile long mGraceMillis;
     private final Clock mClock;
     private volatile boolean mStopping;
 
@@ -32,6 +32,11 @@
         mClock = clock;
     }
 
+    /** Changes the time after which the process is killed. */
+    void grace(long millis) {
+        mGraceMillis = millis;
+    }
+
     boolean isStopping() {
         return mStopping;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -4,13 +4,16 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.Server;
+import io.vavr.control.Either;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.core.time.MonotonicClock;
@@ -49,7 +52,12 @@
     private static final String READY_PATH = "/v1/ready";
     private static final String METRICS_PATH = "/metrics";
 
+    /** How often the settings file is looked at without a signal, in milliseconds. */
+    private static final long RELOAD_MILLIS = 5_000;
+
     private final RelaySettings mSettings;
+    private final Supplier<Either<String, RelaySettings>> mReader;
+    private volatile RelaySettings mLatest;
     private final Clock mClock = new MonotonicClock();
     private final DoubleSupplier mRandom = () -> ThreadLocalRandom.current().nextDouble();
     private final DecisionLog mLog;
@@ -70,11 +78,18 @@
      * Composes a process; {@link #start} begins.
      *
      * @param settings checked settings
+     * @param reader reads them again
      * @param sources what the deployment brings along
      * @param log decision lines
      */
-    public RelayProcess(RelaySettings settings, Sources sources, DecisionLog log) {
+    public RelayProcess(
+            RelaySettings settings,
+            Supplier<Either<String, RelaySettings>> reader,
+            Sources sources,
+            DecisionLog log) {
         mSettings = settings;
+        mLatest = settings;
+        mReader = reader;
         mSources = sources;
         mLog = log;
         mBoard =
@@ -138,13 +153,30 @@
         return mBeliefs.complete() && !mStop.isStopping();
     }
 
-    /** Takes the host out of service, waits for the requests in flight, and closes. */
+    /**
+     * Reads the settings again and takes over what can change in a running process.
+     *
+     * <p>The file can also change without a signal, so this is done every few seconds as well.
+     * Addresses stay as they are until the next start. A file that cannot be used is logged, and
+     * the settings in force stay.
+     */
+    public synchronized void reload() {
+        Either<String, RelaySettings> read = mReader.get();
+        if (read.isLeft()) {
+            mLog.log(RelayEvent.SETTINGS_RELOADED, false, read.getLeft());
+        } else if (!read.get().equals(mLatest)) {
+            mLatest = read.get();
+            mStop.grace(mLatest.stop().graceMillis());
+            mLog.log(RelayEvent.SETTINGS_RELOADED, true, "none");
+        }
+    }
+
+    /** Takes the host out of service and waits for the requests in flight. */
     public void stop() {
-        mLog.log(RelayEvent.STOPPING, mService.inFlight(), mSettings.stop().graceMillis());
+        mLog.log(RelayEvent.STOPPING, mService.inFlight(), mLatest.stop().graceMillis());
         long tookMillis = mStop.run(mService::inFlight);
         mLog.log(RelayEvent.STOPPED, mService.inFlight(), tookMillis);
         mLog.flush();
-        close();
     }
 
     @Override
@@ -156,6 +188,8 @@
     }
 
     private void follow() {
+        mFollowing.scheduleWithFixedDelay(
+                this::reload, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
         new Follower<>(
                         mSources.configurations(),
                         mBeliefs.configurations(),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
@@ -4,7 +4,7 @@
  * Size of one request's work on an engine.
  *
  * @param promptTokens tokens to be read; 0 for a plain call
- * @param outputTokens tokens to be generated at most
+ * @param outputTokens tokens expected to be generated, the most allowed if nothing is expected
  */
 public record WorkSize(long promptTokens, long outputTokens) {
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -49,10 +49,10 @@
      * Memory that must be free beside the request's own, in tokens.
      *
      * <p>Safeguard: the requests that run at an engine grow with every token, and when its memory
-     * ends one of them is thrown out and read again from its beginning. Half of the growth of eight
-     * requests, about what is still to come of them at any moment.
+     * ends one of them is thrown out and read again from its beginning. About a third of the growth
+     * of eight requests is still to come at any moment when others end and free theirs.
      */
-    private static final long GROWTH_TOKENS = 1_500;
+    private static final long GROWTH_TOKENS = 1_200;
 
     /** Longest wait for the answer of an engine, in milliseconds; usual ones take under 10. */
     private static final long CALL_MILLIS = 300;
