Bring engines' stages in line with the demand, under a lease on orders

Cause: memory for running generations is what binds on both sites, while three of six and five of thirteen engines prefill; prompts keep those busy for a quarter of their time. Three and two suffice by the plan (StagePlanTest). Not yet measured.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -14,5 +14,6 @@
     REQUESTS,
     CLAIMS,
     SUSPECTS,
-    RETRIES
+    RETRIES,
+    DEMAND
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -8,6 +8,8 @@
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
+import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -30,6 +32,9 @@
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.relay.settings.RelaySettings;
+import org.cyclamenpaddle.relay.staging.DemandMeter;
+import org.cyclamenpaddle.relay.staging.StageKeeper;
+import org.cyclamenpaddle.relay.staging.StagePlan;
 import org.cyclamenpaddle.relay.store.Follower;
 
 /** One relay process: its parts, its start and its planned stop. */
@@ -66,6 +71,7 @@
     private final BackendConnections mConnections = new BackendConnections();
     private final ScheduledExecutorService mFollowing =
             Executors.newSingleThreadScheduledExecutor(RelayProcess::daemon);
+    private final DemandMeter mDemand = new DemandMeter();
     private final BackendBoard mBoard;
     private final Beliefs mBeliefs;
     private final RelayService mService;
@@ -105,6 +111,7 @@
                 new RelayParts(
                         mBoard,
                         budget,
+                        mDemand,
                         mConnections,
                         sources.backendMessages(),
                         mLog,
@@ -197,10 +204,28 @@
                         mClock,
                         mRandom)
                 .start();
+        stageKeeper().start();
         new Follower<>(mSources.backends(), mBeliefs.backends(), mFollowing, mClock, mRandom)
                 .start();
     }
 
+    private StageKeeper stageKeeper() {
+        String life = mSettings.host().name() + "-" + UUID.randomUUID();
+        return new StageKeeper(
+                life,
+                new StageKeeper.Parts(
+                        mBoard,
+                        mDemand,
+                        new StagePlan(CostSettings.DEFAULTS),
+                        mSources.orders(),
+                        mSources.lease(),
+                        mLog),
+                () -> mConfiguration.inForce().map(RelayConfiguration::engines).orElse(Map.of()),
+                mFollowing,
+                mClock,
+                System::currentTimeMillis);
+    }
+
     private Server callerServer() {
         return Server.builder()
                 .http(address(mSettings.listen().callers()))
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
@@ -2,6 +2,8 @@
 
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.staging.EngineOrders;
+import org.cyclamenpaddle.relay.staging.LeaseStore;
 import org.cyclamenpaddle.relay.store.EntrySource;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
@@ -13,9 +15,13 @@
  * @param backends backend servers, each under its id
  * @param callerMessages decodes callers' requests
  * @param backendMessages speaks to backend servers
+ * @param lease keeps the lease on orders
+ * @param orders gives them
  */
 public record Sources(
         EntrySource<RelayConfiguration> configurations,
         EntrySource<Backend> backends,
         CallerMessages callerMessages,
-        BackendMessages backendMessages) {}
+        BackendMessages backendMessages,
+        LeaseStore lease,
+        EngineOrders orders) {}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/Backend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/Backend.java
@@ -45,6 +45,11 @@
         return id.equals(other.id) && bornMillis == other.bornMillis;
     }
 
+    /** Returns this entry with another stage. */
+    public Backend withStage(BackendStage other) {
+        return new Backend(id, bornMillis, service, address, port, domain, other, slots, leaving);
+    }
+
     /** Returns the address with its port. */
     public String endpoint() {
         return address + ":" + port;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -71,6 +71,11 @@
         mTable.write(state -> state.mDirectory.changed(id, entry, nowMillis));
     }
 
+    /** Returns the servers of a service that may be given new work. */
+    public List<Backend> usable(ServiceName service) {
+        return mTable.read(state -> state.mDirectory.usable(service).toList());
+    }
+
     /** Returns the number of servers that the store names. */
     public int size() {
         return mTable.read(state -> state.mDirectory.size());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
@@ -6,6 +6,7 @@
 import org.cyclamenpaddle.relay.backend.BackendBoard;
 import org.cyclamenpaddle.relay.log.DecisionLog;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.staging.DemandMeter;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 
 /**
@@ -13,6 +14,7 @@
  *
  * @param board backend servers
  * @param budget repeats
+ * @param demand of generations
  * @param connections to backend servers
  * @param messages how they are spoken to
  * @param log decision lines
@@ -23,6 +25,7 @@
 public record RelayParts(
         BackendBoard board,
         SharedRetryBudget budget,
+        DemandMeter demand,
         BackendConnections connections,
         BackendMessages messages,
         DecisionLog log,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -10,11 +10,13 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.course.CallerReply;
 import org.cyclamenpaddle.relay.course.Course;
 import org.cyclamenpaddle.relay.course.CourseTerms;
 import org.cyclamenpaddle.relay.course.NextStep;
 import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.staging.Demand;
 import org.cyclamenpaddle.relay.wire.BackendCall;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
@@ -222,6 +224,7 @@
 
     private void passOn() {
         mAnswer.finish();
+        measureDemand();
         mParts.metrics().answered(mRequest.route().kind(), spentMillis());
         mParts.log().log(
                 RelayEvent.REQUEST_ENDED,
@@ -240,6 +243,16 @@
         end();
     }
 
+    private void measureDemand() {
+        long first = mAnswer.firstMillis(mStartMillis);
+        if (mRequest.engine().isPresent() && first >= 0) {
+            WorkSize size = mRequest.caller().size();
+            Demand demand =
+                    new Demand(size.promptTokens(), size.outputTokens(), spentMillis() - first);
+            mParts.demand().ended(mRequest.service(), demand);
+        }
+    }
+
     private void giveUp() {
         if (mEnded) {
             return;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
@@ -61,6 +61,15 @@
                 .findFirst();
     }
 
+    /** Returns the services that engines serve, with the shapes of their engines. */
+    public Map<ServiceName, EngineShape> engines() {
+        return mServices.values().stream()
+                .filter(service -> service.engine().isPresent())
+                .collect(
+                        Collectors.toMap(
+                                ServicePolicy::name, service -> service.engine().orElseThrow()));
+    }
+
     /** Returns the shape of a service's engines; empty for a plain or unknown service. */
     public Optional<EngineShape> engine(ServiceName service) {
         return Optional.ofNullable(mServices.get(service)).flatMap(ServicePolicy::engine);
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageChange.java
@@ -0,0 +1,12 @@
+package org.cyclamenpaddle.relay.staging;
+
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendStage;
+
+/**
+ * A change of one engine's stage.
+ *
+ * @param engine the engine
+ * @param stage what it is to do
+ */
+public record StageChange(Backend engine, BackendStage stage) {}
