--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Beliefs.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Beliefs.java
@@ -23,9 +23,22 @@
     private final ConfigurationCell mConfiguration;
     private final BackendBoard mBoard;
     private final Clock mClock;
+    private final Runnable mCompleted;
     private volatile boolean mBackendsListed;
-
-    Beliefs(DecisionLog log, ConfigurationCell configuration, BackendBoard board, Clock clock) {
+    private boolean mCompleteSaid;
+
+    /**
+     * Creates beliefs that know nothing.
+     *
+     * @param completed run once, as soon as requests can be decided
+     */
+    Beliefs(
+            DecisionLog log,
+            ConfigurationCell configuration,
+            BackendBoard board,
+            Clock clock,
+            Runnable completed) {
+        mCompleted = completed;
         mLog = log;
         mConfiguration = configuration;
         mBoard = board;
@@ -37,6 +50,14 @@
         return mBackendsListed && mConfiguration.inForce().isPresent();
     }
 
+    /** Both followers call this on their one thread. */
+    private void learned() {
+        if (complete() && !mCompleteSaid) {
+            mCompleteSaid = true;
+            mCompleted.run();
+        }
+    }
+
     EntryListener<RelayConfiguration> configurations() {
         return new ConfigurationListener();
     }
@@ -51,6 +72,7 @@
         public void listed(List<Entry<RelayConfiguration>> entries) {
             entries.forEach(this::changed);
             mConfiguration.confirmed(true);
+            learned();
         }
 
         @Override
@@ -67,6 +89,7 @@
                         offered.version(),
                         was,
                         offered.routes());
+                learned();
             }
         }
 
@@ -93,6 +116,7 @@
             mBoard.listed(named, mClock.millis());
             mBackendsListed = true;
             mLog.log(RelayEvent.BACKENDS_LISTED, named.size(), entries.size() - named.size());
+            learned();
         }
 
         @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -26,6 +26,7 @@
 import org.cyclamenpaddle.relay.front.RelayParts;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
+import org.cyclamenpaddle.relay.host.HostRegistry;
 import org.cyclamenpaddle.relay.log.DecisionLog;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
@@ -72,6 +73,7 @@
     private final ScheduledExecutorService mFollowing =
             Executors.newSingleThreadScheduledExecutor(RelayProcess::daemon);
     private final DemandMeter mDemand = new DemandMeter();
+    private final SharedRetryBudget mBudget;
     private final BackendBoard mBoard;
     private final Beliefs mBeliefs;
     private final RelayService mService;
@@ -103,14 +105,13 @@
                         new FailureDomain(settings.host().domain()),
                         CostSettings.DEFAULTS,
                         mRandom);
-        mBeliefs = new Beliefs(mLog, mConfiguration, mBoard, mClock);
+        mBeliefs = new Beliefs(mLog, mConfiguration, mBoard, mClock, this::logReady);
         RelaySettings.Retry retry = settings.retry();
-        SharedRetryBudget budget =
-                new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
+        mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
         RelayParts parts =
                 new RelayParts(
                         mBoard,
-                        budget,
+                        mBudget,
                         mDemand,
                         mConnections,
                         sources.backendMessages(),
@@ -204,6 +205,15 @@
                         mClock,
                         mRandom)
                 .start();
+        new HostRegistry(
+                        mSettings.host().name(),
+                        mSources.hosts(),
+                        mBudget::hosts,
+                        mLog,
+                        mFollowing,
+                        mClock,
+                        mRandom)
+                .start();
         stageKeeper().start();
         new Follower<>(mSources.backends(), mBeliefs.backends(), mFollowing, mClock, mRandom)
                 .start();
@@ -266,6 +276,14 @@
         return mConfiguration.inForce().map(RelayConfiguration::version).orElse(0L);
     }
 
+    private void logReady() {
+        mLog.log(
+                RelayEvent.READY,
+                version(),
+                mConfiguration.inForce().map(RelayConfiguration::routes).orElse(0),
+                mBoard.size());
+    }
+
     private static Thread daemon(Runnable work) {
         Thread thread = new Thread(work, "store-follower");
         thread.setDaemon(true);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.assembly;
 
 import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.host.HostStore;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.staging.EngineOrders;
 import org.cyclamenpaddle.relay.staging.LeaseStore;
@@ -15,6 +16,7 @@
  * @param backends backend servers, each under its id
  * @param callerMessages decodes callers' requests
  * @param backendMessages speaks to backend servers
+ * @param hosts where hosts announce themselves
  * @param lease keeps the lease on orders
  * @param orders gives them
  */
@@ -23,5 +25,6 @@
         EntrySource<Backend> backends,
         CallerMessages callerMessages,
         BackendMessages backendMessages,
+        HostStore hosts,
         LeaseStore lease,
         EngineOrders orders) {}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -27,6 +27,21 @@
         private final BackendDirectory mDirectory = new BackendDirectory();
         private final Map<BackendId, BackendState> mStates = new HashMap<>();
 
+        private final Map<FailureDomain, DomainReach> mReach = new HashMap<>();
+
+        private DomainReach reach(Backend backend) {
+            return mReach.computeIfAbsent(backend.domain(), domain -> new DomainReach());
+        }
+
+        private boolean admits(Backend backend, long nowMillis) {
+            return of(backend).health().admits(nowMillis) && reach(backend).admits(nowMillis);
+        }
+
+        private void started(Backend backend, WorkSize size, long nowMillis) {
+            of(backend).started(size);
+            reach(backend).sent(nowMillis);
+        }
+
         private BackendState of(Backend backend) {
             return mStates.compute(
                     backend.id(),
@@ -101,7 +116,7 @@
                                     .toList();
                     Optional<Backend> chosen =
                             best(runners, runner -> runCost(state, runner, nowMillis));
-                    chosen.ifPresent(runner -> state.of(runner).started(size));
+                    chosen.ifPresent(runner -> state.started(runner, size, nowMillis));
                     return chosen;
                 });
     }
@@ -123,7 +138,7 @@
                     Optional<Backend> chosen = cheapestReader(state, runner, size, nowMillis);
                     chosen.ifPresent(
                             reader -> {
-                                state.of(reader).started(size);
+                                state.started(reader, size, nowMillis);
                                 // Read elsewhere, it keeps no other prompt waiting at the runner.
                                 state.of(runner).open().promptRead(size);
                             });
@@ -133,7 +148,11 @@
 
     /** Notes that a server has no room for a request of usual size at this moment. */
     public void full(Backend backend, long nowMillis) {
-        mTable.write(state -> state.of(backend).full(nowMillis));
+        mTable.write(
+                state -> {
+                    state.of(backend).full(nowMillis);
+                    state.reach(backend).answered();
+                });
     }
 
     /** Notes that a server has read a prompt. */
@@ -154,6 +173,7 @@
                 state -> {
                     double explained = readMillis(backend, size.promptTokens());
                     state.of(backend).waited(waitedMillis - explained, nowMillis);
+                    state.reach(backend).answered();
                 });
     }
 
@@ -177,6 +197,7 @@
                 state -> {
                     BackendState known = state.of(backend);
                     known.open().ended(size, promptRead);
+                    state.reach(backend).ended(backend.id(), outcome, nowMillis);
                     return known.health().ended(outcome, nowMillis);
                 });
     }
@@ -185,9 +206,7 @@
             State state, ServiceName service, Set<BackendId> avoid, long nowMillis) {
         List<Backend> named = except(state.mDirectory.usable(service), avoid);
         List<Backend> admitted =
-                named.stream()
-                        .filter(backend -> state.of(backend).health().admits(nowMillis))
-                        .toList();
+                named.stream().filter(backend -> state.admits(backend, nowMillis)).toList();
         boolean runs = admitted.stream().anyMatch(backend -> backend.stage().runs());
         if (runs) {
             return admitted.stream();
@@ -230,7 +249,7 @@
                 state.mDirectory
                         .usable(runner.service())
                         .filter(backend -> backend.stage() == BackendStage.PREFILL)
-                        .filter(backend -> state.of(backend).health().admits(nowMillis))
+                        .filter(backend -> state.admits(backend, nowMillis))
                         .toList();
         double inPlace =
                 readMillis(runner, state.of(runner).open().unreadTokens())
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -60,14 +60,32 @@
     /** Pause before all engines are asked once more, in milliseconds. */
     private static final long PAUSE_MILLIS = 45;
 
-    /** Share of the target that a request may spend on finding a place. */
+    /**
+     * Share of the target that a request may spend on finding a place: what is left suffices to
+     * read the prompt and make the first token.
+     */
     private static final double WAIT_SHARE = 0.55;
 
+    /**
+     * Wait for a place of a request that comes back after a refusal, in milliseconds.
+     *
+     * <p>It has missed its target already, so that waiting costs its caller nothing, while another
+     * refusal would be its last. Callers leave a stream that has not begun after some 3.6 s.
+     */
+    private static final long COME_BACK_MILLIS = 2_600;
+
+    /** Pause of a request that comes back: those that can still be on time ask twice as often. */
+    private static final long COME_BACK_PAUSE_MILLIS = 2 * PAUSE_MILLIS;
+
+    /** Share of the route's timeout below which a caller's wait shows that it comes back. */
+    private static final double FRESH_SHARE = 0.95;
+
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final Set<BackendId> mAvoid;
     private final Listener mListener;
+    private final long mPauseMillis;
     private final long mUntilMillis;
     private Optional<Backend> mAsked = Optional.empty();
     private boolean mClosed;
@@ -83,8 +101,12 @@
         mLoop = loop;
         mAvoid = new HashSet<>(avoid);
         mListener = listener;
+        boolean comesBack =
+                request.caller().callerMillis().orElse(Long.MAX_VALUE)
+                        < request.route().timeoutMillis() * FRESH_SHARE;
         long wait = (long) (request.route().targetMillis() * WAIT_SHARE);
-        mUntilMillis = parts.clock().millis() + wait;
+        mPauseMillis = comesBack ? COME_BACK_PAUSE_MILLIS : PAUSE_MILLIS;
+        mUntilMillis = parts.clock().millis() + (comesBack ? COME_BACK_MILLIS : wait);
     }
 
     /** Asks the best engine that has not just said that it is full. */
@@ -93,11 +115,11 @@
         Optional<Backend> chosen = mParts.board().place(mRequest.service(), size(), mAvoid, now);
         if (chosen.isPresent()) {
             ask(chosen.get());
-        } else if (now + PAUSE_MILLIS > mUntilMillis) {
+        } else if (now + mPauseMillis > mUntilMillis) {
             mClosed = true;
             mListener.found(Optional.empty());
         } else {
-            mLoop.schedule(this::findAgain, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            mLoop.schedule(this::findAgain, mPauseMillis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
@@ -16,15 +16,21 @@
     private static final double SPENT_SHARE = 0.85;
 
     /**
-     * Hosts between which the slack is divided.
+     * Hosts among which the slack is divided before they were counted.
      *
-     * <p>A host does not know how many others there are. Sixteen is above the hosts of the small
-     * deployments with all their spare ones, so that the parts never add up to more than the whole.
+     * <p>More than the largest deployment has, so that many hosts that start together, and cannot
+     * count one another yet, never spend more than there is.
      */
-    private static final int ASSUMED_HOSTS = 16;
+    private static final int UNCOUNTED_HOSTS = 100;
+
+    /** Part of a host's slack that can be saved up and spent at once; the rest flows in. */
+    private static final double SAVED_SHARE = 0.7;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    private final double mShare;
+    private final double mSlack;
+    private final double mWindowSeconds;
     private final Clock mClock;
     private final Table<RetryBudget> mBudget;
 
@@ -37,15 +43,16 @@
      * @param clock this host's clock
      */
     public SharedRetryBudget(double share, long slack, long windowMillis, Clock clock) {
+        mShare = share * SPENT_SHARE;
+        mSlack = slack * SPENT_SHARE;
+        mWindowSeconds = windowMillis / MILLIS_PER_SECOND;
         mClock = clock;
-        double own = Math.max(1, slack * SPENT_SHARE / ASSUMED_HOSTS);
-        // One half can be saved up and spent at once, the other half flows in over a window.
-        double most = Math.max(1, own / 2);
-        double flow = own / 2 / (windowMillis / MILLIS_PER_SECOND);
-        mBudget =
-                new Table<>(
-                        TableOrder.RETRIES,
-                        new RetryBudget(new RetryBudget.Settings(share * SPENT_SHARE, flow, most)));
+        mBudget = new Table<>(TableOrder.RETRIES, new RetryBudget(settings(UNCOUNTED_HOSTS)));
+    }
+
+    /** Divides the slack among so many hosts from now on. */
+    public void hosts(int hosts) {
+        mBudget.write(budget -> budget.adjust(settings(Math.max(1, hosts))));
     }
 
     /** Counts a caller's request. */
@@ -57,4 +64,11 @@
     public boolean tryTake(ServiceName service) {
         return mBudget.read(budget -> budget.tryTake(service, mClock.millis()));
     }
+
+    private RetryBudget.Settings settings(int hosts) {
+        double own = mSlack / hosts;
+        double flow = own * (1 - SAVED_SHARE) / mWindowSeconds;
+        // A bound under one could never be spent; the flow alone decides then.
+        return new RetryBudget.Settings(mShare, flow, Math.max(1, own * SAVED_SHARE));
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -31,6 +31,7 @@
     BACKEND_GONE(2107, Weight.STATE, "backend server has no entry", List.of("backend", "reason")),
     BACKEND_EJECTED(
             2108, Weight.STATE, "backend server left out", List.of("backend", "outcome", "cause")),
+    HOSTS_COUNTED(2111, Weight.STATE, "hosts counted", List.of("hosts", "was")),
     LEASE_CHANGED(2109, Weight.STATE, "lease on orders changed", List.of("holder", "reason")),
     ORDER_ENDED(
             2110,
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
@@ -139,6 +139,31 @@
         assertFalse(third.isPresent(), "two prompts wait there, and the runner has none");
     }
 
+    /**
+     * A failure domain is cut off. After two of its servers were out of reach the others there are
+     * not tried one by one; one request a second tries the domain, and its answer opens it again.
+     */
+    @Test
+    public void domainOutOfReachIsLeftOutAsAWhole() {
+        Backend one = Backends.decode("one", "a");
+        Backend two = Backends.decode("two", "a");
+        Backend three = Backends.decode("three", "a");
+        Backend far = Backends.decode("far", "b");
+        list(one, two, three, far);
+        Backend first = place(0).orElseThrow();
+        Backend second = place(0).orElseThrow();
+        end(first, SendOutcome.NOT_SENT, 300);
+        end(second, SendOutcome.NOT_SENT, 300);
+        assertEquals(place(310), Optional.of(far));
+        assertEquals(place(310), Optional.of(far));
+        long trial = 300 + DomainReach.TRIAL_MILLIS;
+        Backend tried = place(trial).orElseThrow();
+        assertEquals(tried.domain().value(), "a");
+        assertEquals(place(trial + 1), Optional.of(far));
+        end(tried, SendOutcome.SUCCEEDED, trial + 20);
+        assertEquals(place(trial + 30), Optional.of(tried));
+    }
+
     @Test
     public void fullEngineIsNotAskedAgainAtOnce() {
         Backend runner = Backends.decode("decode", "a");
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/retry/RetryBudget.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/retry/RetryBudget.java
@@ -42,7 +42,7 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private final Settings mSettings;
+    private Settings mSettings;
     private final Map<ServiceName, Balance> mBalances = new HashMap<>();
 
     /**
@@ -54,6 +54,15 @@
         mSettings = settings;
     }
 
+    /**
+     * Changes share, floor and bound; what is saved up is kept up to the new bound.
+     *
+     * @param settings from now on
+     */
+    public void adjust(Settings settings) {
+        mSettings = settings;
+    }
+
     /**
      * Counts a fresh request, which earns a share of a retry.
      *
