--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
@@ -3,9 +3,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.relay.front.Stopping;
 
 /** The planned stop of a relay, which cuts off no request in flight. */
-final class PlannedStop {
+final class PlannedStop implements Stopping {
 
     /**
      * How long requests are taken after the signal, in milliseconds.
@@ -21,15 +22,37 @@
     /** How long no request has to be in flight before the end, in milliseconds. */
     static final long QUIET_MILLIS = 200;
 
+    /** How long streams are taken after the signal, in milliseconds: most end within five more. */
+    static final long STREAMS_MILLIS = 2_900;
+
+    /** Time before the end of the grace in which no call is taken, in milliseconds. */
+    static final long CALLS_MILLIS = 2_000;
+
     private static final long STEP_MILLIS = 50;
 
     private volatile long mGraceMillis;
     private final Clock mClock;
+    private final Runnable mPause;
+    private volatile long mStartMillis;
     private volatile boolean mStopping;
 
     PlannedStop(long graceMillis, Clock clock) {
+        this(graceMillis, clock, PlannedStop::pause);
+    }
+
+    PlannedStop(long graceMillis, Clock clock, Runnable pause) {
         mGraceMillis = graceMillis;
         mClock = clock;
+        mPause = pause;
+    }
+
+    @Override
+    public boolean takes(boolean streams) {
+        if (!mStopping) {
+            return true;
+        }
+        long spent = mClock.millis() - mStartMillis;
+        return spent < (streams ? STREAMS_MILLIS : mGraceMillis - CALLS_MILLIS);
     }
 
     /** Changes the time after which the process is killed. */
@@ -37,18 +60,20 @@
         mGraceMillis = millis;
     }
 
-    boolean isStopping() {
+    @Override
+    public boolean isStopping() {
         return mStopping;
     }
 
     /** Waits until the process may end, and returns how long that took. */
     long run(IntSupplier inFlight) {
-        mStopping = true;
         long start = mClock.millis();
+        mStartMillis = start;
+        mStopping = true;
         long busy = start;
         long now = start;
         while (!mayEnd(start, busy, now)) {
-            pause();
+            mPause.run();
             now = mClock.millis();
             if (inFlight.getAsInt() > 0) {
                 busy = now;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -120,9 +120,7 @@
                         mClock,
                         mRandom);
         mStop = new PlannedStop(settings.stop().graceMillis(), mClock);
-        mService =
-                new RelayService(
-                        parts, sources.callerMessages(), mConfiguration, mStop::isStopping);
+        mService = new RelayService(parts, sources.callerMessages(), mConfiguration, mStop);
         mCallerServer = callerServer();
         mCheckServer = checkServer();
         mMetrics.gauge("requests_in_flight", mService::inFlight);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -14,7 +14,6 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
@@ -28,6 +27,7 @@
     private final RelayParts mParts;
     private final CallerMessages mMessages;
     private final ConfigurationCell mConfiguration;
+    private final Stopping mStopping;
     private final RetryAfter mRetryAfter;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
@@ -43,11 +43,12 @@
             RelayParts parts,
             CallerMessages messages,
             ConfigurationCell configuration,
-            BooleanSupplier stopping) {
+            Stopping stopping) {
+        mStopping = stopping;
         mParts = parts;
         mMessages = messages;
         mConfiguration = configuration;
-        mRetryAfter = new RetryAfter(parts.random(), stopping);
+        mRetryAfter = new RetryAfter(parts.random(), stopping::isStopping);
     }
 
     /** Returns the requests that have not ended yet. */
@@ -75,6 +76,9 @@
         if (caller.isLeft()) {
             return refuse(headers, HttpStatus.BAD_REQUEST, caller.getLeft());
         }
+        if (!mStopping.takes(route.get().kind().streams())) {
+            return refuse(headers, HttpStatus.SERVICE_UNAVAILABLE, "host is stopping");
+        }
         return run(context, request, configuration.get(), route.get(), caller.get());
     }
 
--- /dev/null
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/PlannedStopTest.java
@@ -0,0 +1,72 @@
+package org.cyclamenpaddle.relay.assembly;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongToIntFunction;
+import org.cyclamenpaddle.core.time.Clock;
+import org.testng.annotations.Test;
+
+/** Tests when a planned stop ends, and what it still takes, on a clock that each look moves. */
+public class PlannedStopTest {
+
+    private static final long GRACE = 8_000;
+    private static final long STEP = 10;
+
+    private final AtomicLong mNow = new AtomicLong();
+    private final Clock mClock = () -> mNow.addAndGet(STEP);
+
+    private PlannedStop stop() {
+        mNow.set(0);
+        return new PlannedStop(GRACE, mClock, () -> {});
+    }
+
+    private long run(PlannedStop stop, LongToIntFunction inFlight) {
+        return stop.run(() -> inFlight.applyAsInt(mNow.get()));
+    }
+
+    @Test
+    public void idleHostStaysUntilTheBalancerHasLeft() {
+        long took = run(stop(), now -> 0);
+        assertTrue(took >= PlannedStop.HANDOVER_MILLIS, "took " + took);
+        assertTrue(took < PlannedStop.HANDOVER_MILLIS + 100, "took " + took);
+    }
+
+    @Test
+    public void requestsInFlightAreWaitedFor() {
+        long took = run(stop(), now -> now < 6_000 ? 3 : 0);
+        assertTrue(took >= 6_000 && took < 6_000 + PlannedStop.QUIET_MILLIS + 100, "took " + took);
+    }
+
+    @Test
+    public void stopEndsBeforeTheProcessIsKilled() {
+        long took = run(stop(), now -> 1);
+        assertTrue(took <= GRACE - PlannedStop.MARGIN_MILLIS + 100, "took " + took);
+    }
+
+    /**
+     * The only host of its failure domain stops, and callers go on sending to it. A stream that
+     * came seven seconds after the signal was cut off half a second later, when the host ended; it
+     * is refused now, so that its caller goes elsewhere.
+     */
+    @Test
+    public void lateStreamsAreRefusedAndCallsAreTakenForLonger() {
+        PlannedStop stop = stop();
+        assertTrue(stop.takes(true));
+        long[] lastStream = {0};
+        long[] lastCall = {0};
+        run(
+                stop,
+                now -> {
+                    lastStream[0] = stop.takes(true) ? now : lastStream[0];
+                    lastCall[0] = stop.takes(false) ? now : lastCall[0];
+                    return 1;
+                });
+        assertEquals(lastStream[0] / 100, PlannedStop.STREAMS_MILLIS / 100 - 1);
+        assertEquals(lastCall[0] / 100, (GRACE - PlannedStop.CALLS_MILLIS) / 100 - 1);
+        assertFalse(stop.takes(true));
+        assertFalse(stop.takes(false));
+    }
+}
