Read a prompt in place when its result was lost; leave its prefill engine out for a time

Cause: where handles lapse at once, the decode engine rejected every request whose prompt had been read elsewhere, which used up its attempts; a route of one attempt answered 503.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -146,6 +146,16 @@
                 });
     }
 
+    /** Notes the work of a request once more on a server that it is sent to again. */
+    public void placeAgain(Backend backend, WorkSize size) {
+        mTable.write(state -> state.of(backend).started(size));
+    }
+
+    /** Notes that a prefill engine did not keep what it had read. */
+    public void resultLost(Backend reader, long nowMillis) {
+        mTable.write(state -> state.of(reader).health().suspect(nowMillis));
+    }
+
     /** Notes that a server has no room for a request of usual size at this moment. */
     public void full(Backend backend, long nowMillis) {
         mTable.write(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -69,6 +69,11 @@
         return mFailureRate * Math.pow(0.5, halvings);
     }
 
+    /** Leaves the server out for a time, for a fault that its answers did not show. */
+    void suspect(long nowMillis) {
+        eject(nowMillis);
+    }
+
     private boolean eject(long nowMillis) {
         if (nowMillis < mEjectedUntilMillis) {
             return false;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
@@ -56,6 +56,21 @@
         mSends++;
     }
 
+    /**
+     * Decides whether a rejected request is sent to the same backend server once more, and notes
+     * it.
+     *
+     * <p>The bound on attempts counts servers, so that this uses none up; the shared budget counts
+     * every send.
+     *
+     * @param nowMillis reading of the clock
+     * @param budget takes one repeat out of the shared budget
+     */
+    public boolean sendingHereAgain(long nowMillis, BooleanSupplier budget) {
+        Invariants.require(mSending, () -> "a request is sent again that was not sent");
+        return leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS && budget.getAsBoolean();
+    }
+
     /** Notes that the caller has got the head of an answer. */
     public void forwarding() {
         mForwarding = true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -253,7 +253,7 @@
         }
     }
 
-    private Backend target() {
+    Backend target() {
         return mCall.target();
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -167,6 +167,11 @@
         mTried.add(runner.id());
         mLast = Optional.of(runner);
         mCourse.sending();
+        open(place, prompt);
+    }
+
+    private void open(EnginePlaces.Place place, Optional<PromptHandle> prompt) {
+        Backend runner = place.runner();
         BackendCall call =
                 new BackendCall(
                         runner,
@@ -192,6 +197,37 @@
         BackendSend send = mSend.orElseThrow();
         mSend = Optional.empty();
         freeUnused(send, outcome);
+        if (outcome == SendOutcome.REJECTED && send.prompt().isPresent()) {
+            promptLost(send, cause);
+            return;
+        }
+        next(send, outcome, cause);
+    }
+
+    /**
+     * The engine has a place for the request, but could not get the prompt that was read elsewhere.
+     *
+     * <p>Safeguard: a prefill engine whose results vanish at once would make every request fail
+     * that it reads for. The prompt is read in place, and the prefill engine is left out for a
+     * time.
+     */
+    private void promptLost(BackendSend send, String cause) {
+        long now = mParts.clock().millis();
+        mReader.ifPresent(reader -> mParts.board().resultLost(reader, now));
+        mReader = Optional.empty();
+        boolean again =
+                mCourse.sendingHereAgain(now, () -> mParts.budget().tryTake(mRequest.service()));
+        if (!again) {
+            next(send, SendOutcome.REJECTED, cause);
+            return;
+        }
+        logSend(send, SendOutcome.REJECTED, cause, NextStep.SEND_AGAIN);
+        mParts.metrics().retried(SendOutcome.REJECTED);
+        mParts.board().placeAgain(send.target(), mRequest.caller().size());
+        open(new EnginePlaces.Place(send.target(), Optional.empty()), Optional.empty());
+    }
+
+    private void next(BackendSend send, SendOutcome outcome, String cause) {
         NextStep next =
                 mCourse.ended(
                         outcome,
