--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -187,8 +188,7 @@
 
     @Override
     public void close() {
-        mCheckServer.stop().join();
-        mCallerServer.stop().join();
+        CompletableFuture.allOf(mCheckServer.stop(), mCallerServer.stop()).join();
         mFollowing.shutdownNow();
         mConnections.close();
     }
