--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.channel.Channel;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -121,6 +122,8 @@
                         service,
                         configuration.engine(service),
                         configuration.version());
+        Channel connection = context.log().partial().channel();
+        CallerConnection watch = new CallerConnection(connection);
         RelayRun run =
                 new RelayRun(
                         mParts,
@@ -128,7 +131,10 @@
                         context.eventLoop().withoutContext(),
                         writer,
                         mRetryAfter,
-                        ended -> mInFlight.decrementAndGet());
+                        ended -> {
+                            watch.close();
+                            mInFlight.decrementAndGet();
+                        });
         writer.whenComplete()
                 .whenCompleteAsync(
                         (done, failure) -> {
@@ -138,6 +144,7 @@
                         },
                         context.eventLoop());
         run.start();
+        watch.whenGone(run::callerGone);
     }
 
     private static String authority(RequestHeaders headers) {
