Ask a silent store without waiting; halve the longest watch

The trace of the store's calls shows it: the store was silent from 34.5 to 37.5 s but took connections; the watch begun at 36.0 s, after the first one had failed, hung until its own timeout at 41.0 s, past the store's return. Ruled out: a dead connection used again (StoreEntriesTest was green before), and the store's history. After a failure calls do not wait until one succeeds (callsAfterAFailureDoNotWait failed first: 4,000 for 0), and a watch lasts three seconds at most with its timeout, for five before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
@@ -26,9 +26,19 @@
      *
      * <p>Safeguard: a watch can hang for good when something between the two ends has lost its
      * connection; nothing would be learned any more. The call's own timeout ends it, and this is
-     * the larger part of that. Four seconds cost a call in four seconds for each kind.
+     * the larger part of that: three seconds with it, after which hosts are expected to have caught
+     * up with a store that came back. It costs a call in two seconds for each kind.
      */
-    static final long WATCH_MILLIS = 4_000;
+    static final long WATCH_MILLIS = 2_000;
+
+    /**
+     * Wait of a watch after a failed call, in milliseconds.
+     *
+     * <p>Safeguard: a store that is silent still takes calls. A watch that is begun then hangs for
+     * its whole time, long after the store is back, and the host misses what changed meanwhile. A
+     * call that asks for what there is, and no more, ends or is given up within a second.
+     */
+    static final long NO_WAIT_MILLIS = 0;
 
     /** Least wait after a failed call, in milliseconds. */
     static final long LEAST_PAUSE_MILLIS = 100;
@@ -102,7 +112,7 @@
 
     private void watch(long revision) {
         on(
-                mSource.watch(revision, WATCH_MILLIS),
+                mSource.watch(revision, mLostAtMillis.isPresent() ? NO_WAIT_MILLIS : WATCH_MILLIS),
                 page -> {
                     page.entries().forEach(mListener::changed);
                     watch(Math.max(revision, page.revision()));
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
@@ -26,10 +26,12 @@
     public void cleanUp() {
         mCalls.clear();
         mTold.clear();
+        mWaits.clear();
     }
 
     private final List<String> mCalls = new ArrayList<>();
     private final List<String> mTold = new ArrayList<>();
+    private final List<Long> mWaits = new ArrayList<>();
 
     private static EntryPage<String> page(long revision, boolean more, String... names) {
         return new EntryPage<>(
@@ -63,6 +65,7 @@
                     @Override
                     public CompletableFuture<Either<StoreFailure, EntryPage<String>>> watch(
                             long revision, long waitMillis) {
+                        mWaits.add(waitMillis);
                         return answer.apply("watch " + revision);
                     }
                 };
@@ -125,6 +128,28 @@
                 mTold, List.of("listed 0", "changed x", "lost NO_ANSWER", "regained", "changed y"));
     }
 
+    /**
+     * The store falls silent for three seconds, but goes on taking calls. A long watch begun in
+     * that time would hang for five, and requests would still be handled by the configuration of
+     * before when the store had long been back. Until a call succeeds, none waits for changes.
+     */
+    @Test
+    public void callsAfterAFailureDoNotWait() throws InterruptedException {
+        follow(
+                List.of(
+                        Either.right(page(5, false)),
+                        Either.left(StoreFailure.NO_ANSWER),
+                        Either.left(StoreFailure.NO_ANSWER),
+                        Either.right(page(7, false, "x"))));
+        assertEquals(
+                mWaits,
+                List.of(
+                        Follower.WATCH_MILLIS,
+                        Follower.NO_WAIT_MILLIS,
+                        Follower.NO_WAIT_MILLIS,
+                        Follower.WATCH_MILLIS));
+    }
+
     @Test
     public void forgottenHistoryMeansAListing() throws InterruptedException {
         assertEquals(
