One fading mean, one head for refusals, one reading of the version in force

Read once more as a whole. The failure rate and the excess wait of a backend server kept the same fading mean twice (FadingMean); the relay's own answers were put together in two places (RetryAfter.refusal); the version in force was spelled out in three (ConfigurationCell.version); the shared budget was asked in three. Gone: tokens in OpenWork and onTrial, which nothing read, an end listener whose argument nobody used, and a round trip of event ids through bytes.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Beliefs.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Beliefs.java
@@ -77,7 +77,7 @@
 
         @Override
         public void changed(Entry<RelayConfiguration> entry) {
-            long was = mConfiguration.inForce().map(RelayConfiguration::version).orElse(0L);
+            long was = mConfiguration.version();
             if (entry.value().isLeft()) {
                 mLog.log(RelayEvent.CONFIGURATION_IGNORED, entry.value().getLeft(), was);
                 return;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -126,7 +126,7 @@
         mCheckServer = checkServer();
         mMetrics.gauge("requests_in_flight", mService::inFlight);
         mMetrics.gauge("backends_named", mBoard::size);
-        mMetrics.gauge("configuration_version", this::version);
+        mMetrics.gauge("configuration_version", mConfiguration::version);
     }
 
     /** Begins to listen and to follow the store. */
@@ -270,14 +270,10 @@
         return HttpResponse.of(MediaType.PLAIN_TEXT_UTF_8, mMetrics.text());
     }
 
-    private long version() {
-        return mConfiguration.inForce().map(RelayConfiguration::version).orElse(0L);
-    }
-
     private void logReady() {
         mLog.log(
                 RelayEvent.READY,
-                version(),
+                mConfiguration.version(),
                 mConfiguration.inForce().map(RelayConfiguration::routes).orElse(0),
                 mBoard.size());
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -34,19 +34,13 @@
     private int mSuspicions;
     private long mEjectedUntilMillis = Long.MIN_VALUE;
     private boolean mTrialRunning;
-    private double mFailureRate;
-    private long mRateAtMillis;
+    private final FadingMean mFailures = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
 
     /** Returns whether new work may go to the server now, a trial included. */
     boolean admits(long nowMillis) {
         return mSuspicions == 0 || nowMillis >= mEjectedUntilMillis && !mTrialRunning;
     }
 
-    /** Returns whether the server has to prove itself with the next request. */
-    boolean onTrial() {
-        return mSuspicions > 0;
-    }
-
     /** Notes a send, which is the trial if the server was ejected. */
     void sent() {
         mTrialRunning = mSuspicions > 0;
@@ -67,9 +61,7 @@
             return mSilences >= SILENCES && eject(nowMillis);
         }
         mSilences = 0;
-        boolean good = outcome == SendOutcome.SUCCEEDED;
-        mFailureRate = failureRate(nowMillis) * (1 - NEWEST_WEIGHT) + (good ? 0 : NEWEST_WEIGHT);
-        mRateAtMillis = nowMillis;
+        mFailures.add(outcome == SendOutcome.SUCCEEDED ? 0 : 1, nowMillis);
         if (!outcome.serverSuspect()) {
             mSuspicions = 0;
             return false;
@@ -79,8 +71,7 @@
 
     /** Returns the share of recent sends that did not succeed, faded by the time since. */
     double failureRate(long nowMillis) {
-        double halvings = Math.max(0, nowMillis - mRateAtMillis) / HALF_LIFE_MILLIS;
-        return mFailureRate * Math.pow(0.5, halvings);
+        return mFailures.at(nowMillis);
     }
 
     /** Leaves the server out for a time, for a fault that its answers did not show. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -20,8 +20,7 @@
     private final long mBornMillis;
     private final OpenWork mOpen = new OpenWork();
     private final BackendHealth mHealth = new BackendHealth();
-    private double mExcessMillis;
-    private long mExcessAtMillis;
+    private final FadingMean mExcess = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
     private long mFullUntilMillis = Long.MIN_VALUE;
 
     BackendState(long bornMillis) {
@@ -55,14 +54,11 @@
 
     /** Notes by how much a first answer byte came later than this host's own work explains. */
     void waited(double excessMillis, long nowMillis) {
-        double old = excessMillis(nowMillis);
-        mExcessMillis = old + NEWEST_WEIGHT * (Math.max(0, excessMillis) - old);
-        mExcessAtMillis = nowMillis;
+        mExcess.add(Math.max(0, excessMillis), nowMillis);
     }
 
     /** Returns the wait that others' work, or slowness, has caused of late. */
     double excessMillis(long nowMillis) {
-        double halvings = Math.max(0, nowMillis - mExcessAtMillis) / HALF_LIFE_MILLIS;
-        return mExcessMillis * Math.pow(0.5, halvings);
+        return mExcess.at(nowMillis);
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/OpenWork.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/OpenWork.java
@@ -4,12 +4,10 @@
 final class OpenWork {
 
     private int mRequests;
-    private long mTokens;
     private long mUnreadTokens;
 
     void started(WorkSize size) {
         mRequests++;
-        mTokens += size.memoryTokens();
         mUnreadTokens += size.promptTokens();
     }
 
@@ -20,7 +18,6 @@
 
     void ended(WorkSize size, boolean promptRead) {
         mRequests--;
-        mTokens -= size.memoryTokens();
         if (!promptRead) {
             mUnreadTokens -= size.promptTokens();
         }
@@ -30,10 +27,6 @@
         return mRequests;
     }
 
-    long tokens() {
-        return mTokens;
-    }
-
     long unreadTokens() {
         return mUnreadTokens;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
@@ -57,8 +57,8 @@
     }
 
     /**
-     * Decides whether a rejected request is sent to the same backend server once more, and notes
-     * it.
+     * Decides whether a rejected request is sent to the same backend server once more; the send
+     * that was begun then goes on.
      *
      * <p>The bound on attempts counts servers, so that this uses none up; the shared budget counts
      * every send.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/EventTail.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/EventTail.java
@@ -1,7 +1,6 @@
 package org.cyclamenpaddle.relay.course;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -76,8 +75,7 @@
         String line = mLine.toString();
         mLine.setLength(0);
         if (line.startsWith(ID_FIELD)) {
-            byte[] id = line.substring(ID_FIELD.length()).strip().getBytes(StandardCharsets.UTF_8);
-            mPendingId = Optional.of(new String(id, StandardCharsets.UTF_8));
+            mPendingId = Optional.of(line.substring(ID_FIELD.length()).strip());
         }
         if (!line.isEmpty()) {
             return false;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
@@ -1,11 +1,8 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponseWriter;
-import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
-import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.common.stream.AbortedStreamException;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
@@ -100,12 +97,7 @@
     /** Answers without any backend server's answer. */
     void refuse(CallerReply reply) {
         mStatus = reply.status();
-        ResponseHeadersBuilder headers = ResponseHeaders.builder(HttpStatus.valueOf(mStatus));
-        if (reply.comeBack()) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, mRetryAfter.seconds(mStreams));
-        }
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, "0");
-        mWriter.tryWrite(mRetryAfter.whileStopping(headers).build());
+        mWriter.tryWrite(mRetryAfter.refusal(mStatus, reply.comeBack(), mStreams));
         mWriter.close();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ConfigurationCell.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ConfigurationCell.java
@@ -14,6 +14,11 @@
         return mInForce;
     }
 
+    /** Returns the version in force; 0 before the first one. */
+    public long version() {
+        return mInForce.map(RelayConfiguration::version).orElse(0L);
+    }
+
     /** Returns whether the store has confirmed it, or would have sent a newer one. */
     public boolean confirmed() {
         return mConfirmed;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -27,16 +27,11 @@
  */
 final class RelayRun {
 
-    /** What is told to whoever waits for the end of all runs. */
-    interface EndListener {
-        void ended(RelayRun run);
-    }
-
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final CallerAnswer mAnswer;
-    private final EndListener mEndListener;
+    private final Runnable mOnEnd;
     private final Course mCourse;
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
@@ -56,11 +51,11 @@
             EventLoop loop,
             HttpResponseWriter writer,
             RetryAfter retryAfter,
-            EndListener endListener) {
+            Runnable onEnd) {
         mParts = parts;
         mRequest = request;
         mLoop = loop;
-        mEndListener = endListener;
+        mOnEnd = onEnd;
         mStartMillis = parts.clock().millis();
         long callerMillis = request.caller().callerMillis().orElse(Long.MAX_VALUE);
         mCourse = new Course(CourseTerms.of(request.route(), callerMillis), mStartMillis);
@@ -138,7 +133,7 @@
     private void promptRead(EnginePlaces.Place place, Optional<PromptHandle> handle) {
         boolean rejected = mReading.map(PromptReading::rejected).orElse(false);
         mReading = Optional.empty();
-        if (rejected && !mParts.budget().tryTake(mRequest.service())) {
+        if (rejected && !takeRetry()) {
             giveBack(place);
             reply(SendOutcome.NOT_SENT, "prefill engine full, retry budget empty");
             return;
@@ -215,8 +210,7 @@
         long now = mParts.clock().millis();
         mReader.ifPresent(reader -> mParts.board().resultLost(reader, now));
         mReader = Optional.empty();
-        boolean again =
-                mCourse.sendingHereAgain(now, () -> mParts.budget().tryTake(mRequest.service()));
+        boolean again = mCourse.sendingHereAgain(now, this::takeRetry);
         if (!again) {
             next(send, SendOutcome.REJECTED, cause);
             return;
@@ -228,11 +222,7 @@
     }
 
     private void next(BackendSend send, SendOutcome outcome, String cause) {
-        NextStep next =
-                mCourse.ended(
-                        outcome,
-                        mParts.clock().millis(),
-                        () -> mParts.budget().tryTake(mRequest.service()));
+        NextStep next = mCourse.ended(outcome, mParts.clock().millis(), this::takeRetry);
         if (next == NextStep.PASS_ON) {
             passOn();
             return;
@@ -247,6 +237,10 @@
         }
     }
 
+    private boolean takeRetry() {
+        return mParts.budget().tryTake(mRequest.service());
+    }
+
     /** Frees a prompt that was read for a server that did not take it. */
     private void freeUnused(BackendSend send, SendOutcome outcome) {
         if (!outcome.mayHaveRun()) {
@@ -339,7 +333,7 @@
         }
         mPlaces.ifPresent(EnginePlaces::cancel);
         mPlaces = Optional.empty();
-        mEndListener.ended(this);
+        mOnEnd.run();
     }
 
     private void logSend(BackendSend send, SendOutcome outcome, String cause, NextStep next) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -1,14 +1,11 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
-import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.ResponseHeaders;
-import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
@@ -131,7 +128,7 @@
                         context.eventLoop().withoutContext(),
                         writer,
                         mRetryAfter,
-                        ended -> {
+                        () -> {
                             watch.close();
                             mInFlight.decrementAndGet();
                         });
@@ -152,7 +149,6 @@
     }
 
     private HttpResponse refuse(RequestHeaders headers, HttpStatus status, String reason) {
-        long version = mConfiguration.inForce().map(RelayConfiguration::version).orElse(0L);
         mParts.log().log(
                 RelayEvent.REQUEST_REFUSED,
                 mMessages.request(headers).map(CallerRequest::id).getOrElse("none"),
@@ -160,12 +156,8 @@
                 headers.path(),
                 status.code(),
                 reason,
-                version);
-        ResponseHeadersBuilder answer =
-                ResponseHeaders.builder(status).set(HttpHeaderNames.CONTENT_LENGTH, "0");
-        if (status.equals(HttpStatus.SERVICE_UNAVAILABLE)) {
-            answer.set(HttpHeaderNames.RETRY_AFTER, mRetryAfter.seconds(false));
-        }
-        return HttpResponse.of(mRetryAfter.whileStopping(answer).build());
+                mConfiguration.version());
+        boolean comeBack = status.equals(HttpStatus.SERVICE_UNAVAILABLE);
+        return HttpResponse.of(mRetryAfter.refusal(status.code(), comeBack, false));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RetryAfter.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RetryAfter.java
@@ -1,6 +1,8 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
@@ -33,8 +35,25 @@
         mStopping = stopping;
     }
 
+    /**
+     * Returns the head of an answer that the relay gives itself; its body is empty.
+     *
+     * @param status HTTP status
+     * @param comeBack whether it tells when to come back
+     * @param stream whether a generation is refused, which comes back later than a call
+     */
+    ResponseHeaders refusal(int status, boolean comeBack, boolean stream) {
+        ResponseHeadersBuilder headers =
+                ResponseHeaders.builder(HttpStatus.valueOf(status))
+                        .set(HttpHeaderNames.CONTENT_LENGTH, "0");
+        if (comeBack) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, seconds(stream));
+        }
+        return whileStopping(headers).build();
+    }
+
     /** Returns the wait in seconds, spread so that callers refused together come back apart. */
-    String seconds(boolean stream) {
+    private String seconds(boolean stream) {
         double millis = (stream ? STREAM_MILLIS : PLAIN_MILLIS) * (1 + mRandom.getAsDouble());
         return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
     }
