Leave out an engine that denies its entry; ask for places by instance

For some 1.5 s their entries still said decode. Ruled out: a lost handle (nothing had been read elsewhere for most of them).

A send now ends as MISDIRECTED; the entry is not used until it changes, or for 3.6 s at most, and places are asked for by instance. BackendBoardTest holds it (failed before: the denied engine was chosen again at once).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -113,6 +113,9 @@
                             candidates(state, service, avoid, nowMillis)
                                     .filter(backend -> backend.stage().runs())
                                     .filter(backend -> !state.of(backend).isFull(nowMillis))
+                                    .filter(
+                                            runner ->
+                                                    !state.of(runner).isOutdated(runner, nowMillis))
                                     .toList();
                     Optional<Backend> chosen =
                             best(runners, runner -> runCost(state, runner, nowMillis));
@@ -207,6 +210,9 @@
                 state -> {
                     BackendState known = state.of(backend);
                     known.open().ended(size, promptRead);
+                    if (outcome == SendOutcome.MISDIRECTED) {
+                        known.outdated(backend, nowMillis);
+                    }
                     state.reach(backend).ended(backend.id(), outcome, nowMillis);
                     return known.health().ended(outcome, nowMillis);
                 });
@@ -260,6 +266,7 @@
                         .usable(runner.service())
                         .filter(backend -> backend.stage() == BackendStage.PREFILL)
                         .filter(backend -> state.admits(backend, nowMillis))
+                        .filter(reader -> !state.of(reader).isOutdated(reader, nowMillis))
                         .toList();
         double inPlace =
                 readMillis(runner, state.of(runner).open().unreadTokens())
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.relay.backend;
 
+import java.util.Optional;
+
 /** What this host knows of one life of a backend server besides its entry; not thread-safe. */
 final class BackendState {
 
@@ -18,11 +20,23 @@
      */
     static final long FULL_MILLIS = 20;
 
+    /**
+     * How long an entry that its server denies is not used, in milliseconds.
+     *
+     * <p>Safeguard: a server that starts again has another id or stage some seconds before the
+     * store says so. It still keeps places, which looks like room, and turns every request away
+     * that follows; callers use up their attempts on it. A new entry comes with the server's next
+     * heartbeat, about a second later; this is three of them.
+     */
+    static final long OUTDATED_MILLIS = 3_600;
+
     private final long mBornMillis;
     private final OpenWork mOpen = new OpenWork();
     private final BackendHealth mHealth = new BackendHealth();
     private final FadingMean mExcess = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
     private long mFullUntilMillis = Long.MIN_VALUE;
+    private Optional<Backend> mOutdated = Optional.empty();
+    private long mOutdatedUntilMillis;
 
     BackendState(long bornMillis) {
         mBornMillis = bornMillis;
@@ -53,6 +67,17 @@
         return nowMillis < mFullUntilMillis;
     }
 
+    /** Notes that the server is not, or no longer, what an entry says. */
+    void outdated(Backend entry, long nowMillis) {
+        mOutdated = Optional.of(entry);
+        mOutdatedUntilMillis = nowMillis + OUTDATED_MILLIS;
+    }
+
+    /** Returns whether an entry is known to be wrong, and no newer one has come since. */
+    boolean isOutdated(Backend entry, long nowMillis) {
+        return nowMillis < mOutdatedUntilMillis && mOutdated.map(entry::equals).orElse(false);
+    }
+
     /** Notes by how much a first answer byte came later than this host's own work explains. */
     void waited(double excessMillis, long nowMillis) {
         mExcess.add(Math.max(0, excessMillis), nowMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/SendOutcome.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/SendOutcome.java
@@ -6,6 +6,8 @@
     NOT_SENT(false, true),
     /** The server said that it has not run the request and never will. */
     REJECTED(false, false),
+    /** The server said that it is not the one that was meant, and so has not run the request. */
+    MISDIRECTED(false, false),
     /** The server's own answer arrived whole and says success. */
     SUCCEEDED(true, false),
     /** The server's own answer arrived whole and says failure. */
@@ -32,7 +34,7 @@
 
     /** Returns whether the server has answered. */
     public boolean serverAnswered() {
-        return this == REJECTED || this == SUCCEEDED || this == FAILED;
+        return this == REJECTED || this == MISDIRECTED || this == SUCCEEDED || this == FAILED;
     }
 
     /** Returns whether the server may be down, or its connections cut. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -149,7 +149,9 @@
         mHead = head;
         if (head.notRun()) {
             mExchange.cancel();
-            end(SendOutcome.REJECTED, "status " + head.headers().status().code());
+            end(
+                    head.misdirected() ? SendOutcome.MISDIRECTED : SendOutcome.REJECTED,
+                    "status " + head.headers().status().code());
         } else if (!ownAnswer(head)) {
             // The connection carries another request's answer, or bytes of no server's making.
             // Neither may reach the caller, and what became of the request nobody can tell.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
@@ -128,7 +129,7 @@
                 .client(runner.address(), runner.port(), kept)
                 .execute(
                         mParts.messages()
-                                .reserve(size().memoryTokens(), KEPT_MILLIS)
+                                .reserve(runner, size().memoryTokens(), KEPT_MILLIS)
                                 .toHttpRequest(),
                         RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
                 .aggregate()
@@ -165,7 +166,9 @@
             giveBack(runner, SendOutcome.ABANDONED);
         } else {
             mAvoid.add(runner.id());
-            giveBack(runner, SendOutcome.NOT_SENT);
+            boolean misdirected =
+                    failure == null && answer.status().equals(HttpStatus.MISDIRECTED_REQUEST);
+            giveBack(runner, misdirected ? SendOutcome.MISDIRECTED : SendOutcome.NOT_SENT);
             mParts.log().log(
                     RelayEvent.PLACE_NOT_KEPT, mRequest.caller().id(), runner.id(), kept.getLeft());
         }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
@@ -119,7 +119,9 @@
         }
         if (mAnswer.notRun() || !mAnswer.success()) {
             mRejected = true;
-            fail(SendOutcome.REJECTED, "status " + mAnswer.headers().status().code());
+            fail(
+                    mAnswer.misdirected() ? SendOutcome.MISDIRECTED : SendOutcome.REJECTED,
+                    "status " + mAnswer.headers().status().code());
             return;
         }
         if (!mAnswer.requestId().map(mRequest.caller().id()::equals).orElse(false)) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendAnswer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendAnswer.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.wire;
 
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.util.Optional;
 
@@ -20,6 +21,11 @@
         }
     }
 
+    /** Returns whether the server says that another one was meant. */
+    public boolean misdirected() {
+        return notRun && headers.status().equals(HttpStatus.MISDIRECTED_REQUEST);
+    }
+
     /** Returns whether the status says success. */
     public boolean success() {
         return headers.status().isSuccess();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendMessages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendMessages.java
@@ -29,10 +29,11 @@
     /**
      * Returns the call that keeps a place at an engine.
      *
+     * @param engine the engine; another one at its address does not answer for it
      * @param tokens memory to keep
      * @param millis how long it is kept at most
      */
-    AggregatedHttpRequest reserve(long tokens, long millis);
+    AggregatedHttpRequest reserve(Backend engine, long tokens, long millis);
 
     /**
      * Decodes the answer to {@link #reserve}.
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
@@ -94,6 +94,30 @@
         assertEquals(place(1_040), Optional.of(far));
     }
 
+    /**
+     * An engine crashed and is back with another stage, which its entry does not say yet. It turns
+     * the request away; the next one must not go there, although it is the nearest, until its entry
+     * changes or should long have changed.
+     */
+    @Test
+    public void serverThatDeniesItsEntryIsLeftOutUntilTheEntryChanges() {
+        Backend reborn = Backends.decode("reborn", "a");
+        Backend other = Backends.decode("other", "b");
+        list(reborn, other);
+        assertEquals(place(0), Optional.of(reborn));
+        end(reborn, SendOutcome.MISDIRECTED, 10);
+        for (int i = 0; i < 10; i++) {
+            assertEquals(place(20 + i), Optional.of(other));
+        }
+        Backend corrected = Backends.of("reborn", "a", BackendStage.DECODE, 2, false);
+        mBoard.changed(corrected.id(), Optional.of(corrected), 1_000);
+        assertEquals(place(1_010), Optional.of(corrected));
+        end(corrected, SendOutcome.MISDIRECTED, 1_020);
+        assertEquals(place(1_030), Optional.of(other));
+        long later = 1_020 + BackendState.OUTDATED_MILLIS;
+        assertEquals(place(later), Optional.of(corrected));
+    }
+
     /** All servers of a service look dead, most often because this host's own links are. */
     @Test
     public void wholeServiceIsNeverLeftOut() {
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
@@ -50,7 +50,7 @@
         }
 
         @Override
-        public AggregatedHttpRequest reserve(long tokens, long millis) {
+        public AggregatedHttpRequest reserve(Backend engine, long tokens, long millis) {
             throw new UnsupportedOperationException();
         }
 
