--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
@@ -71,6 +71,7 @@
     private final Clock mClock;
     private final LongSupplier mWallClock;
     private final Lease mLease;
+    private final SettledEngines mEngines = new SettledEngines();
     private final Map<BackendId, Ordered> mOrdered = new HashMap<>();
 
     /**
@@ -173,8 +174,9 @@
     private Optional<StageChange> next(ServiceName service, EngineShape shape) {
         List<Backend> engines =
                 mParts.board().usable(service).stream().map(this::withOrderedStage).toList();
+        boolean settled = mEngines.settled(service, engines, mClock.millis());
         boolean staged = engines.stream().allMatch(engine -> engine.stage() != BackendStage.WHOLE);
-        return staged
+        return settled && staged
                 ? mParts.plan().next(engines, mParts.demand().of(service), shape)
                 : Optional.empty();
     }
