Let a stream whose connection broke go on at the engine that still has its prompt

Now the same engine is asked for a place first, twice at most, within the shared budget; an engine that has crashed refuses the ask at once. PlaceAsk is split off EnginePlaces.

Tests: CourseTest (random courses go on where they ran), RelayGenerationTest.brokenStreamGoesOn… (before: refused, since no other engine was left).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -159,6 +159,15 @@
         mTable.write(state -> state.of(reader).health().suspect(nowMillis));
     }
 
+    /** Notes that a server that looked dead has answered. */
+    public void alive(Backend backend) {
+        mTable.write(
+                state -> {
+                    state.of(backend).health().alive();
+                    state.reach(backend).answered();
+                });
+    }
+
     /** Notes that a server has no room for a request of usual size at this moment. */
     public void full(Backend backend, long nowMillis) {
         mTable.write(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -79,6 +79,13 @@
         eject(nowMillis);
     }
 
+    /** Ends the suspicion against a server that has just answered. */
+    void alive() {
+        mSuspicions = 0;
+        mSilences = 0;
+        mEjectedUntilMillis = Long.MIN_VALUE;
+    }
+
     private boolean eject(long nowMillis) {
         if (nowMillis < mEjectedUntilMillis) {
             return false;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
@@ -19,10 +19,17 @@
     /** Sends that never left, after which a host gives up: its own paths are the trouble then. */
     static final int MOST_UNSENT = 4;
 
+    /**
+     * Times that a request goes on at a server that broke its connection: where two of five answers
+     * are lost, one request of sixteen is still without an answer then.
+     */
+    static final int MOST_GONE_ON_HERE = 2;
+
     private final CourseTerms mTerms;
     private final long mStartMillis;
     private int mSends;
     private int mUnsent;
+    private int mGoneOnHere;
     private boolean mSending;
     private boolean mMayHaveRun;
     private boolean mForwarding;
@@ -71,6 +78,32 @@
         return leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS && budget.getAsBoolean();
     }
 
+    /**
+     * Returns whether a request whose connection broke may go on at the same backend server.
+     *
+     * <p>Like {@link #sendingHereAgain} it uses up no attempt; unlike there the server has run it,
+     * so that its route must allow repeats, and a server that breaks again and again is left.
+     */
+    public boolean mayGoOnHere(long nowMillis) {
+        Invariants.require(mSending, () -> "a request goes on that was not sent");
+        return mTerms.repeatable()
+                && mGoneOnHere < MOST_GONE_ON_HERE
+                && leftMillis(nowMillis) >= LEAST_USEFUL_MILLIS;
+    }
+
+    /**
+     * Notes that a request whose connection broke goes on at the same backend server, if the shared
+     * budget has a repeat left; the send that was begun then goes on.
+     */
+    public boolean goingOnHere(BooleanSupplier budget) {
+        boolean goesOn = budget.getAsBoolean();
+        if (goesOn) {
+            mMayHaveRun = true;
+            mGoneOnHere++;
+        }
+        return goesOn;
+    }
+
     /** Notes that the caller has got the head of an answer. */
     public void forwarding() {
         mForwarding = true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -1,12 +1,6 @@
 package org.cyclamenpaddle.relay.front;
 
-import com.linecorp.armeria.client.RequestOptions;
-import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.RequestHeaders;
 import io.netty.channel.EventLoop;
-import io.vavr.control.Either;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -25,10 +19,6 @@
  * looked free was often turned away there, and its reading was lost. The engine itself is asked to
  * keep the memory. When all are full the request goes on asking as {@link PlaceSearch} says, and is
  * refused then.
- *
- * <p>What is kept stays kept for as long as the request runs, also the part that it never uses; so
- * no more is asked for than the request is expected to need. Keeping 1,200 tokens more for each
- * cost 0.05 of a calm day's worth on six engines, and spared eight preemptions.
  */
 final class EnginePlaces {
 
@@ -45,15 +35,6 @@
      */
     record Place(Backend runner, Optional<String> reservation) {}
 
-    /**
-     * How long an engine keeps a place, in milliseconds: a prompt's reading, its queue and the
-     * transfer, three times over.
-     */
-    private static final long KEPT_MILLIS = 1_500;
-
-    /** Longest wait for the answer of an engine, in milliseconds; usual ones take under 10. */
-    private static final long CALL_MILLIS = 300;
-
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
@@ -120,57 +101,27 @@
 
     private void ask(Backend runner) {
         mAsked = Optional.of(runner);
-        ask(runner, true);
+        PlaceAsk.send(mParts, mRequest, mLoop, runner, answer -> answered(runner, answer));
     }
 
-    private void ask(Backend runner, boolean kept) {
-        long askedMillis = mParts.clock().millis();
-        mParts.connections()
-                .client(runner.address(), runner.port(), kept)
-                .execute(
-                        mParts.messages()
-                                .reserve(runner, size().memoryTokens(), KEPT_MILLIS)
-                                .toHttpRequest(),
-                        RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
-                .aggregate()
-                .whenCompleteAsync(
-                        (answer, failure) -> {
-                            long spent = mParts.clock().millis() - askedMillis;
-                            if (kept && failure != null && spent < CALL_MILLIS) {
-                                // A kept connection may have been closed while it was idle.
-                                ask(runner, false);
-                            } else {
-                                answered(runner, answer, failure);
-                            }
-                        },
-                        mLoop);
-    }
-
-    private void answered(Backend runner, AggregatedHttpResponse answer, Throwable failure) {
-        Either<String, Optional<String>> kept =
-                failure == null
-                        ? mParts.messages().reservation(answer)
-                        : Either.left(String.valueOf(failure));
+    private void answered(Backend runner, PlaceAsk.Answer answer) {
         if (mClosed) {
-            kept.forEach(name -> name.ifPresent(place -> cancel(mParts, runner, place)));
+            answer.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, runner, name));
             return;
         }
         mAsked = Optional.empty();
-        if (kept.isRight() && kept.get().isPresent()) {
+        if (answer.kept()) {
             mClosed = true;
-            mListener.found(Optional.of(new Place(runner, kept.get())));
+            mListener.found(Optional.of(new Place(runner, answer.reservation())));
             return;
         }
-        if (kept.isRight()) {
+        giveBack(runner, answer.outcome());
+        if (answer.full()) {
             mParts.board().full(runner, mParts.clock().millis());
-            giveBack(runner, SendOutcome.ABANDONED);
         } else {
             mAvoid.add(runner.id());
-            boolean misdirected =
-                    failure == null && answer.status().equals(HttpStatus.MISDIRECTED_REQUEST);
-            giveBack(runner, misdirected ? SendOutcome.MISDIRECTED : SendOutcome.NOT_SENT);
             mParts.log().log(
-                    RelayEvent.PLACE_NOT_KEPT, mRequest.caller().id(), runner.id(), kept.getLeft());
+                    RelayEvent.PLACE_NOT_KEPT, mRequest.caller().id(), runner.id(), answer.cause());
         }
         find();
     }
@@ -182,24 +133,4 @@
     private WorkSize size() {
         return mRequest.caller().size();
     }
-
-    /** Gives a kept place back that no request will take. */
-    static void cancel(RelayParts parts, Backend runner, String reservation) {
-        quietly(parts, runner, parts.messages().cancel(reservation));
-    }
-
-    /** Makes a call whose failure harms nothing, since what it frees lapses by itself. */
-    static void quietly(RelayParts parts, Backend backend, RequestHeaders call) {
-        parts.connections()
-                .keptClient(backend.address(), backend.port())
-                .execute(
-                        HttpRequest.of(call),
-                        RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
-                .aggregate()
-                .exceptionally(
-                        failure -> {
-                            parts.log().log(RelayEvent.NOT_FREED, backend.id(), failure);
-                            return null;
-                        });
-    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -44,6 +44,7 @@
     private Optional<Backend> mLast = Optional.empty();
     private Optional<Backend> mReader = Optional.empty();
     private long mPlaceMillis = -1;
+    private boolean mAsking;
     private boolean mEnded;
 
     RelayRun(
@@ -144,7 +145,7 @@
 
     /** Frees the place of a request that ends before it was sent. */
     private void giveBack(EnginePlaces.Place place) {
-        place.reservation().ifPresent(name -> EnginePlaces.cancel(mParts, place.runner(), name));
+        place.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, place.runner(), name));
         release(place.runner());
     }
 
@@ -204,9 +205,54 @@
         freeUnused(send, outcome);
         if (outcome == SendOutcome.REJECTED && send.prompt().isPresent()) {
             promptLost(send, cause);
-            return;
+        } else if (outcome == SendOutcome.UNKNOWN && mayGoOnHere()) {
+            goOnHere(send, cause);
+        } else {
+            next(send, outcome, cause);
         }
-        next(send, outcome, cause);
+    }
+
+    private boolean mayGoOnHere() {
+        return mRequest.engine().isPresent() && mCourse.mayGoOnHere(mParts.clock().millis());
+    }
+
+    /**
+     * Lets a stream whose connection broke go on at the engine that ran it, if that still has room.
+     *
+     * <p>An engine whose answer was lost on the way still has the prompt in its memory. Elsewhere
+     * it would be read again: 5,000 tokens in vain, and a pause longer than callers accept. An
+     * engine that has crashed refuses the ask at once, and the stream goes on elsewhere as before.
+     */
+    private void goOnHere(BackendSend send, String cause) {
+        mAsking = true;
+        PlaceAsk.send(
+                mParts,
+                mRequest,
+                mLoop,
+                send.target(),
+                answer -> {
+                    mAsking = false;
+                    if (mEnded) {
+                        answer.reservation()
+                                .ifPresent(name -> PlaceAsk.cancel(mParts, send.target(), name));
+                    } else if (answer.kept() && mCourse.goingOnHere(this::takeRetry)) {
+                        logSend(send, SendOutcome.UNKNOWN, cause, NextStep.SEND_AGAIN);
+                        openHere(send, answer.reservation());
+                    } else {
+                        answer.reservation()
+                                .ifPresent(name -> PlaceAsk.cancel(mParts, send.target(), name));
+                        next(send, SendOutcome.UNKNOWN, cause);
+                    }
+                });
+    }
+
+    private void openHere(BackendSend send, Optional<String> reservation) {
+        mParts.metrics().retried(SendOutcome.UNKNOWN);
+        mAnswer.dropUnfinished();
+        mReader = Optional.empty();
+        mParts.board().alive(send.target());
+        mParts.board().placeAgain(send.target(), mRequest.caller().size());
+        open(new EnginePlaces.Place(send.target(), reservation), Optional.empty());
     }
 
     /**
@@ -258,7 +304,7 @@
                     reader ->
                             send.prompt()
                                     .map(mParts.messages()::release)
-                                    .ifPresent(call -> EnginePlaces.quietly(mParts, reader, call)));
+                                    .ifPresent(call -> PlaceAsk.quietly(mParts, reader, call)));
         }
     }
 
@@ -297,7 +343,8 @@
         if (mEnded) {
             return;
         }
-        SendOutcome outcome = mSend.map(BackendSend::giveUp).orElse(SendOutcome.NOT_SENT);
+        SendOutcome none = mAsking ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
+        SendOutcome outcome = mSend.map(BackendSend::giveUp).orElse(none);
         mSend = Optional.empty();
         reply(outcome, "no time left");
     }
