Explain a request from relays' logs: cyclamenctl log explain; load test of the search for places

Cause: on-call engineers have only logs, and the way from a request's id to its cause was by grep over all hosts. The new command shows a request's lines with what the same host believed of its backend servers and of the store in the five seconds before. Reads a file, asks no host.

--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlCommand.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlCommand.java
@@ -50,7 +50,13 @@
             "Show what was decided for a request and why; the entry hosts given by --server are"
                     + " asked in turn.",
             Set.of(),
-            ExplainCommand::run);
+            ExplainCommand::run),
+    EXPLAIN_LOG(
+            "log explain REQUEST",
+            "Show what relays logged of a request, and what they believed of the backend servers"
+                    + " and the store just before; reads a file and asks no host.",
+            Set.of(CtlOption.FILE),
+            LogExplainCommand::run);
 
     static final String KIND = "KIND";
 
--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlOption.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlOption.java
@@ -14,7 +14,12 @@
                     + " reached; default "
                     + CtlOption.DEFAULT_SERVER),
     OUTPUT(null, "output", "FORMAT", "table (default) or json"),
-    FILE("f", "file", "FILE", "TOML file of objects: [[service]], [[backend]], [[preset]]"),
+    FILE(
+            "f",
+            "file",
+            "FILE",
+            "TOML file of objects: [[service]], [[backend]], [[preset]]; for 'log explain' the"
+                    + " logs of one or more relays"),
     EXPECT_VERSION(
             null,
             "expect-version",
--- /dev/null
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
@@ -0,0 +1,93 @@
+package org.cyclamenpaddle.ctl.command;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cyclamenpaddle.ctl.report.CommandError;
+import org.cyclamenpaddle.ctl.report.ExitCode;
+import org.cyclamenpaddle.ctl.report.Report;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the way from a request's id to its cause in relays' logs. */
+public class LogExplainCommandTest {
+
+    private static final String LOG =
+            line("00", "h1", "CP2108", "'backend':'i-1','cause':'reset'")
+                    + line("09", "h2", "CP2108", "'backend':'i-1','cause':'reset'")
+                    + "java.io.IOException: a line that is no decision\n"
+                    + line("10.2", "h1", "CP2202", "'request':'r7','told':502,'reason':'reset'")
+                    + line("10.1", "h1", "CP2205", "'request':'r7','backend':'i-1'")
+                    + line("09.5", "h1", "CP2106", "'backend':'i-1','stage':'DECODE'")
+                    + line("09.6", "h1", "CP2106", "'backend':'i-2','stage':'DECODE'")
+                    + line("09.7", "h1", "CP2101", "'kind':'backends','failure':'NO_ANSWER'")
+                    + line("10", "h1", "CP2201", "'request':'r8'");
+
+    private Path mFile;
+
+    @BeforeMethod
+    public void write() throws IOException {
+        mFile = Files.createTempFile("relay", ".log");
+        Files.writeString(mFile, LOG);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void delete() throws IOException {
+        Files.delete(mFile);
+    }
+
+    private static String line(String second, String node, String code, String fields) {
+        String line =
+                "{'time':'2026-08-01T10:00:%sZ','node':'%s','code':'%s','event':'e',%s}%n"
+                        .formatted(second, node, code, fields);
+        return line.replace("'", "\"");
+    }
+
+    private Either<CommandError, Report> explain(String request) {
+        Arguments arguments =
+                new Arguments(
+                        Optional.empty(),
+                        request,
+                        mFile.toString(),
+                        OptionalLong.empty(),
+                        OptionalLong.empty());
+        return LogExplainCommand.run(arguments, null);
+    }
+
+    /*
+     * A caller was told 502. Its own lines name the server and the end of the connection; the lines
+     * before them on the same host say what was known of that server and of the store.
+     */
+    @Test
+    public void ownLinesStandInOrderWithWhatWasBelievedBefore() {
+        Report report = explain("r7").get();
+        List<String> codes = report.tables().get(0).rows().stream().map(row -> row.get(2)).toList();
+        assertEquals(codes, List.of("CP2106", "CP2101", "CP2205", "CP2202"));
+        assertTrue(report.tables().get(0).rows().get(3).get(4).contains("told=502 reason=reset"));
+    }
+
+    @Test
+    public void requestThatNoLineNamesIsNotFound() {
+        assertEquals(explain("r9").getLeft().code(), ExitCode.NOT_FOUND);
+    }
+
+    @Test
+    public void missingFileIsSaid() {
+        Arguments arguments =
+                new Arguments(
+                        Optional.empty(),
+                        "r7",
+                        mFile + ".none",
+                        OptionalLong.empty(),
+                        OptionalLong.empty());
+        assertEquals(LogExplainCommand.run(arguments, null).getLeft().code(), ExitCode.BAD_FILE);
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/PlaceSearchLoadTest.java
@@ -0,0 +1,119 @@
+package org.cyclamenpaddle.routing.place;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.ToLongBiFunction;
+import org.testng.annotations.Test;
+
+/**
+ * Plays the heaviest load of a pool of engines: a burst of twice what it can hold, after which the
+ * usual load alone takes three quarters of it.
+ *
+ * <p>Grounds for the figures: a pool of four decode engines with 65,717 tokens of memory holds
+ * eleven generations of 5,200 prompt and 600 output tokens each; one takes 3.6 s, so that about
+ * twelve end in a second. Callers of calm days bring 8 a second; their bursts bring 20 to 26 for
+ * four to six seconds. Callers come back once, after 2.2 to 4.4 s.
+ */
+public class PlaceSearchLoadTest {
+
+    private static final int PLACES = 44;
+    private static final long RUN_MILLIS = 3_600;
+    private static final long TARGET_MILLIS = 900;
+    private static final long LENGTH_MILLIS = 40_000;
+    private static final long BURST_FROM = 10_000;
+    private static final long BURST_TO = 16_000;
+    private static final double CALM_PER_SECOND = 8;
+    private static final double BURST_PER_SECOND = 23;
+    private static final long ASK_MILLIS = 5;
+
+    /** One ask of one request, in the order of time. */
+    private record Ask(long atMillis, PlaceSearch search) {}
+
+    /** What became of all requests. */
+    private record Outcome(int requests, int inTime, int served) {
+
+        double inTimeShare() {
+            return (double) inTime / requests;
+        }
+
+        double servedShare() {
+            return (double) served / requests;
+        }
+    }
+
+    /*
+     * During the burst half of the requests find no place in time, are refused and come back, while
+     * others still arrive. Whoever asks next after a place has come free gets it. If come-backs ask
+     * as often as the rest, they take most places and make those late that could be in time; so the
+     * lateness of a six-second burst goes on for all of the day.
+     */
+    @Test
+    public void burstMakesFewRequestsLateAndNearlyNoneUnserved() {
+        Outcome equal = play(7, (search, now) -> PlaceSearch.FIRST_PAUSE_MILLIS);
+        Outcome ranked = play(7, PlaceSearch::pauseMillis);
+        assertTrue(
+                ranked.inTimeShare() > equal.inTimeShare() + 0.05,
+                "in time " + ranked.inTimeShare() + " against " + equal.inTimeShare());
+        assertTrue(ranked.inTimeShare() > 0.75, "in time " + ranked.inTimeShare());
+        assertTrue(ranked.servedShare() > 0.97, "served " + ranked.servedShare());
+    }
+
+    /** A request that comes back asks often again before it would be refused for good. */
+    @Test
+    public void comeBackHurriesAtTheEndOfItsWait() {
+        PlaceSearch search = PlaceSearch.begin(0, TARGET_MILLIS, true);
+        long hurries = search.waitMillis() - PlaceSearch.BACK_HURRY_MILLIS;
+        assertTrue(search.pauseMillis(0) == PlaceSearch.BACK_PAUSE_MILLIS);
+        assertTrue(search.pauseMillis(hurries) == PlaceSearch.FIRST_PAUSE_MILLIS);
+        long next = hurries - 100 + search.pauseMillis(hurries - 100);
+        assertTrue(next <= hurries, "the pause before it does not reach into it");
+    }
+
+    private static Outcome play(long seed, ToLongBiFunction<PlaceSearch, Long> pause) {
+        Random random = new Random(seed);
+        PriorityQueue<Ask> asks = new PriorityQueue<>(Comparator.comparingLong(Ask::atMillis));
+        List<Long> arrivals = arrivals(random);
+        arrivals.forEach(at -> asks.add(new Ask(at, PlaceSearch.begin(at, TARGET_MILLIS, false))));
+        Deque<Long> ends = new ArrayDeque<>();
+        int inTime = 0;
+        int served = 0;
+        while (!asks.isEmpty()) {
+            Ask ask = asks.poll();
+            long now = ask.atMillis();
+            while (!ends.isEmpty() && ends.peek() <= now) {
+                ends.poll();
+            }
+            if (ends.size() < PLACES) {
+                ends.add(now + RUN_MILLIS);
+                served++;
+                inTime += ask.search().comesBack() ? 0 : 1;
+            } else if (ask.search().mayGoOn(now)) {
+                long next = now + ASK_MILLIS + pause.applyAsLong(ask.search(), now);
+                asks.add(new Ask(next, ask.search()));
+            } else if (!ask.search().comesBack()) {
+                long back = now + (long) (PlaceSearch.COME_BACK_MILLIS * (1 + random.nextDouble()));
+                asks.add(new Ask(back, PlaceSearch.begin(back, TARGET_MILLIS, true)));
+            }
+        }
+        return new Outcome(arrivals.size(), inTime, served);
+    }
+
+    private static List<Long> arrivals(Random random) {
+        List<Long> arrivals = new ArrayList<>();
+        double at = 0;
+        while (at < LENGTH_MILLIS) {
+            boolean burst = at >= BURST_FROM && at < BURST_TO;
+            double perSecond = burst ? BURST_PER_SECOND : CALM_PER_SECOND;
+            at += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+            arrivals.add((long) at);
+        }
+        return arrivals;
+    }
+}
