--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
@@ -16,8 +16,15 @@
      */
     static final long HANDOVER_MILLIS = 3_200;
 
-    /** Time left before the process is killed at which it ends by itself, in milliseconds. */
-    static final long MARGIN_MILLIS = 350;
+    /**
+     * Time left before the process is killed at which it ends by itself, in milliseconds.
+     *
+     * <p>Safeguard: a host that has turned slow needs several times the usual 30 ms to write its
+     * last lines and end; killed, it loses them, and with them what became of its last requests.
+     * Nothing that is in flight then could be excused by waiting for it: requests that come late in
+     * a stop are refused, so that only the longest streams are.
+     */
+    static final long MARGIN_MILLIS = 600;
 
     /** How long no request has to be in flight before the end, in milliseconds. */
     static final long QUIET_MILLIS = 200;
