--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -15,7 +15,6 @@
 import org.cyclamenpaddle.relay.course.Course;
 import org.cyclamenpaddle.relay.course.CourseTerms;
 import org.cyclamenpaddle.relay.course.NextStep;
-import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.staging.Demand;
 import org.cyclamenpaddle.relay.wire.BackendCall;
@@ -34,6 +33,7 @@
     private final CallerAnswer mAnswer;
     private final Runnable mOnEnd;
     private final Course mCourse;
+    private final RunLines mLines;
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mGiveUp;
@@ -62,6 +62,7 @@
         long callerMillis = request.caller().callerMillis().orElse(Long.MAX_VALUE);
         mCourse = new Course(CourseTerms.of(request.route(), callerMillis), mStartMillis);
         mAnswer = new CallerAnswer(writer, request, retryAfter, mCourse);
+        mLines = new RunLines(parts, request, mCourse, mAnswer, mStartMillis);
     }
 
     void start() {
@@ -78,13 +79,7 @@
         }
         mSend.ifPresent(BackendSend::cancel);
         mParts.metrics().callerGone();
-        mParts.log().log(
-                RelayEvent.CALLER_GONE,
-                mRequest.caller().id(),
-                mRequest.route().name(),
-                backend(),
-                mCourse.sends(),
-                spentMillis());
+        mLines.callerGone(mLast);
         end();
     }
 
@@ -236,7 +231,7 @@
                         answer.reservation()
                                 .ifPresent(name -> PlaceAsk.cancel(mParts, send.target(), name));
                     } else if (answer.kept() && mCourse.goingOnHere(this::takeRetry)) {
-                        logSend(send, SendOutcome.UNKNOWN, cause, NextStep.SEND_AGAIN);
+                        mLines.sendEnded(send, SendOutcome.UNKNOWN, cause, NextStep.SEND_AGAIN);
                         openHere(send, answer.reservation());
                     } else {
                         answer.reservation()
@@ -271,7 +266,7 @@
             next(send, SendOutcome.REJECTED, cause);
             return;
         }
-        logSend(send, SendOutcome.REJECTED, cause, NextStep.SEND_AGAIN);
+        mLines.sendEnded(send, SendOutcome.REJECTED, cause, NextStep.SEND_AGAIN);
         mParts.metrics().retried(SendOutcome.REJECTED);
         mParts.board().placeAgain(send.target(), mRequest.caller().size());
         open(new EnginePlaces.Place(send.target(), Optional.empty()), Optional.empty());
@@ -283,7 +278,7 @@
             passOn();
             return;
         }
-        logSend(send, outcome, cause, next);
+        mLines.sendEnded(send, outcome, cause, next);
         if (next == NextStep.SEND_AGAIN) {
             mParts.metrics().retried(outcome);
             mAnswer.dropUnfinished();
@@ -311,21 +306,8 @@
     private void passOn() {
         mAnswer.finish();
         measureDemand();
-        mParts.metrics().answered(mRequest.route().kind(), spentMillis());
-        mParts.log().log(
-                RelayEvent.REQUEST_ENDED,
-                mRequest.caller().id(),
-                mRequest.route().name(),
-                mRequest.version(),
-                mRequest.caller().size().promptTokens(),
-                mRequest.caller().size().outputTokens(),
-                backend(),
-                mAnswer.status(),
-                mCourse.sends(),
-                spentMillis(),
-                mAnswer.firstMillis(mStartMillis),
-                mPlaceMillis,
-                mReader.map(reader -> reader.id().value()).orElse("none"));
+        mParts.metrics().answered(mRequest.route().kind(), mLines.spentMillis());
+        mLines.answered(mLast, mReader, mPlaceMillis);
         end();
     }
 
@@ -334,7 +316,8 @@
         if (mRequest.engine().isPresent() && first >= 0) {
             WorkSize size = mRequest.caller().size();
             Demand demand =
-                    new Demand(size.promptTokens(), size.outputTokens(), spentMillis() - first);
+                    new Demand(
+                            size.promptTokens(), size.outputTokens(), mLines.spentMillis() - first);
             mParts.demand().ended(mRequest.service(), demand);
         }
     }
@@ -354,26 +337,10 @@
         CallerReply reply = mCourse.reply(outcome, mParts.clock().millis());
         if (mCourse.isForwarding()) {
             mAnswer.cut();
-            mParts.log().log(
-                    RelayEvent.REQUEST_CUT,
-                    mRequest.caller().id(),
-                    mRequest.route().name(),
-                    backend(),
-                    reason,
-                    mAnswer.lastEventId().orElse("none"),
-                    mCourse.sends(),
-                    spentMillis());
+            mLines.cut(mLast, reason);
         } else {
             mAnswer.refuse(reply);
-            mParts.log().log(
-                    RelayEvent.REQUEST_FAILED,
-                    mRequest.caller().id(),
-                    mRequest.route().name(),
-                    mRequest.version(),
-                    reply.status(),
-                    reason,
-                    mCourse.sends(),
-                    spentMillis());
+            mLines.failed(reply, reason);
         }
         mParts.metrics().refused(reply);
         end();
@@ -392,23 +359,4 @@
         mPlaces = Optional.empty();
         mOnEnd.run();
     }
-
-    private void logSend(BackendSend send, SendOutcome outcome, String cause, NextStep next) {
-        mParts.log().log(
-                RelayEvent.SEND_ENDED,
-                mRequest.caller().id(),
-                backend(),
-                outcome,
-                cause,
-                send.spentMillis(),
-                next);
-    }
-
-    private String backend() {
-        return mLast.map(backend -> backend.id().value()).orElse("none");
-    }
-
-    private long spentMillis() {
-        return mParts.clock().millis() - mStartMillis;
-    }
 }
