Do not give up a prompt that queues at an engine which answers others

An engine that has answered another request within the patience is waited for, up to 1.8 s; a dark one is left after 600 ms as before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -199,6 +199,11 @@
                 });
     }
 
+    /** Returns whether a server has answered some request of this host since a moment. */
+    public boolean answeredSince(Backend backend, long millis) {
+        return mTable.read(state -> state.of(backend).answeredSince(millis));
+    }
+
     /**
      * Takes work off a server.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -35,6 +35,7 @@
     private final BackendHealth mHealth = new BackendHealth();
     private final FadingMean mExcess = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
     private long mFullUntilMillis = Long.MIN_VALUE;
+    private long mAnsweredMillis = Long.MIN_VALUE;
     private Optional<Backend> mOutdated = Optional.empty();
     private long mOutdatedUntilMillis;
 
@@ -80,9 +81,15 @@
 
     /** Notes by how much a first answer byte came later than this host's own work explains. */
     void waited(double excessMillis, long nowMillis) {
+        mAnsweredMillis = nowMillis;
         mExcess.add(Math.max(0, excessMillis), nowMillis);
     }
 
+    /** Returns whether a first answer byte has come since a moment. */
+    boolean answeredSince(long millis) {
+        return mAnsweredMillis >= millis;
+    }
+
     /** Returns the wait that others' work, or slowness, has caused of late. */
     double excessMillis(long nowMillis) {
         return mExcess.at(nowMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
@@ -19,7 +19,7 @@
 final class PromptReading implements ExchangeListener {
 
     /**
-     * Longest wait for a prompt to be read, in milliseconds.
+     * Longest wait for a prompt to be read by an engine that answers nothing, in milliseconds.
      *
      * <p>Safeguard: an engine that went dark would hold the request until its timeout. The longest
      * prompts take 200 ms; after three times that, reading at the runner still ends within a
@@ -27,6 +27,15 @@
      */
     private static final long PATIENCE_MILLIS = 600;
 
+    /**
+     * Longest wait for an engine that goes on answering others, in milliseconds.
+     *
+     * <p>Safeguard: after a loss of power all hosts bring their callers at once, and prompts queue
+     * for a second at engines that are well. Given up, what was read of them is lost, and they are
+     * read once more where they delay generations. Callers leave a stream after 3.6 s.
+     */
+    private static final long QUEUE_MILLIS = 1_800;
+
     private final RelayParts mParts;
     private final RelayRequest mRequest;
     private final Backend mReader;
@@ -158,9 +167,16 @@
     }
 
     private void tooLong() {
-        if (!mEnded) {
+        if (mEnded) {
+            return;
+        }
+        long now = mParts.clock().millis();
+        boolean queued = mParts.board().answeredSince(mReader, now - PATIENCE_MILLIS);
+        if (queued && now + PATIENCE_MILLIS <= mStartMillis + QUEUE_MILLIS) {
+            mPatience = mLoop.schedule(this::tooLong, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
             mExchange.cancel();
-            fail(SendOutcome.UNKNOWN, "no answer in " + PATIENCE_MILLIS + " ms");
+            fail(SendOutcome.UNKNOWN, "no answer in " + (now - mStartMillis) + " ms");
         }
     }
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
@@ -118,6 +118,17 @@
         assertEquals(place(later), Optional.of(corrected));
     }
 
+    /** Whether an engine is dark or only busy shows in what else it has answered meanwhile. */
+    @Test
+    public void answersOfOthersShowThatAServerIsAlive() {
+        Backend busy = Backends.decode("busy", "a");
+        list(busy);
+        assertFalse(mBoard.answeredSince(busy, 0));
+        mBoard.answered(busy, SIZE, 40, 100);
+        assertTrue(mBoard.answeredSince(busy, 100));
+        assertFalse(mBoard.answeredSince(busy, 101));
+    }
+
     /** All servers of a service look dead, most often because this host's own links are. */
     @Test
     public void wholeServiceIsNeverLeftOut() {
