Let a generation that was sent already look for its next place as long as its caller stays

First requests are refused early since they can come back; these cannot. What a request has behind it is an enum with its waits and pauses (Seeker), in place of a flag.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -11,6 +12,7 @@
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.routing.place.PlaceSearch;
+import org.cyclamenpaddle.routing.place.Seeker;
 
 /**
  * Finds a place at a decode engine for one request, before anything is spent on its prompt.
@@ -55,21 +57,27 @@
         mLoop = loop;
         mAvoid = new HashSet<>(avoid);
         mListener = listener;
-        mSearch = search(parts, request);
+        long now = parts.clock().millis();
+        Seeker seeker = seeker(parts, request, !avoid.isEmpty(), now);
+        mSearch = PlaceSearch.begin(now, request.route().targetMillis(), seeker);
     }
 
-    private static PlaceSearch search(RelayParts parts, RelayRequest request) {
-        long now = parts.clock().millis();
+    private static Seeker seeker(
+            RelayParts parts, RelayRequest request, boolean sentBefore, long nowMillis) {
+        OptionalLong waits = request.caller().callerMillis();
+        if (sentBefore) {
+            return Seeker.REPEAT;
+        }
         boolean comesBack =
-                request.caller().callerMillis().isPresent()
+                waits.isPresent()
                         && parts.callers()
                                 .read(
-                                        waits ->
-                                                waits.comesBack(
+                                        callers ->
+                                                callers.comesBack(
                                                         request.route().name(),
-                                                        request.caller().callerMillis().getAsLong(),
-                                                        now));
-        return PlaceSearch.begin(now, request.route().targetMillis(), comesBack);
+                                                        waits.getAsLong(),
+                                                        nowMillis));
+        return comesBack ? Seeker.COME_BACK : Seeker.FIRST;
     }
 
     /** Asks the best engine that has not just said that it is full. */
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/PlaceSearchLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/PlaceSearchLoadTest.java
@@ -56,7 +56,7 @@
      */
     @Test
     public void burstMakesFewRequestsLateAndNearlyNoneUnserved() {
-        Outcome equal = play(7, (search, now) -> PlaceSearch.FIRST_PAUSE_MILLIS);
+        Outcome equal = play(7, (search, now) -> Seeker.SHORT_PAUSE_MILLIS);
         Outcome ranked = play(7, PlaceSearch::pauseMillis);
         assertTrue(
                 ranked.inTimeShare() > equal.inTimeShare() + 0.05,
@@ -68,19 +68,32 @@
     /** A request that comes back asks often again before it would be refused for good. */
     @Test
     public void comeBackHurriesAtTheEndOfItsWait() {
-        PlaceSearch search = PlaceSearch.begin(0, TARGET_MILLIS, true);
-        long hurries = search.waitMillis() - PlaceSearch.BACK_HURRY_MILLIS;
-        assertTrue(search.pauseMillis(0) == PlaceSearch.BACK_PAUSE_MILLIS);
-        assertTrue(search.pauseMillis(hurries) == PlaceSearch.FIRST_PAUSE_MILLIS);
+        PlaceSearch search = PlaceSearch.begin(0, TARGET_MILLIS, Seeker.COME_BACK);
+        long hurries = search.waitMillis() - Seeker.BACK_HURRY_MILLIS;
+        assertTrue(search.pauseMillis(0) == Seeker.BACK_PAUSE_MILLIS);
+        assertTrue(search.pauseMillis(hurries) == Seeker.SHORT_PAUSE_MILLIS);
         long next = hurries - 100 + search.pauseMillis(hurries - 100);
         assertTrue(next <= hurries, "the pause before it does not reach into it");
     }
 
+    /**
+     * A stream breaks and has to go on elsewhere while all engines are full. It may have run, so a
+     * refusal would be its end: it asks as often as a first request, and longer.
+     */
+    @Test
+    public void requestThatWasSentAlreadyAsksOftenAndLong() {
+        PlaceSearch repeat = PlaceSearch.begin(0, TARGET_MILLIS, Seeker.REPEAT);
+        PlaceSearch first = PlaceSearch.begin(0, TARGET_MILLIS, Seeker.FIRST);
+        assertTrue(repeat.pauseMillis(0) == first.pauseMillis(0));
+        assertTrue(repeat.mayGoOn(4 * first.waitMillis()));
+    }
+
     private static Outcome play(long seed, ToLongBiFunction<PlaceSearch, Long> pause) {
         Random random = new Random(seed);
         PriorityQueue<Ask> asks = new PriorityQueue<>(Comparator.comparingLong(Ask::atMillis));
         List<Long> arrivals = arrivals(random);
-        arrivals.forEach(at -> asks.add(new Ask(at, PlaceSearch.begin(at, TARGET_MILLIS, false))));
+        arrivals.forEach(
+                at -> asks.add(new Ask(at, PlaceSearch.begin(at, TARGET_MILLIS, Seeker.FIRST))));
         Deque<Long> ends = new ArrayDeque<>();
         int inTime = 0;
         int served = 0;
@@ -93,13 +106,13 @@
             if (ends.size() < PLACES) {
                 ends.add(now + RUN_MILLIS);
                 served++;
-                inTime += ask.search().comesBack() ? 0 : 1;
+                inTime += ask.search().seeker() == Seeker.FIRST ? 1 : 0;
             } else if (ask.search().mayGoOn(now)) {
                 long next = now + ASK_MILLIS + pause.applyAsLong(ask.search(), now);
                 asks.add(new Ask(next, ask.search()));
-            } else if (!ask.search().comesBack()) {
+            } else if (ask.search().seeker() == Seeker.FIRST) {
                 long back = now + (long) (PlaceSearch.COME_BACK_MILLIS * (1 + random.nextDouble()));
-                asks.add(new Ask(back, PlaceSearch.begin(back, TARGET_MILLIS, true)));
+                asks.add(new Ask(back, PlaceSearch.begin(back, TARGET_MILLIS, Seeker.COME_BACK)));
             }
         }
         return new Outcome(arrivals.size(), inTime, served);
