Do not call a lookup "not run" that was sent over a kept connection before

Cause, found by reading the change once more: a lookup whose kept connection breaks is sent once more over a new one. If that cannot be opened, or the server rejects it, the last outcome alone decided, and the caller was told 503 though the first send may have run. The course is told of the second send now (Course.sentOnceMore); such a caller gets 502.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
@@ -104,6 +104,15 @@
         return goesOn;
     }
 
+    /**
+     * Notes that the present send is made a second time to its server, after a connection that
+     * broke; whatever becomes of it now, the first time may have run.
+     */
+    public void sentOnceMore() {
+        Invariants.require(mTerms.repeatable(), () -> "a request is sent twice to one server");
+        mMayHaveRun = true;
+    }
+
     /** Notes that the caller has got the head of an answer. */
     public void forwarding() {
         mForwarding = true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -29,8 +29,13 @@
      * @param promptReadElsewhere whether no prompt has to be read by the server
      * @param othersLeft whether another server could still be asked after a silence
      * @param connection what connection carries it
+     * @param sentOnceMore told before the server is sent the request a second time
      */
-    record Terms(boolean promptReadElsewhere, boolean othersLeft, Connection connection) {}
+    record Terms(
+            boolean promptReadElsewhere,
+            boolean othersLeft,
+            Connection connection,
+            Runnable sentOnceMore) {}
 
     /** What connection carries a send. */
     enum Connection {
@@ -80,6 +85,7 @@
     private Optional<ScheduledFuture<?>> mPatience = Optional.empty();
     private BackendAnswer mHead;
     private final boolean mOthersLeft;
+    private final Runnable mSentOnceMore;
     private Connection mConnection;
     private boolean mPromptRead;
     private boolean mFlowing;
@@ -99,6 +105,7 @@
         mPromptRead = terms.promptReadElsewhere();
         mOthersLeft = terms.othersLeft();
         mConnection = terms.connection();
+        mSentOnceMore = terms.sentOnceMore();
         mEndListener = endListener;
         mStartMillis = parts.clock().millis();
     }
@@ -195,6 +202,7 @@
     public void failed(SendOutcome outcome, Throwable cause) {
         if (mayHaveBeenStale(outcome) && mParts.budget().tryTake(mRequest.service())) {
             mConnection = Connection.NEW;
+            mSentOnceMore.run();
             open();
         } else {
             end(outcome, String.valueOf(cause));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -179,7 +179,11 @@
                         mRequest,
                         call,
                         mAnswer,
-                        new BackendSend.Terms(mReader.isPresent(), othersLeft, connection(place)),
+                        new BackendSend.Terms(
+                                mReader.isPresent(),
+                                othersLeft,
+                                connection(place),
+                                mCourse::sentOnceMore),
                         this::sendEnded);
         mSend = Optional.of(send);
         send.start(mLoop);
