--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -16,5 +16,6 @@
     SUSPECTS,
     RETRIES,
     DEMAND,
-    CALLERS
+    CALLERS,
+    KEPT_PROMPTS
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -26,6 +26,7 @@
 import org.cyclamenpaddle.relay.backend.BackendBoard;
 import org.cyclamenpaddle.relay.backend.CostSettings;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
+import org.cyclamenpaddle.relay.front.KeptPrompts;
 import org.cyclamenpaddle.relay.front.RelayParts;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
@@ -121,8 +122,11 @@
                         mBudget,
                         mDemand,
                         new Table<>(TableOrder.CALLERS, new CallerWaits()),
+                        new KeptPrompts(
+                                mBoard, mConnections, sources.engineMessages(), mLog, mClock),
                         mConnections,
                         sources.backendMessages(),
+                        sources.engineMessages(),
                         mLog,
                         mMetrics,
                         mClock,
@@ -235,7 +239,7 @@
                 new StageKeeper.Parts(
                         mBoard,
                         mDemand,
-                        new StagePlan(CostSettings.DEFAULTS),
+                        new StagePlan(),
                         mSources.orders(),
                         mSources.lease(),
                         mLog),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
@@ -9,6 +9,7 @@
 import org.cyclamenpaddle.relay.store.EntrySource;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
+import org.cyclamenpaddle.relay.wire.EngineMessages;
 
 /**
  * What a deployment brings along: its store's objects and its messages.
@@ -16,7 +17,8 @@
  * @param configurations the operators' configuration
  * @param backends backend servers, each under its id
  * @param callerMessages decodes callers' requests
- * @param backendMessages speaks to backend servers
+ * @param backendMessages sends callers' requests on to backend servers
+ * @param engineMessages speaks to engines about their memory
  * @param hosts where hosts announce themselves
  * @param lease keeps the lease on orders
  * @param orders gives them
@@ -27,6 +29,7 @@
         EntrySource<Backend> backends,
         CallerMessages callerMessages,
         BackendMessages backendMessages,
+        EngineMessages engineMessages,
         HostStore hosts,
         LeaseStore lease,
         EngineOrders orders,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -28,6 +28,11 @@
         private final Map<BackendId, BackendState> mStates = new HashMap<>();
 
         private final Map<FailureDomain, DomainReach> mReach = new HashMap<>();
+        private final Map<ServiceName, ReadingSpeed> mSpeeds = new HashMap<>();
+
+        private ReadingSpeed speed(ServiceName service) {
+            return mSpeeds.computeIfAbsent(service, any -> new ReadingSpeed());
+        }
 
         private DomainReach reach(Backend backend) {
             return mReach.computeIfAbsent(backend.domain(), domain -> new DomainReach());
@@ -124,6 +129,30 @@
                 });
     }
 
+    /**
+     * Notes a request's work on a server that it should rather go to, if that can take it now.
+     *
+     * @return whether it can
+     */
+    public boolean placeAt(Backend backend, WorkSize size, long nowMillis) {
+        return mTable.read(
+                state -> {
+                    BackendState known = state.of(backend);
+                    boolean takes =
+                            backend.stage().runs()
+                                    && state.mDirectory
+                                            .usable(backend.service())
+                                            .anyMatch(backend::equals)
+                                    && state.admits(backend, nowMillis)
+                                    && !known.isFull(nowMillis)
+                                    && !known.isOutdated(backend, nowMillis);
+                    if (takes) {
+                        state.started(backend, size, nowMillis);
+                    }
+                    return takes;
+                });
+    }
+
     /**
      * Chooses a prefill engine for a request that has a place at a decode engine, where reading
      * there and handing over beats reading in place, and notes the work on it.
@@ -177,6 +206,37 @@
                 });
     }
 
+    /**
+     * Notes that a server turned a request away for which it had kept a place.
+     *
+     * <p>Safeguard: an engine that changes its stage goes on keeping places for seconds and turns
+     * away each request that follows, whose prompt has been read for nothing. It is left out until
+     * its entry changes, or for some seconds.
+     */
+    public void outdated(Backend backend, long nowMillis) {
+        mTable.write(state -> state.of(backend).outdated(backend, nowMillis));
+    }
+
+    /** Returns the prompt tokens that a service's prefill engines read in a millisecond. */
+    public double tokensReadPerMilli(ServiceName service) {
+        return mTable.read(state -> state.speed(service).tokensPerMilli());
+    }
+
+    /** Returns whether a server's report should be read again; if so it counts as being read. */
+    public boolean reportDue(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.of(backend).reportDue(nowMillis));
+    }
+
+    /** Takes in a server's report. */
+    public void reported(Backend backend, EngineReport report, long nowMillis) {
+        mTable.write(state -> state.of(backend).reported(report, nowMillis));
+    }
+
+    /** Returns a server's last report; empty if there is none of late. */
+    public Optional<TimedReport> report(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.of(backend).report(nowMillis));
+    }
+
     /** Notes that a server has read a prompt. */
     public void promptRead(Backend backend, WorkSize size) {
         mTable.write(state -> state.of(backend).open().promptRead(size));
@@ -193,7 +253,10 @@
     public void answered(Backend backend, WorkSize size, long waitedMillis, long nowMillis) {
         mTable.write(
                 state -> {
-                    double explained = readMillis(backend, size.promptTokens());
+                    if (backend.stage() == BackendStage.PREFILL) {
+                        state.speed(backend.service()).read(size.promptTokens(), waitedMillis);
+                    }
+                    double explained = readMillis(state, backend, size.promptTokens());
                     state.of(backend).waited(waitedMillis - explained, nowMillis);
                     state.reach(backend).answered();
                 });
@@ -261,16 +324,16 @@
 
     private double runCost(State state, Backend backend, long nowMillis) {
         BackendState known = state.of(backend);
-        return readMillis(backend, known.open().unreadTokens())
+        return readMillis(state, backend, known.open().unreadTokens())
                 + known.open().requests() * mCosts.requestMillis()
                 + (backend.domain().equals(mOwnDomain) ? 0 : mCosts.domainMillis())
                 + known.health().failureRate(nowMillis) * mCosts.failureMillis()
                 + known.excessMillis(nowMillis);
     }
 
-    private double readMillis(Backend backend, long promptTokens) {
+    private double readMillis(State state, Backend backend, long promptTokens) {
         double share = backend.stage() == BackendStage.PREFILL ? 1 : mCosts.inPlaceShare();
-        return promptTokens / (mCosts.promptTokensPerMilli() * share);
+        return promptTokens / (state.speed(backend.service()).tokensPerMilli() * share);
     }
 
     private Optional<Backend> cheapestReader(
@@ -282,9 +345,11 @@
                         .filter(backend -> state.admits(backend, nowMillis))
                         .filter(reader -> !state.of(reader).isOutdated(reader, nowMillis))
                         .toList();
+        BackendState known = state.of(runner);
+        // Read in place, a prompt holds up every generation that runs there for as long.
         double inPlace =
-                readMillis(runner, state.of(runner).open().unreadTokens())
-                        + state.of(runner).excessMillis(nowMillis);
+                readMillis(state, runner, known.open().unreadTokens()) * (1 + known.runs(nowMillis))
+                        + known.excessMillis(nowMillis);
         return best(readers, reader -> prefillCost(state, reader, runner, size, nowMillis))
                 .filter(reader -> prefillCost(state, reader, runner, size, nowMillis) < inPlace);
     }
@@ -292,7 +357,7 @@
     private double prefillCost(
             State state, Backend reader, Backend runner, WorkSize size, long nowMillis) {
         BackendState known = state.of(reader);
-        return readMillis(reader, known.open().unreadTokens() + size.promptTokens())
+        return readMillis(state, reader, known.open().unreadTokens() + size.promptTokens())
                 + mCosts.handOverMillis()
                 + (reader.domain().equals(runner.domain()) ? 0 : mCosts.domainMillis())
                 + known.health().failureRate(nowMillis) * mCosts.failureMillis()
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -30,6 +30,12 @@
      */
     static final long OUTDATED_MILLIS = 3_600;
 
+    /** Least pause between two readings of a server's report, in milliseconds. */
+    static final long REPORT_MILLIS = 400;
+
+    /** Age from which a report is not used any more, in milliseconds. */
+    static final long REPORT_KEPT_MILLIS = 2_000;
+
     private final long mBornMillis;
     private final OpenWork mOpen = new OpenWork();
     private final BackendHealth mHealth = new BackendHealth();
@@ -39,6 +45,10 @@
     private Optional<Backend> mOutdated = Optional.empty();
     private long mOutdatedUntilMillis;
 
+    private Optional<EngineReport> mReport = Optional.empty();
+    private long mReportMillis = Long.MIN_VALUE / 2;
+    private long mReportAskedMillis = Long.MIN_VALUE / 2;
+
     BackendState(long bornMillis) {
         mBornMillis = bornMillis;
     }
@@ -68,6 +78,32 @@
         return nowMillis < mFullUntilMillis;
     }
 
+    /** Returns whether its report should be read again, and if so takes it as being read. */
+    boolean reportDue(long nowMillis) {
+        boolean due = nowMillis - mReportAskedMillis >= REPORT_MILLIS;
+        if (due) {
+            mReportAskedMillis = nowMillis;
+        }
+        return due;
+    }
+
+    void reported(EngineReport report, long nowMillis) {
+        mReport = Optional.of(report);
+        mReportMillis = nowMillis;
+    }
+
+    /** Returns the last report if it still tells something. */
+    Optional<TimedReport> report(long nowMillis) {
+        return mReport.map(report -> new TimedReport(report, mReportMillis))
+                .filter(report -> report.ageMillis(nowMillis) < REPORT_KEPT_MILLIS);
+    }
+
+    /** Returns the generations that it runs, as far as this host knows. */
+    int runs(long nowMillis) {
+        int reported = report(nowMillis).map(report -> report.report().runs().size()).orElse(0);
+        return Math.max(reported, mOpen.requests() - 1);
+    }
+
     /** Notes that the server is not, or no longer, what an entry says. */
     void outdated(Backend entry, long nowMillis) {
         mOutdated = Optional.of(entry);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/CostSettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/CostSettings.java
@@ -3,8 +3,6 @@
 /**
  * Weights by which backend servers are compared; every cost is in milliseconds of waiting.
  *
- * @param promptTokensPerMilli prompt tokens that a prefill engine reads in a millisecond; from the
- *     engines' data sheet
  * @param inPlaceShare share of that rate at which a decode engine reads a prompt itself; from the
  *     engines' protocol, which says half
  * @param requestMillis what one open request slows the next one by: a batch step longer by about a
@@ -16,18 +14,17 @@
  *     the transfer, and its price: a thousandth of what a generation is worth
  */
 public record CostSettings(
-        double promptTokensPerMilli,
         double inPlaceShare,
         double requestMillis,
         double domainMillis,
         double failureMillis,
         double handOverMillis) {
 
-    /** Figures for engines that read 55 tokens in a millisecond, and domains 1 ms apart. */
-    public static final CostSettings DEFAULTS = new CostSettings(55, 0.5, 4, 5, 400, 20);
+    /** Figures for failure domains that are some milliseconds apart. */
+    public static final CostSettings DEFAULTS = new CostSettings(0.5, 4, 5, 400, 20);
 
     public CostSettings {
-        if (promptTokensPerMilli <= 0 || inPlaceShare <= 0 || requestMillis < 0) {
+        if (inPlaceShare <= 0 || requestMillis < 0) {
             throw new IllegalArgumentException("rates of engines must be above 0");
         }
         if (domainMillis < 0 || failureMillis < 0 || handOverMillis < 0) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.relay.backend;
 
+import org.cyclamenpaddle.routing.memory.NewWork;
+
 /**
  * Size of one request's work on an engine.
  *
@@ -18,8 +20,8 @@
         }
     }
 
-    /** Returns the tokens that the work holds in an engine's memory at its end. */
-    public long memoryTokens() {
-        return promptTokens + outputTokens;
+    /** Returns it as a generation that begins. */
+    public NewWork asNewWork() {
+        return new NewWork(promptTokens, outputTokens);
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/EventTail.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/EventTail.java
@@ -18,6 +18,7 @@
     private final StringBuilder mLine = new StringBuilder();
     private Optional<String> mPendingId = Optional.empty();
     private Optional<String> mLastId;
+    private long mEvents;
 
     /**
      * Creates the tail of a stream.
@@ -66,6 +67,11 @@
         return mLastId;
     }
 
+    /** Returns the number of whole events. */
+    public long events() {
+        return mEvents;
+    }
+
     /** Ends a line and returns whether it ends an event. */
     private boolean lineEnds() {
         int length = mLine.length();
@@ -80,6 +86,7 @@
         if (!line.isEmpty()) {
             return false;
         }
+        mEvents++;
         mLastId = mPendingId.or(() -> mLastId);
         mPendingId = Optional.empty();
         return true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -29,13 +29,15 @@
      * @param promptReadElsewhere whether no prompt has to be read by the server
      * @param othersLeft whether another server could still be asked after a silence
      * @param connection what connection carries it
+     * @param progressed told after each piece of a stream
      * @param sentOnceMore told before the server is sent the request a second time
      */
     record Terms(
             boolean promptReadElsewhere,
             boolean othersLeft,
             Connection connection,
-            Runnable sentOnceMore) {}
+            Runnable sentOnceMore,
+            Runnable progressed) {}
 
     /** What connection carries a send. */
     enum Connection {
@@ -67,12 +69,10 @@
     private static final double PATIENCE_SHARE = 0.45;
 
     /**
-     * Longest pause within a resumable stream, in milliseconds.
-     *
-     * <p>A stream is late after a pause of some hundred milliseconds anyway; callers leave after
-     * two seconds at the earliest. Between the two, going on elsewhere still serves them.
+     * Share of a bearable silence after which a resumable stream goes on elsewhere: late, but while
+     * its caller still waits.
      */
-    private static final long STREAM_PAUSE_MILLIS = 1_400;
+    private static final double STREAM_PAUSE_SHARE = 0.4;
 
     private final RelayParts mParts;
     private final RelayRequest mRequest;
@@ -86,9 +86,11 @@
     private BackendAnswer mHead;
     private final boolean mOthersLeft;
     private final Runnable mSentOnceMore;
+    private final Runnable mProgressed;
     private Connection mConnection;
     private boolean mPromptRead;
     private boolean mFlowing;
+    private boolean mMayStop;
     private boolean mEnded;
 
     BackendSend(
@@ -106,6 +108,7 @@
         mOthersLeft = terms.othersLeft();
         mConnection = terms.connection();
         mSentOnceMore = terms.sentOnceMore();
+        mProgressed = terms.progressed();
         mEndListener = endListener;
         mStartMillis = parts.clock().millis();
     }
@@ -142,6 +145,11 @@
         return outcome;
     }
 
+    /** The server may end the stream soon because it was told to; that says nothing against it. */
+    void mayStop() {
+        mMayStop = true;
+    }
+
     /** Returns the prompt that was read for this send. */
     Optional<PromptHandle> prompt() {
         return mCall.prompt();
@@ -182,10 +190,11 @@
     public void data(HttpData data) {
         if (mRequest.route().kind().streams() && mHead.success()) {
             answered();
-            waitFor(STREAM_PAUSE_MILLIS);
+            waitFor((long) (mRequest.route().silenceMillis() * STREAM_PAUSE_SHARE));
         }
         if (mHead.success() || !mAnswer.isForwarding()) {
             mAnswer.data(data, mParts.clock().millis(), this::more);
+            mProgressed.run();
         } else {
             mExchange.more();
         }
@@ -296,7 +305,7 @@
                                 target(),
                                 mRequest.caller().size(),
                                 mPromptRead,
-                                outcome,
+                                mMayStop && outcome.mayHaveRun() ? SendOutcome.ABANDONED : outcome,
                                 mParts.clock().millis());
         if (ejected) {
             mParts.log().log(RelayEvent.BACKEND_EJECTED, target().id(), outcome, cause);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.common.stream.AbortedStreamException;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cyclamenpaddle.relay.course.CallerReply;
 import org.cyclamenpaddle.relay.course.Course;
 import org.cyclamenpaddle.relay.course.EventTail;
@@ -29,11 +30,12 @@
     private final RetryAfter mRetryAfter;
     private final Course mCourse;
     private final boolean mStreams;
-    private final boolean mWholeEvents;
     private final EventTail mTail;
     private final ByteArrayOutputStream mHeld = new ByteArrayOutputStream();
     private BackendAnswer mHead;
     private long mFirstMillis = -1;
+    private long mLastMillis = -1;
+    private long mPauseMillis;
     private int mStatus;
 
     CallerAnswer(
@@ -42,7 +44,6 @@
         mRetryAfter = retryAfter;
         mCourse = course;
         mStreams = request.route().kind().streams();
-        mWholeEvents = request.route().resumable();
         mTail = new EventTail(request.caller().resumeAfter());
     }
 
@@ -66,7 +67,10 @@
         }
         if (mFirstMillis < 0) {
             mFirstMillis = nowMillis;
+            mLastMillis = nowMillis;
         }
+        mPauseMillis = Math.max(mPauseMillis, nowMillis - mLastMillis);
+        mLastMillis = nowMillis;
         writeHead();
         if (mWriter.tryWrite(HttpData.wrap(ready))) {
             mWriter.whenConsumed().thenRun(next);
@@ -82,7 +86,7 @@
     /** Ends the answer as complete. */
     void finish() {
         writeHead();
-        byte[] rest = mStreams && mWholeEvents ? mTail.takeRest() : mHeld.toByteArray();
+        byte[] rest = mStreams ? mTail.takeRest() : mHeld.toByteArray();
         if (rest.length > 0) {
             mWriter.tryWrite(HttpData.wrap(rest));
         }
@@ -94,10 +98,17 @@
         mWriter.close(AbortedStreamException.get());
     }
 
-    /** Answers without any backend server's answer. */
-    void refuse(CallerReply reply) {
+    /**
+     * Answers without any backend server's answer.
+     *
+     * @param reply what the caller is told
+     * @param leastMillis least time after which it may come back, if it may
+     */
+    void refuse(CallerReply reply, long leastMillis) {
         mStatus = reply.status();
-        mWriter.tryWrite(mRetryAfter.refusal(mStatus, reply.comeBack(), mStreams));
+        OptionalLong comeBack =
+                reply.comeBack() ? OptionalLong.of(leastMillis) : OptionalLong.empty();
+        mWriter.tryWrite(mRetryAfter.refusal(mStatus, comeBack));
         mWriter.close();
     }
 
@@ -106,6 +117,16 @@
         return mTail.lastId();
     }
 
+    /** Returns the longest pause within the answer. */
+    long pauseMillis() {
+        return mPauseMillis;
+    }
+
+    /** Returns the whole events of a stream that the caller was given. */
+    long events() {
+        return mTail.events();
+    }
+
     boolean isForwarding() {
         return mCourse.isForwarding();
     }
@@ -121,7 +142,7 @@
 
     private byte[] ready(byte[] bytes) {
         if (mStreams) {
-            return mWholeEvents ? mTail.offer(bytes) : bytes;
+            return mTail.offer(bytes);
         }
         if (mCourse.isForwarding()) {
             return bytes;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -43,6 +43,7 @@
     private final Set<BackendId> mAvoid;
     private final Listener mListener;
     private final PlaceSearch mSearch;
+    private final EngineRoom mRoom;
     private Optional<Backend> mAsked = Optional.empty();
     private boolean mClosed;
 
@@ -57,9 +58,10 @@
         mLoop = loop;
         mAvoid = new HashSet<>(avoid);
         mListener = listener;
+        mRoom = new EngineRoom(parts, request, loop);
         long now = parts.clock().millis();
         Seeker seeker = seeker(parts, request, !avoid.isEmpty(), now);
-        mSearch = PlaceSearch.begin(now, request.route().targetMillis(), seeker);
+        mSearch = PlaceSearch.begin(now, request.route().terms(), seeker);
     }
 
     private static Seeker seeker(
@@ -68,6 +70,8 @@
         if (sentBefore) {
             return Seeker.REPEAT;
         }
+        PlaceSearch first = PlaceSearch.begin(nowMillis, request.route().terms(), Seeker.FIRST);
+        long spent = first.waitMillis() + request.comeBackMillis(parts.demand());
         boolean comesBack =
                 waits.isPresent()
                         && parts.callers()
@@ -76,10 +80,19 @@
                                                 callers.comesBack(
                                                         request.route().name(),
                                                         waits.getAsLong(),
+                                                        spent,
                                                         nowMillis));
         return comesBack ? Seeker.COME_BACK : Seeker.FIRST;
     }
 
+    /** Asks an engine that holds the prompt already, and then others. */
+    void find(Optional<Backend> holder) {
+        long now = mParts.clock().millis();
+        Optional<Backend> chosen =
+                holder.filter(engine -> mParts.board().placeAt(engine, size(), now));
+        chosen.ifPresentOrElse(this::ask, this::find);
+    }
+
     /** Asks the best engine that has not just said that it is full. */
     void find() {
         long now = mParts.clock().millis();
@@ -109,7 +122,25 @@
 
     private void ask(Backend runner) {
         mAsked = Optional.of(runner);
-        PlaceAsk.send(mParts, mRequest, mLoop, runner, answer -> answered(runner, answer));
+        boolean yields = mSearch.yields(mParts.clock().millis());
+        mRoom.need(runner, yields, need -> askFor(runner, need));
+    }
+
+    private void askFor(Backend runner, Optional<PlaceNeed> need) {
+        if (mClosed) {
+            return;
+        }
+        if (need.isEmpty()) {
+            answered(runner, PlaceAsk.NO_ROOM);
+        } else {
+            PlaceAsk.send(
+                    mParts,
+                    mRequest,
+                    mLoop,
+                    runner,
+                    need.get(),
+                    answer -> answered(runner, answer));
+        }
     }
 
     private void answered(Backend runner, PlaceAsk.Answer answer) {
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineRoom.java
@@ -0,0 +1,152 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpRequest;
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.EngineReport;
+import org.cyclamenpaddle.relay.backend.TimedReport;
+import org.cyclamenpaddle.relay.backend.WorkSize;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.routing.memory.MemoryOutlook;
+import org.cyclamenpaddle.routing.memory.RunningWork;
+
+/**
+ * Works out what one request needs at engines, from what these report of their generations.
+ *
+ * <p>A host sees only its own part of an engine's work; the report names all of it. Reports are
+ * read when a place is asked for, so that their number follows the requests and not the hosts.
+ */
+final class EngineRoom {
+
+    /** Longest wait for a report, in milliseconds. */
+    private static final long CALL_MILLIS = 200;
+
+    /** Age of a report at its arrival, in milliseconds: engines say some hundred. */
+    private static final long BORN_OLD_MILLIS = 500;
+
+    private final RelayParts mParts;
+    private final RelayRequest mRequest;
+    private final EventLoop mLoop;
+
+    EngineRoom(RelayParts parts, RelayRequest request, EventLoop loop) {
+        mParts = parts;
+        mRequest = request;
+        mLoop = loop;
+    }
+
+    /**
+     * Tells what the request needs at an engine, on the event loop.
+     *
+     * @param engine the engine
+     * @param yields whether room for another request of its size must be left
+     * @param done told the need; nothing if the engine cannot take it
+     */
+    void need(Backend engine, boolean yields, Consumer<Optional<PlaceNeed>> done) {
+        WorkSize size = mRequest.caller().size();
+        long place = MemoryOutlook.place(size.promptTokens(), size.outputTokens());
+        read(
+                engine,
+                runs ->
+                        done.accept(
+                                runs.roomWith(Optional.of(size))
+                                        .map(
+                                                room ->
+                                                        new PlaceNeed(
+                                                                place,
+                                                                yields ? room + place : room))));
+    }
+
+    /** Tells the same for a generation that has made a part of its answer and goes on. */
+    void needToGoOn(Backend engine, long madeTokens, Consumer<Optional<PlaceNeed>> done) {
+        WorkSize size = mRequest.caller().size();
+        WorkSize rest =
+                new WorkSize(
+                        size.promptTokens() + madeTokens,
+                        Math.max(0, size.outputTokens() - madeTokens));
+        read(
+                engine,
+                runs ->
+                        done.accept(
+                                runs.roomWith(Optional.of(rest))
+                                        .map(room -> new PlaceNeed(rest.promptTokens(), room))));
+    }
+
+    /**
+     * Tells what must be free for the generations that an engine runs; nothing if it is too much.
+     */
+    void room(Backend engine, Consumer<Optional<Long>> done) {
+        read(engine, runs -> done.accept(runs.roomWith(Optional.empty())));
+    }
+
+    /** What an engine runs, with the age of its report. */
+    private final class Runs {
+
+        private final List<RunningWork> mWork;
+        private final long mAgeMillis;
+
+        private Runs(List<RunningWork> work, long ageMillis) {
+            mWork = work;
+            mAgeMillis = ageMillis;
+        }
+
+        private Optional<Long> roomWith(Optional<WorkSize> size) {
+            OptionalLong room =
+                    mParts.demand()
+                            .room(
+                                    mRequest.service(),
+                                    mRequest.engine().orElseThrow(),
+                                    mWork,
+                                    mAgeMillis,
+                                    size);
+            return room.isPresent() ? Optional.of(room.getAsLong()) : Optional.empty();
+        }
+    }
+
+    private void read(Backend engine, Consumer<Runs> done) {
+        if (mParts.board().reportDue(engine, mParts.clock().millis())) {
+            call(engine, () -> done.accept(runs(engine)));
+        } else {
+            done.accept(runs(engine));
+        }
+    }
+
+    private Runs runs(Backend engine) {
+        long now = mParts.clock().millis();
+        int eventTokens = mRequest.engine().orElseThrow().eventTokens();
+        TimedReport none = new TimedReport(new EngineReport(0, false, List.of()), now);
+        TimedReport report = mParts.board().report(engine, now).orElse(none);
+        return new Runs(report.report().work(eventTokens), report.ageMillis(now) + BORN_OLD_MILLIS);
+    }
+
+    private void call(Backend engine, Runnable done) {
+        mParts.connections()
+                .keptClient(engine.address(), engine.port())
+                .execute(
+                        HttpRequest.of(mParts.engines().report(engine)),
+                        RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
+                .aggregate()
+                .whenCompleteAsync(
+                        (answer, failure) -> {
+                            take(engine, answer, failure);
+                            done.run();
+                        },
+                        mLoop);
+    }
+
+    private void take(Backend engine, AggregatedHttpResponse answer, Throwable failure) {
+        Either<String, EngineReport> report =
+                failure == null
+                        ? mParts.engines().report(answer)
+                        : Either.left(String.valueOf(failure));
+        report.peek(told -> mParts.board().reported(engine, told, mParts.clock().millis()))
+                .peekLeft(
+                        cause -> mParts.log().log(RelayEvent.REPORT_NOT_READ, engine.id(), cause));
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
@@ -8,7 +8,9 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -16,9 +18,10 @@
 /**
  * Asks one engine to keep a place for one request.
  *
- * <p>What is kept stays kept for as long as the request runs, also the part that it never uses; so
- * no more is asked for than the request is expected to need. Keeping 1,200 tokens more for each
- * cost 0.05 of a calm day's worth on six engines, and spared eight preemptions.
+ * <p>What is kept stays kept for as long as the request runs, also a part that it never uses. So no
+ * more is kept than what it needs at its start; the room that it and others will grow into is asked
+ * for at the same time and given back at once. Engines answer from what is free now, which also
+ * counts the places that other hosts have just had.
  */
 final class PlaceAsk {
 
@@ -41,11 +44,11 @@
         }
     }
 
-    /**
-     * How long an engine keeps a place, in milliseconds: a prompt's reading, its queue and the
-     * transfer, three times over.
-     */
-    private static final long KEPT_MILLIS = 1_500;
+    /** What an engine would answer that cannot take the request. */
+    static final Answer NO_ROOM = new Answer(Optional.empty(), SendOutcome.ABANDONED, "none");
+
+    /** Stands for room that need not be asked for. */
+    private static final Answer ROOM = new Answer(Optional.empty(), SendOutcome.ABANDONED, "none");
 
     /** Longest wait for the answer of an engine, in milliseconds; usual ones take under 10. */
     private static final long CALL_MILLIS = 300;
@@ -54,19 +57,12 @@
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final Backend mEngine;
-    private final Consumer<Answer> mDone;
 
-    private PlaceAsk(
-            RelayParts parts,
-            RelayRequest request,
-            EventLoop loop,
-            Backend engine,
-            Consumer<Answer> done) {
+    private PlaceAsk(RelayParts parts, RelayRequest request, EventLoop loop, Backend engine) {
         mParts = parts;
         mRequest = request;
         mLoop = loop;
         mEngine = engine;
-        mDone = done;
     }
 
     /** Asks an engine; {@code done} is told on the event loop. */
@@ -75,13 +71,32 @@
             RelayRequest request,
             EventLoop loop,
             Backend engine,
+            PlaceNeed need,
+            Consumer<Answer> done) {
+        new PlaceAsk(parts, request, loop, engine).send(need, done);
+    }
+
+    /** Asks whether an engine has room, which is given back at once. */
+    static void room(
+            RelayParts parts,
+            RelayRequest request,
+            EventLoop loop,
+            Backend engine,
+            long tokens,
             Consumer<Answer> done) {
-        new PlaceAsk(parts, request, loop, engine, done).send(true);
+        new PlaceAsk(parts, request, loop, engine)
+                .keep(tokens, CALL_MILLIS, true)
+                .thenAcceptAsync(
+                        answer -> {
+                            answer.reservation().ifPresent(name -> cancel(parts, engine, name));
+                            done.accept(answer);
+                        },
+                        loop);
     }
 
     /** Gives a kept place back that no request will take. */
     static void cancel(RelayParts parts, Backend engine, String reservation) {
-        quietly(parts, engine, parts.messages().cancel(reservation));
+        quietly(parts, engine, parts.engines().cancel(reservation));
     }
 
     /** Makes a call whose failure harms nothing, since what it frees lapses by itself. */
@@ -99,30 +114,43 @@
                         });
     }
 
-    private void send(boolean keptConnection) {
+    private void send(PlaceNeed need, Consumer<Answer> done) {
+        long keptMillis = mRequest.engine().orElseThrow().reserveMillis();
+        CompletableFuture<Answer> place = keep(need.tokens(), keptMillis, true);
+        CompletableFuture<Answer> growth =
+                need.growthTokens() == 0
+                        ? CompletableFuture.completedFuture(ROOM)
+                        : keep(need.growthTokens(), CALL_MILLIS, true);
+        place.thenAcceptBothAsync(growth, (kept, room) -> done.accept(both(kept, room)), mLoop);
+    }
+
+    /** A place counts only with room for growth; that room is given back at once. */
+    private Answer both(Answer place, Answer growth) {
+        growth.reservation().ifPresent(name -> cancel(mParts, mEngine, name));
+        if (!place.kept() || growth == ROOM || growth.kept()) {
+            return place;
+        }
+        place.reservation().ifPresent(name -> cancel(mParts, mEngine, name));
+        return growth;
+    }
+
+    private CompletableFuture<Answer> keep(long tokens, long millis, boolean keptConnection) {
         long askedMillis = mParts.clock().millis();
-        mParts.connections()
+        return mParts.connections()
                 .client(mEngine.address(), mEngine.port(), keptConnection)
                 .execute(
-                        mParts.messages()
-                                .reserve(
-                                        mEngine,
-                                        mRequest.caller().size().memoryTokens(),
-                                        KEPT_MILLIS)
-                                .toHttpRequest(),
+                        mParts.engines().reserve(mEngine, tokens, millis).toHttpRequest(),
                         RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
                 .aggregate()
-                .whenCompleteAsync(
+                .handle(
                         (answer, failure) -> {
                             long spent = mParts.clock().millis() - askedMillis;
-                            if (keptConnection && failure != null && spent < CALL_MILLIS) {
-                                // A kept connection may have been closed while it was idle.
-                                send(false);
-                            } else {
-                                mDone.accept(answer(answer, failure));
-                            }
-                        },
-                        mLoop);
+                            // A kept connection may have been closed while it was idle.
+                            return keptConnection && failure != null && spent < CALL_MILLIS
+                                    ? keep(tokens, millis, false)
+                                    : CompletableFuture.completedFuture(answer(answer, failure));
+                        })
+                .thenCompose(Function.identity());
     }
 
     private Answer answer(AggregatedHttpResponse answer, Throwable failure) {
@@ -132,7 +160,7 @@
         if (answer.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
             return new Answer(Optional.empty(), SendOutcome.MISDIRECTED, "another engine");
         }
-        Either<String, Optional<String>> kept = mParts.messages().reservation(answer);
+        Either<String, Optional<String>> kept = mParts.engines().reservation(answer);
         return kept.fold(
                 problem -> new Answer(Optional.empty(), SendOutcome.NOT_SENT, problem),
                 name -> new Answer(name, SendOutcome.ABANDONED, "none"));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
@@ -19,22 +19,23 @@
 final class PromptReading implements ExchangeListener {
 
     /**
-     * Longest wait for a prompt to be read by an engine that answers nothing, in milliseconds.
+     * Share of a bearable silence for which an engine is waited for that answers nothing.
      *
-     * <p>Safeguard: an engine that went dark would hold the request until its timeout. The longest
-     * prompts take 200 ms; after three times that, reading at the runner still ends within a
-     * second.
+     * <p>Safeguard: an engine that went dark would hold the request until its timeout. Given up
+     * sooner, prompts that merely queue would be read once more, at decode engines, where they
+     * break the streams of all that run there. After it, reading at the runner still ends before
+     * the caller leaves.
      */
-    private static final long PATIENCE_MILLIS = 600;
+    private static final double SILENT_SHARE = 0.25;
 
     /**
-     * Longest wait for an engine that goes on answering others, in milliseconds.
+     * Share of a bearable silence for which an engine is waited for that goes on answering others.
      *
      * <p>Safeguard: after a loss of power all hosts bring their callers at once, and prompts queue
      * for a second at engines that are well. Given up, what was read of them is lost, and they are
-     * read once more where they delay generations. Callers leave a stream after 3.6 s.
+     * read once more where they delay generations.
      */
-    private static final long QUEUE_MILLIS = 1_800;
+    private static final double QUEUE_SHARE = 0.6;
 
     private final RelayParts mParts;
     private final RelayRequest mRequest;
@@ -71,7 +72,7 @@
     void start(EventLoop loop, long leftMillis) {
         mLoop = loop;
         mLeftMillis = leftMillis;
-        mPatience = loop.schedule(this::tooLong, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        mPatience = loop.schedule(this::tooLong, patienceMillis(), TimeUnit.MILLISECONDS);
         open(true);
     }
 
@@ -84,6 +85,7 @@
                         true,
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         Optional.empty());
         mExchange =
                 BackendExchange.send(
@@ -140,8 +142,7 @@
             fail(SendOutcome.UNKNOWN, "answer for " + mAnswer.requestId().orElse("no request"));
             return;
         }
-        Either<String, PromptHandle> handle =
-                mParts.messages().prompt(mReader, mBody.toByteArray());
+        Either<String, PromptHandle> handle = mParts.engines().prompt(mReader, mBody.toByteArray());
         if (handle.isLeft()) {
             fail(SendOutcome.UNKNOWN, handle.getLeft());
             return;
@@ -166,14 +167,22 @@
         }
     }
 
+    private long patienceMillis() {
+        return (long) (mRequest.route().silenceMillis() * SILENT_SHARE);
+    }
+
     private void tooLong() {
         if (mEnded) {
             return;
         }
         long now = mParts.clock().millis();
-        boolean queued = mParts.board().answeredSince(mReader, now - PATIENCE_MILLIS);
-        if (queued && now + PATIENCE_MILLIS <= mStartMillis + QUEUE_MILLIS) {
-            mPatience = mLoop.schedule(this::tooLong, PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        long patience = patienceMillis();
+        long most = (long) (mRequest.route().silenceMillis() * QUEUE_SHARE);
+        long left = mStartMillis + most - now;
+        boolean queued = mParts.board().answeredSince(mReader, now - patience);
+        if (queued && left > 0) {
+            mPatience =
+                    mLoop.schedule(this::tooLong, Math.min(patience, left), TimeUnit.MILLISECONDS);
         } else {
             mExchange.cancel();
             fail(SendOutcome.UNKNOWN, "no answer in " + (now - mStartMillis) + " ms");
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
@@ -9,6 +9,7 @@
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
 import org.cyclamenpaddle.relay.staging.DemandMeter;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
+import org.cyclamenpaddle.relay.wire.EngineMessages;
 import org.cyclamenpaddle.routing.place.CallerWaits;
 
 /**
@@ -18,8 +19,10 @@
  * @param budget repeats
  * @param demand of generations
  * @param callers how long callers wait, by route
+ * @param kept where prompts lie that were read before
  * @param connections to backend servers
- * @param messages how they are spoken to
+ * @param messages how callers' requests are sent on
+ * @param engines how engines are spoken to about their memory
  * @param log decision lines
  * @param metrics counters
  * @param clock this host's clock
@@ -30,8 +33,10 @@
         SharedRetryBudget budget,
         DemandMeter demand,
         Table<CallerWaits> callers,
+        KeptPrompts kept,
         BackendConnections connections,
         BackendMessages messages,
+        EngineMessages engines,
         DecisionLog log,
         RelayMetrics metrics,
         Clock clock,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -5,7 +5,10 @@
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.relay.route.EngineShape;
 import org.cyclamenpaddle.relay.route.Route;
+import org.cyclamenpaddle.relay.staging.Demand;
+import org.cyclamenpaddle.relay.staging.DemandMeter;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
+import org.cyclamenpaddle.routing.place.ComeBack;
 
 /**
  * A request on its way, with what its configuration says of it.
@@ -23,4 +26,17 @@
         Route route,
         ServiceName service,
         Optional<EngineShape> engine,
-        long version) {}
+        long version) {
+
+    /** Share of a call's target after which it may come back: about another call's work. */
+    private static final double CALL_SHARE = 0.5;
+
+    /** Returns the least time after which a refused request should come back. */
+    long comeBackMillis(DemandMeter demand) {
+        if (engine.isEmpty()) {
+            return Math.max(1, (long) (route.targetMillis() * CALL_SHARE));
+        }
+        double usualMillis = demand.of(service).map(Demand::decodeMillis).orElse(0.0);
+        return ComeBack.leastMillis(usualMillis, route.terms());
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -172,6 +172,7 @@
                 reason,
                 mConfiguration.version());
         boolean comeBack = status.equals(HttpStatus.SERVICE_UNAVAILABLE);
-        return HttpResponse.of(mRetryAfter.refusal(status.code(), comeBack, false));
+        return HttpResponse.of(
+                comeBack ? mRetryAfter.notYet(status.code()) : mRetryAfter.refusal(status.code()));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RunLines.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RunLines.java
@@ -64,7 +64,9 @@
                 spentMillis(),
                 mAnswer.firstMillis(mStartMillis),
                 placeMillis,
-                name(reader));
+                name(reader),
+                mAnswer.events(),
+                mAnswer.pauseMillis());
     }
 
     /** The caller's answer was cut short. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -57,7 +57,9 @@
                     "millis",
                     "firstMillis",
                     "placeMillis",
-                    "reader")),
+                    "reader",
+                    "events",
+                    "pauseMillis")),
     REQUEST_FAILED(
             2202,
             Weight.TELLING,
@@ -93,6 +95,12 @@
             Weight.TELLING,
             "what an engine keeps was not freed",
             List.of("backend", "cause")),
+    REPORT_NOT_READ(2210, Weight.TELLING, "engine's report not read", List.of("backend", "cause")),
+    STREAM_MOVED(
+            2211,
+            Weight.TELLING,
+            "generation moved to another engine",
+            List.of("request", "backend", "target", "madeTokens", "outcome")),
     REQUEST_REFUSED(
             2207,
             Weight.TELLING,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.routing.place.CallerTerms;
 
 /**
  * Where requests of one host name and path prefix go, and how they may be treated.
@@ -12,6 +13,7 @@
  * @param kind what may be repeated
  * @param timeoutMillis longest time that a caller is kept waiting
  * @param targetMillis time within which an answer, or a stream's first event, is on time
+ * @param silenceMillis time without an event after which callers leave a stream
  * @param priority rank of the requests; 0 is the highest
  * @param services the services behind it, at least one with a weight above 0
  * @param maxAttempts backend servers that one attempt of a caller may be sent to
@@ -24,6 +26,7 @@
         RouteKind kind,
         long timeoutMillis,
         long targetMillis,
+        long silenceMillis,
         int priority,
         List<WeightedService> services,
         int maxAttempts,
@@ -37,7 +40,7 @@
             throw new IllegalArgumentException(
                     "prefix '" + pathPrefix + "' must begin and end with a slash");
         }
-        if (timeoutMillis < 1 || targetMillis < 0 || maxAttempts < 1) {
+        if (timeoutMillis < 1 || targetMillis < 0 || silenceMillis < 0 || maxAttempts < 1) {
             throw new IllegalArgumentException("route " + name + " has a figure out of range");
         }
         services = List.copyOf(services);
@@ -46,6 +49,11 @@
         }
     }
 
+    /** Returns what callers accept. */
+    public CallerTerms terms() {
+        return new CallerTerms(targetMillis, silenceMillis);
+    }
+
     /** Returns whether a request may be sent again after it may have run. */
     public boolean repeatable() {
         return kind.repeatable(resumable);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
@@ -177,10 +177,15 @@
         boolean settled = mEngines.settled(service, engines, mClock.millis());
         boolean staged = engines.stream().allMatch(engine -> engine.stage() != BackendStage.WHOLE);
         return settled && staged
-                ? mParts.plan().next(engines, mParts.demand().of(service), shape)
+                ? mParts.plan().next(engines, load(service, shape))
                 : Optional.empty();
     }
 
+    private Optional<EngineLoad> load(ServiceName service, EngineShape shape) {
+        double speed = mParts.board().tokensReadPerMilli(service);
+        return mParts.demand().of(service).map(demand -> EngineLoad.of(demand, shape, speed));
+    }
+
     private Backend withOrderedStage(Backend engine) {
         return Optional.ofNullable(mOrdered.get(engine.id()))
                 .map(ordered -> engine.withStage(ordered.stage()))
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StagePlan.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StagePlan.java
@@ -6,74 +6,77 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendStage;
-import org.cyclamenpaddle.relay.backend.CostSettings;
-import org.cyclamenpaddle.relay.route.EngineShape;
 
 /**
  * How many of a service's engines should prefill, and which engine changes next.
  *
  * <p>A prompt takes an engine's time; a generation takes its memory for as long as it runs. The
- * engines are divided so that both pools are busy to the shares that each bears: a prefill pool
- * above six tenths makes prompts queue past their target, while memory can be used nearly whole.
- * Where the supplied split had five of thirteen engines prefill, three suffice, and the two others
- * hold a quarter more generations.
+ * engines are divided so that both pools together carry the most generations in a second: an engine
+ * too many on one side is one too few on the other, where callers then wait.
  */
 public final class StagePlan {
 
-    /** Share of its time that a prefill engine may be busy; at it, prompts wait about as long. */
-    static final double PREFILL_BUSY = 0.6;
+    /** Share of its time that a prefill engine may be busy; at it, prompts wait twice as long. */
+    static final double PREFILL_BUSY = 0.8;
 
     /** Share of its memory that a decode engine may use, the rest being room for growth. */
     static final double DECODE_BUSY = 0.85;
 
+    /** Engines of which one prefills until the demand is known. */
+    static final int ENGINES_PER_READER = 5;
+
     /**
-     * Engines by which the present split must be off before one changes.
+     * How much more a split must carry than the present one before an engine changes.
      *
      * <p>Safeguard: a changing engine serves nobody for some seconds. Without a margin the plan
      * would follow the noise of the demand and keep engines changing.
      */
-    static final double MARGIN = 0.75;
-
-    private final CostSettings mCosts;
-
-    /** Creates the plan. */
-    public StagePlan(CostSettings costs) {
-        mCosts = costs;
-    }
+    static final double GAIN = 1.5;
 
     /**
      * Returns the next change.
      *
      * @param engines the service's engines, with the stages that they have or are changing to
-     * @param demand of a mean generation
-     * @param shape of an engine
+     * @param load what they have to carry; empty until it is known
      */
-    public Optional<StageChange> next(List<Backend> engines, Demand demand, EngineShape shape) {
+    public Optional<StageChange> next(List<Backend> engines, Optional<EngineLoad> load) {
         if (engines.size() < 2) {
             return Optional.empty();
         }
-        long prefill = count(engines, BackendStage.PREFILL);
-        double wanted = wantedPrefill(engines.size(), demand, shape);
-        if (prefill - wanted > MARGIN && prefill > 1) {
+        int prefill = (int) count(engines, BackendStage.PREFILL);
+        int wanted = wantedPrefill(engines.size(), prefill, load);
+        if (prefill > wanted) {
             return change(engines, BackendStage.PREFILL, BackendStage.DECODE);
         }
-        if (wanted - prefill > MARGIN && engines.size() - prefill > 1) {
-            return change(engines, BackendStage.DECODE, BackendStage.PREFILL);
+        return prefill < wanted
+                ? change(engines, BackendStage.DECODE, BackendStage.PREFILL)
+                : Optional.empty();
+    }
+
+    /** Returns how many of {@code engines} should prefill; between 1 and all but one. */
+    int wantedPrefill(int engines, int prefill, Optional<EngineLoad> load) {
+        if (load.isEmpty()) {
+            return Math.max(1, (engines + ENGINES_PER_READER - 1) / ENGINES_PER_READER);
         }
-        return Optional.empty();
+        int best =
+                IntStream.range(1, engines)
+                        .boxed()
+                        .max(Comparator.comparing(split -> carried(engines, split, load.get())))
+                        .orElse(1);
+        boolean possible = prefill >= 1 && prefill < engines;
+        double now = possible ? carried(engines, prefill, load.get()) : 0;
+        return carried(engines, best, load.get()) > now * GAIN ? best : prefill;
     }
 
-    /** Returns how many of {@code engines} should prefill, before rounding; 1 at least. */
-    double wantedPrefill(int engines, Demand demand, EngineShape shape) {
-        double readMillis = demand.promptTokens() / mCosts.promptTokensPerMilli() / PREFILL_BUSY;
-        double heldTokens = demand.promptTokens() + demand.outputTokens() / 2;
-        double memoryShare = heldTokens / shape.memoryTokens();
-        double decodeMillis = memoryShare * demand.decodeMillis() / DECODE_BUSY;
-        double wanted = engines * readMillis / Math.max(1, readMillis + decodeMillis);
-        return Math.max(1, Math.min(engines - 1.0, wanted));
+    /** Returns the generations that a split carries in a millisecond. */
+    static double carried(int engines, int prefill, EngineLoad load) {
+        double read = prefill * PREFILL_BUSY / load.readMillis();
+        double run = (engines - prefill) * DECODE_BUSY / load.memoryMillis();
+        return Math.min(read, run);
     }
 
     private static Optional<StageChange> change(
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/NewWork.java
@@ -0,0 +1,17 @@
+package org.cyclamenpaddle.routing.memory;
+
+/**
+ * A generation that begins.
+ *
+ * @param promptTokens its prompt
+ * @param expectedTokens what its caller expects it to make
+ */
+public record NewWork(long promptTokens, long expectedTokens) {
+
+    public NewWork {
+        if (promptTokens < 0 || expectedTokens < 0) {
+            throw new IllegalArgumentException(
+                    "generation of " + promptTokens + " and " + expectedTokens + " tokens");
+        }
+    }
+}
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/CallerWaits.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/CallerWaits.java
@@ -12,16 +12,6 @@
  */
 public final class CallerWaits {
 
-    /**
-     * Share of a route's longest wait that a request of its first time still has.
-     *
-     * <p>First waits were seen spread evenly from 0.857 of the longest up to it, and those of
-     * callers that came back after {@link PlaceSearch#COME_BACK_MILLIS} at 0.81 and below. Taken
-     * for come-backs, two thirds of the first requests waited behind others: 0.05 of a calm day's
-     * worth on six engines.
-     */
-    static final double FIRST_SHARE = 0.84;
-
     /**
      * Time after which longer waits of before are forgotten, in milliseconds: several times a wait,
      * so that a route whose callers have become less patient is judged by them within a minute.
@@ -48,14 +38,15 @@
      *
      * @param route its route
      * @param waitMillis how long its caller still waits
+     * @param spentMillis least time that a caller spends on a first try and the wait after it
      * @param nowMillis reading of the clock
      */
-    public boolean comesBack(String route, long waitMillis, long nowMillis) {
+    public boolean comesBack(String route, long waitMillis, long spentMillis, long nowMillis) {
         Longest longest =
                 mLongest.merge(
                         route,
                         new Longest(nowMillis, 0, waitMillis),
                         (old, first) -> old.with(waitMillis, nowMillis));
-        return waitMillis < longest.either() * FIRST_SHARE;
+        return waitMillis < longest.either() - spentMillis;
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/PlaceSearch.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/PlaceSearch.java
@@ -3,23 +3,12 @@
 /**
  * How often one request asks full engines for a place, and for how long.
  *
- * <p>On six engines under bursts of twice their load, telling first requests from come-backs raised
- * the share of generations in time from 0.66 to 0.81 (docs/adr/0006).
- *
  * @param startMillis when the search began
  * @param waitMillis for how long it goes on
  * @param seeker what the request has behind it
  */
 public record PlaceSearch(long startMillis, long waitMillis, Seeker seeker) {
 
-    /**
-     * Least time after which callers are asked to come back, in milliseconds.
-     *
-     * <p>Places come free as generations end, which takes three to five seconds; who comes sooner
-     * meets the same full engines. Callers accept a wait of up to a third of their time.
-     */
-    public static final long COME_BACK_MILLIS = 2_200;
-
     public PlaceSearch {
         if (waitMillis < 0 || seeker == null) {
             throw new IllegalArgumentException(
@@ -31,11 +20,11 @@
      * Begins the search of a request.
      *
      * @param nowMillis reading of the clock
-     * @param targetMillis time in which its first token should come
+     * @param terms what its caller accepts
      * @param seeker what it has behind it
      */
-    public static PlaceSearch begin(long nowMillis, long targetMillis, Seeker seeker) {
-        return new PlaceSearch(nowMillis, seeker.waitMillis(targetMillis), seeker);
+    public static PlaceSearch begin(long nowMillis, CallerTerms terms, Seeker seeker) {
+        return new PlaceSearch(nowMillis, seeker.waitMillis(terms), seeker);
     }
 
     /** Returns whether there is time for another ask after a pause. */
@@ -45,7 +34,12 @@
 
     /** Returns the pause before the next ask, in milliseconds. */
     public long pauseMillis(long nowMillis) {
-        return seeker.pauseMillis(leftMillis(nowMillis));
+        return seeker.pauseMillis(leftMillis(nowMillis), waitMillis);
+    }
+
+    /** Returns whether the request leaves room for another one beside its own. */
+    public boolean yields(long nowMillis) {
+        return seeker.yields(leftMillis(nowMillis), waitMillis);
     }
 
     private long leftMillis(long nowMillis) {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/Seeker.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/Seeker.java
@@ -4,38 +4,44 @@
  * What a request that looks for a place has behind it, and what follows for its search.
  *
  * <p>When more requests come than engines can hold, whoever asks next after a place has come free
- * gets it. So the pauses between asks decide who is served in time.
+ * gets it. So the pauses between asks, and the room that is asked for, decide who is served in
+ * time.
  */
 public enum Seeker {
     /** Has only just come; it can still meet its target. */
     FIRST {
         @Override
-        long waitMillis(long targetMillis) {
-            return (long) (targetMillis * FIRST_WAIT_SHARE);
+        long waitMillis(CallerTerms terms) {
+            return (long) (terms.targetMillis() * FIRST_WAIT_SHARE);
         }
 
         @Override
-        long pauseMillis(long leftMillis) {
+        long pauseMillis(long leftMillis, long waitMillis) {
             return SHORT_PAUSE_MILLIS;
         }
     },
 
     /**
      * Comes back after a refusal. It has missed its target, and every place that it gets makes
-     * another one late: it asks rarely, and often only at the end of its wait, when it would be
-     * refused for good.
+     * another one late: it asks rarely and for more than it needs, and like others only at the end
+     * of its wait, when it would be refused for good.
      */
     COME_BACK {
         @Override
-        long waitMillis(long targetMillis) {
-            return BACK_WAIT_MILLIS;
+        long waitMillis(CallerTerms terms) {
+            return (long) (terms.silenceMillis() * BACK_WAIT_SHARE);
         }
 
         @Override
-        long pauseMillis(long leftMillis) {
-            long calmMillis = leftMillis - BACK_HURRY_MILLIS;
+        long pauseMillis(long leftMillis, long waitMillis) {
+            long calmMillis = leftMillis - (long) (waitMillis * BACK_HURRY_SHARE);
             return Math.max(SHORT_PAUSE_MILLIS, Math.min(BACK_PAUSE_MILLIS, calmMillis));
         }
+
+        @Override
+        boolean yields(long leftMillis, long waitMillis) {
+            return leftMillis > waitMillis * BACK_HURRY_SHARE;
+        }
     },
 
     /**
@@ -44,35 +50,24 @@
      */
     REPEAT {
         @Override
-        long waitMillis(long targetMillis) {
-            return REPEAT_WAIT_MILLIS;
+        long waitMillis(CallerTerms terms) {
+            return (long) (terms.silenceMillis() * REPEAT_WAIT_SHARE);
         }
 
         @Override
-        long pauseMillis(long leftMillis) {
+        long pauseMillis(long leftMillis, long waitMillis) {
             return SHORT_PAUSE_MILLIS;
         }
     };
 
-    /**
-     * Shortest pause between two asks, in milliseconds: in a full pool of four engines a place
-     * comes free about every 90 ms, and an ask takes 3 to 8.
-     */
+    /** Shortest pause between two asks, in milliseconds; an ask itself takes a few. */
     static final long SHORT_PAUSE_MILLIS = 25;
 
-    /**
-     * Pause of a request that comes back, in milliseconds.
-     *
-     * <p>There are then up to five of them for one of its first time; at a sixteenth of its rate
-     * they get about a quarter of the places.
-     */
-    static final long BACK_PAUSE_MILLIS = 400;
+    /** Pause of a request that comes back, in milliseconds: a sixteenth of the others' rate. */
+    static final long BACK_PAUSE_MILLIS = 16 * SHORT_PAUSE_MILLIS;
 
-    /**
-     * Time before its end from which a request that comes back asks as often as others, in
-     * milliseconds: in it about seven places come free in a pool of four engines.
-     */
-    static final long BACK_HURRY_MILLIS = 600;
+    /** Share of its wait at the end of which a request that comes back asks like others. */
+    static final double BACK_HURRY_SHARE = 0.2;
 
     /**
      * Share of the target that a request of its first time may spend on finding a place: what is
@@ -80,21 +75,23 @@
      */
     private static final double FIRST_WAIT_SHARE = 0.55;
 
-    /**
-     * Wait of a request that comes back, in milliseconds: callers leave a stream that has not begun
-     * after 3.6 s, and reading its prompt takes up to half a second of it.
-     */
-    private static final long BACK_WAIT_MILLIS = 2_800;
+    /** Share of a bearable silence that a come-back may wait; its prompt is read in the rest. */
+    private static final double BACK_WAIT_SHARE = 0.78;
 
     /**
-     * Wait of a request that was sent already, in milliseconds: callers leave a stream that pauses
-     * for 3.6 s, of which its break, seen late, and the new reading take up to 1.4.
+     * Share of a bearable silence that a request may wait that was sent already; the break, seen
+     * late, and the new reading take the rest.
      */
-    private static final long REPEAT_WAIT_MILLIS = 2_200;
+    private static final double REPEAT_WAIT_SHARE = 0.6;
 
     /** Returns for how long the search goes on. */
-    abstract long waitMillis(long targetMillis);
+    abstract long waitMillis(CallerTerms terms);
 
     /** Returns the pause before the next ask when so much is left of the search. */
-    abstract long pauseMillis(long leftMillis);
+    abstract long pauseMillis(long leftMillis, long waitMillis);
+
+    /** Returns whether room for another request must be free beside its own. */
+    boolean yields(long leftMillis, long waitMillis) {
+        return false;
+    }
 }
