--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -16,6 +16,5 @@
     SUSPECTS,
     RETRIES,
     DEMAND,
-    CALLERS,
-    KEPT_PROMPTS
+    CALLERS
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -26,7 +26,6 @@
 import org.cyclamenpaddle.relay.backend.BackendBoard;
 import org.cyclamenpaddle.relay.backend.CostSettings;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
-import org.cyclamenpaddle.relay.front.KeptPrompts;
 import org.cyclamenpaddle.relay.front.RelayParts;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
@@ -122,8 +121,6 @@
                         mBudget,
                         mDemand,
                         new Table<>(TableOrder.CALLERS, new CallerWaits()),
-                        new KeptPrompts(
-                                mBoard, mConnections, sources.engineMessages(), mLog, mClock),
                         mConnections,
                         sources.backendMessages(),
                         sources.engineMessages(),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -129,30 +129,6 @@
                 });
     }
 
-    /**
-     * Notes a request's work on a server that it should rather go to, if that can take it now.
-     *
-     * @return whether it can
-     */
-    public boolean placeAt(Backend backend, WorkSize size, long nowMillis) {
-        return mTable.read(
-                state -> {
-                    BackendState known = state.of(backend);
-                    boolean takes =
-                            backend.stage().runs()
-                                    && state.mDirectory
-                                            .usable(backend.service())
-                                            .anyMatch(backend::equals)
-                                    && state.admits(backend, nowMillis)
-                                    && !known.isFull(nowMillis)
-                                    && !known.isOutdated(backend, nowMillis);
-                    if (takes) {
-                        state.started(backend, size, nowMillis);
-                    }
-                    return takes;
-                });
-    }
-
     /**
      * Chooses a prefill engine for a request that has a place at a decode engine, where reading
      * there and handing over beats reading in place, and notes the work on it.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
@@ -20,6 +20,11 @@
         }
     }
 
+    /** Returns the tokens that the work holds in an engine's memory at its expected end. */
+    public long memoryTokens() {
+        return promptTokens + outputTokens;
+    }
+
     /** Returns it as a generation that begins. */
     public NewWork asNewWork() {
         return new NewWork(promptTokens, outputTokens);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
@@ -29,15 +29,13 @@
      * @param promptReadElsewhere whether no prompt has to be read by the server
      * @param othersLeft whether another server could still be asked after a silence
      * @param connection what connection carries it
-     * @param progressed told after each piece of a stream
      * @param sentOnceMore told before the server is sent the request a second time
      */
     record Terms(
             boolean promptReadElsewhere,
             boolean othersLeft,
             Connection connection,
-            Runnable sentOnceMore,
-            Runnable progressed) {}
+            Runnable sentOnceMore) {}
 
     /** What connection carries a send. */
     enum Connection {
@@ -86,11 +84,9 @@
     private BackendAnswer mHead;
     private final boolean mOthersLeft;
     private final Runnable mSentOnceMore;
-    private final Runnable mProgressed;
     private Connection mConnection;
     private boolean mPromptRead;
     private boolean mFlowing;
-    private boolean mMayStop;
     private boolean mEnded;
 
     BackendSend(
@@ -108,7 +104,6 @@
         mOthersLeft = terms.othersLeft();
         mConnection = terms.connection();
         mSentOnceMore = terms.sentOnceMore();
-        mProgressed = terms.progressed();
         mEndListener = endListener;
         mStartMillis = parts.clock().millis();
     }
@@ -145,11 +140,6 @@
         return outcome;
     }
 
-    /** The server may end the stream soon because it was told to; that says nothing against it. */
-    void mayStop() {
-        mMayStop = true;
-    }
-
     /** Returns the prompt that was read for this send. */
     Optional<PromptHandle> prompt() {
         return mCall.prompt();
@@ -194,7 +184,6 @@
         }
         if (mHead.success() || !mAnswer.isForwarding()) {
             mAnswer.data(data, mParts.clock().millis(), this::more);
-            mProgressed.run();
         } else {
             mExchange.more();
         }
@@ -305,7 +294,7 @@
                                 target(),
                                 mRequest.caller().size(),
                                 mPromptRead,
-                                mMayStop && outcome.mayHaveRun() ? SendOutcome.ABANDONED : outcome,
+                                outcome,
                                 mParts.clock().millis());
         if (ejected) {
             mParts.log().log(RelayEvent.BACKEND_EJECTED, target().id(), outcome, cause);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -85,14 +85,6 @@
         return comesBack ? Seeker.COME_BACK : Seeker.FIRST;
     }
 
-    /** Asks an engine that holds the prompt already, and then others. */
-    void find(Optional<Backend> holder) {
-        long now = mParts.clock().millis();
-        Optional<Backend> chosen =
-                holder.filter(engine -> mParts.board().placeAt(engine, size(), now));
-        chosen.ifPresentOrElse(this::ask, this::find);
-    }
-
     /** Asks the best engine that has not just said that it is full. */
     void find() {
         long now = mParts.clock().millis();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineRoom.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineRoom.java
@@ -14,8 +14,7 @@
 import org.cyclamenpaddle.relay.backend.TimedReport;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
-import org.cyclamenpaddle.routing.memory.MemoryOutlook;
-import org.cyclamenpaddle.routing.memory.RunningWork;
+import org.cyclamenpaddle.relay.route.EngineShape;
 
 /**
  * Works out what one request needs at engines, from what these report of their generations.
@@ -49,80 +48,32 @@
      * @param done told the need; nothing if the engine cannot take it
      */
     void need(Backend engine, boolean yields, Consumer<Optional<PlaceNeed>> done) {
-        WorkSize size = mRequest.caller().size();
-        long place = MemoryOutlook.place(size.promptTokens(), size.outputTokens());
-        read(
-                engine,
-                runs ->
-                        done.accept(
-                                runs.roomWith(Optional.of(size))
-                                        .map(
-                                                room ->
-                                                        new PlaceNeed(
-                                                                place,
-                                                                yields ? room + place : room))));
-    }
-
-    /** Tells the same for a generation that has made a part of its answer and goes on. */
-    void needToGoOn(Backend engine, long madeTokens, Consumer<Optional<PlaceNeed>> done) {
-        WorkSize size = mRequest.caller().size();
-        WorkSize rest =
-                new WorkSize(
-                        size.promptTokens() + madeTokens,
-                        Math.max(0, size.outputTokens() - madeTokens));
-        read(
-                engine,
-                runs ->
-                        done.accept(
-                                runs.roomWith(Optional.of(rest))
-                                        .map(room -> new PlaceNeed(rest.promptTokens(), room))));
-    }
-
-    /**
-     * Tells what must be free for the generations that an engine runs; nothing if it is too much.
-     */
-    void room(Backend engine, Consumer<Optional<Long>> done) {
-        read(engine, runs -> done.accept(runs.roomWith(Optional.empty())));
-    }
-
-    /** What an engine runs, with the age of its report. */
-    private final class Runs {
-
-        private final List<RunningWork> mWork;
-        private final long mAgeMillis;
-
-        private Runs(List<RunningWork> work, long ageMillis) {
-            mWork = work;
-            mAgeMillis = ageMillis;
-        }
-
-        private Optional<Long> roomWith(Optional<WorkSize> size) {
-            OptionalLong room =
-                    mParts.demand()
-                            .room(
-                                    mRequest.service(),
-                                    mRequest.engine().orElseThrow(),
-                                    mWork,
-                                    mAgeMillis,
-                                    size);
-            return room.isPresent() ? Optional.of(room.getAsLong()) : Optional.empty();
-        }
-    }
-
-    private void read(Backend engine, Consumer<Runs> done) {
         if (mParts.board().reportDue(engine, mParts.clock().millis())) {
-            call(engine, () -> done.accept(runs(engine)));
+            call(engine, () -> done.accept(needNow(engine, yields)));
         } else {
-            done.accept(runs(engine));
+            done.accept(needNow(engine, yields));
         }
     }
 
-    private Runs runs(Backend engine) {
+    private Optional<PlaceNeed> needNow(Backend engine, boolean yields) {
         long now = mParts.clock().millis();
-        int eventTokens = mRequest.engine().orElseThrow().eventTokens();
+        EngineShape shape = mRequest.engine().orElseThrow();
+        WorkSize size = mRequest.caller().size();
         TimedReport none = new TimedReport(new EngineReport(0, false, List.of()), now);
         TimedReport report = mParts.board().report(engine, now).orElse(none);
-        return new Runs(report.report().work(eventTokens), report.ageMillis(now) + BORN_OLD_MILLIS);
+        OptionalLong room =
+                mParts.demand()
+                        .room(
+                                mRequest.service(),
+                                shape,
+                                report.report().work(shape.eventTokens()),
+                                report.ageMillis(now) + BORN_OLD_MILLIS,
+                                size);
+        long place = size.memoryTokens();
+        long left = yields ? place : 0;
+        return room.isPresent()
+                ? Optional.of(new PlaceNeed(place, room.getAsLong() + left))
+                : Optional.empty();
     }
 
     private void call(Backend engine, Runnable done) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
@@ -76,24 +76,6 @@
         new PlaceAsk(parts, request, loop, engine).send(need, done);
     }
 
-    /** Asks whether an engine has room, which is given back at once. */
-    static void room(
-            RelayParts parts,
-            RelayRequest request,
-            EventLoop loop,
-            Backend engine,
-            long tokens,
-            Consumer<Answer> done) {
-        new PlaceAsk(parts, request, loop, engine)
-                .keep(tokens, CALL_MILLIS, true)
-                .thenAcceptAsync(
-                        answer -> {
-                            answer.reservation().ifPresent(name -> cancel(parts, engine, name));
-                            done.accept(answer);
-                        },
-                        loop);
-    }
-
     /** Gives a kept place back that no request will take. */
     static void cancel(RelayParts parts, Backend engine, String reservation) {
         quietly(parts, engine, parts.engines().cancel(reservation));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
@@ -85,7 +85,6 @@
                         true,
                         Optional.empty(),
                         Optional.empty(),
-                        Optional.empty(),
                         Optional.empty());
         mExchange =
                 BackendExchange.send(
@@ -179,7 +178,7 @@
         long patience = patienceMillis();
         long most = (long) (mRequest.route().silenceMillis() * QUEUE_SHARE);
         long left = mStartMillis + most - now;
-        boolean queued = mParts.board().answeredSince(mReader, now - patience);
+        boolean queued = mParts.board().answeredSince(mReader, mStartMillis);
         if (queued && left > 0) {
             mPatience =
                     mLoop.schedule(this::tooLong, Math.min(patience, left), TimeUnit.MILLISECONDS);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
@@ -19,7 +19,6 @@
  * @param budget repeats
  * @param demand of generations
  * @param callers how long callers wait, by route
- * @param kept where prompts lie that were read before
  * @param connections to backend servers
  * @param messages how callers' requests are sent on
  * @param engines how engines are spoken to about their memory
@@ -33,7 +32,6 @@
         SharedRetryBudget budget,
         DemandMeter demand,
         Table<CallerWaits> callers,
-        KeptPrompts kept,
         BackendConnections connections,
         BackendMessages messages,
         EngineMessages engines,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
-import org.cyclamenpaddle.relay.backend.BackendStage;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.course.CallerReply;
@@ -19,9 +18,7 @@
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.staging.Demand;
 import org.cyclamenpaddle.relay.wire.BackendCall;
-import org.cyclamenpaddle.relay.wire.MovedRun;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
-import org.cyclamenpaddle.routing.memory.MemoryOutlook;
 
 /**
  * Carries one request through its course: places it, sends it, and ends it exactly once.
@@ -46,12 +43,7 @@
     private Optional<BackendSend> mSend = Optional.empty();
     private Optional<Backend> mLast = Optional.empty();
     private Optional<Backend> mReader = Optional.empty();
-    private Optional<Backend> mHolder = Optional.empty();
     private Optional<Backend> mLostReader = Optional.empty();
-    private Optional<StreamMove> mMove = Optional.empty();
-    private Optional<Runnable> mMoved = Optional.empty();
-    private Optional<Runnable> mBroken = Optional.empty();
-    private int mLooks;
     private long mPlaceMillis = -1;
     private boolean mAsking;
     private boolean mEnded;
@@ -97,7 +89,10 @@
 
     private void place() {
         if (mRequest.engine().isPresent()) {
-            placeAtEngine();
+            EnginePlaces places =
+                    new EnginePlaces(mParts, mRequest, mLoop, mTried, this::placeFound);
+            mPlaces = Optional.of(places);
+            places.find();
             return;
         }
         Optional<Backend> runner =
@@ -114,24 +109,6 @@
         }
     }
 
-    private void placeAtEngine() {
-        if (mTried.isEmpty() && mParts.kept().mayBeHeld(mRequest)) {
-            mParts.kept().holder(mRequest).thenAcceptAsync(this::findPlace, mLoop);
-        } else {
-            findPlace(Optional.empty());
-        }
-    }
-
-    private void findPlace(Optional<Backend> holder) {
-        if (mEnded) {
-            return;
-        }
-        mHolder = holder;
-        EnginePlaces places = new EnginePlaces(mParts, mRequest, mLoop, mTried, this::placeFound);
-        mPlaces = Optional.of(places);
-        places.find(holder);
-    }
-
     private void placeFound(Optional<EnginePlaces.Place> found) {
         mPlaces = Optional.empty();
         if (found.isEmpty()) {
@@ -141,10 +118,7 @@
         long now = mParts.clock().millis();
         mPlaceMillis = now - mStartMillis;
         EnginePlaces.Place place = found.get();
-        mReader =
-                mHolder.isPresent()
-                        ? Optional.empty()
-                        : mParts.board().reader(place.runner(), mRequest.caller().size(), now);
+        mReader = mParts.board().reader(place.runner(), mRequest.caller().size(), now);
         if (mReader.isEmpty()) {
             send(place, Optional.empty());
             return;
@@ -201,7 +175,6 @@
                         false,
                         prompt,
                         place.reservation(),
-                        mHolder.filter(holder -> !holder.equals(runner)),
                         mAnswer.lastEventId());
         boolean othersLeft = mRequest.route().repeatable() && mCourse.mayGoOn();
         BackendSend send =
@@ -214,76 +187,12 @@
                                 mReader.isPresent(),
                                 othersLeft,
                                 connection(place),
-                                mCourse::sentOnceMore,
-                                this::progressed),
+                                mCourse::sentOnceMore),
                         this::sendEnded);
         mSend = Optional.of(send);
         send.start(mLoop);
     }
 
-    /** Looks, whenever a generation has outgrown its place, whether it should move. */
-    private void progressed() {
-        if (mRequest.engine().isEmpty() || mEnded || mSend.isEmpty() || mMove.isPresent()) {
-            return;
-        }
-        WorkSize size = mRequest.caller().size();
-        long made = mAnswer.events() * mRequest.engine().get().eventTokens();
-        if (made < MemoryOutlook.lookAfter(size.outputTokens(), mLooks)) {
-            return;
-        }
-        mLooks++;
-        StreamMove move =
-                new StreamMove(mParts, mRequest, mLoop, mSend.get(), made, new MoveListener());
-        mMove = Optional.of(move);
-        move.start();
-    }
-
-    /** Takes in how a move ends; the end of the send before may come first or last. */
-    private final class MoveListener implements StreamMove.Listener {
-
-        @Override
-        public void stopped(Backend source, Backend target, MovedRun run) {
-            mMoved = Optional.of(() -> goOnFrom(source, target, run));
-            if (mSend.isEmpty()) {
-                finishMove();
-            }
-        }
-
-        @Override
-        public void stayed() {
-            mMove = Optional.empty();
-            mBroken.ifPresent(
-                    broken -> {
-                        mBroken = Optional.empty();
-                        mAsking = false;
-                        broken.run();
-                    });
-        }
-    }
-
-    private void finishMove() {
-        mMove = Optional.empty();
-        mBroken = Optional.empty();
-        mAsking = false;
-        Runnable goOn = mMoved.orElseThrow();
-        mMoved = Optional.empty();
-        goOn.run();
-    }
-
-    /**
-     * Sends the request to the engine that has the copy; for all that counts it is the same run.
-     */
-    private void goOnFrom(Backend source, Backend target, MovedRun run) {
-        mAnswer.dropUnfinished();
-        mHolder = Optional.empty();
-        mReader = Optional.of(source);
-        mLast = Optional.of(target);
-        if (!run.copied()) {
-            mParts.board().placeAgain(target, mRequest.caller().size());
-        }
-        open(new EnginePlaces.Place(target, Optional.empty()), Optional.of(run.handle()));
-    }
-
     private BackendSend.Connection connection(EnginePlaces.Place place) {
         if (place.reservation().isPresent()) {
             return BackendSend.Connection.PROVEN;
@@ -296,46 +205,19 @@
     private void sendEnded(SendOutcome outcome, String cause) {
         BackendSend send = mSend.orElseThrow();
         mSend = Optional.empty();
-        if (outcome.mayHaveRun()
-                && outcome != SendOutcome.SUCCEEDED
-                && moveDecides(send, outcome, cause)) {
-            return;
-        }
-        mMove.ifPresent(StreamMove::close);
-        mMove = Optional.empty();
         freeUnused(send, outcome);
         if (outcome == SendOutcome.REJECTED && send.prompt().isEmpty()) {
             turnedAway(send.target());
         }
         if (outcome == SendOutcome.REJECTED && send.prompt().isPresent()) {
             promptLost(send, cause);
-        } else {
-            afterBreak(send, outcome, cause);
-        }
-    }
-
-    private void afterBreak(BackendSend send, SendOutcome outcome, String cause) {
-        if (outcome == SendOutcome.UNKNOWN && mayGoOnHere()) {
+        } else if (outcome == SendOutcome.UNKNOWN && mayGoOnHere()) {
             goOnHere(send, cause);
         } else {
             next(send, outcome, cause);
         }
     }
 
-    /** Returns whether the stream has ended because it moves, which then decides what follows. */
-    private boolean moveDecides(BackendSend send, SendOutcome outcome, String cause) {
-        if (mMoved.isPresent()) {
-            finishMove();
-            return true;
-        }
-        if (mMove.map(StreamMove::copying).orElse(false)) {
-            mAsking = true;
-            mBroken = Optional.of(() -> afterBreak(send, outcome, cause));
-            return true;
-        }
-        return false;
-    }
-
     /**
      * An engine has turned a request away that it had kept a place for.
      *
@@ -385,8 +267,7 @@
 
     /** Returns what a generation holds that goes on; it had room to grow before. */
     private PlaceNeed placeHere() {
-        WorkSize size = mRequest.caller().size();
-        return new PlaceNeed(size.promptTokens() + size.outputTokens(), 0);
+        return new PlaceNeed(mRequest.caller().size().memoryTokens(), 0);
     }
 
     private void openHere(BackendSend send, Optional<String> reservation) {
@@ -407,7 +288,7 @@
      */
     private void promptLost(BackendSend send, String cause) {
         long now = mParts.clock().millis();
-        mLostReader = mReader.filter(reader -> reader.stage() == BackendStage.PREFILL);
+        mLostReader = mReader;
         mLostReader.ifPresent(reader -> mParts.board().resultLost(reader, now));
         mReader = Optional.empty();
         boolean again = mCourse.sendingHereAgain(now, this::takeRetry);
@@ -506,7 +387,6 @@
         }
         mPlaces.ifPresent(EnginePlaces::cancel);
         mPlaces = Optional.empty();
-        mMove.ifPresent(StreamMove::close);
         mOnEnd.run();
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -96,11 +96,6 @@
             "what an engine keeps was not freed",
             List.of("backend", "cause")),
     REPORT_NOT_READ(2210, Weight.TELLING, "engine's report not read", List.of("backend", "cause")),
-    STREAM_MOVED(
-            2211,
-            Weight.TELLING,
-            "generation moved to another engine",
-            List.of("request", "backend", "target", "madeTokens", "outcome")),
     REQUEST_REFUSED(
             2207,
             Weight.TELLING,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/DemandMeter.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/DemandMeter.java
@@ -85,21 +85,20 @@
      * @param shape of its engines
      * @param runs what the engine runs, as last reported
      * @param reportMillis age of the report
-     * @param size the new generation; empty for what those that run need alone
+     * @param size the new generation
      */
     public OptionalLong room(
             ServiceName service,
             EngineShape shape,
             List<RunningWork> runs,
             long reportMillis,
-            Optional<WorkSize> size) {
+            WorkSize size) {
         return mSeen.read(
                 seen -> {
                     Seen known = of(seen, service);
                     long since = Math.round(known.mMean.pace() * reportMillis);
                     return known.mOutlook.room(
-                            new EngineWork(shape.memoryTokens(), runs, since),
-                            size.map(WorkSize::asNewWork));
+                            new EngineWork(shape.memoryTokens(), runs, since), size.asNewWork());
                 });
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
@@ -11,7 +11,6 @@
  * @param promptOnly whether only the prompt is to be read
  * @param prompt the prompt read elsewhere; empty if there is none
  * @param reservation name of the place that is kept for the request; empty if there is none
- * @param fetchFrom engine that holds the prompt, from which the target fetches it; empty if none
  * @param resumeAfter id of the event after which to go on; empty for the beginning
  */
 public record BackendCall(
@@ -20,7 +19,6 @@
         boolean promptOnly,
         Optional<PromptHandle> prompt,
         Optional<String> reservation,
-        Optional<Backend> fetchFrom,
         Optional<String> resumeAfter) {
 
     public BackendCall {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
@@ -12,7 +12,6 @@
  * @param headers what backend servers are to see, without anything that only the relay may say
  * @param callerMillis how long the caller waits; empty if it does not say
  * @param size its work
- * @param ownPart names the part of its prompt that no other request has; empty if it has none
  * @param resumeAfter id of the last event that the caller has; empty at the beginning
  */
 public record CallerRequest(
@@ -20,7 +19,6 @@
         RequestHeaders headers,
         OptionalLong callerMillis,
         WorkSize size,
-        Optional<String> ownPart,
         Optional<String> resumeAfter) {
 
     public CallerRequest {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/EngineMessages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/EngineMessages.java
@@ -4,7 +4,6 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.vavr.control.Either;
-import java.util.Map;
 import java.util.Optional;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.EngineReport;
@@ -46,26 +45,4 @@
 
     /** Decodes the answer to {@link #report(Backend)}. */
     Either<String, EngineReport> report(AggregatedHttpResponse answer);
-
-    /** Returns the call that asks an engine which parts of prompts it holds. */
-    RequestHeaders keptParts(Backend engine);
-
-    /** Decodes the answer to {@link #keptParts(Backend)}: tokens by part. */
-    Either<String, Map<String, Long>> keptParts(AggregatedHttpResponse answer);
-
-    /**
-     * Returns the call that stops a generation and copies its memory to another engine.
-     *
-     * @param source engine that runs it
-     * @param request id of its request
-     * @param target engine that gets the copy
-     */
-    AggregatedHttpRequest move(Backend source, String request, Backend target);
-
-    /**
-     * Decodes the answer to {@link #move}.
-     *
-     * @return under which handle it can go on; left if it goes on where it was
-     */
-    Either<String, MovedRun> moved(Backend source, AggregatedHttpResponse answer);
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/MemoryOutlook.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/MemoryOutlook.java
@@ -1,9 +1,7 @@
 package org.cyclamenpaddle.routing.memory;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -24,17 +22,11 @@
     /** Moments that are looked at, evenly spread over the longest generation. */
     private static final int MOMENTS = 12;
 
-    /**
-     * Share of a generation's expected output that is kept for it from its start: what it makes
-     * until the next report names it.
-     */
-    private static final double KEPT_SHARE = 1;
-
-    /** Share of a generation's expected output that it makes between two looks at its engine. */
-    private static final double LOOK_SHARE = 0.25;
-
     /** Unseen generations that are reckoned with at most. */
-    private static final int MOST_UNSEEN = 30;
+    private static final int MOST_UNSEEN = 32;
+
+    /** Steps in which their number is found; the last one is a tenth of a generation wide. */
+    private static final int HALVINGS = 9;
 
     private final OutputLengths mLengths;
     private final double mCaution;
@@ -55,39 +47,43 @@
      * and those that run can grow to their highest sum.
      *
      * @param engine what the engine runs, as last reported
-     * @param more the new generation; empty for those that run alone
+     * @param more the new generation
      * @return empty if they cannot, whatever is free now
      */
-    public OptionalLong room(EngineWork engine, Optional<NewWork> more) {
+    public OptionalLong room(EngineWork engine, NewWork more) {
         long since = engine.sinceTokens();
         List<Growing> known =
                 Stream.concat(
                                 engine.runs().stream().map(this::reported),
-                                more.stream().map(work -> begun(work, since)))
+                                Stream.of(begun(more, since)))
                         .toList();
         Growing unseen = begun(mLengths.usual(), since);
         List<Sum> sums = moments(since).mapToObj(later -> Sum.of(known, unseen, later)).toList();
-        int fitting = fitting(sums, engine.memoryTokens());
-        if (fitting < 0) {
+        if (!fits(sums, 0, engine.memoryTokens())) {
             return OptionalLong.empty();
         }
-        double usedAtMost = sums.get(0).mean() + (fitting + 0.5) * unseen.place();
+        double unseenAtMost = mostUnseen(sums, engine.memoryTokens());
+        double usedAtMost = sums.get(0).mean() + unseenAtMost * unseen.place();
         return OptionalLong.of(Math.max(0, Math.round(engine.memoryTokens() - usedAtMost)));
     }
 
-    /** Returns how many unseen generations fit beside the known ones; below 0 if not even these. */
-    private int fitting(List<Sum> sums, long memoryTokens) {
-        return IntStream.rangeClosed(0, MOST_UNSEEN)
-                        .filter(
-                                unseen ->
-                                        sums.stream()
-                                                .anyMatch(
-                                                        sum ->
-                                                                sum.with(unseen, mCaution)
-                                                                        > memoryTokens))
-                        .findFirst()
-                        .orElse(MOST_UNSEEN + 1)
-                - 1;
+    /** Returns how many unseen generations fit beside the known ones, by halving the interval. */
+    private double mostUnseen(List<Sum> sums, long memoryTokens) {
+        double fitting = 0;
+        double above = MOST_UNSEEN;
+        for (int i = 0; i < HALVINGS; i++) {
+            double middle = (fitting + above) / 2;
+            if (fits(sums, middle, memoryTokens)) {
+                fitting = middle;
+            } else {
+                above = middle;
+            }
+        }
+        return fitting;
+    }
+
+    private boolean fits(List<Sum> sums, double unseen, long memoryTokens) {
+        return sums.stream().allMatch(sum -> sum.with(unseen, mCaution) <= memoryTokens);
     }
 
     private LongStream moments(long sinceTokens) {
@@ -96,31 +92,11 @@
                 .map(moment -> sinceTokens + longest * moment / MOMENTS);
     }
 
-    /**
-     * Returns the tokens that are kept for a generation from its start.
-     *
-     * @param promptTokens its prompt
-     * @param expectedTokens what its caller expects it to make
-     */
-    public static long place(long promptTokens, long expectedTokens) {
-        return promptTokens + Math.round(expectedTokens * KEPT_SHARE);
-    }
-
-    /**
-     * Returns the tokens after which it is looked whether a generation still has room.
-     *
-     * @param expectedTokens what its caller expects it to make
-     * @param looks how often it was looked before
-     */
-    public static long lookAfter(long expectedTokens, int looks) {
-        return Math.round(expectedTokens * (KEPT_SHARE + looks * LOOK_SHARE));
-    }
-
     /** A generation of another host is taken to have been given a place of the usual size. */
     private Growing reported(RunningWork run) {
         long prompt = Math.max(0, run.heldTokens() - run.madeTokens());
         long usual = mLengths.usual().expectedTokens();
-        return new Growing(mLengths.any(), prompt, run.madeTokens(), place(prompt, usual));
+        return new Growing(mLengths.any(), prompt, run.madeTokens(), prompt + usual);
     }
 
     /** A generation that begins now has made nothing when the report was as long ago as it is. */
@@ -129,7 +105,7 @@
                 mLengths.expecting(work.expectedTokens()),
                 work.promptTokens(),
                 -sinceTokens,
-                place(work.promptTokens(), work.expectedTokens()));
+                work.placeTokens());
     }
 
     /**
@@ -150,7 +126,7 @@
                     unseen.variance(laterTokens));
         }
 
-        double with(int unseen, double caution) {
+        double with(double unseen, double caution) {
             return mean
                     + unseen * unseenMean
                     + caution * Math.sqrt(variance + unseen * unseenVariance);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/NewWork.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/NewWork.java
@@ -14,4 +14,9 @@
                     "generation of " + promptTokens + " and " + expectedTokens + " tokens");
         }
     }
+
+    /** Returns the tokens that are kept for it from its start: what it is expected to hold. */
+    public long placeTokens() {
+        return promptTokens + expectedTokens;
+    }
 }
