Plainer comments and one way to ask for a place; a stage's change lasts as configured

Comments that told a tuning, a decision page or a measurement now say what the constant means. The room beside a place is no longer told apart by identity of two equal answers. How long an ordered change of stage counts comes from the configured time that a change takes, in place of twelve seconds.

Tests of routing, relay and platform are green.

--- a/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/configuration/ConfigurationSync.java
+++ b/cyclamenpaddle-fleet/src/main/java/org/cyclamenpaddle/fleet/configuration/ConfigurationSync.java
@@ -24,12 +24,9 @@
  * heartbeat shows another digest. A host that starts while the platform is away gets the replica
  * the same way, and so does one whose domain is cut off from the platform but not from its peers.
  *
- * <p>Time for a change to be in force everywhere at 410 hosts in 6 failure domains, 69 to a domain.
- * Each host sends heartbeats every 500 ms to 4 watchers and one partner by chance, so from 2
- * watchers most hosts learn of a change within 3 rounds; the rest depend on who sends to whom. The
- * longest of five measured spreads took 4,510 ms ({@code ScaleMeasurement}), to which a pull of a
- * few ms adds for each hop. If both watchers of a domain have just died, add 1,200 ms for the
- * suspicion to be confirmed and one listing. The bound is 7 s.
+ * <p>Each host sends heartbeats to its watchers and to one partner by chance, so that most hosts
+ * learn of a change within a few rounds, and the rest soon after. If both watchers of a domain have
+ * just died, the suspicion has to be confirmed first, and one listing follows.
  *
  * <p>Not thread-safe. Every event returns the effects to carry out, in order.
  */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
@@ -19,7 +19,7 @@
     /**
      * Time left before the process is killed at which it ends by itself, in milliseconds.
      *
-     * <p>Safeguard: a host that has turned slow needs several times the usual 30 ms to write its
+     * <p>Safeguard: a host that has turned slow needs several times the usual time to write its
      * last lines and end; killed, it loses them, and with them what became of its last requests.
      * Nothing that is in flight then could be excused by waiting for it: requests that come late in
      * a stop are refused, so that only the longest streams are.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
@@ -47,9 +47,6 @@
     /** What an engine would answer that cannot take the request. */
     static final Answer NO_ROOM = new Answer(Optional.empty(), SendOutcome.ABANDONED, "none");
 
-    /** Stands for room that need not be asked for. */
-    private static final Answer ROOM = new Answer(Optional.empty(), SendOutcome.ABANDONED, "none");
-
     /** Longest wait for the answer of an engine, in milliseconds; usual ones take under 10. */
     private static final long CALL_MILLIS = 300;
 
@@ -99,17 +96,18 @@
     private void send(PlaceNeed need, Consumer<Answer> done) {
         long keptMillis = mRequest.engine().orElseThrow().reserveMillis();
         CompletableFuture<Answer> place = keep(need.tokens(), keptMillis, true);
-        CompletableFuture<Answer> growth =
-                need.growthTokens() == 0
-                        ? CompletableFuture.completedFuture(ROOM)
-                        : keep(need.growthTokens(), CALL_MILLIS, true);
-        place.thenAcceptBothAsync(growth, (kept, room) -> done.accept(both(kept, room)), mLoop);
+        if (need.growthTokens() == 0) {
+            place.thenAcceptAsync(done, mLoop);
+            return;
+        }
+        place.thenCombine(keep(need.growthTokens(), CALL_MILLIS, true), this::both)
+                .thenAcceptAsync(done, mLoop);
     }
 
     /** A place counts only with room for growth; that room is given back at once. */
     private Answer both(Answer place, Answer growth) {
         growth.reservation().ifPresent(name -> cancel(mParts, mEngine, name));
-        if (!place.kept() || growth == ROOM || growth.kept()) {
+        if (!place.kept() || growth.kept()) {
             return place;
         }
         place.reservation().ifPresent(name -> cancel(mParts, mEngine, name));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -238,8 +238,8 @@
      * Lets a stream whose connection broke go on at the engine that ran it, if that still has room.
      *
      * <p>An engine whose answer was lost on the way still has the prompt in its memory. Elsewhere
-     * it would be read again: 5,000 tokens in vain, and a pause longer than callers accept. An
-     * engine that has crashed refuses the ask at once, and the stream goes on elsewhere as before.
+     * it would be read again, with a pause longer than callers accept. An engine that has crashed
+     * refuses the ask at once, and the stream goes on elsewhere as before.
      */
     private void goOnHere(BackendSend send, String cause) {
         mAsking = true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
@@ -34,10 +34,10 @@
     static final long OTHERS_MILLIS = 2_500;
 
     /**
-     * How long an ordered change counts as under way, in milliseconds: the change itself takes six
-     * seconds, and the engine's entry follows with its next heartbeat.
+     * How long an ordered change counts as under way, as a multiple of the time that it takes: the
+     * engine first ends what it runs, and its entry follows with its next heartbeat.
      */
-    static final long CHANGE_MILLIS = 12_000;
+    private static final int CHANGE_TIMES = 2;
 
     private record Ordered(BackendStage stage, long untilMillis) {}
 
@@ -206,7 +206,8 @@
             return;
         }
         mOrdered.put(
-                change.engine().id(), new Ordered(change.stage(), mClock.millis() + CHANGE_MILLIS));
+                change.engine().id(),
+                new Ordered(change.stage(), mClock.millis() + changeMillis(change.engine())));
         mParts.orders()
                 .order(change, mSelf, fence.getAsLong(), accepted.get())
                 .thenAcceptAsync(
@@ -222,6 +223,12 @@
                         mExecutor);
     }
 
+    private long changeMillis(Backend engine) {
+        return Optional.ofNullable(mServices.now().get(engine.service()))
+                .map(shape -> CHANGE_TIMES * shape.switchMillis())
+                .orElse(0L);
+    }
+
     private void later(long millis) {
         mExecutor.schedule(this::look, millis, TimeUnit.MILLISECONDS);
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/admission/AdmissionSettings.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/admission/AdmissionSettings.java
@@ -10,7 +10,7 @@
 public record AdmissionSettings(
         long marginMillis, long minRetryAfterMillis, long maxRetryAfterMillis) {
 
-    /** Values that the model runs of ADR 0001 were made with. */
+    /** Values for engines that make a token in some tens of milliseconds. */
     public static final AdmissionSettings DEFAULTS = new AdmissionSettings(10, 500, 10_000);
 
     public AdmissionSettings {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/admission/GrantAsks.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/admission/GrantAsks.java
@@ -23,7 +23,7 @@
  */
 public record GrantAsks(long workMarginMillis, long slotMarginMillis) {
 
-    /** The margins that the model runs of ADR 0001 were made with. */
+    /** Margins of a few round trips between hosts. */
     public static final GrantAsks DEFAULTS = new GrantAsks(30, 80);
 
     public GrantAsks {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/grant/LedgerSettings.java
@@ -19,7 +19,7 @@
         double recoveryReserve,
         int endedKept) {
 
-    /** Values that the model runs of ADR 0001 were made with. */
+    /** Values for engines that report about once a second. */
     public static final LedgerSettings DEFAULTS =
             new LedgerSettings(1_500, 50, 1, 1_000, 0.25, 1_024);
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/request/RequestMachine.java
@@ -246,8 +246,8 @@
     /**
      * Starts the prefill at once, unless its result would die before the slot comes.
      *
-     * <p>Slots often come earlier than promised; waiting for the promised instant gave up 3 to 6
-     * points of goodput in the model runs (docs/adr/0001-ledger-per-backend-server.md).
+     * <p>Slots often come earlier than promised; a request that waited for the promised instant
+     * would let them lie idle.
      */
     private void awaitPrefillStart(long slotAfterResult, long now) {
         long wait = slotAfterResult - RESULT_WAITS_MILLIS;
