cyclamenctl log report: what became of requests, by second, route and reason

Cause: finding what bound the new deployment took scripts of our own over relays' lines. The report does the same from any file of such lines: answered, sent again, refused, failed, cut and gone, waits for a place, for the prompt and within the stream. Lines that are not ours are counted and left out; a file without any request is said. What both log commands read stands once (LogFile, LogLine).

--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlCommand.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/CtlCommand.java
@@ -56,7 +56,13 @@
             "Show what relays logged of a request, and what they believed of the backend servers"
                     + " and the store just before; reads a file and asks no host.",
             Set.of(CtlOption.FILE),
-            LogExplainCommand::run);
+            LogExplainCommand::run),
+    REPORT_LOG(
+            "log report",
+            "Show from relays' logs what became of requests, by second and by route, and why those"
+                    + " that were not answered ended; reads a file and asks no host.",
+            Set.of(CtlOption.FILE),
+            LogReportCommand::run);
 
     static final String KIND = "KIND";
 
--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
@@ -1,22 +1,15 @@
 package org.cyclamenpaddle.ctl.command;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
+import org.cyclamenpaddle.ctl.log.LogFile;
+import org.cyclamenpaddle.ctl.log.LogLine;
 import org.cyclamenpaddle.ctl.report.CommandError;
 import org.cyclamenpaddle.ctl.report.ExitCode;
 import org.cyclamenpaddle.ctl.report.Json;
@@ -44,50 +37,19 @@
 
     private static final Set<String> SHOWN_APART = Set.of("time", "node", "code", "event");
     private static final String NO_BACKEND = "none";
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
-    /** One line of a log. */
-    private record Line(Instant time, JsonNode fields) {
-
-        private String text(String field) {
-            return fields.path(field).asText();
-        }
-
-        private boolean isAbout(String request) {
-            return text("request").equals(request);
-        }
-    }
 
     private LogExplainCommand() {}
 
     static Either<CommandError, Report> run(Arguments arguments, Session session) {
-        return read(arguments.file()).flatMap(lines -> explain(lines, arguments));
+        return LogFile.read(arguments.file()).flatMap(log -> explain(log.lines(), arguments));
     }
 
-    private static Either<CommandError, List<Line>> read(String file) {
-        try (Stream<String> lines = Files.lines(Path.of(file))) {
-            return Either.right(
-                    lines.flatMap(line -> line(line).stream())
-                            .sorted(Comparator.comparing(Line::time))
-                            .toList());
-        } catch (IOException unreadable) {
-            return Either.left(
-                    CommandError.of(ExitCode.BAD_FILE, file + ": cannot be read: " + unreadable));
-        }
-    }
-
-    /** Reads a line; what is no decision line, such as a stack trace between them, is left out. */
-    private static Optional<Line> line(String text) {
-        try {
-            JsonNode fields = MAPPER.readTree(text);
-            return Optional.of(new Line(Instant.parse(fields.path("time").asText()), fields));
-        } catch (JsonProcessingException | DateTimeException noDecision) {
-            return Optional.empty();
-        }
+    private static boolean isAbout(LogLine line, String request) {
+        return line.text("request").equals(request);
     }
 
-    private static Either<CommandError, Report> explain(List<Line> lines, Arguments arguments) {
-        List<Line> own = lines.stream().filter(line -> line.isAbout(arguments.name())).toList();
+    private static Either<CommandError, Report> explain(List<LogLine> lines, Arguments arguments) {
+        List<LogLine> own = lines.stream().filter(line -> isAbout(line, arguments.name())).toList();
         if (own.isEmpty()) {
             return Either.left(
                     CommandError.of(
@@ -96,13 +58,13 @@
         }
         ArrayNode shown = Json.array();
         lines.stream()
-                .filter(line -> line.isAbout(arguments.name()) || explains(line, own))
+                .filter(line -> isAbout(line, arguments.name()) || explains(line, own))
                 .forEach(line -> shown.add(shown(line)));
         return Either.right(
                 Report.of(shown, ReportTable.of(shown, "time", "node", "code", "event", "detail")));
     }
 
-    private static boolean explains(Line line, List<Line> own) {
+    private static boolean explains(LogLine line, List<LogLine> own) {
         if (!BELIEFS.contains(line.text("code"))) {
             return false;
         }
@@ -117,7 +79,7 @@
                 && (backend.equals(NO_BACKEND) || backends.contains(backend));
     }
 
-    private static JsonNode shown(Line line) {
+    private static JsonNode shown(LogLine line) {
         String detail =
                 line.fields().properties().stream()
                         .filter(field -> !SHOWN_APART.contains(field.getKey()))
--- /dev/null
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/log/package-info.java
@@ -0,0 +1,2 @@
+/** Reads relays' log lines and sums them up. */
+package org.cyclamenpaddle.ctl.log;
