--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
@@ -230,4 +231,53 @@
         assertTrue(place(BackendState.FULL_MILLIS - 1).isEmpty());
         assertTrue(place(BackendState.FULL_MILLIS).isPresent());
     }
+
+    /*
+     * Prompts queue at the prefill engine. Read by the decode engine, the next one would begin
+     * sooner; but ten streams run there, and all of their callers would wait as long as it takes.
+     */
+    @Test
+    public void promptIsNotReadInPlaceWhereOthersWouldWaitForIt() {
+        Backend runner = Backends.decode("run", "a");
+        Backend reader = Backends.of("prefill", "a", BackendStage.PREFILL, 1, false);
+        list(runner, reader);
+        IntStream.range(0, 3).forEach(i -> mBoard.placeAgain(reader, SIZE));
+        place(0);
+        mBoard.reported(runner, running(10), 0);
+        assertEquals(mBoard.reader(runner, SIZE, 0), Optional.of(reader));
+    }
+
+    /** The same queue, and nobody at the decode engine who would wait. */
+    @Test
+    public void promptIsReadInPlaceWhereNobodyWaitsForIt() {
+        Backend runner = Backends.decode("run", "a");
+        Backend reader = Backends.of("prefill", "a", BackendStage.PREFILL, 1, false);
+        list(runner, reader);
+        IntStream.range(0, 3).forEach(i -> mBoard.placeAgain(reader, SIZE));
+        place(0);
+        mBoard.reported(runner, running(0), 0);
+        assertEquals(mBoard.reader(runner, SIZE, 0), Optional.empty());
+    }
+
+    /** Hosts with many requests at once share one reading of an engine's report. */
+    @Test
+    public void reportIsReadOnceInAWhile() {
+        Backend engine = Backends.decode("run", "a");
+        list(engine);
+        assertTrue(mBoard.reportDue(engine, 0));
+        assertFalse(mBoard.reportDue(engine, BackendState.REPORT_MILLIS - 1));
+        assertTrue(mBoard.reportDue(engine, BackendState.REPORT_MILLIS));
+        mBoard.reported(engine, running(1), 500);
+        assertTrue(mBoard.report(engine, 501).isPresent());
+        assertTrue(mBoard.report(engine, 500 + BackendState.REPORT_KEPT_MILLIS).isEmpty());
+    }
+
+    private static EngineReport running(int runs) {
+        return new EngineReport(
+                0,
+                false,
+                IntStream.range(0, runs)
+                        .mapToObj(i -> new EngineReport.Run("q" + i, 6_000, 10))
+                        .toList());
+    }
 }
