--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/CallerWaitsTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/CallerWaitsTest.java
@@ -11,23 +11,25 @@
     private static final String ROUTE = "r-1";
 
     /** Least time that a first try and the wait after it take. */
-    private static final long SPENT = 1_980;
+    private static final long SPENT =
+            PlaceSearch.begin(0, new CallerTerms(900, 3_600), Seeker.FIRST).waitMillis()
+                    + ComeBack.leastMillis(0, new CallerTerms(900, 3_600));
 
     /** First waits spread by a seventh; none of them may be taken for a come-back. */
     @Test
     public void firstWaitsOfDifferentCallersAreNoComeBacks() {
         CallerWaits waits = new CallerWaits();
-        for (long wait = 12_050; wait < 14_000; wait += 50) {
+        for (long wait = 12_000; wait < 14_000; wait += 50) {
             assertFalse(waits.comesBack(ROUTE, wait, SPENT, wait), "first wait of " + wait);
         }
-        assertFalse(waits.comesBack(ROUTE, 12_050, SPENT, 14_000));
+        assertFalse(waits.comesBack(ROUTE, 12_000, SPENT, 14_000));
     }
 
     @Test
     public void callerThatWasToldToComeBackIsKnownByWhatItHasSpent() {
         CallerWaits waits = new CallerWaits();
         waits.comesBack(ROUTE, 14_000, SPENT, 0);
-        long spent = SPENT + 1;
+        long spent = 2_680;
         assertTrue(waits.comesBack(ROUTE, 14_000 - spent, SPENT, spent));
     }
 
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/PlaceSearchLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/PlaceSearchLoadTest.java
@@ -70,13 +70,12 @@
     @Test
     public void comeBackHurriesAtTheEndOfItsWait() {
         PlaceSearch search = PlaceSearch.begin(0, TERMS, Seeker.COME_BACK);
-        long hurries = (long) (search.waitMillis() * (1 - Seeker.BACK_HURRY_SHARE));
+        long hurryMillis = (long) (search.waitMillis() * Seeker.BACK_HURRY_SHARE);
+        long hurries = search.waitMillis() - hurryMillis;
         assertTrue(search.pauseMillis(0) == Seeker.BACK_PAUSE_MILLIS);
-        assertTrue(search.pauseMillis(hurries + 1) == Seeker.SHORT_PAUSE_MILLIS);
+        assertTrue(search.pauseMillis(hurries) == Seeker.SHORT_PAUSE_MILLIS);
         long next = hurries - 100 + search.pauseMillis(hurries - 100);
-        assertTrue(
-                next <= hurries + Seeker.SHORT_PAUSE_MILLIS,
-                "the pause before it does not reach into it");
+        assertTrue(next <= hurries, "the pause before it does not reach into it");
     }
 
     /**
