Take fractions for every number of the relay's settings

Cause: retry.slack was read as a whole number, while bounds of the platform may be fractions: no process of a small twin started. A value that is no number at all (nan, inf) was taken for each of the four, since every comparison with it is false.

Ruled out: rounding in the template, which would hide a slack under one.

A value that makes no sense is refused with its key and range.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
@@ -42,7 +42,7 @@
      * @param windowMillis length of the window
      * @param clock this host's clock
      */
-    public SharedRetryBudget(double share, long slack, long windowMillis, Clock clock) {
+    public SharedRetryBudget(double share, double slack, long windowMillis, Clock clock) {
         mShare = share * SPENT_SHARE;
         mSlack = slack * SPENT_SHARE;
         mWindowSeconds = windowMillis / MILLIS_PER_SECOND;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
@@ -65,9 +65,7 @@
      */
     public record Stop(double graceSeconds) {
         public Stop {
-            if (graceSeconds <= 0) {
-                throw new IllegalArgumentException("stop.graceSeconds must be above 0");
-            }
+            inRange("stop.graceSeconds", graceSeconds > 0, "above 0");
         }
 
         /** Returns the time from the signal after which the process is killed. */
@@ -83,12 +81,11 @@
      * @param slack repeats within a window besides, over all hosts
      * @param windowSeconds length of the window
      */
-    public record Retry(double share, long slack, double windowSeconds) {
+    public record Retry(double share, double slack, double windowSeconds) {
         public Retry {
-            if (share < 0 || share > 1 || slack < 0 || windowSeconds <= 0) {
-                throw new IllegalArgumentException(
-                        "retry: share from 0 to 1, slack from 0, windowSeconds above 0");
-            }
+            inRange("retry.share", share >= 0 && share <= 1, "from 0 to 1");
+            inRange("retry.slack", slack >= 0, "0 or more");
+            inRange("retry.windowSeconds", windowSeconds > 0, "above 0");
         }
 
         /** Returns the length of the window. */
@@ -97,6 +94,12 @@
         }
     }
 
+    private static void inRange(String key, boolean holds, String range) {
+        if (!holds) {
+            throw new IllegalArgumentException(key + " must be " + range);
+        }
+    }
+
     private static void required(String key, Object value) {
         if (value == null) {
             throw new IllegalArgumentException(key + " is missing");
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
@@ -79,7 +79,7 @@
         RelaySettings.Retry retry =
                 new RelaySettings.Retry(
                         table.number("share"),
-                        table.wholeNumber("slack"),
+                        table.number("slack"),
                         table.number("windowSeconds"));
         table.close();
         return retry;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/SettingsTable.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/SettingsTable.java
@@ -42,18 +42,16 @@
         return value.textValue();
     }
 
+    /** Returns a whole number or a fraction; infinity and "not a number" are refused. */
     double number(String key) {
         JsonNode value = value(key);
-        require(value.isNumber(), key, "must be a number");
+        require(
+                value.isNumber() && Double.isFinite(value.doubleValue()),
+                key,
+                "must be a finite number");
         return value.doubleValue();
     }
 
-    long wholeNumber(String key) {
-        JsonNode value = value(key);
-        require(value.isIntegralNumber(), key, "must be a whole number");
-        return value.longValue();
-    }
-
     /** Returns an IP number with a port. */
     Endpoint endpoint(String key) {
         try {
