Follow the store with long watches, cheap checks and a pause after changes

Cause: each backend server's entry that appeared ended the watch of every host and the next one was sent at once, so a change was a call of each host; and two watches of two seconds each went on without end, only so that a connection gone silent would be noticed.

Now a watch waits 20 s. While it waits, a call without a wait, which may be answered from an older copy at a tenth of the price, asks every 2 s whether anything was missed and whether the store still answers; it ends a watch that hangs as soon as before (2 s and one timeout). After an answer with changes the next watch waits 500 ms. Waits after failures grow from 100 to 400 ms, each spread by as much again. Hosts count each other every 20 s, a second time after 5 s; hosts without the lease look at it every 5 s, and first looks are spread over 3 s, so that few try to create it.

Ruled out: watches answered from an older copy alone, which would let a change be known seconds late; TCP keep-alive, which says nothing of a store that takes calls and does not answer.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -243,7 +243,8 @@
                 () -> mConfiguration.inForce().map(RelayConfiguration::engines).orElse(Map.of()),
                 mFollowing,
                 mClock,
-                System::currentTimeMillis);
+                System::currentTimeMillis,
+                mRandom);
     }
 
     private Server callerServer() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
@@ -18,8 +18,8 @@
     /**
      * Hosts among which the slack is divided before they were counted.
      *
-     * <p>More than the largest deployment has, so that many hosts that start together, and cannot
-     * count one another yet, never spend more than there is.
+     * <p>So many hosts that start together, and cannot count one another yet, spend no more than
+     * there is.
      */
     private static final int UNCOUNTED_HOSTS = 100;
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostCount.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostCount.java
@@ -14,7 +14,7 @@
 final class HostCount {
 
     /** Stillness after which a host counts no more, in milliseconds: four missed renewals. */
-    static final long ALIVE_MILLIS = 40_000;
+    static final long ALIVE_MILLIS = 80_000;
 
     /**
      * Stillness after which an entry is removed, in milliseconds; long, as nothing depends on it.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
@@ -16,12 +16,20 @@
 /**
  * Controller that announces this host in the store and counts the others.
  *
- * <p>Two calls in ten seconds for each host; a listing holds some tens of bytes for each host.
+ * <p>Two calls in twenty seconds for each host; a listing holds some tens of bytes for each host.
  */
 public final class HostRegistry {
 
     /** Pause between two rounds, in milliseconds. */
-    static final long ROUND_MILLIS = 10_000;
+    static final long ROUND_MILLIS = 20_000;
+
+    /**
+     * Pause after the first round, in milliseconds.
+     *
+     * <p>Hosts that start together find only some of the others in their first round; the slack of
+     * repeats would be divided among too few.
+     */
+    static final long SECOND_ROUND_MILLIS = 5_000;
 
     /** Pause before a failed round is tried again, in milliseconds, spread by as much again. */
     static final long RETRY_MILLIS = 1_000;
@@ -36,6 +44,7 @@
     private final HostCount mCount = new HostCount();
     private long mBeat;
     private int mAlive;
+    private boolean mFirstRound = true;
 
     /**
      * Creates a registry; {@link #start} begins.
@@ -97,7 +106,8 @@
             mAlive = alive;
             mListener.accept(alive);
         }
-        later(ROUND_MILLIS);
+        later(mFirstRound ? SECOND_ROUND_MILLIS : ROUND_MILLIS);
+        mFirstRound = false;
     }
 
     private void later(long millis) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
@@ -31,7 +32,10 @@
     static final long HOLDER_MILLIS = 1_000;
 
     /** Pause between two looks of the others, in milliseconds; a missing holder is no hurry. */
-    static final long OTHERS_MILLIS = 2_500;
+    static final long OTHERS_MILLIS = 5_000;
+
+    /** Spread of the first looks of hosts that start together, in milliseconds. */
+    static final long START_SPREAD_MILLIS = 3_000;
 
     /**
      * How long an ordered change counts as under way, as a multiple of the time that it takes: the
@@ -70,6 +74,7 @@
     private final ScheduledExecutorService mExecutor;
     private final Clock mClock;
     private final LongSupplier mWallClock;
+    private final DoubleSupplier mRandom;
     private final Lease mLease;
     private final SettledEngines mEngines = new SettledEngines();
     private final Map<BackendId, Ordered> mOrdered = new HashMap<>();
@@ -83,6 +88,7 @@
      * @param executor a single thread
      * @param clock steady clock
      * @param wallClock time of day in milliseconds
+     * @param random even draws from 0 to 1
      */
     public StageKeeper(
             String self,
@@ -90,7 +96,9 @@
             EngineServices services,
             ScheduledExecutorService executor,
             Clock clock,
-            LongSupplier wallClock) {
+            LongSupplier wallClock,
+            DoubleSupplier random) {
+        mRandom = random;
         mSelf = self;
         mParts = parts;
         mServices = services;
@@ -100,9 +108,13 @@
         mLease = new Lease(self);
     }
 
-    /** Begins to look after the lease. */
+    /**
+     * Begins to look after the lease.
+     *
+     * <p>Hosts that start together would all try to create it; spread, most find it there.
+     */
     public void start() {
-        later(HOLDER_MILLIS);
+        later(HOLDER_MILLIS + (long) (mRandom.getAsDouble() * START_SPREAD_MILLIS));
     }
 
     private void look() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntrySource.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntrySource.java
@@ -27,4 +27,12 @@
      * @param waitMillis longest wait, in milliseconds; the result is then empty
      */
     CompletableFuture<Either<StoreFailure, EntryPage<T>>> watch(long revision, long waitMillis);
+
+    /**
+     * Asks for changes without a wait, at a fraction of the cost of {@link #watch}.
+     *
+     * @param revision revision after which changes are wanted
+     * @return changes that may lack those of the last seconds
+     */
+    CompletableFuture<Either<StoreFailure, EntryPage<T>>> recentChanges(long revision);
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
@@ -14,42 +14,48 @@
 /**
  * Follows one kind of objects: a listing first, then watches, each from where the last one ended.
  *
- * <p>Calls run one after another, so that nothing older ever arrives after something newer. All
- * callbacks come on the given executor, which must be a single thread.
+ * <p>A watch waits long, so that a quiet store is called seldom. While it waits, cheap checks show
+ * whether the store still answers and whether the watch has missed a change. Only the newest call
+ * counts: the answer of a watch that was given up is ignored, so that nothing older ever arrives
+ * after something newer. All callbacks come on the given executor, which must be a single thread.
  *
  * @param <T> type of what the objects say
  */
 public final class Follower<T> {
 
+    /** Longest wait of one watch, in milliseconds. */
+    static final long WATCH_MILLIS = 20_000;
+
+    /**
+     * Pause between two checks of a waiting watch, in milliseconds.
+     *
+     * <p>Safeguard: the connection of a watch can go silent for good, and a silent store still
+     * takes calls. Either is noticed after this pause and the timeout of one call at the latest.
+     */
+    static final long CHECK_MILLIS = 2_000;
+
     /**
-     * Longest wait of one watch, in milliseconds.
+     * Pause after an answer with changes, in milliseconds.
      *
-     * <p>Safeguard: a watch can hang for good when something between the two ends has lost its
-     * connection; nothing would be learned any more. The call's own timeout ends it, and this is
-     * the larger part of that: three seconds with it, after which hosts are expected to have caught
-     * up with a store that came back. It costs a call in two seconds for each kind.
+     * <p>Changes come in groups: a fleet that starts, servers that are replaced one by one. Without
+     * the pause each of them would be a call of each host.
      */
-    static final long WATCH_MILLIS = 2_000;
+    static final long SETTLE_MILLIS = 500;
 
     /**
      * Wait of a watch after a failed call, in milliseconds.
      *
-     * <p>Safeguard: a store that is silent still takes calls. A watch that is begun then hangs for
-     * its whole time, long after the store is back, and the host misses what changed meanwhile. A
-     * call that asks for what there is, and no more, ends or is given up within a second.
+     * <p>Safeguard: a watch that is begun on a silent store hangs for its whole time, long after
+     * the store is back. A call that asks for what there is, and no more, ends or is given up
+     * within a second.
      */
     static final long NO_WAIT_MILLIS = 0;
 
-    /** Least wait after a failed call, in milliseconds. */
+    /** Least wait after the first failed call, in milliseconds; it doubles with each further. */
     static final long LEAST_PAUSE_MILLIS = 100;
 
-    /**
-     * Spread of that wait, in milliseconds.
-     *
-     * <p>Safeguard: when the store comes back all hosts call at once and are turned away for their
-     * rate. An even spread keeps a hundred hosts under a few hundred calls a second.
-     */
-    static final long PAUSE_SPREAD_MILLIS = 300;
+    /** Largest of the least waits after failed calls, in milliseconds. */
+    static final long MOST_PAUSE_MILLIS = 400;
 
     private final EntrySource<T> mSource;
     private final EntryListener<T> mListener;
@@ -57,7 +63,9 @@
     private final Clock mClock;
     private final DoubleSupplier mRandom;
     private final List<Entry<T>> mListing = new ArrayList<>();
-    private long mListingRevision;
+    private long mRevision;
+    private long mStep;
+    private int mFailures;
     private Optional<Long> mLostAtMillis = Optional.empty();
 
     /**
@@ -84,19 +92,23 @@
 
     /** Begins with a listing. */
     public void start() {
-        mExecutor.execute(() -> list(Optional.empty()));
+        mExecutor.execute(this::list);
+    }
+
+    private void list() {
+        mListing.clear();
+        list(Optional.empty());
     }
 
     private void list(Optional<String> after) {
-        if (after.isEmpty()) {
-            mListing.clear();
-        }
-        on(mSource.list(after), this::listed, failure -> later(() -> list(Optional.empty())));
+        call(mSource.list(after), this::listed, failure -> retry(this::list));
     }
 
     private void listed(EntryPage<T> page) {
         if (mListing.isEmpty()) {
-            mListingRevision = page.revision();
+            // What changes while later pages are read may lie on an earlier page: watches begin
+            // at the first.
+            mRevision = page.revision();
         }
         mListing.addAll(page.entries());
         if (page.more() && !page.entries().isEmpty()) {
@@ -105,38 +117,78 @@
         }
         mListener.listed(List.copyOf(mListing));
         mListing.clear();
-        // What changed while later pages were read may lie on an earlier page: watch from the
-        // first.
-        watch(mListingRevision);
+        watch();
     }
 
-    private void watch(long revision) {
-        on(
-                mSource.watch(revision, mLostAtMillis.isPresent() ? NO_WAIT_MILLIS : WATCH_MILLIS),
-                page -> {
-                    page.entries().forEach(mListener::changed);
-                    watch(Math.max(revision, page.revision()));
-                },
-                failure -> {
-                    boolean list = failure == StoreFailure.HISTORY_GONE;
-                    later(() -> goOn(list, revision));
-                });
+    private void watch() {
+        boolean lost = mLostAtMillis.isPresent();
+        call(
+                mSource.watch(mRevision, lost ? NO_WAIT_MILLIS : WATCH_MILLIS),
+                this::watched,
+                this::watchFailed);
+        if (!lost) {
+            checkLater(mStep);
+        }
     }
 
-    private void goOn(boolean list, long revision) {
-        if (list) {
-            list(Optional.empty());
+    private void watched(EntryPage<T> page) {
+        boolean changed = take(page);
+        if (changed) {
+            next(this::watch, SETTLE_MILLIS);
         } else {
-            watch(revision);
+            watch();
         }
     }
 
-    private void on(
+    private void watchFailed(StoreFailure failure) {
+        retry(failure == StoreFailure.HISTORY_GONE ? this::list : this::watch);
+    }
+
+    private void checkLater(long step) {
+        mExecutor.schedule(() -> check(step), CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Checks on the watch of a step, if that still waits. */
+    private void check(long step) {
+        if (step == mStep) {
+            mSource.recentChanges(mRevision)
+                    .thenAcceptAsync(result -> checked(step, result), mExecutor);
+        }
+    }
+
+    private void checked(long step, Either<StoreFailure, EntryPage<T>> result) {
+        if (step != mStep) {
+            return;
+        }
+        if (result.isLeft()) {
+            mStep++;
+            failed(result.getLeft());
+            watchFailed(result.getLeft());
+        } else if (take(result.get())) {
+            watch();
+        } else {
+            checkLater(step);
+        }
+    }
+
+    /** Takes changes in and returns whether there were any. */
+    private boolean take(EntryPage<T> page) {
+        mRevision = Math.max(mRevision, page.revision());
+        page.entries().forEach(mListener::changed);
+        return !page.entries().isEmpty();
+    }
+
+    /** Makes the call that counts from now on. */
+    private void call(
             CompletableFuture<Either<StoreFailure, EntryPage<T>>> call,
             Consumer<EntryPage<T>> success,
             Consumer<StoreFailure> failure) {
+        long step = ++mStep;
         call.thenAcceptAsync(
                 result -> {
+                    if (step != mStep) {
+                        return;
+                    }
                     result.peekLeft(this::failed);
                     result.peek(page -> succeeded());
                     if (result.isRight()) {
@@ -151,20 +203,44 @@
     private void failed(StoreFailure failure) {
         if (failure == StoreFailure.HISTORY_GONE) {
             succeeded();
-        } else if (mLostAtMillis.isEmpty()) {
+            return;
+        }
+        mFailures++;
+        if (mLostAtMillis.isEmpty()) {
             mLostAtMillis = Optional.of(mClock.millis());
             mListener.contactLost(failure);
         }
     }
 
     private void succeeded() {
+        mFailures = 0;
         Optional<Long> lost = mLostAtMillis;
         mLostAtMillis = Optional.empty();
         lost.ifPresent(at -> mListener.contactRegained(mClock.millis() - at));
     }
 
-    private void later(Runnable work) {
-        long pause = LEAST_PAUSE_MILLIS + (long) (mRandom.getAsDouble() * PAUSE_SPREAD_MILLIS);
-        mExecutor.schedule(work, pause, TimeUnit.MILLISECONDS);
+    /**
+     * Goes on after a failed call.
+     *
+     * <p>Safeguard: when the store comes back all hosts call at once and are turned away for their
+     * rate. Waits that grow and are spread evenly keep hundreds of hosts under its rate.
+     */
+    private void retry(Runnable work) {
+        int doublings = Math.min(Math.max(0, mFailures - 1), Long.SIZE / 2);
+        long least = Math.min(LEAST_PAUSE_MILLIS << doublings, MOST_PAUSE_MILLIS);
+        next(work, least + (long) (mRandom.getAsDouble() * least));
+    }
+
+    /** Schedules what comes next, unless another call is made before. */
+    private void next(Runnable work, long millis) {
+        long step = ++mStep;
+        mExecutor.schedule(
+                () -> {
+                    if (step == mStep) {
+                        work.run();
+                    }
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
@@ -68,6 +68,12 @@
                         mWaits.add(waitMillis);
                         return answer.apply("watch " + revision);
                     }
+
+                    @Override
+                    public CompletableFuture<Either<StoreFailure, EntryPage<String>>> recentChanges(
+                            long revision) {
+                        return new CompletableFuture<>();
+                    }
                 };
         new Follower<>(source, listener(), mExecutor, () -> 0, () -> 0).start();
         assertEquals(done.await(20, TimeUnit.SECONDS), true, "calls: " + mCalls);
