--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/CleartextClients.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/CleartextClients.java
@@ -4,16 +4,16 @@
 import com.linecorp.armeria.client.ClientFactoryBuilder;
 import com.linecorp.armeria.common.TlsKeyPair;
 import com.linecorp.armeria.common.TlsProvider;
+import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import io.netty.resolver.DefaultAddressResolverGroup;
 
 /**
  * Begins the client factories of processes that speak HTTP without encryption to IP numbers.
  *
- * <p>The library prepares every factory for encrypted connections and for name lookups: it loads a
- * native library and two security providers, and reads the host's resolver files. A host uses none
- * of it, and does this work at each start, while callers wait for it to be back. Left out, together
- * with the default certificates and the binding of settings by reflection, a start took 0.81 to
- * 1.16 s of processor time in place of 1.52 to 1.80 (docs/BENCHMARKS.md, weight of a relay).
+ * <p>The library prepares every factory for encrypted connections, for name lookups and for metrics
+ * of its own: it loads a native library and two security providers, and reads the host's resolver
+ * files. A host uses none of it, and would do this work at each start, while callers wait for it to
+ * be back.
  */
 public final class CleartextClients {
 
@@ -32,6 +32,7 @@
     public static ClientFactoryBuilder factory() {
         return ClientFactory.builder()
                 .tlsProvider(new NoKeys())
+                .meterRegistry(NoopMeterRegistry.get())
                 .addressResolverGroupFactory(loops -> DefaultAddressResolverGroup.INSTANCE);
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import com.linecorp.armeria.server.Server;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
@@ -256,6 +257,7 @@
                 .http1MaxHeaderSize(MAX_HEADER_BYTES)
                 .http1MaxInitialLineLength(MAX_HEADER_BYTES)
                 .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
+                .meterRegistry(NoopMeterRegistry.get())
                 .disableServerHeader()
                 .disableDateHeader()
                 .serviceUnder("/", mService)
@@ -266,6 +268,7 @@
         return Server.builder()
                 .http(address(mSettings.listen().checks()))
                 .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
+                .meterRegistry(NoopMeterRegistry.get())
                 .service(READY_PATH, (context, request) -> readiness())
                 .service(METRICS_PATH, (context, request) -> metrics())
                 .build();
