Ask for places in rounds, and for room only beside a place that is kept

Cause: a search pauses when every engine has just said that it is full. Before many engines that never happens: a waiting request asked one after the other without a pause for its whole wait, each time with a report, two reservations and often a cancel, and so did those that come back, whose pause of 400 ms was never reached. On small hosts these calls took the processor from requests.

One ask is now the place alone; the report is read and the room to grow beside it looked for only where the place was kept. Engines that were full longest ago are asked first.

Ruled out: longer marks of full engines (they hide places that come free before few engines); leaving the cancel of the looked-for room to its lapse (it takes room from others for as long).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -304,6 +304,7 @@
                 + known.open().requests() * mCosts.requestMillis()
                 + (backend.domain().equals(mOwnDomain) ? 0 : mCosts.domainMillis())
                 + known.health().failureRate(nowMillis) * mCosts.failureMillis()
+                + known.fullness(nowMillis) * mCosts.fullMillis()
                 + known.excessMillis(nowMillis);
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -20,6 +20,13 @@
      */
     static final long FULL_MILLIS = 20;
 
+    /**
+     * Time in which a server that was full becomes as good as any other, in milliseconds.
+     *
+     * <p>Among many full engines those that were asked longest ago have most likely room by now.
+     */
+    static final long FULL_FADES_MILLIS = 1_000;
+
     /**
      * How long an entry that its server denies is not used, in milliseconds.
      *
@@ -40,7 +47,7 @@
     private final OpenWork mOpen = new OpenWork();
     private final BackendHealth mHealth = new BackendHealth();
     private final FadingMean mExcess = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
-    private long mFullUntilMillis = Long.MIN_VALUE;
+    private long mFullUntilMillis = Long.MIN_VALUE / 2;
     private long mAnsweredMillis = Long.MIN_VALUE;
     private Optional<Backend> mOutdated = Optional.empty();
     private long mOutdatedUntilMillis;
@@ -78,6 +85,12 @@
         return nowMillis < mFullUntilMillis;
     }
 
+    /** Returns how fresh its last "full" is: 1 at the moment it said so, 0 when that has faded. */
+    double fullness(long nowMillis) {
+        double sinceMillis = nowMillis - (mFullUntilMillis - FULL_MILLIS);
+        return Math.max(0, 1 - sinceMillis / FULL_FADES_MILLIS);
+    }
+
     /** Returns whether its report should be read again, and if so takes it as being read. */
     boolean reportDue(long nowMillis) {
         boolean due = nowMillis - mReportAskedMillis >= REPORT_MILLIS;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/CostSettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/CostSettings.java
@@ -10,6 +10,7 @@
  * @param domainMillis what crossing failure domains is worth avoiding: the round trip, and the
  *     price of the bytes
  * @param failureMillis what a certain failure would cost: the attempt and the next one
+ * @param fullMillis what asking a full engine costs: an ask in vain and the pause after it
  * @param handOverMillis what moving a read prompt to a decode engine is worth avoiding: setting up
  *     the transfer, and its price: a thousandth of what a generation is worth
  */
@@ -18,16 +19,17 @@
         double requestMillis,
         double domainMillis,
         double failureMillis,
+        double fullMillis,
         double handOverMillis) {
 
     /** Figures for failure domains that are some milliseconds apart. */
-    public static final CostSettings DEFAULTS = new CostSettings(0.5, 4, 5, 400, 20);
+    public static final CostSettings DEFAULTS = new CostSettings(0.5, 4, 5, 400, 30, 20);
 
     public CostSettings {
         if (inPlaceShare <= 0 || requestMillis < 0) {
             throw new IllegalArgumentException("rates of engines must be above 0");
         }
-        if (domainMillis < 0 || failureMillis < 0 || handOverMillis < 0) {
+        if (domainMillis < 0 || failureMillis < 0 || fullMillis < 0 || handOverMillis < 0) {
             throw new IllegalArgumentException("costs must not be negative");
         }
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
@@ -11,6 +11,7 @@
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.routing.place.AskPacing;
 import org.cyclamenpaddle.routing.place.PlaceSearch;
 import org.cyclamenpaddle.routing.place.Seeker;
 
@@ -43,6 +44,7 @@
     private final Set<BackendId> mAvoid;
     private final Listener mListener;
     private final PlaceSearch mSearch;
+    private final AskPacing mPacing = new AskPacing();
     private final EngineRoom mRoom;
     private Optional<Backend> mAsked = Optional.empty();
     private boolean mClosed;
@@ -85,17 +87,21 @@
         return comesBack ? Seeker.COME_BACK : Seeker.FIRST;
     }
 
-    /** Asks the best engine that has not just said that it is full. */
+    /** Asks the best engine that has not just said that it is full, or pauses before it does. */
     void find() {
         long now = mParts.clock().millis();
-        Optional<Backend> chosen = mParts.board().place(mRequest.service(), size(), mAvoid, now);
+        Optional<Backend> chosen =
+                mPacing.pauseIsDue()
+                        ? Optional.empty()
+                        : mParts.board().place(mRequest.service(), size(), mAvoid, now);
         if (chosen.isPresent()) {
             ask(chosen.get());
         } else if (!mSearch.mayGoOn(now)) {
             mClosed = true;
             mListener.found(Optional.empty());
         } else {
-            mLoop.schedule(this::findAgain, mSearch.pauseMillis(now), TimeUnit.MILLISECONDS);
+            long pause = mPacing.pauseMillis(mSearch, now);
+            mLoop.schedule(this::findAgain, pause, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -114,41 +120,59 @@
 
     private void ask(Backend runner) {
         mAsked = Optional.of(runner);
-        boolean yields = mSearch.yields(mParts.clock().millis());
-        mRoom.need(runner, yields, need -> askFor(runner, need));
+        PlaceAsk.send(mParts, mRequest, mLoop, runner, answer -> asked(runner, answer));
     }
 
-    private void askFor(Backend runner, Optional<PlaceNeed> need) {
+    private void asked(Backend runner, PlaceAsk.Answer answer) {
         if (mClosed) {
-            return;
+            answer.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, runner, name));
+        } else if (answer.kept()) {
+            boolean yields = mSearch.yields(mParts.clock().millis());
+            mRoom.beside(runner, yields, tokens -> probe(runner, answer, tokens));
+        } else {
+            turnedAway(runner, answer);
         }
-        if (need.isEmpty()) {
-            answered(runner, PlaceAsk.NO_ROOM);
+    }
+
+    /** Looks for room to grow beside a place that is kept. */
+    private void probe(Backend runner, PlaceAsk.Answer place, OptionalLong tokens) {
+        if (mClosed || tokens.isEmpty()) {
+            probed(runner, place, PlaceAsk.NO_ROOM);
+        } else if (tokens.getAsLong() == 0) {
+            probed(runner, place, place);
         } else {
-            PlaceAsk.send(
+            PlaceAsk.probe(
                     mParts,
                     mRequest,
                     mLoop,
                     runner,
-                    need.get(),
-                    answer -> answered(runner, answer));
+                    tokens.getAsLong(),
+                    room -> probed(runner, place, room));
         }
     }
 
-    private void answered(Backend runner, PlaceAsk.Answer answer) {
+    private void probed(Backend runner, PlaceAsk.Answer place, PlaceAsk.Answer room) {
+        if (mClosed || !room.kept()) {
+            place.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, runner, name));
+        }
         if (mClosed) {
-            answer.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, runner, name));
             return;
         }
-        mAsked = Optional.empty();
-        if (answer.kept()) {
-            mClosed = true;
-            mListener.found(Optional.of(new Place(runner, answer.reservation())));
+        if (!room.kept()) {
+            turnedAway(runner, room);
             return;
         }
+        mClosed = true;
+        mAsked = Optional.empty();
+        mListener.found(Optional.of(new Place(runner, place.reservation())));
+    }
+
+    private void turnedAway(Backend runner, PlaceAsk.Answer answer) {
+        mAsked = Optional.empty();
         giveBack(runner, answer.outcome());
         if (answer.full()) {
             mParts.board().full(runner, mParts.clock().millis());
+            mPacing.turnedAway();
         } else {
             mAvoid.add(runner.id());
             mParts.log().log(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineRoom.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineRoom.java
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -17,10 +16,11 @@
 import org.cyclamenpaddle.relay.route.EngineShape;
 
 /**
- * Works out what one request needs at engines, from what these report of their generations.
+ * Works out the room that must be free at an engine beside a request's place, so that the request
+ * and all others there can grow.
  *
- * <p>A host sees only its own part of an engine's work; the report names all of it. Reports are
- * read when a place is asked for, so that their number follows the requests and not the hosts.
+ * <p>A host sees only its own part of an engine's work; the engine's report names all of it.
+ * Reports are read where a place was kept, so that full engines cost one call each.
  */
 final class EngineRoom {
 
@@ -41,21 +41,21 @@
     }
 
     /**
-     * Tells what the request needs at an engine, on the event loop.
+     * Tells the tokens that must be free at an engine, on the event loop.
      *
      * @param engine the engine
      * @param yields whether room for another request of its size must be left
-     * @param done told the need; nothing if the engine cannot take it
+     * @param done told the tokens; nothing if the engine cannot take the request
      */
-    void need(Backend engine, boolean yields, Consumer<Optional<PlaceNeed>> done) {
+    void beside(Backend engine, boolean yields, Consumer<OptionalLong> done) {
         if (mParts.board().reportDue(engine, mParts.clock().millis())) {
-            call(engine, () -> done.accept(needNow(engine, yields)));
+            call(engine, () -> done.accept(besideNow(engine, yields)));
         } else {
-            done.accept(needNow(engine, yields));
+            done.accept(besideNow(engine, yields));
         }
     }
 
-    private Optional<PlaceNeed> needNow(Backend engine, boolean yields) {
+    private OptionalLong besideNow(Backend engine, boolean yields) {
         long now = mParts.clock().millis();
         EngineShape shape = mRequest.engine().orElseThrow();
         WorkSize size = mRequest.caller().size();
@@ -69,11 +69,8 @@
                                 report.report().work(shape.eventTokens()),
                                 report.ageMillis(now) + BORN_OLD_MILLIS,
                                 size);
-        long place = size.memoryTokens();
-        long left = yields ? place : 0;
-        return room.isPresent()
-                ? Optional.of(new PlaceNeed(place, room.getAsLong() + left))
-                : Optional.empty();
+        long left = yields ? size.memoryTokens() : 0;
+        return room.isPresent() ? OptionalLong.of(room.getAsLong() + left) : room;
     }
 
     private void call(Backend engine, Runnable done) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
@@ -16,12 +16,9 @@
 import org.cyclamenpaddle.relay.log.RelayEvent;
 
 /**
- * Asks one engine to keep a place for one request.
+ * Asks one engine to keep memory for one request.
  *
- * <p>What is kept stays kept for as long as the request runs, also a part that it never uses. So no
- * more is kept than what it needs at its start; the room that it and others will grow into is asked
- * for at the same time and given back at once. Engines answer from what is free now, which also
- * counts the places that other hosts have just had.
+ * <p>Engines answer from what is free now, which also counts what other hosts have just had.
  */
 final class PlaceAsk {
 
@@ -62,15 +59,40 @@
         mEngine = engine;
     }
 
-    /** Asks an engine; {@code done} is told on the event loop. */
+    /** Asks an engine to keep a request's place; {@code done} is told on the event loop. */
     static void send(
             RelayParts parts,
             RelayRequest request,
             EventLoop loop,
             Backend engine,
-            PlaceNeed need,
             Consumer<Answer> done) {
-        new PlaceAsk(parts, request, loop, engine).send(need, done);
+        PlaceAsk ask = new PlaceAsk(parts, request, loop, engine);
+        long tokens = request.caller().size().memoryTokens();
+        long keptMillis = request.engine().orElseThrow().reserveMillis();
+        ask.keep(tokens, keptMillis, true).thenAcceptAsync(done, loop);
+    }
+
+    /**
+     * Asks an engine whether more memory is free, and gives that back at once.
+     *
+     * <p>What is kept stays kept for as long as a request runs, also a part that it never uses; so
+     * the room that it will grow into is not kept with its place.
+     */
+    static void probe(
+            RelayParts parts,
+            RelayRequest request,
+            EventLoop loop,
+            Backend engine,
+            long tokens,
+            Consumer<Answer> done) {
+        PlaceAsk ask = new PlaceAsk(parts, request, loop, engine);
+        ask.keep(tokens, CALL_MILLIS, true)
+                .thenAcceptAsync(
+                        answer -> {
+                            answer.reservation().ifPresent(name -> cancel(parts, engine, name));
+                            done.accept(answer);
+                        },
+                        loop);
     }
 
     /** Gives a kept place back that no request will take. */
@@ -93,27 +115,6 @@
                         });
     }
 
-    private void send(PlaceNeed need, Consumer<Answer> done) {
-        long keptMillis = mRequest.engine().orElseThrow().reserveMillis();
-        CompletableFuture<Answer> place = keep(need.tokens(), keptMillis, true);
-        if (need.growthTokens() == 0) {
-            place.thenAcceptAsync(done, mLoop);
-            return;
-        }
-        place.thenCombine(keep(need.growthTokens(), CALL_MILLIS, true), this::both)
-                .thenAcceptAsync(done, mLoop);
-    }
-
-    /** A place counts only with room for growth; that room is given back at once. */
-    private Answer both(Answer place, Answer growth) {
-        growth.reservation().ifPresent(name -> cancel(mParts, mEngine, name));
-        if (!place.kept() || growth.kept()) {
-            return place;
-        }
-        place.reservation().ifPresent(name -> cancel(mParts, mEngine, name));
-        return growth;
-    }
-
     private CompletableFuture<Answer> keep(long tokens, long millis, boolean keptConnection) {
         long askedMillis = mParts.clock().millis();
         return mParts.connections()
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
@@ -248,7 +248,6 @@
                 mRequest,
                 mLoop,
                 send.target(),
-                placeHere(),
                 answer -> {
                     mAsking = false;
                     if (mEnded) {
@@ -265,11 +264,6 @@
                 });
     }
 
-    /** Returns what a generation holds that goes on; it had room to grow before. */
-    private PlaceNeed placeHere() {
-        return new PlaceNeed(mRequest.caller().size().memoryTokens(), 0);
-    }
-
     private void openHere(BackendSend send, Optional<String> reservation) {
         mParts.metrics().retried(SendOutcome.UNKNOWN);
         mAnswer.dropUnfinished();
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
@@ -223,6 +223,25 @@
         assertEquals(place(trial + 30), Optional.of(tried));
     }
 
+    /**
+     * Most engines of a large fleet are full. Asked by nearness alone, the few of the own failure
+     * domain are asked again and again, and those with room in other domains never.
+     */
+    @Test
+    public void enginesThatWereFullLongestAgoAreAskedFirst() {
+        Backend near = Backends.decode("near", "a");
+        Backend far = Backends.decode("far", "b");
+        list(near, far);
+        mBoard.full(near, 0);
+        long unmarked = BackendState.FULL_MILLIS;
+        assertEquals(place(unmarked), Optional.of(far));
+        end(far, SendOutcome.ABANDONED, unmarked);
+        mBoard.full(far, unmarked);
+        assertEquals(place(2 * unmarked), Optional.of(near));
+        end(near, SendOutcome.ABANDONED, 2 * unmarked);
+        assertEquals(place(BackendState.FULL_FADES_MILLIS), Optional.of(near), "faded");
+    }
+
     @Test
     public void fullEngineIsNotAskedAgainAtOnce() {
         Backend runner = Backends.decode("decode", "a");
