--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlannedStop.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
@@ -3,10 +3,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.cyclamenpaddle.core.time.Clock;
-import org.cyclamenpaddle.relay.front.Stopping;
+import org.cyclamenpaddle.relay.front.DrainState;
 
 /** The planned stop of a relay, which cuts off no request in flight. */
-final class PlannedStop implements Stopping {
+final class GracefulShutdown implements DrainState {
 
     /**
      * How long requests are taken after the signal, in milliseconds.
@@ -43,11 +43,11 @@
     private volatile long mStartMillis;
     private volatile boolean mStopping;
 
-    PlannedStop(long graceMillis, Clock clock) {
-        this(graceMillis, clock, PlannedStop::pause);
+    GracefulShutdown(long graceMillis, Clock clock) {
+        this(graceMillis, clock, GracefulShutdown::pause);
     }
 
-    PlannedStop(long graceMillis, Clock clock, Runnable pause) {
+    GracefulShutdown(long graceMillis, Clock clock, Runnable pause) {
         mGraceMillis = graceMillis;
         mClock = clock;
         mPause = pause;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Sources.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlatformAdapter.java
@@ -3,9 +3,9 @@
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.host.HostStore;
+import org.cyclamenpaddle.relay.role.EngineOrders;
+import org.cyclamenpaddle.relay.role.LeaseStore;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
-import org.cyclamenpaddle.relay.staging.EngineOrders;
-import org.cyclamenpaddle.relay.staging.LeaseStore;
 import org.cyclamenpaddle.relay.store.EntrySource;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
@@ -24,7 +24,7 @@
  * @param orders gives them
  * @param connections to backend servers, which the relay closes
  */
-public record Sources(
+public record PlatformAdapter(
         EntrySource<RelayConfiguration> configurations,
         EntrySource<Backend> backends,
         CallerMessages callerMessages,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -27,22 +27,22 @@
 import org.cyclamenpaddle.relay.backend.BackendBoard;
 import org.cyclamenpaddle.relay.backend.CostSettings;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
-import org.cyclamenpaddle.relay.front.RelayParts;
+import org.cyclamenpaddle.relay.front.RelayContext;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
-import org.cyclamenpaddle.relay.front.StartWait;
+import org.cyclamenpaddle.relay.front.StartupGate;
 import org.cyclamenpaddle.relay.host.HostRegistry;
 import org.cyclamenpaddle.relay.log.DecisionLog;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.role.DemandMeter;
+import org.cyclamenpaddle.relay.role.RoleAllocation;
+import org.cyclamenpaddle.relay.role.RoleController;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.relay.settings.RelaySettings;
-import org.cyclamenpaddle.relay.staging.DemandMeter;
-import org.cyclamenpaddle.relay.staging.StageKeeper;
-import org.cyclamenpaddle.relay.staging.StagePlan;
 import org.cyclamenpaddle.relay.store.Follower;
-import org.cyclamenpaddle.routing.place.CallerWaits;
+import org.cyclamenpaddle.routing.reservation.ReturningClients;
 
 /** One relay process: its parts, its start and its planned stop. */
 public final class RelayProcess implements AutoCloseable {
@@ -81,11 +81,11 @@
     private final DemandMeter mDemand = new DemandMeter();
     private final SharedRetryBudget mBudget;
     private final BackendBoard mBoard;
-    private final StartWait mStartWait = new StartWait();
-    private final Beliefs mBeliefs;
+    private final StartupGate mStartupGate = new StartupGate();
+    private final StateUpdater mUpdater;
     private final RelayService mService;
-    private final Sources mSources;
-    private final PlannedStop mStop;
+    private final PlatformAdapter mAdapter;
+    private final GracefulShutdown mStop;
     private final Server mCallerServer;
     private final Server mCheckServer;
 
@@ -100,12 +100,12 @@
     public RelayProcess(
             RelaySettings settings,
             Supplier<Either<String, RelaySettings>> reader,
-            Sources sources,
+            PlatformAdapter sources,
             DecisionLog log) {
         mSettings = settings;
         mLatest = settings;
         mReader = reader;
-        mSources = sources;
+        mAdapter = sources;
         mConnections = sources.connections();
         mLog = log;
         mBoard =
@@ -113,15 +113,17 @@
                         new FailureDomain(settings.host().domain()),
                         CostSettings.DEFAULTS,
                         mRandom);
-        mBeliefs = new Beliefs(mLog, mConfiguration, mBoard, mClock, mStartWait, this::logReady);
+        mUpdater =
+                new StateUpdater(
+                        mLog, mConfiguration, mBoard, mClock, mStartupGate, this::logReady);
         RelaySettings.Retry retry = settings.retry();
         mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
-        RelayParts parts =
-                new RelayParts(
+        RelayContext parts =
+                new RelayContext(
                         mBoard,
                         mBudget,
                         mDemand,
-                        new Table<>(TableOrder.CALLERS, new CallerWaits()),
+                        new Table<>(TableOrder.CALLERS, new ReturningClients()),
                         mConnections,
                         sources.backendMessages(),
                         sources.engineMessages(),
@@ -129,10 +131,10 @@
                         mMetrics,
                         mClock,
                         mRandom);
-        mStop = new PlannedStop(settings.stop().graceMillis(), mClock);
+        mStop = new GracefulShutdown(settings.stop().graceMillis(), mClock);
         mService =
                 new RelayService(
-                        parts, sources.callerMessages(), mConfiguration, mStop, mStartWait);
+                        parts, sources.callerMessages(), mConfiguration, mStop, mStartupGate);
         mCallerServer = callerServer();
         mCheckServer = checkServer();
         mMetrics.gauge("requests_in_flight", mService::inFlight);
@@ -148,7 +150,7 @@
                     mCallerServer.start().join();
                     mCheckServer.start().join();
                     mFollowing.schedule(
-                            mStartWait::end, StartWait.MOST_MILLIS, TimeUnit.MILLISECONDS);
+                            mStartupGate::end, StartupGate.MOST_MILLIS, TimeUnit.MILLISECONDS);
                     mLog.log(
                             RelayEvent.STARTED,
                             mSettings.host().name(),
@@ -170,7 +172,7 @@
 
     /** Returns whether new work is wanted. */
     public boolean ready() {
-        return mBeliefs.complete() && !mStop.isStopping();
+        return mUpdater.complete() && !mStop.isStopping();
     }
 
     /**
@@ -210,15 +212,15 @@
         mFollowing.scheduleWithFixedDelay(
                 this::reload, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
         new Follower<>(
-                        mSources.configurations(),
-                        mBeliefs.configurations(),
+                        mAdapter.configurations(),
+                        mUpdater.configurations(),
                         mFollowing,
                         mClock,
                         mRandom)
                 .start();
         new HostRegistry(
                         mSettings.host().name(),
-                        mSources.hosts(),
+                        mAdapter.hosts(),
                         mBudget::hosts,
                         mLog,
                         mFollowing,
@@ -226,20 +228,20 @@
                         mRandom)
                 .start();
         stageKeeper().start();
-        new Follower<>(mSources.backends(), mBeliefs.backends(), mFollowing, mClock, mRandom)
+        new Follower<>(mAdapter.backends(), mUpdater.backends(), mFollowing, mClock, mRandom)
                 .start();
     }
 
-    private StageKeeper stageKeeper() {
+    private RoleController stageKeeper() {
         String life = mSettings.host().name() + "-" + UUID.randomUUID();
-        return new StageKeeper(
+        return new RoleController(
                 life,
-                new StageKeeper.Parts(
+                new RoleController.Parts(
                         mBoard,
                         mDemand,
-                        new StagePlan(),
-                        mSources.orders(),
-                        mSources.lease(),
+                        new RoleAllocation(),
+                        mAdapter.orders(),
+                        mAdapter.lease(),
                         mLog),
                 () -> mConfiguration.inForce().map(RelayConfiguration::engines).orElse(Map.of()),
                 mFollowing,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Beliefs.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -9,7 +9,7 @@
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendBoard;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
-import org.cyclamenpaddle.relay.front.StartWait;
+import org.cyclamenpaddle.relay.front.StartupGate;
 import org.cyclamenpaddle.relay.log.DecisionLog;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
@@ -18,13 +18,13 @@
 import org.cyclamenpaddle.relay.store.StoreFailure;
 
 /** Brings what the store says to the tables that requests are decided by, one log line each. */
-final class Beliefs {
+final class StateUpdater {
 
     private final DecisionLog mLog;
     private final ConfigurationCell mConfiguration;
     private final BackendBoard mBoard;
     private final Clock mClock;
-    private final StartWait mStartWait;
+    private final StartupGate mStartupGate;
     private final Runnable mCompleted;
     private volatile boolean mBackendsListed;
     private boolean mCompleteSaid;
@@ -35,14 +35,14 @@
      * @param startWait ended as soon as requests can be decided, or the store fails a call
      * @param completed run once, as soon as requests can be decided
      */
-    Beliefs(
+    StateUpdater(
             DecisionLog log,
             ConfigurationCell configuration,
             BackendBoard board,
             Clock clock,
-            StartWait startWait,
+            StartupGate startWait,
             Runnable completed) {
-        mStartWait = startWait;
+        mStartupGate = startWait;
         mCompleted = completed;
         mLog = log;
         mConfiguration = configuration;
@@ -59,7 +59,7 @@
     private void learned() {
         if (complete() && !mCompleteSaid) {
             mCompleteSaid = true;
-            mStartWait.end();
+            mStartupGate.end();
             mCompleted.run();
         }
     }
@@ -101,7 +101,7 @@
 
         @Override
         public void contactLost(StoreFailure failure) {
-            mStartWait.end();
+            mStartupGate.end();
             mConfiguration.confirmed(false);
             mLog.log(RelayEvent.STORE_LOST, "configuration", failure);
         }
@@ -145,7 +145,7 @@
 
         @Override
         public void contactLost(StoreFailure failure) {
-            mStartWait.end();
+            mStartupGate.end();
             mLog.log(RelayEvent.STORE_LOST, "backends", failure);
         }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendBoard.java
@@ -27,15 +27,15 @@
         private final BackendDirectory mDirectory = new BackendDirectory();
         private final Map<BackendId, BackendState> mStates = new HashMap<>();
 
-        private final Map<FailureDomain, DomainReach> mReach = new HashMap<>();
-        private final Map<ServiceName, ReadingSpeed> mSpeeds = new HashMap<>();
+        private final Map<FailureDomain, DomainConnectivity> mReach = new HashMap<>();
+        private final Map<ServiceName, PrefillThroughput> mSpeeds = new HashMap<>();
 
-        private ReadingSpeed speed(ServiceName service) {
-            return mSpeeds.computeIfAbsent(service, any -> new ReadingSpeed());
+        private PrefillThroughput speed(ServiceName service) {
+            return mSpeeds.computeIfAbsent(service, any -> new PrefillThroughput());
         }
 
-        private DomainReach reach(Backend backend) {
-            return mReach.computeIfAbsent(backend.domain(), domain -> new DomainReach());
+        private DomainConnectivity reach(Backend backend) {
+            return mReach.computeIfAbsent(backend.domain(), domain -> new DomainConnectivity());
         }
 
         private boolean admits(Backend backend, long nowMillis) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -34,7 +34,7 @@
     private int mSuspicions;
     private long mEjectedUntilMillis = Long.MIN_VALUE;
     private boolean mTrialRunning;
-    private final FadingMean mFailures = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
+    private final MovingAverage mFailures = new MovingAverage(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
 
     /** Returns whether new work may go to the server now, a trial included. */
     boolean admits(long nowMillis) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -46,7 +46,7 @@
     private final long mBornMillis;
     private final OpenWork mOpen = new OpenWork();
     private final BackendHealth mHealth = new BackendHealth();
-    private final FadingMean mExcess = new FadingMean(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
+    private final MovingAverage mExcess = new MovingAverage(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
     private long mFullUntilMillis = Long.MIN_VALUE / 2;
     private long mAnsweredMillis = Long.MIN_VALUE;
     private Optional<Backend> mOutdated = Optional.empty();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/DomainReach.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/DomainConnectivity.java
@@ -13,7 +13,7 @@
  * there in between, count for the whole domain; one request a second finds out when it is back. Not
  * thread-safe.
  */
-final class DomainReach {
+final class DomainConnectivity {
 
     /**
      * Servers out of reach in a row that count for their whole domain; one may just have crashed.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/FadingMean.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/MovingAverage.java
@@ -6,7 +6,7 @@
  * <p>What was seen of a server long ago says little about it now, so that a bad one is tried again
  * by itself. Not thread-safe.
  */
-final class FadingMean {
+final class MovingAverage {
 
     private final double mNewestWeight;
     private final double mHalfLifeMillis;
@@ -19,7 +19,7 @@
      * @param newestWeight weight of the newest reading, from 0 to 1
      * @param halfLifeMillis time after which half of the mean is forgotten
      */
-    FadingMean(double newestWeight, double halfLifeMillis) {
+    MovingAverage(double newestWeight, double halfLifeMillis) {
         mNewestWeight = newestWeight;
         mHalfLifeMillis = halfLifeMillis;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ReadingSpeed.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/PrefillThroughput.java
@@ -8,7 +8,7 @@
  * <p>Most readings wait behind others; the fastest of late shows the engines' own speed. Not
  * thread-safe.
  */
-final class ReadingSpeed {
+final class PrefillThroughput {
 
     /** Tokens that are read in a millisecond, until a reading was seen. */
     private static final double AT_FIRST = 20;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendSend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -16,7 +16,7 @@
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
 /** One send of a request to the backend server that runs it, up to its typed outcome. */
-final class BackendSend implements ExchangeListener {
+final class BackendAttempt implements ExchangeListener {
 
     /** Told the outcome, once, unless the send was cancelled or given up. */
     interface EndListener {
@@ -72,7 +72,7 @@
      */
     private static final double STREAM_PAUSE_SHARE = 0.4;
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final BackendCall mCall;
     private final CallerAnswer mAnswer;
@@ -89,14 +89,14 @@
     private boolean mFlowing;
     private boolean mEnded;
 
-    BackendSend(
-            RelayParts parts,
+    BackendAttempt(
+            RelayContext relay,
             RelayRequest request,
             BackendCall call,
             CallerAnswer answer,
             Terms terms,
             EndListener endListener) {
-        mParts = parts;
+        mRelay = relay;
         mRequest = request;
         mCall = call;
         mAnswer = answer;
@@ -105,7 +105,7 @@
         mConnection = terms.connection();
         mSentOnceMore = terms.sentOnceMore();
         mEndListener = endListener;
-        mStartMillis = parts.clock().millis();
+        mStartMillis = relay.clock().millis();
     }
 
     void start(EventLoop loop) {
@@ -118,10 +118,10 @@
         boolean kept = mConnection != Connection.NEW;
         mExchange =
                 BackendExchange.send(
-                        mParts.connections().client(target().address(), target().port(), kept),
-                        mParts.messages().request(mRequest.caller(), mCall),
+                        mRelay.connections().client(target().address(), target().port(), kept),
+                        mRelay.messages().request(mRequest.caller(), mCall),
                         mRequest.body(),
-                        mParts.messages(),
+                        mRelay.messages(),
                         mLoop,
                         this);
         mExchange.listen();
@@ -146,7 +146,7 @@
     }
 
     long spentMillis() {
-        return mParts.clock().millis() - mStartMillis;
+        return mRelay.clock().millis() - mStartMillis;
     }
 
     @Override
@@ -183,7 +183,7 @@
             waitFor((long) (mRequest.route().silenceMillis() * STREAM_PAUSE_SHARE));
         }
         if (mHead.success() || !mAnswer.isForwarding()) {
-            mAnswer.data(data, mParts.clock().millis(), this::more);
+            mAnswer.data(data, mRelay.clock().millis(), this::more);
         } else {
             mExchange.more();
         }
@@ -198,7 +198,7 @@
 
     @Override
     public void failed(SendOutcome outcome, Throwable cause) {
-        if (mayHaveBeenStale(outcome) && mParts.budget().tryTake(mRequest.service())) {
+        if (mayHaveBeenStale(outcome) && mRelay.budget().tryTake(mRequest.service())) {
             mConnection = Connection.NEW;
             mSentOnceMore.run();
             open();
@@ -237,12 +237,12 @@
             return;
         }
         mFlowing = true;
-        long now = mParts.clock().millis();
+        long now = mRelay.clock().millis();
         mPatience.ifPresent(timer -> timer.cancel(false));
-        mParts.board().answered(target(), explainedSize(), now - mStartMillis, now);
+        mRelay.board().answered(target(), explainedSize(), now - mStartMillis, now);
         if (!mPromptRead) {
             mPromptRead = true;
-            mParts.board().promptRead(target(), mRequest.caller().size());
+            mRelay.board().promptRead(target(), mRequest.caller().size());
         }
     }
 
@@ -289,15 +289,15 @@
         mEnded = true;
         mPatience.ifPresent(timer -> timer.cancel(false));
         boolean ejected =
-                mParts.board()
+                mRelay.board()
                         .ended(
                                 target(),
                                 mRequest.caller().size(),
                                 mPromptRead,
                                 outcome,
-                                mParts.clock().millis());
+                                mRelay.clock().millis());
         if (ejected) {
-            mParts.log().log(RelayEvent.BACKEND_EJECTED, target().id(), outcome, cause);
+            mRelay.log().log(RelayEvent.BACKEND_EJECTED, target().id(), outcome, cause);
         }
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerAnswer.java
@@ -7,9 +7,9 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.cyclamenpaddle.relay.course.CallerReply;
-import org.cyclamenpaddle.relay.course.Course;
-import org.cyclamenpaddle.relay.course.EventTail;
+import org.cyclamenpaddle.relay.retry.CallerReply;
+import org.cyclamenpaddle.relay.retry.EventTail;
+import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.relay.wire.BackendAnswer;
 
 /**
@@ -28,7 +28,7 @@
 
     private final HttpResponseWriter mWriter;
     private final RetryAfter mRetryAfter;
-    private final Course mCourse;
+    private final RetryPolicy mRetryPolicy;
     private final boolean mStreams;
     private final EventTail mTail;
     private final ByteArrayOutputStream mHeld = new ByteArrayOutputStream();
@@ -39,17 +39,20 @@
     private int mStatus;
 
     CallerAnswer(
-            HttpResponseWriter writer, RelayRequest request, RetryAfter retryAfter, Course course) {
+            HttpResponseWriter writer,
+            RelayRequest request,
+            RetryAfter retryAfter,
+            RetryPolicy retryPolicy) {
         mWriter = writer;
         mRetryAfter = retryAfter;
-        mCourse = course;
+        mRetryPolicy = retryPolicy;
         mStreams = request.route().kind().streams();
         mTail = new EventTail(request.caller().resumeAfter());
     }
 
     /** Takes the head of a backend server's answer that may become the caller's. */
     void head(BackendAnswer head) {
-        if (!mCourse.isForwarding()) {
+        if (!mRetryPolicy.isForwarding()) {
             mHead = head;
         }
     }
@@ -128,7 +131,7 @@
     }
 
     boolean isForwarding() {
-        return mCourse.isForwarding();
+        return mRetryPolicy.isForwarding();
     }
 
     int status() {
@@ -144,7 +147,7 @@
         if (mStreams) {
             return mTail.offer(bytes);
         }
-        if (mCourse.isForwarding()) {
+        if (mRetryPolicy.isForwarding()) {
             return bytes;
         }
         mHeld.writeBytes(bytes);
@@ -157,10 +160,10 @@
     }
 
     private void writeHead() {
-        if (mCourse.isForwarding()) {
+        if (mRetryPolicy.isForwarding()) {
             return;
         }
-        mCourse.forwarding();
+        mRetryPolicy.forwarding();
         ResponseHeaders headers = ConnectionHeaders.without(mHead.headers());
         mStatus = headers.status().code();
         mWriter.tryWrite(mRetryAfter.whileStopping(headers.toBuilder()).build());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/Stopping.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/DrainState.java
@@ -1,7 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 /** What the front has to know of a planned stop. */
-public interface Stopping {
+public interface DrainState {
 
     /** Returns whether the host is in a planned stop. */
     boolean isStopping();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineRoom.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -22,7 +22,7 @@
  * <p>A host sees only its own part of an engine's work; the engine's report names all of it.
  * Reports are read where a place was kept, so that full engines cost one call each.
  */
-final class EngineRoom {
+final class GrowthCapacity {
 
     /** Longest wait for a report, in milliseconds. */
     private static final long CALL_MILLIS = 200;
@@ -30,12 +30,12 @@
     /** Age of a report at its arrival, in milliseconds: engines say some hundred. */
     private static final long BORN_OLD_MILLIS = 500;
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
 
-    EngineRoom(RelayParts parts, RelayRequest request, EventLoop loop) {
-        mParts = parts;
+    GrowthCapacity(RelayContext relay, RelayRequest request, EventLoop loop) {
+        mRelay = relay;
         mRequest = request;
         mLoop = loop;
     }
@@ -48,7 +48,7 @@
      * @param done told the tokens; nothing if the engine cannot take the request
      */
     void beside(Backend engine, boolean yields, Consumer<OptionalLong> done) {
-        if (mParts.board().reportDue(engine, mParts.clock().millis())) {
+        if (mRelay.board().reportDue(engine, mRelay.clock().millis())) {
             call(engine, () -> done.accept(besideNow(engine, yields)));
         } else {
             done.accept(besideNow(engine, yields));
@@ -56,13 +56,13 @@
     }
 
     private OptionalLong besideNow(Backend engine, boolean yields) {
-        long now = mParts.clock().millis();
+        long now = mRelay.clock().millis();
         EngineShape shape = mRequest.engine().orElseThrow();
         WorkSize size = mRequest.caller().size();
         TimedReport none = new TimedReport(new EngineReport(0, false, List.of()), now);
-        TimedReport report = mParts.board().report(engine, now).orElse(none);
+        TimedReport report = mRelay.board().report(engine, now).orElse(none);
         OptionalLong room =
-                mParts.demand()
+                mRelay.demand()
                         .room(
                                 mRequest.service(),
                                 shape,
@@ -74,10 +74,10 @@
     }
 
     private void call(Backend engine, Runnable done) {
-        mParts.connections()
+        mRelay.connections()
                 .keptClient(engine.address(), engine.port())
                 .execute(
-                        HttpRequest.of(mParts.engines().report(engine)),
+                        HttpRequest.of(mRelay.engines().report(engine)),
                         RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
                 .aggregate()
                 .whenCompleteAsync(
@@ -91,10 +91,10 @@
     private void take(Backend engine, AggregatedHttpResponse answer, Throwable failure) {
         Either<String, EngineReport> report =
                 failure == null
-                        ? mParts.engines().report(answer)
+                        ? mRelay.engines().report(answer)
                         : Either.left(String.valueOf(failure));
-        report.peek(told -> mParts.board().reported(engine, told, mParts.clock().millis()))
+        report.peek(told -> mRelay.board().reported(engine, told, mRelay.clock().millis()))
                 .peekLeft(
-                        cause -> mParts.log().log(RelayEvent.REPORT_NOT_READ, engine.id(), cause));
+                        cause -> mRelay.log().log(RelayEvent.REPORT_NOT_READ, engine.id(), cause));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PromptReading.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -16,7 +16,7 @@
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
 /** Has one prompt read by a prefill engine; a failure here never means that the request ran. */
-final class PromptReading implements ExchangeListener {
+final class PrefillExchange implements ExchangeListener {
 
     /**
      * Share of a bearable silence for which an engine is waited for that answers nothing.
@@ -37,7 +37,7 @@
      */
     private static final double QUEUE_SHARE = 0.6;
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final Backend mReader;
     private final Consumer<Optional<PromptHandle>> mDone;
@@ -57,16 +57,16 @@
      *
      * @param done told the handle, or nothing if the prompt was not read; not after a cancel
      */
-    PromptReading(
-            RelayParts parts,
+    PrefillExchange(
+            RelayContext relay,
             RelayRequest request,
             Backend reader,
             Consumer<Optional<PromptHandle>> done) {
-        mParts = parts;
+        mRelay = relay;
         mRequest = request;
         mReader = reader;
         mDone = done;
-        mStartMillis = parts.clock().millis();
+        mStartMillis = relay.clock().millis();
     }
 
     void start(EventLoop loop, long leftMillis) {
@@ -88,10 +88,10 @@
                         Optional.empty());
         mExchange =
                 BackendExchange.send(
-                        mParts.connections().client(mReader.address(), mReader.port(), kept),
-                        mParts.messages().request(mRequest.caller(), call),
+                        mRelay.connections().client(mReader.address(), mReader.port(), kept),
+                        mRelay.messages().request(mRequest.caller(), call),
                         mRequest.body(),
-                        mParts.messages(),
+                        mRelay.messages(),
                         mLoop,
                         this);
         mExchange.listen();
@@ -141,13 +141,13 @@
             fail(SendOutcome.UNKNOWN, "answer for " + mAnswer.requestId().orElse("no request"));
             return;
         }
-        Either<String, PromptHandle> handle = mParts.engines().prompt(mReader, mBody.toByteArray());
+        Either<String, PromptHandle> handle = mRelay.engines().prompt(mReader, mBody.toByteArray());
         if (handle.isLeft()) {
             fail(SendOutcome.UNKNOWN, handle.getLeft());
             return;
         }
-        long now = mParts.clock().millis();
-        mParts.board().answered(mReader, mRequest.caller().size(), now - mStartMillis, now);
+        long now = mRelay.clock().millis();
+        mRelay.board().answered(mReader, mRequest.caller().size(), now - mStartMillis, now);
         end(SendOutcome.SUCCEEDED);
         mDone.accept(Optional.of(handle.get()));
     }
@@ -174,11 +174,11 @@
         if (mEnded) {
             return;
         }
-        long now = mParts.clock().millis();
+        long now = mRelay.clock().millis();
         long patience = patienceMillis();
         long most = (long) (mRequest.route().silenceMillis() * QUEUE_SHARE);
         long left = mStartMillis + most - now;
-        boolean queued = mParts.board().answeredSince(mReader, mStartMillis);
+        boolean queued = mRelay.board().answeredSince(mReader, mStartMillis);
         if (queued && left > 0) {
             mPatience =
                     mLoop.schedule(this::tooLong, Math.min(patience, left), TimeUnit.MILLISECONDS);
@@ -190,20 +190,20 @@
 
     private void fail(SendOutcome outcome, String cause) {
         end(outcome);
-        mParts.log().log(
+        mRelay.log().log(
                 RelayEvent.PROMPT_NOT_READ,
                 mRequest.caller().id(),
                 mReader.id(),
                 outcome,
                 cause,
-                mParts.clock().millis() - mStartMillis);
+                mRelay.clock().millis() - mStartMillis);
         mDone.accept(Optional.empty());
     }
 
     private void end(SendOutcome outcome) {
         mEnded = true;
         mPatience.cancel(false);
-        long now = mParts.clock().millis();
-        mParts.board().ended(mReader, mRequest.caller().size(), false, outcome, now);
+        long now = mRelay.clock().millis();
+        mRelay.board().ended(mReader, mRequest.caller().size(), false, outcome, now);
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayParts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -7,13 +7,13 @@
 import org.cyclamenpaddle.relay.backend.BackendBoard;
 import org.cyclamenpaddle.relay.log.DecisionLog;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
-import org.cyclamenpaddle.relay.staging.DemandMeter;
+import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.EngineMessages;
-import org.cyclamenpaddle.routing.place.CallerWaits;
+import org.cyclamenpaddle.routing.reservation.ReturningClients;
 
 /**
- * What the courses of all requests share.
+ * What the exchanges of all requests share.
  *
  * @param board backend servers
  * @param budget repeats
@@ -27,11 +27,11 @@
  * @param clock this host's clock
  * @param random even draws from 0 to 1
  */
-public record RelayParts(
+public record RelayContext(
         BackendBoard board,
         SharedRetryBudget budget,
         DemandMeter demand,
-        Table<CallerWaits> callers,
+        Table<ReturningClients> callers,
         BackendConnections connections,
         BackendMessages messages,
         EngineMessages engines,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -3,12 +3,12 @@
 import com.linecorp.armeria.common.HttpData;
 import java.util.Optional;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.relay.role.Demand;
+import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.route.EngineShape;
 import org.cyclamenpaddle.relay.route.Route;
-import org.cyclamenpaddle.relay.staging.Demand;
-import org.cyclamenpaddle.relay.staging.DemandMeter;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
-import org.cyclamenpaddle.routing.place.ComeBack;
+import org.cyclamenpaddle.routing.reservation.ClientRetryDelay;
 
 /**
  * A request on its way, with what its configuration says of it.
@@ -37,6 +37,6 @@
             return Math.max(1, (long) (route.targetMillis() * CALL_SHARE));
         }
         double usualMillis = demand.of(service).map(Demand::decodeMillis).orElse(0.0);
-        return ComeBack.leastMillis(usualMillis, route.terms());
+        return ClientRetryDelay.leastMillis(usualMillis, route.terms());
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -22,35 +22,35 @@
 /** Takes callers' requests, finds their routes and starts their runs. */
 public final class RelayService implements HttpService {
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final CallerMessages mMessages;
     private final ConfigurationCell mConfiguration;
-    private final Stopping mStopping;
-    private final StartWait mStartWait;
+    private final DrainState mStopping;
+    private final StartupGate mStartupGate;
     private final RetryAfter mRetryAfter;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
     /**
      * Creates the service.
      *
-     * @param parts what all runs share
+     * @param relay what all runs share
      * @param messages decodes requests
      * @param configuration routes
      * @param stopping whether the host is in a planned stop
      * @param startWait until what is needed to decide requests is known
      */
     public RelayService(
-            RelayParts parts,
+            RelayContext relay,
             CallerMessages messages,
             ConfigurationCell configuration,
-            Stopping stopping,
-            StartWait startWait) {
+            DrainState stopping,
+            StartupGate startWait) {
         mStopping = stopping;
-        mStartWait = startWait;
-        mParts = parts;
+        mStartupGate = startWait;
+        mRelay = relay;
         mMessages = messages;
         mConfiguration = configuration;
-        mRetryAfter = new RetryAfter(parts.random(), stopping::isStopping);
+        mRetryAfter = new RetryAfter(relay.random(), stopping::isStopping);
     }
 
     /** Returns the requests that have not ended yet. */
@@ -60,11 +60,11 @@
 
     @Override
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
-        if (mStartWait.isOver()) {
+        if (mStartupGate.isOver()) {
             return take(context, request);
         }
         return HttpResponse.of(
-                mStartWait
+                mStartupGate
                         .whenOver()
                         .thenApplyAsync(over -> take(context, request), context.eventLoop()));
     }
@@ -124,7 +124,7 @@
             Route route,
             CallerRequest caller,
             HttpResponseWriter writer) {
-        ServiceName service = route.serviceFor(mParts.random().getAsDouble());
+        ServiceName service = route.serviceFor(mRelay.random().getAsDouble());
         RelayRequest relayed =
                 new RelayRequest(
                         caller,
@@ -135,9 +135,9 @@
                         configuration.version());
         Channel connection = context.log().partial().channel();
         CallerConnection watch = new CallerConnection(connection);
-        RelayRun run =
-                new RelayRun(
-                        mParts,
+        RequestExchange run =
+                new RequestExchange(
+                        mRelay,
                         relayed,
                         context.eventLoop().withoutContext(),
                         writer,
@@ -163,7 +163,7 @@
     }
 
     private HttpResponse refuse(RequestHeaders headers, HttpStatus status, String reason) {
-        mParts.log().log(
+        mRelay.log().log(
                 RelayEvent.REQUEST_REFUSED,
                 mMessages.request(headers).map(CallerRequest::id).getOrElse("none"),
                 authority(headers),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRun.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -11,36 +11,37 @@
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
-import org.cyclamenpaddle.relay.course.CallerReply;
-import org.cyclamenpaddle.relay.course.Course;
-import org.cyclamenpaddle.relay.course.CourseTerms;
-import org.cyclamenpaddle.relay.course.NextStep;
+import org.cyclamenpaddle.relay.retry.CallerReply;
+import org.cyclamenpaddle.relay.retry.RetryDecision;
+import org.cyclamenpaddle.relay.retry.RetryPolicy;
+import org.cyclamenpaddle.relay.retry.RetryTerms;
+import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.route.RouteKind;
-import org.cyclamenpaddle.relay.staging.Demand;
 import org.cyclamenpaddle.relay.wire.BackendCall;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
 /**
- * Carries one request through its course: places it, sends it, and ends it exactly once.
+ * Carries one request from its arrival to its end: reserves an engine, sends it, ends it exactly
+ * once.
  *
  * <p>All methods run on the event loop of the caller's connection.
  */
-final class RelayRun {
+final class RequestExchange {
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final CallerAnswer mAnswer;
     private final Runnable mOnEnd;
-    private final Course mCourse;
-    private final RunLines mLines;
+    private final RetryPolicy mRetryPolicy;
+    private final RequestLog mRequestLog;
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mGiveUp;
-    private Optional<EnginePlaces> mPlaces = Optional.empty();
-    private Optional<EnginePlaces.Place> mPlace = Optional.empty();
-    private Optional<PromptReading> mReading = Optional.empty();
-    private Optional<BackendSend> mSend = Optional.empty();
+    private Optional<ReservationSearch> mPlaces = Optional.empty();
+    private Optional<ReservationSearch.Place> mPlace = Optional.empty();
+    private Optional<PrefillExchange> mReading = Optional.empty();
+    private Optional<BackendAttempt> mSend = Optional.empty();
     private Optional<Backend> mLast = Optional.empty();
     private Optional<Backend> mReader = Optional.empty();
     private Optional<Backend> mLostReader = Optional.empty();
@@ -48,30 +49,30 @@
     private boolean mAsking;
     private boolean mEnded;
 
-    RelayRun(
-            RelayParts parts,
+    RequestExchange(
+            RelayContext relay,
             RelayRequest request,
             EventLoop loop,
             HttpResponseWriter writer,
             RetryAfter retryAfter,
             Runnable onEnd) {
-        mParts = parts;
+        mRelay = relay;
         mRequest = request;
         mLoop = loop;
         mOnEnd = onEnd;
-        mStartMillis = parts.clock().millis();
+        mStartMillis = relay.clock().millis();
         long callerMillis = request.caller().callerMillis().orElse(Long.MAX_VALUE);
-        mCourse = new Course(CourseTerms.of(request.route(), callerMillis), mStartMillis);
-        mAnswer = new CallerAnswer(writer, request, retryAfter, mCourse);
-        mLines = new RunLines(parts, request, mCourse, mAnswer, mStartMillis);
+        mRetryPolicy = new RetryPolicy(RetryTerms.of(request.route(), callerMillis), mStartMillis);
+        mAnswer = new CallerAnswer(writer, request, retryAfter, mRetryPolicy);
+        mRequestLog = new RequestLog(relay, request, mRetryPolicy, mAnswer, mStartMillis);
     }
 
     void start() {
-        mParts.budget().requested(mRequest.service());
+        mRelay.budget().requested(mRequest.service());
         if (mRequest.engine().isPresent()) {
-            mParts.demand().begun(mRequest.service(), mRequest.caller().size());
+            mRelay.demand().begun(mRequest.service(), mRequest.caller().size());
         }
-        long left = mCourse.leftMillis(mStartMillis);
+        long left = mRetryPolicy.leftMillis(mStartMillis);
         mGiveUp = mLoop.schedule(this::giveUp, left, TimeUnit.MILLISECONDS);
         place();
     }
@@ -81,58 +82,58 @@
         if (mEnded) {
             return;
         }
-        mSend.ifPresent(BackendSend::cancel);
-        mParts.metrics().callerGone();
-        mLines.callerGone(mLast);
+        mSend.ifPresent(BackendAttempt::cancel);
+        mRelay.metrics().callerGone();
+        mRequestLog.callerGone(mLast);
         end();
     }
 
     private void place() {
         if (mRequest.engine().isPresent()) {
-            EnginePlaces places =
-                    new EnginePlaces(mParts, mRequest, mLoop, mTried, this::placeFound);
+            ReservationSearch places =
+                    new ReservationSearch(mRelay, mRequest, mLoop, mTried, this::placeFound);
             mPlaces = Optional.of(places);
             places.find();
             return;
         }
         Optional<Backend> runner =
-                mParts.board()
+                mRelay.board()
                         .place(
                                 mRequest.service(),
                                 mRequest.caller().size(),
                                 mTried,
-                                mParts.clock().millis());
+                                mRelay.clock().millis());
         if (runner.isEmpty()) {
             reply(SendOutcome.NOT_SENT, "no backend server can be reached");
         } else {
-            send(new EnginePlaces.Place(runner.get(), Optional.empty()), Optional.empty());
+            send(new ReservationSearch.Place(runner.get(), Optional.empty()), Optional.empty());
         }
     }
 
-    private void placeFound(Optional<EnginePlaces.Place> found) {
+    private void placeFound(Optional<ReservationSearch.Place> found) {
         mPlaces = Optional.empty();
         if (found.isEmpty()) {
             reply(SendOutcome.NOT_SENT, "no engine has room");
             return;
         }
-        long now = mParts.clock().millis();
+        long now = mRelay.clock().millis();
         mPlaceMillis = now - mStartMillis;
-        EnginePlaces.Place place = found.get();
-        mReader = mParts.board().reader(place.runner(), mRequest.caller().size(), now);
+        ReservationSearch.Place place = found.get();
+        mReader = mRelay.board().reader(place.runner(), mRequest.caller().size(), now);
         if (mReader.isEmpty()) {
             send(place, Optional.empty());
             return;
         }
-        PromptReading reading =
-                new PromptReading(
-                        mParts, mRequest, mReader.get(), handle -> promptRead(place, handle));
+        PrefillExchange reading =
+                new PrefillExchange(
+                        mRelay, mRequest, mReader.get(), handle -> promptRead(place, handle));
         mReading = Optional.of(reading);
         mPlace = Optional.of(place);
-        reading.start(mLoop, mCourse.leftMillis(now));
+        reading.start(mLoop, mRetryPolicy.leftMillis(now));
     }
 
-    private void promptRead(EnginePlaces.Place place, Optional<PromptHandle> handle) {
-        boolean rejected = mReading.map(PromptReading::rejected).orElse(false);
+    private void promptRead(ReservationSearch.Place place, Optional<PromptHandle> handle) {
+        boolean rejected = mReading.map(PrefillExchange::rejected).orElse(false);
         mReading = Optional.empty();
         if (rejected && !takeRetry()) {
             giveBack(place);
@@ -143,67 +144,67 @@
     }
 
     /** Frees the place of a request that ends before it was sent. */
-    private void giveBack(EnginePlaces.Place place) {
-        place.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, place.runner(), name));
+    private void giveBack(ReservationSearch.Place place) {
+        place.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, place.runner(), name));
         release(place.runner());
     }
 
     private void release(Backend runner) {
-        mParts.board()
+        mRelay.board()
                 .ended(
                         runner,
                         mRequest.caller().size(),
                         true,
                         SendOutcome.ABANDONED,
-                        mParts.clock().millis());
+                        mRelay.clock().millis());
     }
 
-    private void send(EnginePlaces.Place place, Optional<PromptHandle> prompt) {
+    private void send(ReservationSearch.Place place, Optional<PromptHandle> prompt) {
         Backend runner = place.runner();
         mTried.add(runner.id());
         mLast = Optional.of(runner);
-        mCourse.sending();
+        mRetryPolicy.sending();
         open(place, prompt);
     }
 
-    private void open(EnginePlaces.Place place, Optional<PromptHandle> prompt) {
+    private void open(ReservationSearch.Place place, Optional<PromptHandle> prompt) {
         Backend runner = place.runner();
         BackendCall call =
                 new BackendCall(
                         runner,
-                        mCourse.leftMillis(mParts.clock().millis()),
+                        mRetryPolicy.leftMillis(mRelay.clock().millis()),
                         false,
                         prompt,
                         place.reservation(),
                         mAnswer.lastEventId());
-        boolean othersLeft = mRequest.route().repeatable() && mCourse.mayGoOn();
-        BackendSend send =
-                new BackendSend(
-                        mParts,
+        boolean othersLeft = mRequest.route().repeatable() && mRetryPolicy.mayGoOn();
+        BackendAttempt send =
+                new BackendAttempt(
+                        mRelay,
                         mRequest,
                         call,
                         mAnswer,
-                        new BackendSend.Terms(
+                        new BackendAttempt.Terms(
                                 mReader.isPresent(),
                                 othersLeft,
                                 connection(place),
-                                mCourse::sentOnceMore),
+                                mRetryPolicy::sentOnceMore),
                         this::sendEnded);
         mSend = Optional.of(send);
         send.start(mLoop);
     }
 
-    private BackendSend.Connection connection(EnginePlaces.Place place) {
+    private BackendAttempt.Connection connection(ReservationSearch.Place place) {
         if (place.reservation().isPresent()) {
-            return BackendSend.Connection.PROVEN;
+            return BackendAttempt.Connection.PROVEN;
         }
         return mRequest.route().kind() == RouteKind.IDEMPOTENT
-                ? BackendSend.Connection.KEPT
-                : BackendSend.Connection.NEW;
+                ? BackendAttempt.Connection.KEPT
+                : BackendAttempt.Connection.NEW;
     }
 
     private void sendEnded(SendOutcome outcome, String cause) {
-        BackendSend send = mSend.orElseThrow();
+        BackendAttempt send = mSend.orElseThrow();
         mSend = Optional.empty();
         freeUnused(send, outcome);
         if (outcome == SendOutcome.REJECTED && send.prompt().isEmpty()) {
@@ -225,13 +226,13 @@
      */
     private void turnedAway(Backend target) {
         if (mRequest.engine().isPresent()) {
-            mParts.board().outdated(target, mParts.clock().millis());
-            mLostReader.ifPresent(mParts.board()::alive);
+            mRelay.board().outdated(target, mRelay.clock().millis());
+            mLostReader.ifPresent(mRelay.board()::alive);
         }
     }
 
     private boolean mayGoOnHere() {
-        return mRequest.engine().isPresent() && mCourse.mayGoOnHere(mParts.clock().millis());
+        return mRequest.engine().isPresent() && mRetryPolicy.mayGoOnHere(mRelay.clock().millis());
     }
 
     /**
@@ -241,10 +242,10 @@
      * it would be read again, with a pause longer than callers accept. An engine that has crashed
      * refuses the ask at once, and the stream goes on elsewhere as before.
      */
-    private void goOnHere(BackendSend send, String cause) {
+    private void goOnHere(BackendAttempt send, String cause) {
         mAsking = true;
-        PlaceAsk.send(
-                mParts,
+        ReserveCall.send(
+                mRelay,
                 mRequest,
                 mLoop,
                 send.target(),
@@ -252,25 +253,26 @@
                     mAsking = false;
                     if (mEnded) {
                         answer.reservation()
-                                .ifPresent(name -> PlaceAsk.cancel(mParts, send.target(), name));
-                    } else if (answer.kept() && mCourse.goingOnHere(this::takeRetry)) {
-                        mLines.sendEnded(send, SendOutcome.UNKNOWN, cause, NextStep.SEND_AGAIN);
+                                .ifPresent(name -> ReserveCall.cancel(mRelay, send.target(), name));
+                    } else if (answer.kept() && mRetryPolicy.goingOnHere(this::takeRetry)) {
+                        mRequestLog.sendEnded(
+                                send, SendOutcome.UNKNOWN, cause, RetryDecision.SEND_AGAIN);
                         openHere(send, answer.reservation());
                     } else {
                         answer.reservation()
-                                .ifPresent(name -> PlaceAsk.cancel(mParts, send.target(), name));
+                                .ifPresent(name -> ReserveCall.cancel(mRelay, send.target(), name));
                         next(send, SendOutcome.UNKNOWN, cause);
                     }
                 });
     }
 
-    private void openHere(BackendSend send, Optional<String> reservation) {
-        mParts.metrics().retried(SendOutcome.UNKNOWN);
+    private void openHere(BackendAttempt send, Optional<String> reservation) {
+        mRelay.metrics().retried(SendOutcome.UNKNOWN);
         mAnswer.dropUnfinished();
         mReader = Optional.empty();
-        mParts.board().alive(send.target());
-        mParts.board().placeAgain(send.target(), mRequest.caller().size());
-        open(new EnginePlaces.Place(send.target(), reservation), Optional.empty());
+        mRelay.board().alive(send.target());
+        mRelay.board().placeAgain(send.target(), mRequest.caller().size());
+        open(new ReservationSearch.Place(send.target(), reservation), Optional.empty());
     }
 
     /**
@@ -280,31 +282,31 @@
      * that it reads for. The prompt is read in place, and the prefill engine is left out for a
      * time.
      */
-    private void promptLost(BackendSend send, String cause) {
-        long now = mParts.clock().millis();
+    private void promptLost(BackendAttempt send, String cause) {
+        long now = mRelay.clock().millis();
         mLostReader = mReader;
-        mLostReader.ifPresent(reader -> mParts.board().resultLost(reader, now));
+        mLostReader.ifPresent(reader -> mRelay.board().resultLost(reader, now));
         mReader = Optional.empty();
-        boolean again = mCourse.sendingHereAgain(now, this::takeRetry);
+        boolean again = mRetryPolicy.sendingHereAgain(now, this::takeRetry);
         if (!again) {
             next(send, SendOutcome.REJECTED, cause);
             return;
         }
-        mLines.sendEnded(send, SendOutcome.REJECTED, cause, NextStep.SEND_AGAIN);
-        mParts.metrics().retried(SendOutcome.REJECTED);
-        mParts.board().placeAgain(send.target(), mRequest.caller().size());
-        open(new EnginePlaces.Place(send.target(), Optional.empty()), Optional.empty());
+        mRequestLog.sendEnded(send, SendOutcome.REJECTED, cause, RetryDecision.SEND_AGAIN);
+        mRelay.metrics().retried(SendOutcome.REJECTED);
+        mRelay.board().placeAgain(send.target(), mRequest.caller().size());
+        open(new ReservationSearch.Place(send.target(), Optional.empty()), Optional.empty());
     }
 
-    private void next(BackendSend send, SendOutcome outcome, String cause) {
-        NextStep next = mCourse.ended(outcome, mParts.clock().millis(), this::takeRetry);
-        if (next == NextStep.PASS_ON) {
+    private void next(BackendAttempt send, SendOutcome outcome, String cause) {
+        RetryDecision next = mRetryPolicy.ended(outcome, mRelay.clock().millis(), this::takeRetry);
+        if (next == RetryDecision.PASS_ON) {
             passOn();
             return;
         }
-        mLines.sendEnded(send, outcome, cause, next);
-        if (next == NextStep.SEND_AGAIN) {
-            mParts.metrics().retried(outcome);
+        mRequestLog.sendEnded(send, outcome, cause, next);
+        if (next == RetryDecision.SEND_AGAIN) {
+            mRelay.metrics().retried(outcome);
             mAnswer.dropUnfinished();
             place();
         } else {
@@ -313,25 +315,25 @@
     }
 
     private boolean takeRetry() {
-        return mParts.budget().tryTake(mRequest.service());
+        return mRelay.budget().tryTake(mRequest.service());
     }
 
     /** Frees a prompt that was read for a server that did not take it. */
-    private void freeUnused(BackendSend send, SendOutcome outcome) {
+    private void freeUnused(BackendAttempt send, SendOutcome outcome) {
         if (!outcome.mayHaveRun()) {
             mReader.ifPresent(
                     reader ->
                             send.prompt()
-                                    .map(mParts.engines()::release)
-                                    .ifPresent(call -> PlaceAsk.quietly(mParts, reader, call)));
+                                    .map(mRelay.engines()::release)
+                                    .ifPresent(call -> ReserveCall.quietly(mRelay, reader, call)));
         }
     }
 
     private void passOn() {
         mAnswer.finish();
         measureDemand();
-        mParts.metrics().answered(mRequest.route().kind(), mLines.spentMillis());
-        mLines.answered(mLast, mReader, mPlaceMillis);
+        mRelay.metrics().answered(mRequest.route().kind(), mRequestLog.spentMillis());
+        mRequestLog.answered(mLast, mReader, mPlaceMillis);
         end();
     }
 
@@ -341,8 +343,9 @@
         if (mRequest.engine().isPresent() && first >= 0 && whole) {
             WorkSize size = mRequest.caller().size();
             long made = mAnswer.events() * mRequest.engine().get().eventTokens();
-            Demand demand = new Demand(size.promptTokens(), made, mLines.spentMillis() - first);
-            mParts.demand().ended(mRequest.service(), size, demand);
+            Demand demand =
+                    new Demand(size.promptTokens(), made, mRequestLog.spentMillis() - first);
+            mRelay.demand().ended(mRequest.service(), size, demand);
         }
     }
 
@@ -351,22 +354,22 @@
             return;
         }
         SendOutcome none = mAsking ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
-        SendOutcome outcome = mSend.map(BackendSend::giveUp).orElse(none);
+        SendOutcome outcome = mSend.map(BackendAttempt::giveUp).orElse(none);
         mSend = Optional.empty();
         reply(outcome, "no time left");
     }
 
     /** Ends the request without a whole answer of a backend server. */
     private void reply(SendOutcome outcome, String reason) {
-        CallerReply reply = mCourse.reply(outcome, mParts.clock().millis());
-        if (mCourse.isForwarding()) {
+        CallerReply reply = mRetryPolicy.reply(outcome, mRelay.clock().millis());
+        if (mRetryPolicy.isForwarding()) {
             mAnswer.cut();
-            mLines.cut(mLast, reason);
+            mRequestLog.cut(mLast, reason);
         } else {
-            mAnswer.refuse(reply, mRequest.comeBackMillis(mParts.demand()));
-            mLines.failed(reply, reason);
+            mAnswer.refuse(reply, mRequest.comeBackMillis(mRelay.demand()));
+            mRequestLog.failed(reply, reason);
         }
-        mParts.metrics().refused(reply);
+        mRelay.metrics().refused(reply);
         end();
     }
 
@@ -374,12 +377,12 @@
         mEnded = true;
         mGiveUp.cancel(false);
         if (mReading.isPresent()) {
-            PromptReading reading = mReading.get();
+            PrefillExchange reading = mReading.get();
             mReading = Optional.empty();
             reading.cancel();
             giveBack(mPlace.orElseThrow());
         }
-        mPlaces.ifPresent(EnginePlaces::cancel);
+        mPlaces.ifPresent(ReservationSearch::cancel);
         mPlaces = Optional.empty();
         mOnEnd.run();
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RunLines.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -3,43 +3,43 @@
 import java.util.Optional;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
-import org.cyclamenpaddle.relay.course.CallerReply;
-import org.cyclamenpaddle.relay.course.Course;
-import org.cyclamenpaddle.relay.course.NextStep;
 import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.retry.CallerReply;
+import org.cyclamenpaddle.relay.retry.RetryDecision;
+import org.cyclamenpaddle.relay.retry.RetryPolicy;
 
 /** The log lines of one run: what was decided, by what, and how long it took. */
-final class RunLines {
+final class RequestLog {
 
     private static final String NONE = "none";
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
-    private final Course mCourse;
+    private final RetryPolicy mRetryPolicy;
     private final CallerAnswer mAnswer;
     private final long mStartMillis;
 
-    RunLines(
-            RelayParts parts,
+    RequestLog(
+            RelayContext relay,
             RelayRequest request,
-            Course course,
+            RetryPolicy retryPolicy,
             CallerAnswer answer,
             long startMillis) {
-        mParts = parts;
+        mRelay = relay;
         mRequest = request;
-        mCourse = course;
+        mRetryPolicy = retryPolicy;
         mAnswer = answer;
         mStartMillis = startMillis;
     }
 
     /** The caller has left before its answer. */
     void callerGone(Optional<Backend> backend) {
-        mParts.log().log(
+        mRelay.log().log(
                 RelayEvent.CALLER_GONE,
                 mRequest.caller().id(),
                 mRequest.route().name(),
                 name(backend),
-                mCourse.sends(),
+                mRetryPolicy.sends(),
                 spentMillis());
     }
 
@@ -51,7 +51,7 @@
      * @param placeMillis time until a place was found; -1 if none was looked for
      */
     void answered(Optional<Backend> backend, Optional<Backend> reader, long placeMillis) {
-        mParts.log().log(
+        mRelay.log().log(
                 RelayEvent.REQUEST_ENDED,
                 mRequest.caller().id(),
                 mRequest.route().name(),
@@ -60,7 +60,7 @@
                 mRequest.caller().size().outputTokens(),
                 name(backend),
                 mAnswer.status(),
-                mCourse.sends(),
+                mRetryPolicy.sends(),
                 spentMillis(),
                 mAnswer.firstMillis(mStartMillis),
                 placeMillis,
@@ -71,33 +71,33 @@
 
     /** The caller's answer was cut short. */
     void cut(Optional<Backend> backend, String reason) {
-        mParts.log().log(
+        mRelay.log().log(
                 RelayEvent.REQUEST_CUT,
                 mRequest.caller().id(),
                 mRequest.route().name(),
                 name(backend),
                 reason,
                 mAnswer.lastEventId().orElse(NONE),
-                mCourse.sends(),
+                mRetryPolicy.sends(),
                 spentMillis());
     }
 
     /** The caller was told that it gets no answer. */
     void failed(CallerReply reply, String reason) {
-        mParts.log().log(
+        mRelay.log().log(
                 RelayEvent.REQUEST_FAILED,
                 mRequest.caller().id(),
                 mRequest.route().name(),
                 mRequest.version(),
                 reply.status(),
                 reason,
-                mCourse.sends(),
+                mRetryPolicy.sends(),
                 spentMillis());
     }
 
     /** A send has ended without an answer for the caller. */
-    void sendEnded(BackendSend send, SendOutcome outcome, String cause, NextStep next) {
-        mParts.log().log(
+    void sendEnded(BackendAttempt send, SendOutcome outcome, String cause, RetryDecision next) {
+        mRelay.log().log(
                 RelayEvent.SEND_ENDED,
                 mRequest.caller().id(),
                 send.target().id().value(),
@@ -109,7 +109,7 @@
 
     /** Returns how long the run has taken. */
     long spentMillis() {
-        return mParts.clock().millis() - mStartMillis;
+        return mRelay.clock().millis() - mStartMillis;
     }
 
     private static String name(Optional<Backend> backend) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EnginePlaces.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -11,19 +11,19 @@
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
-import org.cyclamenpaddle.routing.place.AskPacing;
-import org.cyclamenpaddle.routing.place.PlaceSearch;
-import org.cyclamenpaddle.routing.place.Seeker;
+import org.cyclamenpaddle.routing.reservation.ReservationWait;
+import org.cyclamenpaddle.routing.reservation.ReservePacing;
+import org.cyclamenpaddle.routing.reservation.RetryStage;
 
 /**
  * Finds a place at a decode engine for one request, before anything is spent on its prompt.
  *
  * <p>Each host sees only its own part of an engine's work, so that a prompt read for an engine that
  * looked free was often turned away there, and its reading was lost. The engine itself is asked to
- * keep the memory. When all are full the request goes on asking as {@link PlaceSearch} says, and is
- * refused then.
+ * keep the memory. When all are full the request goes on asking as {@link ReservationWait} says,
+ * and is refused then.
  */
-final class EnginePlaces {
+final class ReservationSearch {
 
     /** Told the place, or nothing if none was found in time. */
     interface Listener {
@@ -38,45 +38,46 @@
      */
     record Place(Backend runner, Optional<String> reservation) {}
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final Set<BackendId> mAvoid;
     private final Listener mListener;
-    private final PlaceSearch mSearch;
-    private final AskPacing mPacing = new AskPacing();
-    private final EngineRoom mRoom;
+    private final ReservationWait mReservationWait;
+    private final ReservePacing mReservePacing = new ReservePacing();
+    private final GrowthCapacity mRoom;
     private Optional<Backend> mAsked = Optional.empty();
     private boolean mClosed;
 
-    EnginePlaces(
-            RelayParts parts,
+    ReservationSearch(
+            RelayContext relay,
             RelayRequest request,
             EventLoop loop,
             Set<BackendId> avoid,
             Listener listener) {
-        mParts = parts;
+        mRelay = relay;
         mRequest = request;
         mLoop = loop;
         mAvoid = new HashSet<>(avoid);
         mListener = listener;
-        mRoom = new EngineRoom(parts, request, loop);
-        long now = parts.clock().millis();
-        Seeker seeker = seeker(parts, request, !avoid.isEmpty(), now);
-        mSearch = PlaceSearch.begin(now, request.route().terms(), seeker);
+        mRoom = new GrowthCapacity(relay, request, loop);
+        long now = relay.clock().millis();
+        RetryStage seeker = seeker(relay, request, !avoid.isEmpty(), now);
+        mReservationWait = ReservationWait.begin(now, request.route().terms(), seeker);
     }
 
-    private static Seeker seeker(
-            RelayParts parts, RelayRequest request, boolean sentBefore, long nowMillis) {
+    private static RetryStage seeker(
+            RelayContext relay, RelayRequest request, boolean sentBefore, long nowMillis) {
         OptionalLong waits = request.caller().callerMillis();
         if (sentBefore) {
-            return Seeker.REPEAT;
+            return RetryStage.REPEAT;
         }
-        PlaceSearch first = PlaceSearch.begin(nowMillis, request.route().terms(), Seeker.FIRST);
-        long spent = first.waitMillis() + request.comeBackMillis(parts.demand());
+        ReservationWait first =
+                ReservationWait.begin(nowMillis, request.route().terms(), RetryStage.FIRST);
+        long spent = first.waitMillis() + request.comeBackMillis(relay.demand());
         boolean comesBack =
                 waits.isPresent()
-                        && parts.callers()
+                        && relay.callers()
                                 .read(
                                         callers ->
                                                 callers.comesBack(
@@ -84,23 +85,23 @@
                                                         waits.getAsLong(),
                                                         spent,
                                                         nowMillis));
-        return comesBack ? Seeker.COME_BACK : Seeker.FIRST;
+        return comesBack ? RetryStage.COME_BACK : RetryStage.FIRST;
     }
 
     /** Asks the best engine that has not just said that it is full, or pauses before it does. */
     void find() {
-        long now = mParts.clock().millis();
+        long now = mRelay.clock().millis();
         Optional<Backend> chosen =
-                mPacing.pauseIsDue()
+                mReservePacing.pauseIsDue()
                         ? Optional.empty()
-                        : mParts.board().place(mRequest.service(), size(), mAvoid, now);
+                        : mRelay.board().place(mRequest.service(), size(), mAvoid, now);
         if (chosen.isPresent()) {
             ask(chosen.get());
-        } else if (!mSearch.mayGoOn(now)) {
+        } else if (!mReservationWait.mayGoOn(now)) {
             mClosed = true;
             mListener.found(Optional.empty());
         } else {
-            long pause = mPacing.pauseMillis(mSearch, now);
+            long pause = mReservePacing.pauseMillis(mReservationWait, now);
             mLoop.schedule(this::findAgain, pause, TimeUnit.MILLISECONDS);
         }
     }
@@ -120,14 +121,14 @@
 
     private void ask(Backend runner) {
         mAsked = Optional.of(runner);
-        PlaceAsk.send(mParts, mRequest, mLoop, runner, answer -> asked(runner, answer));
+        ReserveCall.send(mRelay, mRequest, mLoop, runner, answer -> asked(runner, answer));
     }
 
-    private void asked(Backend runner, PlaceAsk.Answer answer) {
+    private void asked(Backend runner, ReserveCall.Answer answer) {
         if (mClosed) {
-            answer.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, runner, name));
+            answer.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, runner, name));
         } else if (answer.kept()) {
-            boolean yields = mSearch.yields(mParts.clock().millis());
+            boolean yields = mReservationWait.yields(mRelay.clock().millis());
             mRoom.beside(runner, yields, tokens -> probe(runner, answer, tokens));
         } else {
             turnedAway(runner, answer);
@@ -135,14 +136,14 @@
     }
 
     /** Looks for room to grow beside a place that is kept. */
-    private void probe(Backend runner, PlaceAsk.Answer place, OptionalLong tokens) {
+    private void probe(Backend runner, ReserveCall.Answer place, OptionalLong tokens) {
         if (mClosed || tokens.isEmpty()) {
-            probed(runner, place, PlaceAsk.NO_ROOM);
+            probed(runner, place, ReserveCall.NO_ROOM);
         } else if (tokens.getAsLong() == 0) {
             probed(runner, place, place);
         } else {
-            PlaceAsk.probe(
-                    mParts,
+            ReserveCall.probe(
+                    mRelay,
                     mRequest,
                     mLoop,
                     runner,
@@ -151,9 +152,9 @@
         }
     }
 
-    private void probed(Backend runner, PlaceAsk.Answer place, PlaceAsk.Answer room) {
+    private void probed(Backend runner, ReserveCall.Answer place, ReserveCall.Answer room) {
         if (mClosed || !room.kept()) {
-            place.reservation().ifPresent(name -> PlaceAsk.cancel(mParts, runner, name));
+            place.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, runner, name));
         }
         if (mClosed) {
             return;
@@ -167,22 +168,22 @@
         mListener.found(Optional.of(new Place(runner, place.reservation())));
     }
 
-    private void turnedAway(Backend runner, PlaceAsk.Answer answer) {
+    private void turnedAway(Backend runner, ReserveCall.Answer answer) {
         mAsked = Optional.empty();
         giveBack(runner, answer.outcome());
         if (answer.full()) {
-            mParts.board().full(runner, mParts.clock().millis());
-            mPacing.turnedAway();
+            mRelay.board().full(runner, mRelay.clock().millis());
+            mReservePacing.turnedAway();
         } else {
             mAvoid.add(runner.id());
-            mParts.log().log(
+            mRelay.log().log(
                     RelayEvent.PLACE_NOT_KEPT, mRequest.caller().id(), runner.id(), answer.cause());
         }
         find();
     }
 
     private void giveBack(Backend runner, SendOutcome outcome) {
-        mParts.board().ended(runner, size(), false, outcome, mParts.clock().millis());
+        mRelay.board().ended(runner, size(), false, outcome, mRelay.clock().millis());
     }
 
     private WorkSize size() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlaceAsk.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -20,7 +20,7 @@
  *
  * <p>Engines answer from what is free now, which also counts what other hosts have just had.
  */
-final class PlaceAsk {
+final class ReserveCall {
 
     /**
      * What the engine said.
@@ -47,13 +47,13 @@
     /** Longest wait for the answer of an engine, in milliseconds; usual ones take under 10. */
     private static final long CALL_MILLIS = 300;
 
-    private final RelayParts mParts;
+    private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final Backend mEngine;
 
-    private PlaceAsk(RelayParts parts, RelayRequest request, EventLoop loop, Backend engine) {
-        mParts = parts;
+    private ReserveCall(RelayContext relay, RelayRequest request, EventLoop loop, Backend engine) {
+        mRelay = relay;
         mRequest = request;
         mLoop = loop;
         mEngine = engine;
@@ -61,12 +61,12 @@
 
     /** Asks an engine to keep a request's place; {@code done} is told on the event loop. */
     static void send(
-            RelayParts parts,
+            RelayContext relay,
             RelayRequest request,
             EventLoop loop,
             Backend engine,
             Consumer<Answer> done) {
-        PlaceAsk ask = new PlaceAsk(parts, request, loop, engine);
+        ReserveCall ask = new ReserveCall(relay, request, loop, engine);
         long tokens = request.caller().size().memoryTokens();
         long keptMillis = request.engine().orElseThrow().reserveMillis();
         ask.keep(tokens, keptMillis, true).thenAcceptAsync(done, loop);
@@ -79,30 +79,30 @@
      * the room that it will grow into is not kept with its place.
      */
     static void probe(
-            RelayParts parts,
+            RelayContext relay,
             RelayRequest request,
             EventLoop loop,
             Backend engine,
             long tokens,
             Consumer<Answer> done) {
-        PlaceAsk ask = new PlaceAsk(parts, request, loop, engine);
+        ReserveCall ask = new ReserveCall(relay, request, loop, engine);
         ask.keep(tokens, CALL_MILLIS, true)
                 .thenAcceptAsync(
                         answer -> {
-                            answer.reservation().ifPresent(name -> cancel(parts, engine, name));
+                            answer.reservation().ifPresent(name -> cancel(relay, engine, name));
                             done.accept(answer);
                         },
                         loop);
     }
 
     /** Gives a kept place back that no request will take. */
-    static void cancel(RelayParts parts, Backend engine, String reservation) {
-        quietly(parts, engine, parts.engines().cancel(reservation));
+    static void cancel(RelayContext relay, Backend engine, String reservation) {
+        quietly(relay, engine, relay.engines().cancel(reservation));
     }
 
     /** Makes a call whose failure harms nothing, since what it frees lapses by itself. */
-    static void quietly(RelayParts parts, Backend backend, RequestHeaders call) {
-        parts.connections()
+    static void quietly(RelayContext relay, Backend backend, RequestHeaders call) {
+        relay.connections()
                 .keptClient(backend.address(), backend.port())
                 .execute(
                         HttpRequest.of(call),
@@ -110,22 +110,22 @@
                 .aggregate()
                 .exceptionally(
                         failure -> {
-                            parts.log().log(RelayEvent.NOT_FREED, backend.id(), failure);
+                            relay.log().log(RelayEvent.NOT_FREED, backend.id(), failure);
                             return null;
                         });
     }
 
     private CompletableFuture<Answer> keep(long tokens, long millis, boolean keptConnection) {
-        long askedMillis = mParts.clock().millis();
-        return mParts.connections()
+        long askedMillis = mRelay.clock().millis();
+        return mRelay.connections()
                 .client(mEngine.address(), mEngine.port(), keptConnection)
                 .execute(
-                        mParts.engines().reserve(mEngine, tokens, millis).toHttpRequest(),
+                        mRelay.engines().reserve(mEngine, tokens, millis).toHttpRequest(),
                         RequestOptions.builder().responseTimeoutMillis(CALL_MILLIS).build())
                 .aggregate()
                 .handle(
                         (answer, failure) -> {
-                            long spent = mParts.clock().millis() - askedMillis;
+                            long spent = mRelay.clock().millis() - askedMillis;
                             // A kept connection may have been closed while it was idle.
                             return keptConnection && failure != null && spent < CALL_MILLIS
                                     ? keep(tokens, millis, false)
@@ -141,7 +141,7 @@
         if (answer.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
             return new Answer(Optional.empty(), SendOutcome.MISDIRECTED, "another engine");
         }
-        Either<String, Optional<String>> kept = mParts.engines().reservation(answer);
+        Either<String, Optional<String>> kept = mRelay.engines().reservation(answer);
         return kept.fold(
                 problem -> new Answer(Optional.empty(), SendOutcome.NOT_SENT, problem),
                 name -> new Answer(name, SendOutcome.ABANDONED, "none"));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/StartWait.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/StartupGate.java
@@ -11,7 +11,7 @@
  * they come again. They wait while the listings are under way and no longer: as soon as the store
  * fails a call, or after {@link #MOST_MILLIS}, they are refused at once as before.
  */
-public final class StartWait {
+public final class StartupGate {
 
     /**
      * Longest wait after the process listens, in milliseconds: several times what the listings take
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/CallerReply.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/CallerReply.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.course;
+package org.cyclamenpaddle.relay.retry;
 
 /** What a caller may be told when its request ends without a backend server's answer. */
 public enum CallerReply {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/EventTail.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventTail.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.course;
+package org.cyclamenpaddle.relay.retry;
 
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/Course.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -1,17 +1,17 @@
-package org.cyclamenpaddle.relay.course;
+package org.cyclamenpaddle.relay.retry;
 
 import java.util.function.BooleanSupplier;
 import org.cyclamenpaddle.core.invariant.Invariants;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 
 /**
- * The course of one request through its sends to backend servers.
+ * Retry policy of one request: what is sent again, and what its caller is told.
  *
  * <p>From the outcomes of the sends alone follow what may be sent again and what the caller may be
  * told. A request that must not repeat is never sent after a send that may have reached a server,
  * and "not run" is said only if no send may have. Not thread-safe.
  */
-public final class Course {
+public final class RetryPolicy {
 
     /** Least time left that is worth another send, in milliseconds: a short call takes as long. */
     static final long LEAST_USEFUL_MILLIS = 20;
@@ -25,7 +25,7 @@
      */
     static final int MOST_GONE_ON_HERE = 2;
 
-    private final CourseTerms mTerms;
+    private final RetryTerms mTerms;
     private final long mStartMillis;
     private int mSends;
     private int mUnsent;
@@ -36,12 +36,12 @@
     private boolean mEnded;
 
     /**
-     * Creates the course of a request that has just arrived.
+     * Creates the policy of a request that has just arrived.
      *
      * @param terms its bounds
      * @param nowMillis reading of the clock
      */
-    public Course(CourseTerms terms, long nowMillis) {
+    public RetryPolicy(RetryTerms terms, long nowMillis) {
         mTerms = terms;
         mStartMillis = nowMillis;
     }
@@ -140,7 +140,7 @@
      * @param nowMillis reading of the clock
      * @param budget takes one repeat out of the shared budget; asked only if one would be sent
      */
-    public NextStep ended(SendOutcome outcome, long nowMillis, BooleanSupplier budget) {
+    public RetryDecision ended(SendOutcome outcome, long nowMillis, BooleanSupplier budget) {
         Invariants.require(mSending, () -> "a send ends that was not begun");
         mSending = false;
         if (outcome == SendOutcome.NOT_SENT) {
@@ -149,16 +149,18 @@
         }
         mMayHaveRun |= outcome.mayHaveRun();
         if (outcome == SendOutcome.SUCCEEDED) {
-            return NextStep.PASS_ON;
+            return RetryDecision.PASS_ON;
         }
         if (mayRepeat(outcome, nowMillis) && (mSends == 0 || budget.getAsBoolean())) {
-            return NextStep.SEND_AGAIN;
+            return RetryDecision.SEND_AGAIN;
         }
-        return outcome == SendOutcome.FAILED && !mForwarding ? NextStep.PASS_ON : NextStep.END;
+        return outcome == SendOutcome.FAILED && !mForwarding
+                ? RetryDecision.PASS_ON
+                : RetryDecision.END;
     }
 
     /**
-     * Ends the course without a backend server's answer and returns what the caller is told.
+     * Ends the request without a backend server's answer and returns what the caller is told.
      *
      * @param outcome how the send ended that still ran, {@link SendOutcome#NOT_SENT} if none did
      * @param nowMillis reading of the clock
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/course/CourseTerms.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryTerms.java
@@ -1,20 +1,20 @@
-package org.cyclamenpaddle.relay.course;
+package org.cyclamenpaddle.relay.retry;
 
 import org.cyclamenpaddle.relay.route.Route;
 
 /**
- * What bounds the course of one request.
+ * What bounds the retries of one request.
  *
  * @param repeatable whether it may be sent again after it may have run
  * @param maxAttempts backend servers that it may be sent to
  * @param patienceMillis longest wait for its final answer
  */
-public record CourseTerms(boolean repeatable, int maxAttempts, long patienceMillis) {
+public record RetryTerms(boolean repeatable, int maxAttempts, long patienceMillis) {
 
-    public CourseTerms {
+    public RetryTerms {
         if (maxAttempts < 1 || patienceMillis < 0) {
             throw new IllegalArgumentException(
-                    "course of " + maxAttempts + " attempts in " + patienceMillis + " ms");
+                    "retries of " + maxAttempts + " attempts in " + patienceMillis + " ms");
         }
     }
 
@@ -24,8 +24,8 @@
      * @param route its route
      * @param callerMillis how long its caller waits
      */
-    public static CourseTerms of(Route route, long callerMillis) {
-        return new CourseTerms(
+    public static RetryTerms of(Route route, long callerMillis) {
+        return new RetryTerms(
                 route.repeatable(),
                 route.maxAttempts(),
                 Math.max(0, Math.min(route.timeoutMillis(), callerMillis)));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/Demand.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/Demand.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 /**
  * What a mean generation asks of the engines.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/DemandMeter.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/DemandMeter.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import java.util.HashMap;
 import java.util.List;
@@ -11,7 +11,7 @@
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.route.EngineShape;
 import org.cyclamenpaddle.routing.memory.EngineWork;
-import org.cyclamenpaddle.routing.memory.MemoryOutlook;
+import org.cyclamenpaddle.routing.memory.MemoryForecast;
 import org.cyclamenpaddle.routing.memory.OutputLengths;
 import org.cyclamenpaddle.routing.memory.RunningWork;
 
@@ -34,7 +34,7 @@
 
     private static final class Seen {
         private final OutputLengths mLengths = new OutputLengths();
-        private final MemoryOutlook mOutlook = new MemoryOutlook(mLengths, CAUTION);
+        private final MemoryForecast mOutlook = new MemoryForecast(mLengths, CAUTION);
         private Demand mMean = new Demand(0, 0, 0);
         private int mEnded;
 
@@ -79,7 +79,7 @@
 
     /**
      * Returns the tokens that must be free at an engine beside a new generation's place; see {@link
-     * MemoryOutlook#room}.
+     * MemoryForecast#room}.
      *
      * @param service the service
      * @param shape of its engines
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/EngineLoad.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/EngineLoad.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import org.cyclamenpaddle.relay.route.EngineShape;
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/EngineOrders.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/EngineOrders.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/Lease.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/Lease.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import java.util.Optional;
 import java.util.OptionalLong;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/LeaseRecord.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/LeaseRecord.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 /**
  * What the store keeps of the lease on giving orders.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StagePlan.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleAllocation.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import java.util.Comparator;
 import java.util.List;
@@ -18,7 +18,7 @@
  * engines are divided so that both pools together carry the most generations in a second: an engine
  * too many on one side is one too few on the other, where callers then wait.
  */
-public final class StagePlan {
+public final class RoleAllocation {
 
     /** Share of its time that a prefill engine may be busy; at it, prompts wait twice as long. */
     static final double PREFILL_BUSY = 0.8;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StageKeeper.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleController.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import io.vavr.control.Either;
 import java.util.HashMap;
@@ -26,7 +26,7 @@
  *
  * <p>Everything runs on one thread; at most one call to the store and one order are under way.
  */
-public final class StageKeeper {
+public final class RoleController {
 
     /** Pause between two looks of the holder, in milliseconds; a third of its lease. */
     static final long HOLDER_MILLIS = 1_000;
@@ -58,7 +58,7 @@
     public record Parts(
             BackendBoard board,
             DemandMeter demand,
-            StagePlan plan,
+            RoleAllocation plan,
             EngineOrders orders,
             LeaseStore store,
             DecisionLog log) {}
@@ -76,7 +76,7 @@
     private final LongSupplier mWallClock;
     private final DoubleSupplier mRandom;
     private final Lease mLease;
-    private final SettledEngines mEngines = new SettledEngines();
+    private final StableEngines mEngines = new StableEngines();
     private final Map<BackendId, Ordered> mOrdered = new HashMap<>();
 
     /**
@@ -90,7 +90,7 @@
      * @param wallClock time of day in milliseconds
      * @param random even draws from 0 to 1
      */
-    public StageKeeper(
+    public RoleController(
             String self,
             Parts parts,
             EngineServices services,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/SettledEngines.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/StableEngines.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,7 +17,7 @@
  * the first of them ordered one to prefill and, seconds later, back; an engine that changes serves
  * nobody for six seconds, and the callers of that time found too few places.
  */
-final class SettledEngines {
+final class StableEngines {
 
     /**
      * How long a service's engines must have been the same before they are planned with, in
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/StoredLease.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/StoredLease.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 /**
  * A lease as it lies in the store.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/staging/package-info.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/package-info.java
@@ -1,2 +1,2 @@
 /** Which engines prefill and which decode: the plan, the lease on giving orders, the orders. */
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.cyclamenpaddle.core.id.ServiceName;
-import org.cyclamenpaddle.routing.place.CallerTerms;
+import org.cyclamenpaddle.routing.reservation.CallerTerms;
 
 /**
  * Where requests of one host name and path prefix go, and how they may be treated.
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/PlannedStopTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.Test;
 
 /** Tests when a planned stop ends, and what it still takes, on a clock that each look moves. */
-public class PlannedStopTest {
+public class GracefulShutdownTest {
 
     private static final long GRACE = 8_000;
     private static final long STEP = 10;
@@ -18,32 +18,34 @@
     private final AtomicLong mNow = new AtomicLong();
     private final Clock mClock = () -> mNow.addAndGet(STEP);
 
-    private PlannedStop stop() {
+    private GracefulShutdown stop() {
         mNow.set(0);
-        return new PlannedStop(GRACE, mClock, () -> {});
+        return new GracefulShutdown(GRACE, mClock, () -> {});
     }
 
-    private long run(PlannedStop stop, LongToIntFunction inFlight) {
+    private long run(GracefulShutdown stop, LongToIntFunction inFlight) {
         return stop.run(() -> inFlight.applyAsInt(mNow.get()));
     }
 
     @Test
     public void idleHostStaysUntilTheBalancerHasLeft() {
         long took = run(stop(), now -> 0);
-        assertTrue(took >= PlannedStop.HANDOVER_MILLIS, "took " + took);
-        assertTrue(took < PlannedStop.HANDOVER_MILLIS + 100, "took " + took);
+        assertTrue(took >= GracefulShutdown.HANDOVER_MILLIS, "took " + took);
+        assertTrue(took < GracefulShutdown.HANDOVER_MILLIS + 100, "took " + took);
     }
 
     @Test
     public void requestsInFlightAreWaitedFor() {
         long took = run(stop(), now -> now < 6_000 ? 3 : 0);
-        assertTrue(took >= 6_000 && took < 6_000 + PlannedStop.QUIET_MILLIS + 100, "took " + took);
+        assertTrue(
+                took >= 6_000 && took < 6_000 + GracefulShutdown.QUIET_MILLIS + 100,
+                "took " + took);
     }
 
     @Test
     public void stopEndsBeforeTheProcessIsKilled() {
         long took = run(stop(), now -> 1);
-        assertTrue(took <= GRACE - PlannedStop.MARGIN_MILLIS + 100, "took " + took);
+        assertTrue(took <= GRACE - GracefulShutdown.MARGIN_MILLIS + 100, "took " + took);
     }
 
     /**
@@ -53,7 +55,7 @@
      */
     @Test
     public void lateStreamsAreRefusedAndCallsAreTakenForLonger() {
-        PlannedStop stop = stop();
+        GracefulShutdown stop = stop();
         assertTrue(stop.takes(true));
         long[] lastStream = {0};
         long[] lastCall = {0};
@@ -64,8 +66,8 @@
                     lastCall[0] = stop.takes(false) ? now : lastCall[0];
                     return 1;
                 });
-        assertEquals(lastStream[0] / 100, PlannedStop.STREAMS_MILLIS / 100 - 1);
-        assertEquals(lastCall[0] / 100, (GRACE - PlannedStop.CALLS_MILLIS) / 100 - 1);
+        assertEquals(lastStream[0] / 100, GracefulShutdown.STREAMS_MILLIS / 100 - 1);
+        assertEquals(lastCall[0] / 100, (GRACE - GracefulShutdown.CALLS_MILLIS) / 100 - 1);
         assertFalse(stop.takes(true));
         assertFalse(stop.takes(false));
     }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendBoardTest.java
@@ -215,7 +215,7 @@
         end(second, SendOutcome.NOT_SENT, 300);
         assertEquals(place(310), Optional.of(far));
         assertEquals(place(310), Optional.of(far));
-        long trial = 300 + DomainReach.TRIAL_MILLIS;
+        long trial = 300 + DomainConnectivity.TRIAL_MILLIS;
         Backend tried = place(trial).orElseThrow();
         assertEquals(tried.domain().value(), "a");
         assertEquals(place(trial + 1), Optional.of(far));
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/course/EventTailTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/EventTailTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.course;
+package org.cyclamenpaddle.relay.retry;
 
 import static org.testng.Assert.assertEquals;
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/course/CourseTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/RetryPolicyTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.course;
+package org.cyclamenpaddle.relay.retry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -13,14 +13,14 @@
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.testng.annotations.Test;
 
-/** Tests what {@link Course} lets be sent again, and what a caller is told. */
-public class CourseTest {
+/** Tests what {@link RetryPolicy} lets be sent again, and what a caller is told. */
+public class RetryPolicyTest {
 
     private static final long PATIENCE = 1_000;
     private static final int RUNS = 20_000;
 
-    private static Course course(boolean repeatable, int attempts) {
-        return new Course(new CourseTerms(repeatable, attempts, PATIENCE), 0);
+    private static RetryPolicy policy(boolean repeatable, int attempts) {
+        return new RetryPolicy(new RetryTerms(repeatable, attempts, PATIENCE), 0);
     }
 
     /**
@@ -29,11 +29,11 @@
      */
     @Test
     public void bookingThatMayHaveRunIsNeverSentAgain() {
-        Course course = course(false, 3);
-        course.sending();
-        assertEquals(course.ended(SendOutcome.UNKNOWN, 10, () -> true), NextStep.END);
-        assertEquals(course.reply(SendOutcome.UNKNOWN, 10), CallerReply.FAILED);
-        Course broken = course(false, 3);
+        RetryPolicy policy = policy(false, 3);
+        policy.sending();
+        assertEquals(policy.ended(SendOutcome.UNKNOWN, 10, () -> true), RetryDecision.END);
+        assertEquals(policy.reply(SendOutcome.UNKNOWN, 10), CallerReply.FAILED);
+        RetryPolicy broken = policy(false, 3);
         broken.sending();
         broken.ended(SendOutcome.UNKNOWN, 10, () -> true);
         assertThrows(BrokenInvariantException.class, broken::sending);
@@ -41,69 +41,69 @@
 
     @Test
     public void rejectedBookingGoesToAnotherServerWithinItsAttempts() {
-        Course course = course(false, 2);
-        course.sending();
-        assertEquals(course.ended(SendOutcome.REJECTED, 10, () -> true), NextStep.SEND_AGAIN);
-        course.sending();
-        assertEquals(course.ended(SendOutcome.REJECTED, 20, () -> true), NextStep.END);
-        assertEquals(course.reply(SendOutcome.REJECTED, 20), CallerReply.NOT_RUN);
+        RetryPolicy policy = policy(false, 2);
+        policy.sending();
+        assertEquals(policy.ended(SendOutcome.REJECTED, 10, () -> true), RetryDecision.SEND_AGAIN);
+        policy.sending();
+        assertEquals(policy.ended(SendOutcome.REJECTED, 20, () -> true), RetryDecision.END);
+        assertEquals(policy.reply(SendOutcome.REJECTED, 20), CallerReply.NOT_RUN);
     }
 
     @Test
     public void repeatNeedsTheSharedBudgetUnlessNothingWasSent() {
-        Course rejected = course(true, 3);
+        RetryPolicy rejected = policy(true, 3);
         rejected.sending();
-        assertEquals(rejected.ended(SendOutcome.REJECTED, 10, () -> false), NextStep.END);
-        Course unsent = course(true, 3);
+        assertEquals(rejected.ended(SendOutcome.REJECTED, 10, () -> false), RetryDecision.END);
+        RetryPolicy unsent = policy(true, 3);
         unsent.sending();
-        assertEquals(unsent.ended(SendOutcome.NOT_SENT, 10, () -> false), NextStep.SEND_AGAIN);
+        assertEquals(unsent.ended(SendOutcome.NOT_SENT, 10, () -> false), RetryDecision.SEND_AGAIN);
         assertEquals(unsent.sends(), 0);
     }
 
     @Test
     public void goingOnWhereItRanUsesNoAttemptAndMayHaveRun() {
-        Course course = course(true, 1);
-        course.sending();
-        assertTrue(course.mayGoOnHere(10));
-        assertFalse(course.goingOnHere(() -> false));
-        assertTrue(course.goingOnHere(() -> true));
-        assertTrue(course.goingOnHere(() -> true));
-        assertFalse(course.mayGoOnHere(20), "a server that breaks again and again");
-        assertEquals(course.sends(), 1);
-        assertEquals(course.ended(SendOutcome.REJECTED, 30, () -> true), NextStep.END);
-        assertEquals(course.reply(SendOutcome.REJECTED, 30), CallerReply.FAILED);
+        RetryPolicy policy = policy(true, 1);
+        policy.sending();
+        assertTrue(policy.mayGoOnHere(10));
+        assertFalse(policy.goingOnHere(() -> false));
+        assertTrue(policy.goingOnHere(() -> true));
+        assertTrue(policy.goingOnHere(() -> true));
+        assertFalse(policy.mayGoOnHere(20), "a server that breaks again and again");
+        assertEquals(policy.sends(), 1);
+        assertEquals(policy.ended(SendOutcome.REJECTED, 30, () -> true), RetryDecision.END);
+        assertEquals(policy.reply(SendOutcome.REJECTED, 30), CallerReply.FAILED);
     }
 
     @Test
     public void bookingNeverGoesOnWhereItMayHaveRun() {
-        Course course = course(false, 3);
-        course.sending();
-        assertFalse(course.mayGoOnHere(10));
+        RetryPolicy policy = policy(false, 3);
+        policy.sending();
+        assertFalse(policy.mayGoOnHere(10));
     }
 
     @Test
     public void answerIsTimedOutOnlyIfItMayHaveRun() {
-        Course sent = course(true, 1);
+        RetryPolicy sent = policy(true, 1);
         sent.sending();
         assertEquals(sent.reply(SendOutcome.UNKNOWN, PATIENCE), CallerReply.TIMED_OUT);
-        assertEquals(course(true, 1).reply(SendOutcome.NOT_SENT, PATIENCE), CallerReply.NOT_RUN);
+        assertEquals(policy(true, 1).reply(SendOutcome.NOT_SENT, PATIENCE), CallerReply.NOT_RUN);
     }
 
     @Test
     public void failureAfterTheFirstEventIsNotPassedOn() {
-        Course course = course(true, 2);
-        course.sending();
-        course.forwarding();
-        assertEquals(course.ended(SendOutcome.UNKNOWN, 10, () -> true), NextStep.SEND_AGAIN);
-        course.sending();
-        assertEquals(course.ended(SendOutcome.FAILED, 20, () -> true), NextStep.END);
+        RetryPolicy policy = policy(true, 2);
+        policy.sending();
+        policy.forwarding();
+        assertEquals(policy.ended(SendOutcome.UNKNOWN, 10, () -> true), RetryDecision.SEND_AGAIN);
+        policy.sending();
+        assertEquals(policy.ended(SendOutcome.FAILED, 20, () -> true), RetryDecision.END);
     }
 
     @Test
     public void serversOwnFailureIsPassedOnWhenNoAttemptIsLeft() {
-        Course course = course(false, 1);
-        course.sending();
-        assertEquals(course.ended(SendOutcome.FAILED, 10, () -> true), NextStep.PASS_ON);
+        RetryPolicy policy = policy(false, 1);
+        policy.sending();
+        assertEquals(policy.ended(SendOutcome.FAILED, 10, () -> true), RetryDecision.PASS_ON);
     }
 
     /**
@@ -120,32 +120,33 @@
     private static void randomCourse(Random random) {
         boolean repeatable = random.nextBoolean();
         int attempts = 1 + random.nextInt(3);
-        Course course = course(repeatable, attempts);
+        RetryPolicy policy = policy(repeatable, attempts);
         List<SendOutcome> sends = new ArrayList<>();
         long now = 0;
-        NextStep next = NextStep.SEND_AGAIN;
-        while (next == NextStep.SEND_AGAIN) {
+        RetryDecision next = RetryDecision.SEND_AGAIN;
+        while (next == RetryDecision.SEND_AGAIN) {
             boolean mayHaveRun = sends.stream().anyMatch(SendOutcome::mayHaveRun);
             assertTrue(repeatable || !mayHaveRun, "sent again after " + sends);
-            course.sending();
-            while (course.mayGoOnHere(now) && random.nextBoolean()) {
+            policy.sending();
+            while (policy.mayGoOnHere(now) && random.nextBoolean()) {
                 assertTrue(repeatable, "goes on where it ran, though it must not repeat");
-                if (course.goingOnHere(random::nextBoolean)) {
+                if (policy.goingOnHere(random::nextBoolean)) {
                     sends.add(SendOutcome.UNKNOWN);
                 }
             }
             SendOutcome outcome = SendOutcome.values()[random.nextInt(SendOutcome.values().length)];
             sends.add(outcome);
             now += random.nextInt(400);
-            next = course.ended(outcome, now, random::nextBoolean);
-            assertTrue(course.sends() <= attempts);
+            next = policy.ended(outcome, now, random::nextBoolean);
+            assertTrue(policy.sends() <= attempts);
             assertTrue(
-                    sends.size() <= attempts + Course.MOST_UNSENT + Course.MOST_GONE_ON_HERE,
+                    sends.size()
+                            <= attempts + RetryPolicy.MOST_UNSENT + RetryPolicy.MOST_GONE_ON_HERE,
                     "endless: " + sends);
         }
-        if (next == NextStep.END) {
+        if (next == RetryDecision.END) {
             boolean mayHaveRun = sends.stream().anyMatch(SendOutcome::mayHaveRun);
-            CallerReply reply = course.reply(sends.get(sends.size() - 1), now);
+            CallerReply reply = policy.reply(sends.get(sends.size() - 1), now);
             assertEquals(reply == CallerReply.NOT_RUN, !mayHaveRun, "told after " + sends);
         } else {
             SendOutcome last = sends.get(sends.size() - 1);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/staging/LeaseTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/LeaseTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/staging/StagePlanTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/RoleAllocationTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -22,7 +22,7 @@
  * supplied split leaves memory as the limit. Figures are those of the data sheets: 55 prompt tokens
  * in a millisecond, memories of 53,697 and 65,717 tokens, answers of 870 and 590 tokens.
  */
-public class StagePlanTest {
+public class RoleAllocationTest {
 
     private static final EngineShape LARGE_POOL =
             new EngineShape(64, 53_697, 500, 2_000, 13, 6_000);
@@ -30,7 +30,7 @@
 
     private static final double TOKENS_READ_PER_MILLI = 55;
 
-    private final StagePlan mPlan = new StagePlan();
+    private final RoleAllocation mPlan = new RoleAllocation();
 
     private static Optional<EngineLoad> load(
             double output, double decodeMillis, EngineShape shape) {
@@ -109,11 +109,11 @@
                 int left = settle(engines(prefill, size - prefill), Optional.of(load));
                 double best =
                         IntStream.range(1, size)
-                                .mapToDouble(split -> StagePlan.carried(engines, split, load))
+                                .mapToDouble(split -> RoleAllocation.carried(engines, split, load))
                                 .max()
                                 .orElseThrow();
                 assertTrue(
-                        StagePlan.carried(size, left, load) * StagePlan.GAIN >= best,
+                        RoleAllocation.carried(size, left, load) * RoleAllocation.GAIN >= best,
                         size + " engines rest at " + left);
             }
         }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/staging/SettledEnginesTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/StableEnginesTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.relay.staging;
+package org.cyclamenpaddle.relay.role;
 
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -12,12 +12,12 @@
 import org.testng.annotations.Test;
 
 /** Tests when a service's engines count as complete. */
-public class SettledEnginesTest {
+public class StableEnginesTest {
 
     private static final ServiceName SERVICE = new ServiceName("reader");
-    private static final long WAIT = SettledEngines.SETTLED_MILLIS;
+    private static final long WAIT = StableEngines.SETTLED_MILLIS;
 
-    private final SettledEngines mEngines = new SettledEngines();
+    private final StableEngines mEngines = new StableEngines();
 
     private static Backend engine(String id) {
         return new Backend(
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/MemoryOutlook.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/MemoryForecast.java
@@ -17,7 +17,7 @@
  * What is free there now tells how many: each of them holds a usual place. So the room that is
  * asked for is such that, with all that may have come unseen, everything still fits.
  */
-public final class MemoryOutlook {
+public final class MemoryForecast {
 
     /** Moments that are looked at, evenly spread over the longest generation. */
     private static final int MOMENTS = 12;
@@ -37,7 +37,7 @@
      * @param lengths what is known of generations
      * @param caution standard deviations by which the sum may turn out larger than its mean
      */
-    public MemoryOutlook(OutputLengths lengths, double caution) {
+    public MemoryForecast(OutputLengths lengths, double caution) {
         mLengths = lengths;
         mCaution = caution;
     }
@@ -141,7 +141,7 @@
      * @param made tokens that it has made
      * @param place tokens that are kept for it in any case
      */
-    private record Growing(Survival survival, long prompt, long made, long place) {
+    private record Growing(SurvivalFunction survival, long prompt, long made, long place) {
 
         double mean(long laterTokens) {
             return alive(laterTokens) * held(laterTokens);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/OutputLengths.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/OutputLengths.java
@@ -41,14 +41,14 @@
     }
 
     /** Returns the survival of any generation. */
-    public Survival any() {
+    public SurvivalFunction any() {
         return mMade.count() < ENOUGH ? mExpected : mMade;
     }
 
     /** Returns the survival of a generation of which so much is expected. */
-    public Survival expecting(long expectedTokens) {
+    public SurvivalFunction expecting(long expectedTokens) {
         return mMade.count() < ENOUGH
-                ? Survival.exactly(expectedTokens)
+                ? SurvivalFunction.exactly(expectedTokens)
                 : mOverExpected.scaled(Math.max(1, expectedTokens) / PER_MILLE);
     }
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/RecentValues.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/memory/RecentValues.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /** The last values of something that is observed, and how they are distributed; not thread-safe. */
-public final class RecentValues implements Survival {
+public final class RecentValues implements SurvivalFunction {
 
     private final long[] mValues;
     private int mCount;
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/CallerTerms.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/CallerTerms.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 /**
  * What the callers of a route accept.
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/ComeBack.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ClientRetryDelay.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 /**
  * When a generation that found no place is asked to come back.
@@ -6,7 +6,7 @@
  * <p>Places come free as generations end. Who comes back before half of a usual generation has
  * passed meets nearly the same ones; after a whole one, most have ended.
  */
-public final class ComeBack {
+public final class ClientRetryDelay {
 
     /** Share of a usual generation's time after which callers come back at the earliest. */
     private static final double LEAST_SHARE = 0.6;
@@ -14,7 +14,7 @@
     /** The same as a share of the silence that callers bear, until generations have ended. */
     private static final double FIRST_SHARE = 0.6;
 
-    private ComeBack() {}
+    private ClientRetryDelay() {}
 
     /**
      * Returns the least wait; the longest is twice as long.
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/PlaceSearch.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReservationWait.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 /**
  * How often one request asks full engines for a place, and for how long.
@@ -7,9 +7,9 @@
  * @param waitMillis for how long it goes on
  * @param seeker what the request has behind it
  */
-public record PlaceSearch(long startMillis, long waitMillis, Seeker seeker) {
+public record ReservationWait(long startMillis, long waitMillis, RetryStage seeker) {
 
-    public PlaceSearch {
+    public ReservationWait {
         if (waitMillis < 0 || seeker == null) {
             throw new IllegalArgumentException(
                     "a search of " + seeker + " cannot last " + waitMillis + " ms");
@@ -23,13 +23,13 @@
      * @param terms what its caller accepts
      * @param seeker what it has behind it
      */
-    public static PlaceSearch begin(long nowMillis, CallerTerms terms, Seeker seeker) {
-        return new PlaceSearch(nowMillis, seeker.waitMillis(terms), seeker);
+    public static ReservationWait begin(long nowMillis, CallerTerms terms, RetryStage seeker) {
+        return new ReservationWait(nowMillis, seeker.waitMillis(terms), seeker);
     }
 
     /** Returns whether there is time for another ask after a pause. */
     public boolean mayGoOn(long nowMillis) {
-        return leftMillis(nowMillis) >= Seeker.SHORT_PAUSE_MILLIS;
+        return leftMillis(nowMillis) >= RetryStage.SHORT_PAUSE_MILLIS;
     }
 
     /** Returns the pause before the next ask, in milliseconds. */
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/AskPacing.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReservePacing.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 /**
  * Spaces the asks of one search while engines turn it away.
@@ -8,13 +8,13 @@
  * processor time on asks that cannot succeed. Asked in rounds with growing pauses, a search costs
  * about the same before six engines and before six hundred. Not thread-safe.
  */
-public final class AskPacing {
+public final class ReservePacing {
 
     /** Asks in a row before a pause. */
     static final int ROUND_ASKS = 3;
 
     /** Longest pause of a search whose own pauses are shorter, in milliseconds. */
-    static final long LONGEST_PAUSE_MILLIS = 4 * Seeker.SHORT_PAUSE_MILLIS;
+    static final long LONGEST_PAUSE_MILLIS = 4 * RetryStage.SHORT_PAUSE_MILLIS;
 
     private int mAsks;
     private int mRounds;
@@ -35,7 +35,7 @@
      * @param search the search that is spaced
      * @param nowMillis reading of the clock
      */
-    public long pauseMillis(PlaceSearch search, long nowMillis) {
+    public long pauseMillis(ReservationWait search, long nowMillis) {
         long own = search.pauseMillis(nowMillis);
         long grown = Math.min(own << Math.min(mRounds, Integer.SIZE), LONGEST_PAUSE_MILLIS);
         mAsks = 0;
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/Seeker.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/RetryStage.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 /**
  * What a request that looks for a place has behind it, and what follows for its search.
@@ -7,7 +7,7 @@
  * gets it. So the pauses between asks, and the room that is asked for, decide who is served in
  * time.
  */
-public enum Seeker {
+public enum RetryStage {
     /** Has only just come; it can still meet its target. */
     FIRST {
         @Override
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/place/CallerWaits.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReturningClients.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -10,7 +10,7 @@
  * first time, and less by what it spent when it comes back. The longest wait is learned, since
  * callers differ and the configuration does not state it. Not thread-safe.
  */
-public final class CallerWaits {
+public final class ReturningClients {
 
     /**
      * Time after which longer waits of before are forgotten, in milliseconds: several times a wait,
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/memory/EnginePoolModel.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/memory/EnginePoolModel.java
@@ -50,7 +50,7 @@
 
     /** Decides how much must be free at an engine beside a generation's place. */
     interface Policy {
-        OptionalLong room(MemoryOutlook outlook, EngineWork work, NewWork more);
+        OptionalLong room(MemoryForecast outlook, EngineWork work, NewWork more);
     }
 
     private static final int HOSTS = 6;
@@ -180,7 +180,7 @@
         EngineWork work =
                 new EngineWork(
                         mShape.memoryTokens(), mHistory.get(at).get(engine), REPORT_LAG_MILLIS);
-        MemoryOutlook outlook = new MemoryOutlook(mLengths.get(waiting.host()), CAUTION);
+        MemoryForecast outlook = new MemoryForecast(mLengths.get(waiting.host()), CAUTION);
         Run run = new Run(nowMillis, waiting.work(), waiting.length(), waiting.host());
         long free = mShape.memoryTokens() - used(mEngines.get(engine), nowMillis);
         OptionalLong room = mPolicy.room(outlook, work, waiting.work());
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/memory/MemoryOutlookLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/memory/MemoryForecastLoadTest.java
@@ -20,7 +20,7 @@
  * <p>Pattern: generations that arrive together also grow together, and callers' expectations are
  * right in the median only. Engines that looked free fill up seconds later, all at once.
  */
-public class MemoryOutlookLoadTest {
+public class MemoryForecastLoadTest {
 
     private static final Policy PLACES_ALONE = (outlook, work, more) -> OptionalLong.of(0);
 
@@ -94,7 +94,7 @@
         OutputLengths lengths = new OutputLengths();
         NewWork work = new NewWork(5_000, 3_000);
         lengths.begun(work);
-        MemoryOutlook outlook = new MemoryOutlook(lengths, 1);
+        MemoryForecast outlook = new MemoryForecast(lengths, 1);
         EngineWork empty = new EngineWork(8_000, List.of(), 500);
         assertTrue(outlook.room(empty, work).isPresent());
         EngineWork small = new EngineWork(7_900, List.of(), 500);
@@ -107,7 +107,7 @@
      */
     @Test
     public void engineFullOfYoungGenerationsTakesNoMore() {
-        MemoryOutlook outlook = new MemoryOutlook(lengthsAround(3_000), 1);
+        MemoryForecast outlook = new MemoryForecast(lengthsAround(3_000), 1);
         boolean refused = false;
         for (int runs = 0; runs < 14; runs++) {
             EngineWork engine = running(runs, 100);
@@ -121,7 +121,7 @@
     /** Generations that are about to end give their memory back before a new one has grown. */
     @Test
     public void engineWhoseGenerationsAreAboutToEndTakesOneMore() {
-        MemoryOutlook outlook = new MemoryOutlook(lengthsAround(3_000), 1);
+        MemoryForecast outlook = new MemoryForecast(lengthsAround(3_000), 1);
         assertTrue(outlook.room(running(10, 100), USUAL).isEmpty(), "ten that have just begun");
         assertTrue(outlook.room(running(10, 4_000), USUAL).isPresent(), "ten at their end");
     }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/ComeBackTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ClientRetryDelayTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -6,31 +6,31 @@
 import org.testng.annotations.Test;
 
 /** Tests when callers that found no place are asked to come back. */
-public class ComeBackTest {
+public class ClientRetryDelayTest {
 
     private static final CallerTerms TERMS = new CallerTerms(900, 3_600);
 
     /** Callers of long generations wait longer: sooner they would meet the same full engines. */
     @Test
     public void waitFollowsHowLongGenerationsTake() {
-        assertEquals(ComeBack.leastMillis(5_000, TERMS), 3_000);
-        assertEquals(ComeBack.leastMillis(1_000, TERMS), 600);
+        assertEquals(ClientRetryDelay.leastMillis(5_000, TERMS), 3_000);
+        assertEquals(ClientRetryDelay.leastMillis(1_000, TERMS), 600);
     }
 
     /** With nothing seen yet, the wait stays within the silence that callers bear. */
     @Test
     public void firstWaitFollowsTheRoute() {
-        long least = ComeBack.leastMillis(0, TERMS);
+        long least = ClientRetryDelay.leastMillis(0, TERMS);
         assertTrue(least > 0 && least < TERMS.silenceMillis(), "least " + least);
     }
 
     /** A come-back leaves room for others until the end of its wait; a first request never. */
     @Test
     public void onlyComeBacksLeaveRoomAndNotAtTheirEnd() {
-        PlaceSearch back = PlaceSearch.begin(0, TERMS, Seeker.COME_BACK);
+        ReservationWait back = ReservationWait.begin(0, TERMS, RetryStage.COME_BACK);
         assertTrue(back.yields(0));
         assertTrue(!back.yields(back.waitMillis() - 1));
-        assertTrue(!PlaceSearch.begin(0, TERMS, Seeker.FIRST).yields(0));
-        assertTrue(!PlaceSearch.begin(0, TERMS, Seeker.REPEAT).yields(0));
+        assertTrue(!ReservationWait.begin(0, TERMS, RetryStage.FIRST).yields(0));
+        assertTrue(!ReservationWait.begin(0, TERMS, RetryStage.REPEAT).yields(0));
     }
 }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/PlaceSearchLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 import static org.testng.Assert.assertTrue;
 
@@ -22,7 +22,7 @@
  * twelve end in a second. Callers of calm days bring 8 a second; their bursts bring 20 to 26 for
  * four to six seconds. Callers come back once, after 2.2 to 4.4 s.
  */
-public class PlaceSearchLoadTest {
+public class ReservationWaitLoadTest {
 
     private static final int PLACES = 44;
     private static final long RUN_MILLIS = 3_600;
@@ -35,7 +35,7 @@
     private static final long ASK_MILLIS = 5;
 
     /** One ask of one request, in the order of time. */
-    private record Ask(long atMillis, PlaceSearch search) {}
+    private record Ask(long atMillis, ReservationWait search) {}
 
     /** What became of all requests. */
     private record Outcome(int requests, int inTime, int served) {
@@ -57,8 +57,9 @@
      */
     @Test
     public void burstMakesFewRequestsLateAndNearlyNoneUnserved() {
-        Outcome equal = play(7, (search, now) -> Seeker.SHORT_PAUSE_MILLIS, (search, now) -> false);
-        Outcome ranked = play(7, PlaceSearch::pauseMillis, PlaceSearch::yields);
+        Outcome equal =
+                play(7, (search, now) -> RetryStage.SHORT_PAUSE_MILLIS, (search, now) -> false);
+        Outcome ranked = play(7, ReservationWait::pauseMillis, ReservationWait::yields);
         assertTrue(
                 ranked.inTimeShare() > equal.inTimeShare() + 0.05,
                 "in time " + ranked.inTimeShare() + " against " + equal.inTimeShare());
@@ -69,11 +70,11 @@
     /** A request that comes back asks often again before it would be refused for good. */
     @Test
     public void comeBackHurriesAtTheEndOfItsWait() {
-        PlaceSearch search = PlaceSearch.begin(0, TERMS, Seeker.COME_BACK);
-        long hurryMillis = (long) (search.waitMillis() * Seeker.BACK_HURRY_SHARE);
+        ReservationWait search = ReservationWait.begin(0, TERMS, RetryStage.COME_BACK);
+        long hurryMillis = (long) (search.waitMillis() * RetryStage.BACK_HURRY_SHARE);
         long hurries = search.waitMillis() - hurryMillis;
-        assertTrue(search.pauseMillis(0) == Seeker.BACK_PAUSE_MILLIS);
-        assertTrue(search.pauseMillis(hurries) == Seeker.SHORT_PAUSE_MILLIS);
+        assertTrue(search.pauseMillis(0) == RetryStage.BACK_PAUSE_MILLIS);
+        assertTrue(search.pauseMillis(hurries) == RetryStage.SHORT_PAUSE_MILLIS);
         long next = hurries - 100 + search.pauseMillis(hurries - 100);
         assertTrue(next <= hurries, "the pause before it does not reach into it");
     }
@@ -84,20 +85,21 @@
      */
     @Test
     public void requestThatWasSentAlreadyAsksOftenAndLong() {
-        PlaceSearch repeat = PlaceSearch.begin(0, TERMS, Seeker.REPEAT);
-        PlaceSearch first = PlaceSearch.begin(0, TERMS, Seeker.FIRST);
+        ReservationWait repeat = ReservationWait.begin(0, TERMS, RetryStage.REPEAT);
+        ReservationWait first = ReservationWait.begin(0, TERMS, RetryStage.FIRST);
         assertTrue(repeat.pauseMillis(0) == first.pauseMillis(0));
         assertTrue(repeat.mayGoOn(4 * first.waitMillis()));
     }
 
     private static Outcome play(
             long seed,
-            ToLongBiFunction<PlaceSearch, Long> pause,
-            BiPredicate<PlaceSearch, Long> yields) {
+            ToLongBiFunction<ReservationWait, Long> pause,
+            BiPredicate<ReservationWait, Long> yields) {
         Random random = new Random(seed);
         PriorityQueue<Ask> asks = new PriorityQueue<>(Comparator.comparingLong(Ask::atMillis));
         List<Long> arrivals = arrivals(random);
-        arrivals.forEach(at -> asks.add(new Ask(at, PlaceSearch.begin(at, TERMS, Seeker.FIRST))));
+        arrivals.forEach(
+                at -> asks.add(new Ask(at, ReservationWait.begin(at, TERMS, RetryStage.FIRST))));
         Deque<Long> ends = new ArrayDeque<>();
         int inTime = 0;
         int served = 0;
@@ -111,17 +113,17 @@
             if (ends.size() + left < PLACES) {
                 ends.add(now + RUN_MILLIS);
                 served++;
-                inTime += ask.search().seeker() == Seeker.FIRST ? 1 : 0;
+                inTime += ask.search().seeker() == RetryStage.FIRST ? 1 : 0;
             } else if (ask.search().mayGoOn(now)) {
                 long next = now + ASK_MILLIS + pause.applyAsLong(ask.search(), now);
                 asks.add(new Ask(next, ask.search()));
-            } else if (ask.search().seeker() == Seeker.FIRST) {
+            } else if (ask.search().seeker() == RetryStage.FIRST) {
                 long back =
                         now
                                 + (long)
-                                        (ComeBack.leastMillis(RUN_MILLIS, TERMS)
+                                        (ClientRetryDelay.leastMillis(RUN_MILLIS, TERMS)
                                                 * (1 + random.nextDouble()));
-                asks.add(new Ask(back, PlaceSearch.begin(back, TERMS, Seeker.COME_BACK)));
+                asks.add(new Ask(back, ReservationWait.begin(back, TERMS, RetryStage.COME_BACK)));
             }
         }
         return new Outcome(arrivals.size(), inTime, served);
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/AskPacingLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservePacingLoadTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -7,7 +7,7 @@
 import org.testng.annotations.Test;
 
 /** Plays the search of one request while every engine of a fleet is full. */
-public class AskPacingLoadTest {
+public class ReservePacingLoadTest {
 
     private static final CallerTerms TERMS = new CallerTerms(900, 3_600);
     private static final long ASK_MILLIS = 5;
@@ -27,36 +27,37 @@
     @Test(dataProvider = "fleets")
     public void asksOfOneRequestDoNotGrowWithTheEngines(int engines) {
         int most = 24;
-        int asks = asks(engines, Seeker.FIRST);
+        int asks = asks(engines, RetryStage.FIRST);
         assertTrue(asks <= most, asks + " asks before " + engines + " engines");
-        assertTrue(asks >= AskPacing.ROUND_ASKS, asks + " asks before " + engines + " engines");
+        assertTrue(asks >= ReservePacing.ROUND_ASKS, asks + " asks before " + engines + " engines");
     }
 
     /** A request that comes back took places from those that could still be served in time. */
     @Test(dataProvider = "fleets")
     public void comeBackAsksAtALowerRateThanAFirstRequest(int engines) {
-        double first = rate(engines, Seeker.FIRST);
-        double back = rate(engines, Seeker.COME_BACK);
+        double first = rate(engines, RetryStage.FIRST);
+        double back = rate(engines, RetryStage.COME_BACK);
         assertTrue(back < first / 2, back + " asks in a ms against " + first);
     }
 
     @Test
     public void pausesGrowUpToTheLongest() {
-        AskPacing pacing = new AskPacing();
-        PlaceSearch search = PlaceSearch.begin(0, TERMS, Seeker.FIRST);
-        assertEquals(pacing.pauseMillis(search, 0), Seeker.SHORT_PAUSE_MILLIS);
-        assertEquals(pacing.pauseMillis(search, 0), 2 * Seeker.SHORT_PAUSE_MILLIS);
-        assertEquals(pacing.pauseMillis(search, 0), AskPacing.LONGEST_PAUSE_MILLIS);
-        assertEquals(pacing.pauseMillis(search, 0), AskPacing.LONGEST_PAUSE_MILLIS);
+        ReservePacing pacing = new ReservePacing();
+        ReservationWait search = ReservationWait.begin(0, TERMS, RetryStage.FIRST);
+        assertEquals(pacing.pauseMillis(search, 0), RetryStage.SHORT_PAUSE_MILLIS);
+        assertEquals(pacing.pauseMillis(search, 0), 2 * RetryStage.SHORT_PAUSE_MILLIS);
+        assertEquals(pacing.pauseMillis(search, 0), ReservePacing.LONGEST_PAUSE_MILLIS);
+        assertEquals(pacing.pauseMillis(search, 0), ReservePacing.LONGEST_PAUSE_MILLIS);
     }
 
-    private static double rate(int engines, Seeker seeker) {
-        return (double) asks(engines, seeker) / PlaceSearch.begin(0, TERMS, seeker).waitMillis();
+    private static double rate(int engines, RetryStage seeker) {
+        return (double) asks(engines, seeker)
+                / ReservationWait.begin(0, TERMS, seeker).waitMillis();
     }
 
-    private static int asks(int engines, Seeker seeker) {
-        PlaceSearch search = PlaceSearch.begin(0, TERMS, seeker);
-        AskPacing pacing = new AskPacing();
+    private static int asks(int engines, RetryStage seeker) {
+        ReservationWait search = ReservationWait.begin(0, TERMS, seeker);
+        ReservePacing pacing = new ReservePacing();
         long[] fullUntil = new long[engines];
         long now = 0;
         int asks = 0;
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/place/CallerWaitsTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReturningClientsTest.java
@@ -1,4 +1,4 @@
-package org.cyclamenpaddle.routing.place;
+package org.cyclamenpaddle.routing.reservation;
 
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -6,19 +6,19 @@
 import org.testng.annotations.Test;
 
 /** Tests what a caller's remaining wait says of its history. */
-public class CallerWaitsTest {
+public class ReturningClientsTest {
 
     private static final String ROUTE = "r-1";
 
     /** Least time that a first try and the wait after it take. */
     private static final long SPENT =
-            PlaceSearch.begin(0, new CallerTerms(900, 3_600), Seeker.FIRST).waitMillis()
-                    + ComeBack.leastMillis(0, new CallerTerms(900, 3_600));
+            ReservationWait.begin(0, new CallerTerms(900, 3_600), RetryStage.FIRST).waitMillis()
+                    + ClientRetryDelay.leastMillis(0, new CallerTerms(900, 3_600));
 
     /** First waits spread by a seventh; none of them may be taken for a come-back. */
     @Test
     public void firstWaitsOfDifferentCallersAreNoComeBacks() {
-        CallerWaits waits = new CallerWaits();
+        ReturningClients waits = new ReturningClients();
         for (long wait = 12_000; wait < 14_000; wait += 50) {
             assertFalse(waits.comesBack(ROUTE, wait, SPENT, wait), "first wait of " + wait);
         }
@@ -27,7 +27,7 @@
 
     @Test
     public void callerThatWasToldToComeBackIsKnownByWhatItHasSpent() {
-        CallerWaits waits = new CallerWaits();
+        ReturningClients waits = new ReturningClients();
         waits.comesBack(ROUTE, 14_000, SPENT, 0);
         long spent = 2_680;
         assertTrue(waits.comesBack(ROUTE, 14_000 - spent, SPENT, spent));
@@ -35,7 +35,7 @@
 
     @Test
     public void routesAreJudgedApart() {
-        CallerWaits waits = new CallerWaits();
+        ReturningClients waits = new ReturningClients();
         waits.comesBack(ROUTE, 14_000, SPENT, 0);
         assertFalse(waits.comesBack("r-2", 3_000, SPENT, 1));
     }
@@ -43,10 +43,10 @@
     /** Callers of a route become less patient for good: they must not count as come-backs. */
     @Test
     public void longerWaitsOfBeforeAreForgotten() {
-        CallerWaits waits = new CallerWaits();
+        ReturningClients waits = new ReturningClients();
         waits.comesBack(ROUTE, 14_000, SPENT, 0);
         assertTrue(waits.comesBack(ROUTE, 8_000, SPENT, 1_000));
-        assertTrue(waits.comesBack(ROUTE, 8_000, SPENT, CallerWaits.KEPT_MILLIS));
-        assertFalse(waits.comesBack(ROUTE, 8_000, SPENT, 2 * CallerWaits.KEPT_MILLIS));
+        assertTrue(waits.comesBack(ROUTE, 8_000, SPENT, ReturningClients.KEPT_MILLIS));
+        assertFalse(waits.comesBack(ROUTE, 8_000, SPENT, 2 * ReturningClients.KEPT_MILLIS));
     }
 }
