--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/DecodeStream.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/DecodeStream.java
@@ -24,7 +24,7 @@
     private final EngineStreamListener mListener;
     private final ClientRequestContext mContext;
     private final HttpResponse mResponse;
-    private final LineSplitter mRequestLog = new LineSplitter(MAX_LINE_BYTES);
+    private final LineSplitter mLines = new LineSplitter(MAX_LINE_BYTES);
     private final ByteArrayOutputStream mErrorBody = new ByteArrayOutputStream();
     private final AtomicBoolean mOver = new AtomicBoolean();
     private Subscription mSubscription;
@@ -106,13 +106,13 @@
             keepErrorBody(bytes);
             return;
         }
-        for (String line : mRequestLog.feed(bytes)) {
+        for (String line : mLines.feed(bytes)) {
             if (mOver.get()) {
                 return;
             }
             deliver(line);
         }
-        if (mRequestLog.oversized()) {
+        if (mLines.oversized()) {
             broken(new EngineFailure.Protocol("line of over " + MAX_LINE_BYTES + " bytes"));
         }
     }
