Let large requests that come back leave room for a usual one only

Cause: a request that comes back leaves room for another one beside its own until its wait is nearly over, and that room was as large as its own. A request of half of an engine's memory thus waited for an empty engine.

The decision stands in ReservationWait now; the usual size is the learned mean.

Ruled out: keeping parts of an engine's memory for a large request until the rest comes free there.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.EngineShape;
+import org.cyclamenpaddle.routing.reservation.ReservationWait;
 
 /**
  * Works out the room that must be free at an engine beside a request's place, so that the request
@@ -44,18 +45,18 @@
      * Tells the tokens that must be free at an engine, on the event loop.
      *
      * @param engine the engine
-     * @param yields whether room for another request of its size must be left
+     * @param wait the search's wait, which decides about room for other requests
      * @param done told the tokens; nothing if the engine cannot take the request
      */
-    void beside(Backend engine, boolean yields, Consumer<OptionalLong> done) {
+    void beside(Backend engine, ReservationWait wait, Consumer<OptionalLong> done) {
         if (mRelay.board().reportDue(engine, mRelay.clock().millis())) {
-            call(engine, () -> done.accept(besideNow(engine, yields)));
+            call(engine, () -> done.accept(besideNow(engine, wait)));
         } else {
-            done.accept(besideNow(engine, yields));
+            done.accept(besideNow(engine, wait));
         }
     }
 
-    private OptionalLong besideNow(Backend engine, boolean yields) {
+    private OptionalLong besideNow(Backend engine, ReservationWait wait) {
         long now = mRelay.clock().millis();
         EngineShape shape = mRequest.engine().orElseThrow();
         WorkSize size = mRequest.caller().size();
@@ -69,10 +70,16 @@
                                 report.report().work(shape.eventTokens()),
                                 report.ageMillis(now) + BORN_OLD_MILLIS,
                                 size);
-        long left = yields ? size.memoryTokens() : 0;
+        long left = wait.tokensLeft(now, size.memoryTokens(), usualTokens());
         return room.isPresent() ? OptionalLong.of(room.getAsLong() + left) : room;
     }
 
+    private OptionalLong usualTokens() {
+        return mRelay.demand().of(mRequest.service()).stream()
+                .mapToLong(usual -> Math.round(usual.promptTokens() + usual.outputTokens()))
+                .findFirst();
+    }
+
     private void call(Backend engine, Runnable done) {
         mRelay.connections()
                 .keptClient(engine.address(), engine.port())
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -62,11 +62,11 @@
         mListener = listener;
         mRoom = new GrowthCapacity(relay, request, loop);
         long now = relay.clock().millis();
-        RetryStage seeker = seeker(relay, request, !avoid.isEmpty(), now);
-        mReservationWait = ReservationWait.begin(now, request.route().terms(), seeker);
+        RetryStage stage = stage(relay, request, !avoid.isEmpty(), now);
+        mReservationWait = ReservationWait.begin(now, request.route().terms(), stage);
     }
 
-    private static RetryStage seeker(
+    private static RetryStage stage(
             RelayContext relay, RelayRequest request, boolean sentBefore, long nowMillis) {
         OptionalLong waits = request.caller().callerMillis();
         if (sentBefore) {
@@ -128,8 +128,7 @@
         if (mClosed) {
             answer.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, runner, name));
         } else if (answer.kept()) {
-            boolean yields = mReservationWait.yields(mRelay.clock().millis());
-            mRoom.beside(runner, yields, tokens -> probe(runner, answer, tokens));
+            mRoom.beside(runner, mReservationWait, tokens -> probe(runner, answer, tokens));
         } else {
             turnedAway(runner, answer);
         }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReservationWait.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReservationWait.java
@@ -1,18 +1,20 @@
 package org.cyclamenpaddle.routing.reservation;
 
+import java.util.OptionalLong;
+
 /**
  * How often one request asks full engines for a place, and for how long.
  *
  * @param startMillis when the search began
  * @param waitMillis for how long it goes on
- * @param seeker what the request has behind it
+ * @param stage what the request has behind it
  */
-public record ReservationWait(long startMillis, long waitMillis, RetryStage seeker) {
+public record ReservationWait(long startMillis, long waitMillis, RetryStage stage) {
 
     public ReservationWait {
-        if (waitMillis < 0 || seeker == null) {
+        if (waitMillis < 0 || stage == null) {
             throw new IllegalArgumentException(
-                    "a search of " + seeker + " cannot last " + waitMillis + " ms");
+                    "a search of " + stage + " cannot last " + waitMillis + " ms");
         }
     }
 
@@ -21,10 +23,10 @@
      *
      * @param nowMillis reading of the clock
      * @param terms what its caller accepts
-     * @param seeker what it has behind it
+     * @param stage what it has behind it
      */
-    public static ReservationWait begin(long nowMillis, CallerTerms terms, RetryStage seeker) {
-        return new ReservationWait(nowMillis, seeker.waitMillis(terms), seeker);
+    public static ReservationWait begin(long nowMillis, CallerTerms terms, RetryStage stage) {
+        return new ReservationWait(nowMillis, stage.waitMillis(terms), stage);
     }
 
     /** Returns whether there is time for another ask after a pause. */
@@ -34,12 +36,26 @@
 
     /** Returns the pause before the next ask, in milliseconds. */
     public long pauseMillis(long nowMillis) {
-        return seeker.pauseMillis(leftMillis(nowMillis), waitMillis);
+        return stage.pauseMillis(leftMillis(nowMillis), waitMillis);
+    }
+
+    /**
+     * Returns the memory that the request leaves for another one beside its own.
+     *
+     * <p>Room for a usual request suffices: a large one that left as much again as it needs itself
+     * would wait for an engine that is nearly empty.
+     *
+     * @param nowMillis reading of the clock
+     * @param ownTokens memory that the request needs
+     * @param usualTokens memory that a usual request needs; empty if that is not known
+     */
+    public long tokensLeft(long nowMillis, long ownTokens, OptionalLong usualTokens) {
+        return yields(nowMillis) ? Math.min(ownTokens, usualTokens.orElse(ownTokens)) : 0;
     }
 
     /** Returns whether the request leaves room for another one beside its own. */
-    public boolean yields(long nowMillis) {
-        return seeker.yields(leftMillis(nowMillis), waitMillis);
+    boolean yields(long nowMillis) {
+        return stage.yields(leftMillis(nowMillis), waitMillis);
     }
 
     private long leftMillis(long nowMillis) {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ClientRetryDelayTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ClientRetryDelayTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.OptionalLong;
 import org.testng.annotations.Test;
 
 /** Tests when callers that found no place are asked to come back. */
@@ -33,4 +34,14 @@
         assertTrue(!ReservationWait.begin(0, TERMS, RetryStage.FIRST).yields(0));
         assertTrue(!ReservationWait.begin(0, TERMS, RetryStage.REPEAT).yields(0));
     }
+
+    /** Large requests that came back left as much again as they needed, and found no engine. */
+    @Test
+    public void largeRequestLeavesRoomForAUsualOneOnly() {
+        ReservationWait back = ReservationWait.begin(0, TERMS, RetryStage.COME_BACK);
+        assertEquals(back.tokensLeft(0, 22_000, OptionalLong.of(6_000)), 6_000);
+        assertEquals(back.tokensLeft(0, 2_000, OptionalLong.of(6_000)), 2_000);
+        assertEquals(back.tokensLeft(0, 22_000, OptionalLong.empty()), 22_000);
+        assertEquals(back.tokensLeft(back.waitMillis() - 1, 22_000, OptionalLong.of(6_000)), 0);
+    }
 }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
@@ -113,11 +113,11 @@
             if (ends.size() + left < PLACES) {
                 ends.add(now + RUN_MILLIS);
                 served++;
-                inTime += ask.search().seeker() == RetryStage.FIRST ? 1 : 0;
+                inTime += ask.search().stage() == RetryStage.FIRST ? 1 : 0;
             } else if (ask.search().mayGoOn(now)) {
                 long next = now + ASK_MILLIS + pause.applyAsLong(ask.search(), now);
                 asks.add(new Ask(next, ask.search()));
-            } else if (ask.search().seeker() == RetryStage.FIRST) {
+            } else if (ask.search().stage() == RetryStage.FIRST) {
                 long back =
                         now
                                 + (long)
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservePacingLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservePacingLoadTest.java
@@ -50,13 +50,12 @@
         assertEquals(pacing.pauseMillis(search, 0), ReservePacing.LONGEST_PAUSE_MILLIS);
     }
 
-    private static double rate(int engines, RetryStage seeker) {
-        return (double) asks(engines, seeker)
-                / ReservationWait.begin(0, TERMS, seeker).waitMillis();
+    private static double rate(int engines, RetryStage stage) {
+        return (double) asks(engines, stage) / ReservationWait.begin(0, TERMS, stage).waitMillis();
     }
 
-    private static int asks(int engines, RetryStage seeker) {
-        ReservationWait search = ReservationWait.begin(0, TERMS, seeker);
+    private static int asks(int engines, RetryStage stage) {
+        ReservationWait search = ReservationWait.begin(0, TERMS, stage);
         ReservePacing pacing = new ReservePacing();
         long[] fullUntil = new long[engines];
         long now = 0;
