--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -94,19 +94,19 @@
      *
      * @param settings checked settings
      * @param reader reads them again
-     * @param sources what the deployment brings along
+     * @param adapter what the deployment brings along
      * @param log decision lines
      */
     public RelayProcess(
             RelaySettings settings,
             Supplier<Either<String, RelaySettings>> reader,
-            PlatformAdapter sources,
+            PlatformAdapter adapter,
             DecisionLog log) {
         mSettings = settings;
         mLatest = settings;
         mReader = reader;
-        mAdapter = sources;
-        mConnections = sources.connections();
+        mAdapter = adapter;
+        mConnections = adapter.connections();
         mLog = log;
         mBoard =
                 new BackendBoard(
@@ -118,15 +118,15 @@
                         mLog, mConfiguration, mBoard, mClock, mStartupGate, this::logReady);
         RelaySettings.Retry retry = settings.retry();
         mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
-        RelayContext parts =
+        RelayContext relay =
                 new RelayContext(
                         mBoard,
                         mBudget,
                         mDemand,
                         new Table<>(TableOrder.CALLERS, new ReturningClients()),
                         mConnections,
-                        sources.backendMessages(),
-                        sources.engineMessages(),
+                        adapter.backendMessages(),
+                        adapter.engineMessages(),
                         mLog,
                         mMetrics,
                         mClock,
@@ -134,7 +134,7 @@
         mStop = new GracefulShutdown(settings.stop().graceMillis(), mClock);
         mService =
                 new RelayService(
-                        parts, sources.callerMessages(), mConfiguration, mStop, mStartupGate);
+                        relay, adapter.callerMessages(), mConfiguration, mStop, mStartupGate);
         mCallerServer = callerServer();
         mCheckServer = checkServer();
         mMetrics.gauge("requests_in_flight", mService::inFlight);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -30,7 +30,7 @@
     private boolean mCompleteSaid;
 
     /**
-     * Creates beliefs that know nothing.
+     * Creates an updater before anything is known.
      *
      * @param startWait ended as soon as requests can be decided, or the store fails a call
      * @param completed run once, as soon as requests can be decided
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerWatchTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerWatchTest.java
@@ -19,7 +19,7 @@
 
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
 
-    /** The pages promise that a host knows of a change two seconds after it at the latest. */
+    /** Time after which a host knows of a change at the latest, in milliseconds. */
     private static final long KNOWN_MILLIS = 2_000;
 
     private VirtualClock mClock;
@@ -48,7 +48,7 @@
         @Override
         public CompletableFuture<Either<StoreFailure, EntryPage<String>>> list(
                 Optional<String> after) {
-            return answer("list", () -> new Page(List.of(), mRevision));
+            return answer("list", () -> Either.right(new Page(List.of(), mRevision)));
         }
 
         @Override
@@ -61,7 +61,7 @@
             Waiting waiting = new Waiting(revision, new CompletableFuture<>());
             mWaiting.add(waiting);
             mExecutor.schedule(
-                    () -> waiting.at().complete(Either.right(since(revision))),
+                    () -> waiting.at().complete(since(revision)),
                     waitMillis,
                     TimeUnit.MILLISECONDS);
             return waiting.at().thenApply(ScriptedStore::page);
@@ -74,7 +74,7 @@
         }
 
         private CompletableFuture<Either<StoreFailure, EntryPage<String>>> answer(
-                String call, Supplier<Page> page) {
+                String call, Supplier<Either<StoreFailure, Page>> served) {
             mCalls.add(call);
             CompletableFuture<Either<StoreFailure, Page>> answer = new CompletableFuture<>();
             if (mSilent) {
@@ -85,10 +85,7 @@
             } else if (mRefusal.isPresent()) {
                 answer.complete(Either.left(mRefusal.get()));
             } else {
-                answer.complete(
-                        page.get() == null
-                                ? Either.left(StoreFailure.HISTORY_GONE)
-                                : Either.right(page.get()));
+                answer.complete(served.get());
             }
             return answer.thenApply(ScriptedStore::page);
         }
@@ -102,16 +99,16 @@
             return mChanges.stream().anyMatch(change -> change.revision() > revision);
         }
 
-        private Page since(long revision) {
+        private Either<StoreFailure, Page> since(long revision) {
             if (revision < mForgottenBefore) {
-                return null;
+                return Either.left(StoreFailure.HISTORY_GONE);
             }
             List<Entry<String>> entries =
                     mChanges.stream()
                             .filter(change -> change.revision() > revision)
                             .map(change -> new Entry<>(change.name(), Either.right(change.name())))
                             .toList();
-            return new Page(entries, mRevision);
+            return Either.right(new Page(entries, mRevision));
         }
 
         void change(String name) {
@@ -119,8 +116,7 @@
             if (!mSilent && !mWatchesDead) {
                 List<Waiting> waiting = List.copyOf(mWaiting);
                 mWaiting.clear();
-                waiting.forEach(
-                        watch -> watch.at().complete(Either.right(since(watch.revision()))));
+                waiting.forEach(watch -> watch.at().complete(since(watch.revision())));
             }
         }
 
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.BiPredicate;
@@ -67,6 +69,21 @@
         assertTrue(ranked.servedShare() > 0.97, "served " + ranked.servedShare());
     }
 
+    /** Pauses that grow while engines turn a request away must not undo what the ranks win. */
+    @Test
+    public void spacedAsksMakeFewRequestsLateAndNearlyNoneUnserved() {
+        Map<ReservationWait, ReservePacing> pacing = new IdentityHashMap<>();
+        Outcome spaced =
+                play(
+                        7,
+                        (search, now) ->
+                                pacing.computeIfAbsent(search, any -> new ReservePacing())
+                                        .pauseMillis(search, now),
+                        ReservationWait::yields);
+        assertTrue(spaced.inTimeShare() > 0.75, "in time " + spaced.inTimeShare());
+        assertTrue(spaced.servedShare() > 0.97, "served " + spaced.servedShare());
+    }
+
     /** A request that comes back asks often again before it would be refused for good. */
     @Test
     public void comeBackHurriesAtTheEndOfItsWait() {
