Identify teams by API keys and keep the keys on the host

Cause: the relay knew neither teams nor keys.

A request's key is found by its digest; the backend server gets the team's name in place of whatever the caller sent under it, and never the key. Public routes serve with and without a key. An unknown key gets 401 only from a host whose configuration the store confirms, as 404 does, else 503. A team's priority goes before the route's and is sent to engines. A request admitted before its key was removed runs to its end. Log events of requests name the team. Matching of route, key and stop moved from RelayService to RequestAdmission.

Ruled out: keeping the keys in the clear (they would stand in a heap and in any text made of the configuration); forwarding Authorization while a configuration has no teams (a host with an older version would pass keys on).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -91,6 +91,8 @@
                         true,
                         Optional.empty(),
                         Optional.empty(),
+                        mRequest.teamName(),
+                        mRequest.enginePriority(),
                         Optional.empty());
         mExchange =
                 BackendExchange.send(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -2,11 +2,14 @@
 
 import com.linecorp.armeria.common.HttpData;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.route.EngineProfile;
 import org.cyclamenpaddle.relay.route.Route;
+import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
 import org.cyclamenpaddle.routing.reservation.CallerRetryDelay;
 
@@ -17,6 +20,7 @@
  * @param body complete body
  * @param route matching route
  * @param service the route's service that was selected
+ * @param team team of the caller; empty if it has none
  * @param engine engine profile of that service; empty for a plain service
  * @param version version of the configuration used
  */
@@ -25,6 +29,7 @@
         HttpData body,
         Route route,
         ServiceName service,
+        Optional<Team> team,
         Optional<EngineProfile> engine,
         long version) {
 
@@ -34,6 +39,24 @@
      */
     private static final double RETRY_TARGET_SHARE = 0.5;
 
+    /** Returns the name of the caller's team; empty if it has none. */
+    Optional<TeamName> teamName() {
+        return team.map(Team::name);
+    }
+
+    /**
+     * Returns the priority of the request at an engine, 0 being the highest; empty at a plain
+     * server.
+     */
+    OptionalInt enginePriority() {
+        return engine.isEmpty()
+                ? OptionalInt.empty()
+                : OptionalInt.of(
+                        team.map(Team::priority)
+                                .orElse(OptionalInt.empty())
+                                .orElse(route.priority()));
+    }
+
     /** Returns the minimum retry delay of a refused request, in milliseconds. */
     long minRetryDelayMillis(DemandMeter demand) {
         if (engine.isEmpty()) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -9,23 +9,22 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
-import io.vavr.control.Either;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.log.RelayEvent;
-import org.cyclamenpaddle.relay.route.RelayConfiguration;
-import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
 
 /** Receives callers' requests, finds their routes and starts their exchanges. */
 public final class RelayService implements HttpService {
 
+    private static final String NONE = "none";
+
     private final RelayContext mRelay;
     private final CallerMessages mMessages;
     private final ConfigurationCell mConfiguration;
-    private final DrainState mDrainState;
+    private final RequestAdmission mAdmission;
     private final StartupGate mStartupGate;
     private final RetryAfter mRetryAfter;
     private final AtomicInteger mInFlight = new AtomicInteger();
@@ -45,7 +44,7 @@
             ConfigurationCell configuration,
             DrainState drainState,
             StartupGate startupGate) {
-        mDrainState = drainState;
+        mAdmission = new RequestAdmission(messages, configuration, drainState);
         mStartupGate = startupGate;
         mRelay = relay;
         mMessages = messages;
@@ -71,42 +70,24 @@
 
     private HttpResponse dispatch(ServiceRequestContext context, HttpRequest request) {
         RequestHeaders headers = HopByHopHeaders.strip(request.headers());
-        Optional<RelayConfiguration> configuration = mConfiguration.inForce();
-        if (configuration.isEmpty()) {
-            return refuse(headers, HttpStatus.SERVICE_UNAVAILABLE, "no configuration yet");
-        }
-        String authority = authority(headers);
-        Optional<Route> route = configuration.get().find(authority, headers.path());
-        if (route.isEmpty()) {
-            // A host that has lost the store may lack the newest routes. It must not respond 404:
-            // the caller would take that as final and not retry.
-            return mConfiguration.confirmed()
-                    ? refuse(headers, HttpStatus.NOT_FOUND, "no such route")
-                    : refuse(headers, HttpStatus.SERVICE_UNAVAILABLE, "routes may be outdated");
-        }
-        Either<String, CallerRequest> caller = mMessages.request(headers);
-        if (caller.isLeft()) {
-            return refuse(headers, HttpStatus.BAD_REQUEST, caller.getLeft());
-        }
-        if (!mDrainState.accepts(route.get().kind().streams())) {
-            return refuse(headers, HttpStatus.SERVICE_UNAVAILABLE, "host is stopping");
-        }
-        return run(context, request, configuration.get(), route.get(), caller.get());
+        return mAdmission
+                .admit(headers)
+                .fold(
+                        rejected -> refuse(headers, rejected),
+                        admitted -> run(context, request, admitted));
     }
 
     private HttpResponse run(
             ServiceRequestContext context,
             HttpRequest request,
-            RelayConfiguration configuration,
-            Route route,
-            CallerRequest caller) {
+            RequestAdmission.Admitted admitted) {
         HttpResponseWriter writer = HttpResponse.streaming();
         mInFlight.incrementAndGet();
         request.aggregate(context.eventLoop())
                 .handle(
                         (aggregated, failure) -> {
                             if (failure == null) {
-                                start(context, aggregated, configuration, route, caller, writer);
+                                start(context, aggregated, admitted, writer);
                             } else {
                                 // The caller disconnected, or its body was too large, before the
                                 // request was complete.
@@ -121,19 +102,18 @@
     private void start(
             ServiceRequestContext context,
             AggregatedHttpRequest aggregated,
-            RelayConfiguration configuration,
-            Route route,
-            CallerRequest caller,
+            RequestAdmission.Admitted admitted,
             HttpResponseWriter writer) {
-        ServiceName service = route.serviceFor(mRelay.random().getAsDouble());
+        ServiceName service = admitted.route().serviceFor(mRelay.random().getAsDouble());
         RelayRequest relayed =
                 new RelayRequest(
-                        caller,
+                        admitted.caller(),
                         aggregated.content(),
-                        route,
+                        admitted.route(),
                         service,
-                        configuration.engineProfile(service),
-                        configuration.version());
+                        admitted.team(),
+                        admitted.configuration().engineProfile(service),
+                        admitted.configuration().version());
         Channel connection = context.log().partial().channel();
         CallerConnection watch = new CallerConnection(connection);
         RequestExchange exchange =
@@ -159,18 +139,16 @@
         watch.onDisconnect(exchange::callerDisconnected);
     }
 
-    private static String authority(RequestHeaders headers) {
-        return headers.authority() == null ? "" : headers.authority();
-    }
-
-    private HttpResponse refuse(RequestHeaders headers, HttpStatus status, String reason) {
+    private HttpResponse refuse(RequestHeaders headers, RequestAdmission.Rejected rejected) {
+        HttpStatus status = rejected.status();
         mRelay.log().log(
                 RelayEvent.REQUEST_REFUSED,
-                mMessages.request(headers).map(CallerRequest::id).getOrElse("none"),
-                authority(headers),
+                mMessages.request(headers).map(CallerRequest::id).getOrElse(NONE),
+                RequestAdmission.authority(headers),
                 headers.path(),
+                rejected.team().map(TeamName::value).orElse(NONE),
                 status.code(),
-                reason,
+                rejected.reason(),
                 mConfiguration.version());
         boolean retryLater = status.equals(HttpStatus.SERVICE_UNAVAILABLE);
         return HttpResponse.of(
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
@@ -0,0 +1,114 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.route.Route;
+import org.cyclamenpaddle.relay.team.Team;
+import org.cyclamenpaddle.relay.wire.CallerMessages;
+import org.cyclamenpaddle.relay.wire.CallerRequest;
+
+/** Matches a request to its route and its caller's team, or determines why it is refused. */
+final class RequestAdmission {
+
+    /**
+     * A request that may be forwarded.
+     *
+     * @param configuration configuration that applies to it
+     * @param route matching route
+     * @param caller decoded request
+     * @param team team of the caller; empty on a public route without a known key, and in a
+     *     configuration without teams
+     */
+    record Admitted(
+            RelayConfiguration configuration,
+            Route route,
+            CallerRequest caller,
+            Optional<Team> team) {}
+
+    /**
+     * A request that is refused.
+     *
+     * @param status status of the response
+     * @param reason reason, for logs; contains nothing that the caller sent
+     * @param team team of the caller, if it is known
+     */
+    record Rejected(HttpStatus status, String reason, Optional<TeamName> team) {
+
+        static Rejected of(HttpStatus status, String reason) {
+            return new Rejected(status, reason, Optional.empty());
+        }
+    }
+
+    private final CallerMessages mMessages;
+    private final ConfigurationCell mConfiguration;
+    private final DrainState mDrainState;
+
+    RequestAdmission(
+            CallerMessages messages, ConfigurationCell configuration, DrainState drainState) {
+        mMessages = messages;
+        mConfiguration = configuration;
+        mDrainState = drainState;
+    }
+
+    /**
+     * Decides about a request by the configuration in force.
+     *
+     * @param headers request headers without hop-by-hop headers
+     */
+    Either<Rejected, Admitted> admit(RequestHeaders headers) {
+        Optional<RelayConfiguration> inForce = mConfiguration.inForce();
+        if (inForce.isEmpty()) {
+            return rejected(HttpStatus.SERVICE_UNAVAILABLE, "no configuration yet");
+        }
+        RelayConfiguration configuration = inForce.get();
+        Optional<Route> route = configuration.find(authority(headers), headers.path());
+        if (route.isEmpty()) {
+            return rejectedIfCurrent(HttpStatus.NOT_FOUND, "no such route");
+        }
+        Either<String, CallerRequest> decoded = mMessages.request(headers);
+        if (decoded.isLeft()) {
+            return rejected(HttpStatus.BAD_REQUEST, decoded.getLeft());
+        }
+        CallerRequest caller = decoded.get();
+        Optional<Team> team = caller.key().flatMap(configuration.teams()::find);
+        if (team.isEmpty() && configuration.teams().keysRequired() && !route.get().publicAccess()) {
+            return rejectedIfCurrent(
+                    HttpStatus.UNAUTHORIZED,
+                    caller.key().isPresent() ? "unknown API key" : "no usable API key");
+        }
+        if (!mDrainState.accepts(route.get().kind().streams())) {
+            return Either.left(
+                    new Rejected(
+                            HttpStatus.SERVICE_UNAVAILABLE,
+                            "host is stopping",
+                            team.map(Team::name)));
+        }
+        return Either.right(new Admitted(configuration, route.get(), caller, team));
+    }
+
+    static String authority(RequestHeaders headers) {
+        return headers.authority() == null ? "" : headers.authority();
+    }
+
+    /**
+     * Returns a final refusal if the store confirms the configuration in force.
+     *
+     * <p>Safeguard: a host that has lost the store may lack the newest routes and keys. It must not
+     * send a final status, since the caller would not retry.
+     */
+    private Either<Rejected, Admitted> rejectedIfCurrent(HttpStatus status, String reason) {
+        return mConfiguration.confirmed()
+                ? rejected(status, reason)
+                : rejected(
+                        HttpStatus.SERVICE_UNAVAILABLE,
+                        reason + " in a configuration that may be outdated");
+    }
+
+    private static Either<Rejected, Admitted> rejected(HttpStatus status, String reason) {
+        return Either.left(Rejected.of(status, reason));
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -187,6 +187,8 @@
                         false,
                         prompt,
                         placement.reservation(),
+                        mRequest.teamName(),
+                        mRequest.enginePriority(),
                         mResponse.lastEventId());
         boolean retriableElsewhere =
                 mRequest.route().repeatable() && mRetryPolicy.hasAttemptsLeft();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 import java.util.Optional;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -38,6 +39,7 @@
                 RelayEvent.CALLER_DISCONNECTED,
                 mRequest.caller().id(),
                 mRequest.route().name(),
+                team(),
                 name(backend),
                 mRetryPolicy.sends(),
                 elapsedMillis());
@@ -56,6 +58,7 @@
                 RelayEvent.REQUEST_ENDED,
                 mRequest.caller().id(),
                 mRequest.route().name(),
+                team(),
                 mRequest.version(),
                 mRequest.caller().size().promptTokens(),
                 mRequest.caller().size().outputTokens(),
@@ -76,6 +79,7 @@
                 RelayEvent.RESPONSE_TRUNCATED,
                 mRequest.caller().id(),
                 mRequest.route().name(),
+                team(),
                 name(backend),
                 reason,
                 mResponse.lastEventId().orElse(NONE),
@@ -89,6 +93,7 @@
                 RelayEvent.REQUEST_FAILED,
                 mRequest.caller().id(),
                 mRequest.route().name(),
+                team(),
                 mRequest.version(),
                 reply.status(),
                 reason,
@@ -114,6 +119,10 @@
         return mRelay.clock().millis() - mStartMillis;
     }
 
+    private String team() {
+        return mRequest.teamName().map(TeamName::value).orElse(NONE);
+    }
+
     private static String name(Optional<Backend> backend) {
         return backend.map(known -> known.id().value()).orElse(NONE);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -53,6 +53,7 @@
             List.of(
                     "request",
                     "route",
+                    "team",
                     "version",
                     "prompt",
                     "output",
@@ -69,17 +70,25 @@
             2202,
             Priority.DIAGNOSTIC,
             "request failed",
-            List.of("request", "route", "version", "told", "reason", "sends", "millis")),
+            List.of("request", "route", "team", "version", "told", "reason", "sends", "millis")),
     RESPONSE_TRUNCATED(
             2203,
             Priority.DIAGNOSTIC,
             "response truncated",
-            List.of("request", "route", "backend", "reason", "lastEvent", "sends", "millis")),
+            List.of(
+                    "request",
+                    "route",
+                    "team",
+                    "backend",
+                    "reason",
+                    "lastEvent",
+                    "sends",
+                    "millis")),
     CALLER_DISCONNECTED(
             2204,
             Priority.DIAGNOSTIC,
             "caller disconnected before the end of the response",
-            List.of("request", "route", "backend", "sends", "millis")),
+            List.of("request", "route", "team", "backend", "sends", "millis")),
     ATTEMPT_ENDED(
             2205,
             Priority.DIAGNOSTIC,
@@ -103,7 +112,7 @@
             2207,
             Priority.DIAGNOSTIC,
             "request refused",
-            List.of("request", "authority", "path", "status", "reason", "version"));
+            List.of("request", "authority", "path", "team", "status", "reason", "version"));
 
     /** Priority of a line when the queue fills up. */
     enum Priority {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
@@ -8,8 +8,9 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.relay.team.TeamDirectory;
 
-/** Immutable snapshot of one version of the routes and services. */
+/** Immutable snapshot of one version of the routes, services and teams. */
 public final class RelayConfiguration {
 
     private static final Comparator<Route> LONGEST_PREFIX_FIRST =
@@ -18,6 +19,7 @@
     private final long mVersion;
     private final Map<String, List<Route>> mRoutesByHost;
     private final Map<ServiceName, ServicePolicy> mServices;
+    private final TeamDirectory mTeams;
 
     /**
      * Creates a version.
@@ -25,9 +27,12 @@
      * @param version version number; increases with each change, not necessarily by one
      * @param routes routes in any order
      * @param services services with distinct names
+     * @param teams teams and their keys
      */
-    public RelayConfiguration(long version, List<Route> routes, List<ServicePolicy> services) {
+    public RelayConfiguration(
+            long version, List<Route> routes, List<ServicePolicy> services, TeamDirectory teams) {
         mVersion = version;
+        mTeams = teams;
         mRoutesByHost =
                 routes.stream()
                         .sorted(LONGEST_PREFIX_FIRST)
@@ -61,6 +66,11 @@
                 .findFirst();
     }
 
+    /** Returns the teams of this version. */
+    public TeamDirectory teams() {
+        return mTeams;
+    }
+
     /** Returns the services with engines and the profiles of their engines. */
     public Map<ServiceName, EngineProfile> engineProfiles() {
         return mServices.values().stream()
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
@@ -19,6 +19,7 @@
  * @param services services that handle the requests; at least one has a weight above 0
  * @param maxAttempts maximum number of backend servers that one attempt of a caller may be sent to
  * @param resumable whether a stream may resume on another backend server
+ * @param publicAccess whether requests need no API key
  */
 public record Route(
         String name,
@@ -31,7 +32,8 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
-        boolean resumable) {
+        boolean resumable,
+        boolean publicAccess) {
 
     public Route {
         if (name == null || host == null || kind == null) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCall.java
@@ -1,6 +1,8 @@
 package org.cyclamenpaddle.relay.wire;
 
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.backend.Backend;
 
 /**
@@ -11,6 +13,8 @@
  * @param prefillOnly whether the server is to run the prefill only
  * @param prompt handle of the prompt that another engine has prefilled; empty if there is none
  * @param reservation name of the reservation made for the request; empty if there is none
+ * @param team team of the caller; empty if it has none
+ * @param priority priority at an engine; 0 is the highest; empty at a plain server
  * @param resumeAfter id of the event after which the stream resumes; empty to start at the
  *     beginning
  */
@@ -20,6 +24,8 @@
         boolean prefillOnly,
         Optional<PromptHandle> prompt,
         Optional<String> reservation,
+        Optional<TeamName> team,
+        OptionalInt priority,
         Optional<String> resumeAfter) {
 
     public BackendCall {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
@@ -4,26 +4,34 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cyclamenpaddle.relay.backend.WorkSize;
+import org.cyclamenpaddle.relay.team.ApiKeyDigest;
 
 /**
  * Decoded request of a caller.
  *
  * @param id identifies this attempt of the caller
- * @param headers headers to forward to backend servers, without those that only the relay may set
+ * @param headers headers to forward to backend servers, without the caller's credentials and those
+ *     that only the relay may set
+ * @param key digest of the caller's API key; empty without a usable one
  * @param callerTimeoutMillis how long the caller waits for the response; empty if it does not say
  * @param size estimated work of the request
+ * @param declaredTokens prompt tokens and maximum output tokens that the caller declares; empty
+ *     without a declaration
  * @param resumeAfter id of the last event that the caller has received; empty at the beginning
  */
 public record CallerRequest(
         String id,
         RequestHeaders headers,
+        Optional<ApiKeyDigest> key,
         OptionalLong callerTimeoutMillis,
         WorkSize size,
+        OptionalLong declaredTokens,
         Optional<String> resumeAfter) {
 
     public CallerRequest {
-        if (id == null || headers == null || size == null) {
-            throw new IllegalArgumentException("request needs an id, headers and a size");
+        if (id == null || headers == null || key == null || size == null) {
+            throw new IllegalArgumentException(
+                    "request needs an id, headers, an optional key and a size");
         }
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/route/RelayConfigurationTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/route/RelayConfigurationTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.relay.team.TeamDirectory;
 import org.testng.annotations.Test;
 
 /** Tests the selection of routes and of their services. */
@@ -23,6 +24,7 @@
                 2,
                 List.of(to),
                 2,
+                false,
                 false);
     }
 
@@ -39,7 +41,8 @@
                                 route("short", "a.example", "/x/", weighted("s", 1)),
                                 route("long", "a.example", "/x/y/", weighted("s", 1)),
                                 route("other", "b.example", "/x/y/z/", weighted("s", 1))),
-                        List.of());
+                        List.of(),
+                        TeamDirectory.NONE);
         assertEquals(configuration.find("A.example:80", "/x/y/z/1?q").orElseThrow().name(), "long");
         assertEquals(configuration.find("a.example", "/x/q").orElseThrow().name(), "short");
         assertTrue(configuration.find("a.example", "/xy/").isEmpty());
