--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
@@ -14,4 +14,6 @@
                 Hello,
                 ProbeResponse,
                 ProbeRequest,
+                QuotaRequest,
+                QuotaResponse,
                 StrikeNotice {}
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -15,6 +15,8 @@
     CLAIMS,
     SUSPECTS,
     RETRIES,
+    QUOTA_ACCOUNTS,
+    QUOTA_SHARDS,
     DEMAND,
     CALLERS
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
@@ -20,6 +20,8 @@
 import org.cyclamenpaddle.core.message.PeerMessage;
 import org.cyclamenpaddle.core.message.ProbeRequest;
 import org.cyclamenpaddle.core.message.ProbeResponse;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+import org.cyclamenpaddle.core.message.QuotaResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 
 /** Message types of the peer protocol, each with its type number and the encoding of its fields. */
@@ -99,7 +101,20 @@
             },
             in ->
                     new StrikeNotice(
-                            in.number(), in.set(() -> new BackendId(in.text())), in.number()));
+                            in.number(), in.set(() -> new BackendId(in.text())), in.number())),
+    QUOTA_REQUEST(
+            14,
+            QuotaRequest.class,
+            NestedFields::writeQuotaRequest,
+            NestedFields::readQuotaRequest),
+    QUOTA_RESPONSE(
+            15,
+            QuotaResponse.class,
+            (out, m) -> {
+                out.flag(m.primary());
+                out.list(m.grants(), grant -> NestedFields.writeQuotaGrant(out, grant));
+            },
+            in -> new QuotaResponse(in.flag(), in.list(() -> NestedFields.readQuotaGrant(in))));
 
     private final int mCode;
     private final Class<? extends PeerMessage> mType;
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
@@ -7,9 +7,12 @@
 import org.cyclamenpaddle.core.config.ObjectKey;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.ClaimResponse;
 import org.cyclamenpaddle.core.message.GrantRequest;
 import org.cyclamenpaddle.core.message.LedgerSummary;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+import org.cyclamenpaddle.core.message.QuotaResponse;
 
 /** Reads and writes the records that are nested in messages. */
 final class NestedFields {
@@ -80,4 +83,49 @@
     static ClaimResponse.StoredResponse readStoredResponse(FieldReader in) throws IOException {
         return new ClaimResponse.StoredResponse(in.integer(), in.text(), in.document());
     }
+
+    static void writeQuotaRequest(FieldWriter out, QuotaRequest m) throws IOException {
+        out.number(m.shard());
+        out.number(m.entitledMillis());
+        out.list(m.teams(), use -> writeTeamUse(out, use));
+    }
+
+    static QuotaRequest readQuotaRequest(FieldReader in) throws IOException {
+        return new QuotaRequest(in.integer(), in.number(), in.list(() -> readTeamUse(in)));
+    }
+
+    private static void writeTeamUse(FieldWriter out, QuotaRequest.TeamUse m) throws IOException {
+        out.text(m.team().value());
+        out.number(m.neededUnits());
+        out.number(m.firstUnits());
+        out.number(m.advanceUnits());
+        out.number(m.heldUnits());
+        out.number(m.returnedUnits());
+        out.number(m.elsewhereUnits());
+        out.number(m.usePerSecond());
+        out.number(m.entitledPerSecond());
+    }
+
+    private static QuotaRequest.TeamUse readTeamUse(FieldReader in) throws IOException {
+        return new QuotaRequest.TeamUse(
+                new TeamName(in.text()),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.number());
+    }
+
+    static void writeQuotaGrant(FieldWriter out, QuotaResponse.Grant m) throws IOException {
+        out.text(m.team().value());
+        out.number(m.units());
+        out.number(m.retryMillis());
+    }
+
+    static QuotaResponse.Grant readQuotaGrant(FieldReader in) throws IOException {
+        return new QuotaResponse.Grant(new TeamName(in.text()), in.number(), in.number());
+    }
 }
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
@@ -13,6 +13,7 @@
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.ClaimRequest;
 import org.cyclamenpaddle.core.message.ClaimResponse;
 import org.cyclamenpaddle.core.message.ConfigurationRequest;
@@ -30,6 +31,8 @@
 import org.cyclamenpaddle.core.message.PeerMessage;
 import org.cyclamenpaddle.core.message.ProbeRequest;
 import org.cyclamenpaddle.core.message.ProbeResponse;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+import org.cyclamenpaddle.core.message.QuotaResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 
 /** Sample messages, at least one of each type. */
@@ -47,6 +50,7 @@
                     HostState.SUSPECT);
     private static final AttemptId ATTEMPT = AttemptId.of(INCARNATION, 7);
     private static final BackendId BACKEND = new BackendId("runner-ahm-12");
+    private static final TeamName TEAM = new TeamName("desk-1");
     private static final GrantRequest GRANT_REQUEST =
             new GrantRequest(
                     ATTEMPT, BACKEND, BackendRole.DECODE, 40, 3, 1L << 33, 120, 580, 4_400);
@@ -81,7 +85,14 @@
                             ClaimResponse.State.RAN,
                             Optional.of(
                                     new ClaimResponse.StoredResponse(200, "text/plain", "booked"))),
-                    new StrikeNotice(Long.MIN_VALUE, Set.of(BACKEND), 600_000));
+                    new StrikeNotice(Long.MIN_VALUE, Set.of(BACKEND), 600_000),
+                    new QuotaRequest(
+                            3,
+                            9_000,
+                            List.of(
+                                    new QuotaRequest.TeamUse(
+                                            TEAM, 5_400, 2_700, 800, 40, 0, 90, 4_000, 3_900))),
+                    new QuotaResponse(true, List.of(new QuotaResponse.Grant(TEAM, 6_200, 0))));
 
     private Samples() {}
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -9,7 +9,9 @@
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -18,7 +20,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.core.table.TableOrder;
 import org.cyclamenpaddle.core.time.Clock;
@@ -31,10 +36,15 @@
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
 import org.cyclamenpaddle.relay.front.StartupGate;
+import org.cyclamenpaddle.relay.host.HostEntry;
 import org.cyclamenpaddle.relay.host.HostRegistry;
+import org.cyclamenpaddle.relay.host.LiveHost;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
+import org.cyclamenpaddle.relay.metric.LostFrames;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.quota.PeerAddress;
+import org.cyclamenpaddle.relay.quota.QuotaController;
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.role.RoleAllocation;
 import org.cyclamenpaddle.relay.role.RoleController;
@@ -42,6 +52,9 @@
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.relay.settings.RelaySettings;
 import org.cyclamenpaddle.relay.store.Follower;
+import org.cyclamenpaddle.relay.team.Team;
+import org.cyclamenpaddle.relay.team.TeamQuota;
+import org.cyclamenpaddle.routing.limit.QuotaLimit;
 import org.cyclamenpaddle.routing.reservation.ReturningCallers;
 
 /** Composes a relay process from its parts, starts it and runs its planned stop. */
@@ -84,6 +97,7 @@
     private final StartupGate mStartupGate = new StartupGate();
     private final StateUpdater mUpdater;
     private final RelayService mService;
+    private final QuotaController mQuotas;
     private final PlatformAdapter mAdapter;
     private final GracefulShutdown mShutdown;
     private final Server mCallerServer;
@@ -131,10 +145,27 @@
                         mMetrics,
                         mClock,
                         mRandom);
+        mQuotas =
+                new QuotaController(
+                        new PeerAddress(
+                                new HostId(settings.host().name()),
+                                new FailureDomain(settings.host().domain()),
+                                settings.listen().peers()),
+                        settings.quota(),
+                        this::quotaLimit,
+                        new LostFrames(mMetrics),
+                        mLog,
+                        mScheduler,
+                        mClock);
         mShutdown = new GracefulShutdown(settings.stop().graceMillis(), mClock);
         mService =
                 new RelayService(
-                        relay, adapter.callerMessages(), mConfiguration, mShutdown, mStartupGate);
+                        relay,
+                        adapter.callerMessages(),
+                        mConfiguration,
+                        mShutdown,
+                        mStartupGate,
+                        mQuotas.quotas());
         mCallerServer = callerServer();
         mCheckServer = checkServer();
         mMetrics.gauge("requests_in_flight", mService::inFlight);
@@ -146,7 +177,7 @@
     public Try<Void> start() {
         return Try.run(
                 () -> {
-                    startFollowers();
+                    startFollowers(mQuotas.start().get());
                     mCallerServer.start().join();
                     mCheckServer.start().join();
                     mScheduler.schedule(
@@ -207,10 +238,11 @@
     public void close() {
         CompletableFuture.allOf(mCheckServer.stop(), mCallerServer.stop()).join();
         mScheduler.shutdownNow();
+        mQuotas.close();
         mConnections.close();
     }
 
-    private void startFollowers() {
+    private void startFollowers(PeerAddress self) {
         mScheduler.scheduleWithFixedDelay(
                 this::reload, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
         new Follower<>(
@@ -222,8 +254,13 @@
                 .start();
         new HostRegistry(
                         mSettings.host().name(),
+                        heartbeat ->
+                                new HostEntry(
+                                        heartbeat,
+                                        Optional.of(self.domain()),
+                                        Optional.of(self.endpoint())),
                         mAdapter.hosts(),
-                        mBudget::updateHostCount,
+                        this::updateHosts,
                         mLog,
                         mScheduler,
                         mClock,
@@ -234,6 +271,29 @@
                 .start();
     }
 
+    private void updateHosts(List<LiveHost> hosts) {
+        mBudget.updateHostCount(hosts.size());
+        mQuotas.updateHosts(hosts.stream().flatMap(RelayProcess::peer).toList());
+    }
+
+    /** Hosts of an older build have no address for messages; they share no quotas. */
+    private static Stream<PeerAddress> peer(LiveHost host) {
+        HostEntry entry = host.entry();
+        return entry.domain().isPresent() && entry.peers().isPresent()
+                ? Stream.of(
+                        new PeerAddress(
+                                new HostId(host.name()), entry.domain().get(), entry.peers().get()))
+                : Stream.empty();
+    }
+
+    private Optional<QuotaLimit> quotaLimit(TeamName team) {
+        return mConfiguration
+                .inForce()
+                .flatMap(configuration -> configuration.teams().find(team))
+                .flatMap(Team::quota)
+                .map(TeamQuota::limit);
+    }
+
     private RoleController roleController() {
         String incarnation = mSettings.host().name() + "-" + UUID.randomUUID();
         return new RoleController(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -28,11 +28,22 @@
  */
 final class RequestExchange {
 
+    /** Notified once when the request has ended. */
+    interface EndListener {
+
+        /**
+         * Called at the end of the request.
+         *
+         * @param mayHaveRun whether a backend server may have run it
+         */
+        void ended(boolean mayHaveRun);
+    }
+
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final CallerResponse mResponse;
-    private final Runnable mOnEnd;
+    private final EndListener mEndListener;
     private final RetryPolicy mRetryPolicy;
     private final RequestLog mRequestLog;
     private final long mStartMillis;
@@ -55,11 +66,11 @@
             EventLoop loop,
             HttpResponseWriter writer,
             RetryAfter retryAfter,
-            Runnable onEnd) {
+            EndListener endListener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
-        mOnEnd = onEnd;
+        mEndListener = endListener;
         mStartMillis = relay.clock().millis();
         long callerTimeoutMillis = request.caller().callerTimeoutMillis().orElse(Long.MAX_VALUE);
         mRetryPolicy =
@@ -411,6 +422,6 @@
         }
         mSearch.ifPresent(ReservationSearch::cancel);
         mSearch = Optional.empty();
-        mOnEnd.run();
+        mEndListener.ended(mRetryPolicy.mayHaveRun());
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostCount.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostCount.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.cyclamenpaddle.relay.store.StoreEntry;
 
 /**
@@ -25,21 +26,25 @@
      */
     static final long REMOVAL_TIMEOUT_MILLIS = 300_000;
 
-    private record Observation(long heartbeat, long sinceMillis) {}
+    /** Stands for an entry that cannot be read; its host counts until it is stale. */
+    private static final HostEntry UNREADABLE =
+            new HostEntry(0, Optional.empty(), Optional.empty());
+
+    private record Observation(HostEntry entry, long sinceMillis) {}
 
     private final Map<String, Observation> mObservations = new HashMap<>();
 
     /** Applies a listing and returns the hosts whose entries should be removed. */
-    List<String> applyListing(List<StoreEntry<Long>> entries, long nowMillis) {
+    List<String> applyListing(List<StoreEntry<HostEntry>> entries, long nowMillis) {
         Map<String, Observation> previous = new HashMap<>(mObservations);
         mObservations.clear();
         entries.forEach(
                 entry -> {
-                    long heartbeat = entry.value().getOrElse(0L);
+                    HostEntry host = entry.value().getOrElse(UNREADABLE);
                     Observation old = previous.get(entry.name());
-                    boolean unchanged = old != null && old.heartbeat() == heartbeat;
+                    boolean unchanged = old != null && old.entry().heartbeat() == host.heartbeat();
                     mObservations.put(
-                            entry.name(), unchanged ? old : new Observation(heartbeat, nowMillis));
+                            entry.name(), unchanged ? old : new Observation(host, nowMillis));
                 });
         return mObservations.entrySet().stream()
                 .filter(
@@ -50,14 +55,16 @@
                 .toList();
     }
 
-    /** Returns the number of live hosts; 0 before the first listing. */
-    int aliveHosts(long nowMillis) {
-        return (int)
-                mObservations.values().stream()
-                        .filter(
-                                observation ->
-                                        nowMillis - observation.sinceMillis()
-                                                < ALIVE_TIMEOUT_MILLIS)
-                        .count();
+    /** Returns the live hosts; none before the first listing. */
+    List<LiveHost> liveHosts(long nowMillis) {
+        return mObservations.entrySet().stream()
+                .filter(
+                        observation ->
+                                nowMillis - observation.getValue().sinceMillis()
+                                        < ALIVE_TIMEOUT_MILLIS)
+                .map(
+                        observation ->
+                                new LiveHost(observation.getKey(), observation.getValue().entry()))
+                .toList();
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
@@ -5,8 +5,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
-import java.util.function.IntConsumer;
+import java.util.function.LongFunction;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
@@ -38,7 +39,8 @@
 
     private final String mHost;
     private final HostStore mStore;
-    private final IntConsumer mListener;
+    private final LongFunction<HostEntry> mSelf;
+    private final Consumer<List<LiveHost>> mListener;
     private final RelayEventLog mLog;
     private final ScheduledExecutorService mExecutor;
     private final Clock mClock;
@@ -52,8 +54,9 @@
      * Creates a registry; {@link #start} starts it.
      *
      * @param host name of this host
+     * @param self returns this host's entry with the given heartbeat
      * @param store store of the entries
-     * @param listener receives the number of hosts whenever it changes
+     * @param listener receives the live hosts after each listing
      * @param log event log
      * @param executor a single thread
      * @param clock steady clock
@@ -61,13 +64,15 @@
      */
     public HostRegistry(
             String host,
+            LongFunction<HostEntry> self,
             HostStore store,
-            IntConsumer listener,
+            Consumer<List<LiveHost>> listener,
             RelayEventLog log,
             ScheduledExecutorService executor,
             Clock clock,
             DoubleSupplier random) {
         mHost = host;
+        mSelf = self;
         mStore = store;
         mListener = listener;
         mLog = log;
@@ -85,29 +90,29 @@
 
     private void round() {
         mHeartbeat++;
-        mStore.announce(mHost, mHeartbeat)
+        mStore.announce(mHost, mSelf.apply(mHeartbeat))
                 .thenCompose(
                         accepted ->
                                 accepted
-                                        ? mStore.heartbeats()
+                                        ? mStore.entries()
                                         : CompletableFuture.completedFuture(
                                                 Either.left(StoreFailure.TURNED_AWAY)))
                 .thenAcceptAsync(this::update, mExecutor);
     }
 
-    private void update(Either<StoreFailure, List<StoreEntry<Long>>> entries) {
+    private void update(Either<StoreFailure, List<StoreEntry<HostEntry>>> entries) {
         if (entries.isLeft()) {
             scheduleRound(RETRY_DELAY_MILLIS);
             return;
         }
         long now = mClock.millis();
         mCount.applyListing(entries.get(), now).forEach(mStore::remove);
-        int aliveHosts = mCount.aliveHosts(now);
-        if (aliveHosts != mAlive) {
-            mLog.log(RelayEvent.HOSTS_COUNTED, aliveHosts, mAlive);
-            mAlive = aliveHosts;
-            mListener.accept(aliveHosts);
+        List<LiveHost> liveHosts = mCount.liveHosts(now);
+        if (liveHosts.size() != mAlive) {
+            mLog.log(RelayEvent.HOSTS_COUNTED, liveHosts.size(), mAlive);
+            mAlive = liveHosts.size();
         }
+        mListener.accept(liveHosts);
         scheduleRound(mFirstRound ? SECOND_ROUND_DELAY_MILLIS : ROUND_INTERVAL_MILLIS);
         mFirstRound = false;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostStore.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostStore.java
@@ -13,13 +13,13 @@
      * Registers this host or renews its registration.
      *
      * @param host name of this host
-     * @param heartbeat value that differs from the previous one
+     * @param entry registration with a new heartbeat
      * @return whether the store accepted it
      */
-    CompletableFuture<Boolean> announce(String host, long heartbeat);
+    CompletableFuture<Boolean> announce(String host, HostEntry entry);
 
-    /** Returns the latest heartbeat of each registered host. */
-    CompletableFuture<Either<StoreFailure, List<StoreEntry<Long>>>> heartbeats();
+    /** Returns the latest entry of each registered host. */
+    CompletableFuture<Either<StoreFailure, List<StoreEntry<HostEntry>>>> entries();
 
     /** Removes the entry of a host that has stopped. */
     CompletableFuture<Boolean> remove(String host);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -39,6 +39,10 @@
     BACKEND_EJECTED(
             2108, Priority.STATE, "backend server ejected", List.of("backend", "outcome", "cause")),
     HOSTS_COUNTED(2111, Priority.STATE, "hosts counted", List.of("hosts", "was")),
+    OWNER_UNREACHABLE(
+            2112, Priority.STATE, "owner of quotas does not respond", List.of("host", "shard")),
+    OWNER_REACHABLE(
+            2113, Priority.STATE, "owner of quotas responds again", List.of("host", "shard")),
     LEASE_CHANGED(2109, Priority.STATE, "lease on orders changed", List.of("holder", "reason")),
     ORDER_ENDED(
             2110,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -7,8 +7,11 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cyclamenpaddle.core.id.TeamName;
 
 /** Metrics of the relay; thread-safe. */
 public final class RelayMetrics {
@@ -16,6 +19,12 @@
     private static final String PREFIX = "cyclamenpaddle_relay_";
     private static final String REASON = "reason";
 
+    /** Maximum number of teams with metrics of their own. */
+    static final int MAX_TEAMS = 64;
+
+    private static final String OTHER_TEAMS = "other";
+
+    private final Set<String> mTeams = ConcurrentHashMap.newKeySet();
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
@@ -49,6 +58,32 @@
         counter("retries", REASON, tag(reason)).increment();
     }
 
+    /**
+     * Records a decision by the quota of a team.
+     *
+     * <p>Teams beyond {@link #MAX_TEAMS} share a label, which bounds the size of a scrape.
+     *
+     * @param team the team
+     * @param admitted whether the request was admitted
+     * @param units units that it costs
+     */
+    public void recordQuota(TeamName team, boolean admitted, long units) {
+        String label = team.value();
+        if (!mTeams.contains(label)) {
+            label = mTeams.size() < MAX_TEAMS && mTeams.add(label) ? label : OTHER_TEAMS;
+        }
+        Counter.builder(PREFIX + "quota_units")
+                .tag("team", label)
+                .tag("decision", admitted ? "admitted" : "denied")
+                .register(mRegistry)
+                .increment(units);
+    }
+
+    /** Records a frame between hosts that was rejected or dropped. */
+    public void recordLostFrame(Enum<?> reason) {
+        counter("peer_frames_lost", REASON, tag(reason)).increment();
+    }
+
     /** Records a caller that disconnected before its response. */
     public void recordDisconnect() {
         counter("callers_gone", REASON, "left").increment();
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -0,0 +1,149 @@
+package org.cyclamenpaddle.relay.quota;
+
+import io.vavr.control.Try;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.peer.net.PeerCounters;
+import org.cyclamenpaddle.peer.net.PeerNetwork;
+import org.cyclamenpaddle.peer.net.PeerSettings;
+import org.cyclamenpaddle.relay.log.RelayEventLog;
+import org.cyclamenpaddle.relay.settings.Endpoint;
+import org.cyclamenpaddle.routing.limit.QuotaBounds;
+import org.cyclamenpaddle.routing.limit.QuotaLimit;
+
+/**
+ * Controller that shares the quotas of teams among the hosts: connects them, reports this host's
+ * use at regular intervals, and lends from the shards that this host owns.
+ */
+public final class QuotaController implements AutoCloseable {
+
+    /** Connections between hosts; a single thread, since a host sends some messages a second. */
+    private static final PeerSettings PEERS =
+            new PeerSettings(1, 500, 50, 2_000, 2_000, 30_000, 64, 200, 2_048);
+
+    private final PeerAddress mConfigured;
+    private final HostRecord mSelf;
+    private final PeerNetwork mNetwork;
+    private final QuotaClient mClient;
+    private final ScheduledExecutorService mExecutor;
+    private volatile QuotaMembers mMembers;
+
+    /**
+     * Creates a controller; {@link #start} starts it.
+     *
+     * @param self this host, with the endpoint of its settings
+     * @param bounds bounds of the deployment
+     * @param limits limits in force; empty for a team without one
+     * @param counters counters of frames and connections
+     * @param log event log
+     * @param executor runs the regular reports
+     * @param clock steady clock
+     */
+    public QuotaController(
+            PeerAddress self,
+            QuotaBounds bounds,
+            Function<TeamName, Optional<QuotaLimit>> limits,
+            PeerCounters counters,
+            RelayEventLog log,
+            ScheduledExecutorService executor,
+            Clock clock) {
+        mConfigured = self;
+        mExecutor = executor;
+        mMembers = QuotaMembers.unknown(self);
+        // Incarnations are compared for the same host only; none is compared here.
+        mSelf =
+                new HostRecord(
+                        new Incarnation(self.host(), System.currentTimeMillis()),
+                        self.domain(),
+                        self.endpoint().address(),
+                        self.endpoint().port(),
+                        0,
+                        HostState.ALIVE);
+        QuotaLender lender = new QuotaLender(bounds, () -> mMembers, limits, clock);
+        mNetwork =
+                new PeerNetwork(
+                        () -> mSelf,
+                        (from, message) -> respond(lender, from, message),
+                        PEERS,
+                        clock,
+                        counters);
+        mClient = new QuotaClient(() -> mMembers, lender, this::send, log, clock);
+    }
+
+    /**
+     * Starts to listen and to report.
+     *
+     * @return the address under which other hosts reach this one, or the failure
+     */
+    public Try<PeerAddress> start() {
+        Endpoint configured = mConfigured.endpoint();
+        return mNetwork.start(configured.address(), configured.port())
+                .map(
+                        port -> {
+                            scheduleReports();
+                            return new PeerAddress(
+                                    mConfigured.host(),
+                                    mConfigured.domain(),
+                                    new Endpoint(configured.address(), port));
+                        });
+    }
+
+    /** Returns the admission of requests. */
+    public TeamQuotas quotas() {
+        return mClient;
+    }
+
+    /** Replaces the hosts that share quotas. */
+    public void updateHosts(Collection<PeerAddress> listed) {
+        QuotaMembers updated = QuotaMembers.of(mConfigured, listed);
+        updated.goneSince(mMembers).forEach(mNetwork::removeHost);
+        mMembers = updated;
+    }
+
+    @Override
+    public void close() {
+        mNetwork.close();
+    }
+
+    private void scheduleReports() {
+        long millis = QuotaTiming.reportMillis(mMembers.hostCount());
+        mExecutor.schedule(
+                () -> {
+                    mClient.reportAll();
+                    scheduleReports();
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<Optional<QuotaResponse>> send(HostRecord to, QuotaRequest request) {
+        return mNetwork.request(to, request, QuotaTiming.TIMEOUT_MILLIS)
+                .thenApply(
+                        result ->
+                                result.toJavaOptional()
+                                        .filter(QuotaResponse.class::isInstance)
+                                        .map(QuotaResponse.class::cast));
+    }
+
+    private static CompletableFuture<Optional<PeerMessage>> respond(
+            QuotaLender lender, HostRecord from, PeerMessage message) {
+        HostId sender = from.incarnation().host();
+        return CompletableFuture.completedFuture(
+                message instanceof QuotaRequest request
+                        ? lender.lend(sender, request).map(PeerMessage.class::cast)
+                        : Optional.empty());
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
@@ -0,0 +1,131 @@
+package org.cyclamenpaddle.relay.quota;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.HostRecord;
+import org.cyclamenpaddle.core.message.HostState;
+import org.cyclamenpaddle.fleet.ownership.Rendezvous;
+
+/**
+ * Immutable snapshot of the hosts that share quotas, and the owners of each shard among them.
+ *
+ * <p>Owners follow from the names of the hosts alone, so that hosts with the same view agree.
+ */
+final class QuotaMembers {
+
+    /** Number of shards; each host talks to at most so many owners. */
+    static final int SHARDS = 8;
+
+    /** Number of hosts assumed before the first listing, as for the retry budget. */
+    static final int ASSUMED_HOSTS = 100;
+
+    /** Deputies that a host knows for each shard, besides itself. */
+    private static final int DEPUTIES = 2;
+
+    /** The incarnations of other hosts are not known; messages are addressed by name. */
+    private static final long ANY_INCARNATION = 1;
+
+    private final HostId mSelf;
+    private final Map<HostId, HostRecord> mHosts;
+    private final int mHostCount;
+    private final List<List<HostId>> mCandidates;
+
+    private QuotaMembers(PeerAddress self, Map<HostId, HostRecord> hosts, int hostCount) {
+        mSelf = self.host();
+        mHosts = hosts;
+        mHostCount = hostCount;
+        List<HostRecord> ownDomain =
+                hosts.values().stream()
+                        .filter(host -> host.domain().equals(self.domain()))
+                        .toList();
+        mCandidates =
+                Stream.iterate(0, shard -> shard + 1)
+                        .limit(SHARDS)
+                        .map(shard -> candidates("quota-" + shard, ownDomain))
+                        .toList();
+    }
+
+    /** Returns the view of a host that knows no other one yet. */
+    static QuotaMembers unknown(PeerAddress self) {
+        return new QuotaMembers(self, Map.of(self.host(), record(self)), ASSUMED_HOSTS);
+    }
+
+    /** Returns the view of a host after a listing. */
+    static QuotaMembers of(PeerAddress self, Collection<PeerAddress> listed) {
+        Map<HostId, HostRecord> hosts = new HashMap<>();
+        listed.forEach(peer -> hosts.put(peer.host(), record(peer)));
+        hosts.put(self.host(), record(self));
+        return new QuotaMembers(self, hosts, hosts.size());
+    }
+
+    /** Returns the shard of a team. */
+    static int shard(TeamName team) {
+        return (int) Math.floorMod(Rendezvous.hash(team.value()), (long) SHARDS);
+    }
+
+    /**
+     * Returns the owners that this host may borrow from: the primary owner, deputies in its own
+     * failure domain, and itself.
+     */
+    List<HostId> candidates(int shard) {
+        return mCandidates.get(shard);
+    }
+
+    boolean isPrimary(int shard) {
+        return mCandidates.get(shard).get(0).equals(mSelf);
+    }
+
+    HostId self() {
+        return mSelf;
+    }
+
+    Set<HostId> hosts() {
+        return mHosts.keySet();
+    }
+
+    int hostCount() {
+        return mHostCount;
+    }
+
+    /** Returns the record by which messages are addressed to a host. */
+    Optional<HostRecord> find(HostId host) {
+        return Optional.ofNullable(mHosts.get(host));
+    }
+
+    /** Returns the hosts of {@code earlier} that are no longer members. */
+    Set<HostId> goneSince(QuotaMembers earlier) {
+        Set<HostId> gone = new HashSet<>(earlier.hosts());
+        gone.removeAll(hosts());
+        return gone;
+    }
+
+    private List<HostId> candidates(String subject, List<HostRecord> ownDomain) {
+        Stream<HostRecord> primary = Rendezvous.top(subject, mHosts.values(), 1).stream();
+        Stream<HostRecord> deputies = Rendezvous.top(subject, ownDomain, DEPUTIES).stream();
+        return Stream.concat(
+                        Stream.concat(primary, deputies).map(host -> host.incarnation().host()),
+                        Stream.of(mSelf))
+                .distinct()
+                .collect(Collectors.toList());
+    }
+
+    private static HostRecord record(PeerAddress peer) {
+        return new HostRecord(
+                new Incarnation(peer.host(), ANY_INCARNATION),
+                peer.domain(),
+                peer.endpoint().address(),
+                peer.endpoint().port(),
+                0,
+                HostState.ALIVE);
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/CallerReply.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/CallerReply.java
@@ -4,6 +4,8 @@
 public enum CallerReply {
     /** The request has not run and never will; a later retry by the caller is useful. */
     NOT_RUN(503, true),
+    /** The quota of the caller's team is used up; the request has not run and never will. */
+    OVER_QUOTA(429, true),
     /** A backend server failed and the request may have run. */
     FAILED(502, false),
     /** No response arrived before the timeout and the request may have run. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -140,6 +140,11 @@
         return mSends < mLimits.maxAttempts();
     }
 
+    /** Returns whether a backend server may have run the request, or may be running it. */
+    public boolean mayHaveRun() {
+        return mMayHaveRun || mSendInFlight;
+    }
+
     /** Returns the number of sends so far, excluding those that were never sent. */
     public int sends() {
         return mSends;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.relay.settings;
 
+import org.cyclamenpaddle.routing.limit.QuotaBounds;
+
 /**
  * Settings of a relay process.
  *
@@ -8,8 +10,10 @@
  * @param store address of the store of configuration and backend servers
  * @param stop timing of a planned stop
  * @param retry retry budget shared by all hosts
+ * @param quota bounds of the quotas shared by all hosts
  */
-public record RelaySettings(Host host, Listen listen, Store store, Stop stop, Retry retry) {
+public record RelaySettings(
+        Host host, Listen listen, Store store, Stop stop, Retry retry, QuotaBounds quota) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -19,6 +23,7 @@
         required("store", store);
         required("stop", stop);
         required("retry", retry);
+        required("quota", quota);
     }
 
     /**
@@ -39,11 +44,13 @@
      *
      * @param callers address for callers
      * @param checks address for the load balancer's readiness check and for metrics
+     * @param peers address for the messages between hosts
      */
-    public record Listen(Endpoint callers, Endpoint checks) {
+    public record Listen(Endpoint callers, Endpoint checks, Endpoint peers) {
         public Listen {
             required("listen.callers", callers);
             required("listen.checks", checks);
+            required("listen.peers", peers);
         }
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.cyclamenpaddle.routing.limit.QuotaBounds;
 
 /** Reads and validates a relay's settings file. */
 public final class RelaySettingsReader {
@@ -45,7 +46,10 @@
                         listen(file.table("listen")),
                         store(file.table("store")),
                         stop(file.table("stop")),
-                        retry(file.table("retry")));
+                        retry(file.table("retry")),
+                        file.optionalTable("quota")
+                                .map(RelaySettingsReader::quota)
+                                .orElse(QuotaBounds.DEFAULTS));
         file.rejectUnknownKeys();
         return settings;
     }
@@ -58,7 +62,10 @@
 
     private static RelaySettings.Listen listen(SettingsTable table) {
         RelaySettings.Listen listen =
-                new RelaySettings.Listen(table.endpoint("callers"), table.endpoint("checks"));
+                new RelaySettings.Listen(
+                        table.endpoint("callers"),
+                        table.endpoint("checks"),
+                        table.endpoint("peers"));
         table.rejectUnknownKeys();
         return listen;
     }
@@ -84,4 +91,14 @@
         table.rejectUnknownKeys();
         return retry;
     }
+
+    private static QuotaBounds quota(SettingsTable table) {
+        QuotaBounds bounds =
+                new QuotaBounds(
+                        table.positive("windowSeconds"),
+                        table.notNegative("overage"),
+                        table.notNegative("slack"));
+        table.rejectUnknownKeys();
+        return bounds;
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/SettingsTable.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/SettingsTable.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -36,6 +37,11 @@
         return new SettingsTable(mName + key + ".", values);
     }
 
+    /** Returns the nested table under a key; empty if there is none. */
+    Optional<SettingsTable> optionalTable(String key) {
+        return mValues.path(key).isMissingNode() ? Optional.empty() : Optional.of(table(key));
+    }
+
     String text(String key) {
         JsonNode value = value(key);
         require(
@@ -55,6 +61,20 @@
         return value.doubleValue();
     }
 
+    /** Returns a finite number above 0. */
+    double positive(String key) {
+        double number = number(key);
+        require(number > 0, key, "must be above 0");
+        return number;
+    }
+
+    /** Returns a finite number of 0 or more. */
+    double notNegative(String key) {
+        double number = number(key);
+        require(number >= 0, key, "must be 0 or more");
+        return number;
+    }
+
     /** Returns an IP number with a port. */
     Endpoint endpoint(String key) {
         try {
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/settings/RelaySettingsReaderTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/settings/RelaySettingsReaderTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import java.util.stream.Stream;
+import org.cyclamenpaddle.routing.limit.QuotaBounds;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -19,6 +20,7 @@
             [listen]
             callers = "10.1.0.38:8149"
             checks = "10.1.0.38:8141"
+            peers = "10.1.0.38:7380"
             [store]
             address = "10.200.1.7:8142"
             [stop]
@@ -27,6 +29,10 @@
             share = 0.2
             slack = 52
             windowSeconds = 10
+            [quota]
+            windowSeconds = 8
+            overage = 0.1
+            slack = 190000
             """;
 
     @Test
@@ -35,6 +41,9 @@
         assertEquals(settings.listen().callers(), new Endpoint("10.1.0.38", 8149));
         assertEquals(settings.stop().graceMillis(), 8_000);
         assertEquals(settings.retry().windowMillis(), 10_000);
+        assertEquals(settings.quota(), new QuotaBounds(8, 0.1, 190_000));
+        String without = GOOD.substring(0, GOOD.indexOf("[quota]"));
+        assertEquals(RelaySettingsReader.parse(without).get().quota(), QuotaBounds.DEFAULTS);
     }
 
     @DataProvider
@@ -48,6 +57,9 @@
             {"windowSeconds = 10", "windowSeconds = 0.0", "retry.windowSeconds must be above 0"},
             {"domain = \"d\"", "domian = \"d\"", "host.domain is missing"},
             {"domain = \"d\"", "domain = \"d\"\nfloor = 3", "floor"},
+            {"overage = 0.1", "overage = -0.1", "quota.overage must be 0 or more"},
+            {"slack = 190000", "", "quota.slack is missing"},
+            {"peers = \"10.1.0.38:7380\"\n", "", "listen.peers is missing"},
             {"[store]\naddress = \"10.200.1.7:8142\"\n", "", "store"},
         };
     }
@@ -65,6 +77,9 @@
             {"share = 0.2", "retry.share"},
             {"slack = 52", "retry.slack"},
             {"windowSeconds = 10", "retry.windowSeconds"},
+            {"windowSeconds = 8", "quota.windowSeconds"},
+            {"overage = 0.1", "quota.overage"},
+            {"slack = 190000", "quota.slack"},
         };
     }
 
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
@@ -0,0 +1,169 @@
+package org.cyclamenpaddle.routing.limit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+
+/**
+ * One host's use of one team's quota: units held, requests that wait, and the recent rate of use.
+ *
+ * @param <W> type that identifies a waiting request
+ */
+final class QuotaAccount<W> {
+
+    private record Waiting<W>(W request, long cost) {}
+
+    /** Time constant of the rate of use, in milliseconds. */
+    private static final double RATE_MILLIS = 4_000;
+
+    /** Use that units held in advance cover, in seconds. */
+    private static final double ADVANCE_SECONDS = 0.5;
+
+    /** Multiple of the advance above which a host gives units back. */
+    private static final double SURPLUS_FACTOR = 3;
+
+    /** Time without a request after which all units are given back, in milliseconds. */
+    private static final long IDLE_MILLIS = 2_000;
+
+    /** Time without a request after which an account is closed, in milliseconds. */
+    private static final long CLOSE_MILLIS = 20_000;
+
+    /**
+     * Longest time for which a refusal of the owner applies to further requests, in milliseconds.
+     */
+    private static final long MAX_DENIED_MILLIS = 100;
+
+    /** Factor by which the weight of a large request falls with each later one. */
+    private static final double COST_DECAY = 0.97;
+
+    /** Least time between two reports that only ask for units in advance, in milliseconds. */
+    private static final long ADVANCE_PAUSE_MILLIS = 100;
+
+    private final Deque<Waiting<W>> mWaiting = new ArrayDeque<>();
+    private final DecayingRate mUse = new DecayingRate(RATE_MILLIS);
+    private long mHeld;
+    private long mElsewhere;
+    private long mEntitledPerSecond;
+    private double mLargeCost;
+    private long mReportMillis = Long.MIN_VALUE / 2;
+    private long mLastRequestMillis;
+    private long mDeniedUntilMillis = Long.MIN_VALUE;
+    private long mRetryMillis;
+    private int mAsked;
+
+    QuotaDecision take(long cost, W request, long nowMillis) {
+        mLastRequestMillis = nowMillis;
+        mLargeCost = Math.max(cost, mLargeCost * COST_DECAY);
+        if (mWaiting.isEmpty() && mHeld >= cost) {
+            spend(cost, nowMillis);
+            return QuotaDecision.ADMITTED;
+        }
+        if (mWaiting.isEmpty() && nowMillis < mDeniedUntilMillis) {
+            return new QuotaDecision.Denied(mRetryMillis);
+        }
+        mWaiting.add(new Waiting<>(request, cost));
+        return QuotaDecision.PENDING;
+    }
+
+    void giveBack(long cost) {
+        mHeld += cost;
+    }
+
+    /** Returns whether requests wait, or the units held in advance have run low. */
+    boolean needsUnits(long nowMillis) {
+        return !mWaiting.isEmpty()
+                || nowMillis - mReportMillis >= ADVANCE_PAUSE_MILLIS
+                        && 2 * mHeld < advanceTarget(nowMillis);
+    }
+
+    boolean hasWaiting() {
+        return !mWaiting.isEmpty();
+    }
+
+    boolean isClosed(long nowMillis) {
+        return mWaiting.isEmpty()
+                && mHeld == 0
+                && mElsewhere == 0
+                && nowMillis - mLastRequestMillis > CLOSE_MILLIS;
+    }
+
+    /** Returns what to report and to ask for; units that are given back leave the account. */
+    QuotaRequest.TeamUse report(TeamName team, long nowMillis) {
+        mAsked = mWaiting.size();
+        mReportMillis = nowMillis;
+        long cost = mWaiting.stream().mapToLong(Waiting::cost).sum();
+        long firstCost = mWaiting.isEmpty() ? 0 : mWaiting.peek().cost();
+        long free = Math.max(0, mHeld - cost);
+        long target = advanceTarget(nowMillis);
+        long returned = free > SURPLUS_FACTOR * target ? free - target : 0;
+        mHeld -= returned;
+        return new QuotaRequest.TeamUse(
+                team,
+                Math.max(0, cost - mHeld),
+                Math.max(0, firstCost - mHeld),
+                Math.max(0, target - (free - returned)),
+                mHeld,
+                returned,
+                mElsewhere,
+                Math.round(mUse.perSecond(nowMillis)),
+                mEntitledPerSecond);
+    }
+
+    /**
+     * Applies the response to a report and decides about the requests that waited for it.
+     *
+     * @param sent the report
+     * @param units units lent
+     * @param retryMillis retry time of requests that got none
+     * @param primary whether the primary owner responded
+     */
+    List<QuotaBorrower.Settled<W>> apply(
+            QuotaRequest.TeamUse sent,
+            long units,
+            long retryMillis,
+            boolean primary,
+            long nowMillis) {
+        // A faulty owner must not make this host exceed a quota by more than it asked for.
+        long lent = Math.min(units, sent.neededUnits() + sent.advanceUnits());
+        mHeld += lent;
+        if (primary) {
+            mElsewhere -= sent.elsewhereUnits();
+            mEntitledPerSecond = sent.usePerSecond();
+        } else {
+            mElsewhere += lent;
+        }
+        List<QuotaBorrower.Settled<W>> settled = new ArrayList<>();
+        while (mAsked > 0 && mHeld >= mWaiting.peek().cost()) {
+            Waiting<W> next = mWaiting.poll();
+            mAsked--;
+            spend(next.cost(), nowMillis);
+            settled.add(new QuotaBorrower.Settled<>(next.request(), QuotaDecision.ADMITTED));
+        }
+        if (mAsked > 0) {
+            mRetryMillis = retryMillis;
+            mDeniedUntilMillis = nowMillis + Math.min(retryMillis, MAX_DENIED_MILLIS);
+        }
+        for (; mAsked > 0; mAsked--) {
+            settled.add(
+                    new QuotaBorrower.Settled<>(
+                            mWaiting.poll().request(), new QuotaDecision.Denied(retryMillis)));
+        }
+        return settled;
+    }
+
+    private void spend(long cost, long nowMillis) {
+        mHeld -= cost;
+        mUse.add(cost, nowMillis);
+    }
+
+    private long advanceTarget(long nowMillis) {
+        if (nowMillis - mLastRequestMillis > IDLE_MILLIS) {
+            return 0;
+        }
+        double bySecond = mUse.perSecond(nowMillis) * ADVANCE_SECONDS;
+        return Math.round(Math.max(bySecond, mLargeCost));
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -0,0 +1,251 @@
+package org.cyclamenpaddle.routing.limit;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+import org.cyclamenpaddle.core.message.QuotaResponse;
+
+/**
+ * Lends the quotas of one shard to hosts, as its primary owner or as a deputy.
+ *
+ * <p>As primary owner it lends the whole limit less what silent hosts may use without it: their
+ * last reported rate until {@link QuotaBorrower#ENTITLEMENT_MILLIS} have passed, and an equal part
+ * of the limit from then on. As deputy it lends just that to the hosts that it hears. Both sides of
+ * a partition together therefore lend no more than the limit. Not thread-safe.
+ */
+public final class QuotaShard {
+
+    /**
+     * This host's view of the fleet.
+     *
+     * @param primary whether this host is the primary owner of the shard
+     * @param hosts hosts of the fleet, as far as they are known
+     * @param hostCount number of hosts of the fleet, at least that of {@code hosts}
+     * @param silentMillis time without a report after which a host counts as silent, in
+     *     milliseconds
+     */
+    public record Fleet(boolean primary, Set<HostId> hosts, int hostCount, long silentMillis) {
+
+        public Fleet {
+            if (hostCount < Math.max(1, hosts.size()) || silentMillis < 1) {
+                throw new IllegalArgumentException(
+                        hostCount + " hosts and a silence of " + silentMillis + " ms");
+            }
+        }
+    }
+
+    private static final class TeamState {
+        private double mUsePerSecond;
+        private double mEntitledPerSecond;
+        private long mHeld;
+        private double mReserved;
+    }
+
+    private static final class HostState {
+        private final Map<TeamName, TeamState> mTeams = new HashMap<>();
+        private long mHeardMillis;
+        private long mEntitledUntilMillis;
+
+        private TeamState team(TeamName team) {
+            return mTeams.computeIfAbsent(team, any -> new TeamState());
+        }
+    }
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final QuotaBounds mBounds;
+    private final Map<HostId, HostState> mHosts = new HashMap<>();
+    private final Map<TeamName, QuotaPool> mPools = new HashMap<>();
+    private boolean mPrimary;
+    private long mRoleSinceMillis;
+
+    /**
+     * Creates a shard that has lent nothing.
+     *
+     * @param bounds bounds of the deployment
+     * @param nowMillis current time of the steady clock
+     */
+    public QuotaShard(QuotaBounds bounds, long nowMillis) {
+        mBounds = bounds;
+        mRoleSinceMillis = nowMillis;
+    }
+
+    /**
+     * Lends units to a host.
+     *
+     * @param from the host
+     * @param request its report
+     * @param fleet this host's view of the fleet
+     * @param limits limits in force; empty for a team without one
+     */
+    public QuotaResponse lend(
+            HostId from,
+            QuotaRequest request,
+            Fleet fleet,
+            Function<TeamName, Optional<QuotaLimit>> limits,
+            long nowMillis) {
+        applyFleet(fleet, limits, nowMillis);
+        HostState host = hear(from, fleet, limits, nowMillis);
+        host.mEntitledUntilMillis = nowMillis + request.entitledMillis();
+        List<QuotaResponse.Grant> grants =
+                request.teams().stream()
+                        .map(use -> grant(host, use, fleet, limits, nowMillis))
+                        .toList();
+        host.mTeams.keySet().retainAll(request.teams().stream().map(u -> u.team()).toList());
+        return new QuotaResponse(fleet.primary(), grants);
+    }
+
+    private void applyFleet(
+            Fleet fleet, Function<TeamName, Optional<QuotaLimit>> limits, long nowMillis) {
+        if (fleet.primary() != mPrimary) {
+            // What the previous owner has lent is unknown, so that the pools start empty.
+            mPrimary = fleet.primary();
+            mRoleSinceMillis = nowMillis;
+            mPools.clear();
+        }
+        mPools.keySet().removeIf(team -> limits.apply(team).isEmpty());
+        if (!fleet.hosts().isEmpty()) {
+            mHosts.keySet().retainAll(fleet.hosts());
+        }
+    }
+
+    /** Records that a host is not silent, and releases what was reserved while it was. */
+    private HostState hear(
+            HostId from,
+            Fleet fleet,
+            Function<TeamName, Optional<QuotaLimit>> limits,
+            long nowMillis) {
+        HostState known = mHosts.get(from);
+        boolean wasSilent = known == null || isSilent(known, fleet, nowMillis);
+        if (wasSilent) {
+            mPools.forEach(
+                    (team, pool) ->
+                            limits.apply(team)
+                                    .ifPresent(limit -> refill(team, limit, fleet, nowMillis)));
+        }
+        HostState host = mHosts.computeIfAbsent(from, any -> new HostState());
+        if (wasSilent) {
+            host.mTeams.forEach(
+                    (team, state) -> {
+                        Optional.ofNullable(mPools.get(team))
+                                .ifPresent(pool -> pool.correct(state.mReserved));
+                        state.mReserved = 0;
+                    });
+        }
+        host.mHeardMillis = nowMillis;
+        return host;
+    }
+
+    private QuotaResponse.Grant grant(
+            HostState host,
+            QuotaRequest.TeamUse use,
+            Fleet fleet,
+            Function<TeamName, Optional<QuotaLimit>> limits,
+            long nowMillis) {
+        Optional<QuotaLimit> limit = limits.apply(use.team());
+        if (limit.isEmpty()) {
+            return new QuotaResponse.Grant(use.team(), use.neededUnits(), 0);
+        }
+        QuotaPool pool = refill(use.team(), limit.get(), fleet, nowMillis);
+        TeamState state = host.team(use.team());
+        state.mUsePerSecond = use.usePerSecond();
+        state.mEntitledPerSecond = use.entitledPerSecond();
+        state.mHeld = use.heldUnits();
+        pool.correct(use.returnedUnits());
+        if (fleet.primary()) {
+            pool.correct(-use.elsewhereUnits());
+        }
+        long lent = pool.lend(use.neededUnits(), use.firstUnits(), nowMillis);
+        long retryMillis =
+                lent < use.neededUnits()
+                        ? pool.retryMillis(
+                                limit.get().unitsPerSecond(), use.firstUnits(), nowMillis)
+                        : 0;
+        if (lent == use.neededUnits()) {
+            double most = mBounds.advanceUnits(limit.get()) - heldUnits(use.team());
+            long advance = pool.lendInAdvance(use.advanceUnits(), most);
+            state.mHeld += advance;
+            lent += advance;
+        }
+        return new QuotaResponse.Grant(use.team(), lent, retryMillis);
+    }
+
+    private double heldUnits(TeamName team) {
+        return mHosts.values().stream()
+                .map(host -> host.mTeams.get(team))
+                .filter(state -> state != null)
+                .mapToLong(state -> state.mHeld)
+                .sum();
+    }
+
+    private QuotaPool refill(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
+        double capacity = QuotaPool.capacity(limit);
+        long fullMillis = (long) (capacity / limit.unitsPerSecond() * MILLIS_PER_SECOND);
+        long filledSince =
+                fleet.primary() ? Math.max(mRoleSinceMillis, nowMillis - fullMillis) : nowMillis;
+        QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince));
+        double seconds = Math.max(0, nowMillis - pool.atMillis()) / MILLIS_PER_SECOND;
+        if (fleet.primary()) {
+            double unheard =
+                    (fleet.hostCount() - mHosts.size())
+                            * limit.unitsPerSecond()
+                            / fleet.hostCount();
+            double units = (limit.unitsPerSecond() - Math.max(0, unheard)) * seconds;
+            pool.refill(units - newReserves(team, limit, fleet, nowMillis), capacity, nowMillis);
+        } else {
+            double rate = heardRate(team, limit, fleet, nowMillis);
+            double share = Math.min(1, rate / limit.unitsPerSecond());
+            pool.refill(rate * seconds, capacity * share, nowMillis);
+        }
+        return pool;
+    }
+
+    /** Returns what silent hosts may have used since the last call. */
+    private double newReserves(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
+        double reserves = 0;
+        for (HostState host : mHosts.values()) {
+            if (isSilent(host, fleet, nowMillis)) {
+                TeamState state = host.team(team);
+                double reserved =
+                        reserve(nowMillis - host.mHeardMillis, state.mUsePerSecond, limit, fleet);
+                reserves += reserved - state.mReserved;
+                state.mReserved = reserved;
+            }
+        }
+        return reserves;
+    }
+
+    private static double reserve(
+            long silentMillis, double usePerSecond, QuotaLimit limit, Fleet fleet) {
+        long entitledMillis = Math.min(silentMillis, QuotaBorrower.ENTITLEMENT_MILLIS);
+        return (usePerSecond * entitledMillis
+                        + equalPart(limit, fleet) * (silentMillis - entitledMillis))
+                / MILLIS_PER_SECOND;
+    }
+
+    /** Returns the rate to which the hosts that this deputy hears are entitled. */
+    private double heardRate(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
+        return mHosts.values().stream()
+                .filter(host -> !isSilent(host, fleet, nowMillis))
+                .mapToDouble(
+                        host ->
+                                nowMillis < host.mEntitledUntilMillis
+                                        ? host.team(team).mEntitledPerSecond
+                                        : equalPart(limit, fleet))
+                .sum();
+    }
+
+    private static double equalPart(QuotaLimit limit, Fleet fleet) {
+        return limit.unitsPerSecond() / fleet.hostCount();
+    }
+
+    private static boolean isSilent(HostState host, Fleet fleet, long nowMillis) {
+        return nowMillis - host.mHeardMillis > fleet.silentMillis();
+    }
+}
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
@@ -0,0 +1,416 @@
+package org.cyclamenpaddle.routing.limit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.QuotaRequest;
+import org.cyclamenpaddle.core.message.QuotaResponse;
+
+/**
+ * Fleet of hosts in virtual time that shares one team's quota.
+ *
+ * <p>The team's clients are spread over hosts by chance, so that most of its load lies on a few.
+ * Messages take some milliseconds, get lost, or are cut off; processes are killed.
+ */
+final class QuotaModel {
+
+    static final TeamName TEAM = new TeamName("team");
+
+    /** Stands for the primary owner among the hosts killed. */
+    static final int PRIMARY = -1;
+
+    private static final int DOMAINS = 4;
+    private static final long TIMEOUT_MILLIS = 200;
+    private static final long REPORT_MILLIS = 1_000;
+    private static final long SILENT_MILLIS = 2_500;
+    private static final double MIN_DELAY_MILLIS = 0.4;
+    private static final double DELAY_SPREAD_MILLIS = 3;
+
+    /** How the hosts share the quota. */
+    enum Way {
+        /** Each host has an equal part. */
+        EQUAL_PARTS,
+        /** Each host has a part by its share of the demand that all tell each other. */
+        DEMAND_PARTS,
+        /** An owner lends: {@link QuotaShard} and {@link QuotaBorrower}. */
+        LENDING
+    }
+
+    /**
+     * What happens in a run.
+     *
+     * @param hosts number of hosts
+     * @param clients number of the team's clients
+     * @param limit limit at a time in milliseconds
+     * @param load load at a time in milliseconds, in units a second
+     * @param cut whether two hosts cannot reach each other at a time, given as {@code hostA * 1_000
+     *     + hostB} and milliseconds
+     * @param killMillis time at which all of {@code killed} lose their state; 0 for never
+     * @param killed hosts killed; {@link #PRIMARY} for the primary owner
+     * @param returnMillis time after which they run again
+     * @param loss share of messages lost
+     */
+    record Scenario(
+            int hosts,
+            int clients,
+            java.util.function.LongFunction<QuotaLimit> limit,
+            DoubleUnaryOperator load,
+            BiPredicate<Integer, Long> cut,
+            long killMillis,
+            Set<Integer> killed,
+            long returnMillis,
+            double loss) {}
+
+    /**
+     * Result of a run.
+     *
+     * @param mostExcess most by which the use in a window exceeded the bound, as a share of it;
+     *     negative if it stayed below
+     * @param refusedInVain share of the units that one exact bucket would have admitted and the
+     *     hosts refused in sum
+     * @param waited share of the requests that waited for an owner
+     * @param messages messages a host and second
+     */
+    record Result(double mostExcess, double refusedInVain, double waited, double messages) {}
+
+    private record Event(double atMillis, long order, Runnable work) {}
+
+    private record Use(double atMillis, long cost) {}
+
+    private final class Host {
+        private final int mIndex;
+        private QuotaBorrower<Long> mBorrower = new QuotaBorrower<>(0);
+        private QuotaShard mShard = new QuotaShard(mBounds, 0);
+        private OwnerChoice mChoice = new OwnerChoice();
+        private boolean mInProgress;
+        private long mDownUntil;
+        private long mEpoch;
+        private double mLevel;
+        private double mLevelAt;
+        private DecayingRate mDemand = new DecayingRate(2_000);
+        private final double[] mHeardDemand;
+
+        private Host(int index, int hosts) {
+            mIndex = index;
+            mHeardDemand = new double[hosts];
+        }
+    }
+
+    private final Way mWay;
+    private final Scenario mScenario;
+    private final QuotaBounds mBounds;
+    private final UniformRandomProvider mRandom;
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingDouble(Event::atMillis).thenComparingLong(Event::order));
+    private final List<Host> mHosts = new ArrayList<>();
+    private final List<Use> mUses = new ArrayList<>();
+    private final Set<HostId> mNames = new HashSet<>();
+    private final int mPrimary;
+    private double mNow;
+    private long mOrder;
+    private long mAsked;
+    private long mAdmitted;
+    private long mExactAdmitted;
+    private double mExactLevel;
+    private double mExactAt;
+    private long mRequests;
+    private long mWaits;
+    private long mMessages;
+
+    QuotaModel(Way way, Scenario scenario, QuotaBounds bounds, long seed) {
+        mWay = way;
+        mScenario = scenario;
+        mBounds = bounds;
+        mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        IntStream.range(0, scenario.hosts())
+                .forEach(
+                        index -> {
+                            mHosts.add(new Host(index, scenario.hosts()));
+                            mNames.add(name(index));
+                        });
+        mPrimary = mRandom.nextInt(scenario.hosts());
+    }
+
+    /** Plays the scenario and returns what was measured. */
+    Result run(long millis) {
+        for (int client = 0; client < mScenario.clients(); client++) {
+            int host = mRandom.nextInt(mScenario.hosts());
+            scheduleArrival(mHosts.get(host));
+        }
+        mHosts.forEach(host -> at(mRandom.nextDouble() * REPORT_MILLIS, () -> regular(host)));
+        if (mScenario.killMillis() > 0) {
+            at(mScenario.killMillis(), this::kill);
+        }
+        while (!mEvents.isEmpty() && mEvents.peek().atMillis() < millis) {
+            Event next = mEvents.poll();
+            mNow = next.atMillis();
+            next.work().run();
+        }
+        return new Result(
+                mostExcess(),
+                Math.max(0, mExactAdmitted - mAdmitted) / (double) mAsked,
+                mWaits / (double) mRequests,
+                mMessages / (double) mScenario.hosts() / (millis / 1_000.0));
+    }
+
+    private static HostId name(int index) {
+        return new HostId("h" + index);
+    }
+
+    private static int domain(int host) {
+        return host % DOMAINS;
+    }
+
+    private void at(double delayMillis, Runnable work) {
+        mEvents.add(new Event(mNow + delayMillis, mOrder++, work));
+    }
+
+    private long now() {
+        return (long) mNow;
+    }
+
+    private void scheduleArrival(Host host) {
+        double perClient = mScenario.load().applyAsDouble(mNow) / mScenario.clients();
+        double requestsPerMilli = perClient / 2_200 / 1_000;
+        at(
+                -Math.log(1 - mRandom.nextDouble()) / requestsPerMilli,
+                () -> {
+                    arrive(host);
+                    scheduleArrival(host);
+                });
+    }
+
+    private long drawCost() {
+        return mRandom.nextDouble() < 0.62 ? 200 : 2_400 + mRandom.nextInt(6_000);
+    }
+
+    private void arrive(Host host) {
+        long cost = drawCost();
+        mRequests++;
+        mAsked += cost;
+        exact(cost);
+        if (mNow < host.mDownUntil) {
+            return;
+        }
+        QuotaLimit limit = mScenario.limit().apply(now());
+        switch (mWay) {
+            case LENDING -> {
+                QuotaDecision decision = host.mBorrower.take(TEAM, cost, cost, now());
+                if (decision instanceof QuotaDecision.Admitted) {
+                    use(cost);
+                } else if (decision instanceof QuotaDecision.Pending) {
+                    mWaits++;
+                }
+                ask(host);
+            }
+            case EQUAL_PARTS -> part(host, cost, limit, 1.0 / mScenario.hosts());
+            case DEMAND_PARTS -> {
+                host.mDemand.add(cost, now());
+                host.mHeardDemand[host.mIndex] = host.mDemand.perSecond(now());
+                double all = java.util.Arrays.stream(host.mHeardDemand).sum();
+                part(host, cost, limit, host.mHeardDemand[host.mIndex] / all);
+            }
+            default -> throw new IllegalStateException("unknown way " + mWay);
+        }
+    }
+
+    private void part(Host host, long cost, QuotaLimit limit, double share) {
+        double passed = (mNow - host.mLevelAt) / 1_000;
+        double capacity = Math.max(limit.burstUnits() * share, limit.unitsPerSecond() * share);
+        host.mLevel = Math.min(capacity, host.mLevel + passed * limit.unitsPerSecond() * share);
+        host.mLevelAt = mNow;
+        if (host.mLevel > 0) {
+            host.mLevel -= cost;
+            use(cost);
+        }
+    }
+
+    private void exact(long cost) {
+        QuotaLimit limit = mScenario.limit().apply(now());
+        double passed = (mNow - mExactAt) / 1_000;
+        mExactLevel = Math.min(limit.burstUnits(), mExactLevel + passed * limit.unitsPerSecond());
+        mExactAt = mNow;
+        if (mExactLevel >= cost) {
+            mExactLevel -= cost;
+            mExactAdmitted += cost;
+        }
+    }
+
+    private void use(long cost) {
+        mAdmitted += cost;
+        mUses.add(new Use(mNow, cost));
+    }
+
+    private void regular(Host host) {
+        if (mNow >= host.mDownUntil) {
+            if (mWay == Way.LENDING) {
+                exchange(host);
+            } else if (mWay == Way.DEMAND_PARTS) {
+                double demand = host.mDemand.perSecond(now());
+                mHosts.stream()
+                        .filter(other -> other != host)
+                        .forEach(
+                                other ->
+                                        send(
+                                                host.mIndex,
+                                                other.mIndex,
+                                                () -> other.mHeardDemand[host.mIndex] = demand));
+            }
+        }
+        at(mWay == Way.DEMAND_PARTS ? REPORT_MILLIS / 2.0 : REPORT_MILLIS, () -> regular(host));
+    }
+
+    private void ask(Host host) {
+        if (host.mBorrower.needsUnits(now())) {
+            exchange(host);
+        }
+    }
+
+    private void exchange(Host host) {
+        if (host.mInProgress) {
+            return;
+        }
+        List<HostId> candidates = new ArrayList<>();
+        candidates.add(name(mPrimary));
+        IntStream.range(0, mScenario.hosts())
+                .filter(other -> domain(other) == domain(host.mIndex) && other != mPrimary)
+                .mapToObj(QuotaModel::name)
+                .filter(other -> !other.equals(name(host.mIndex)))
+                .limit(1)
+                .forEach(candidates::add);
+        candidates.add(name(host.mIndex));
+        HostId target = host.mChoice.choose(candidates, now());
+        Host owner = mHosts.get(Integer.parseInt(target.value().substring(1)));
+        QuotaRequest request = host.mBorrower.report(now());
+        long epoch = host.mEpoch;
+        boolean[] answered = {false};
+        host.mInProgress = true;
+        send(
+                host.mIndex,
+                owner.mIndex,
+                () -> {
+                    QuotaResponse response = lend(owner, host.mIndex, request);
+                    send(
+                            owner.mIndex,
+                            host.mIndex,
+                            () -> {
+                                if (!answered[0] && host.mEpoch == epoch) {
+                                    answered[0] = true;
+                                    host.mInProgress = false;
+                                    host.mChoice.recordSuccess(target);
+                                    settle(host, request, response);
+                                }
+                            });
+                });
+        at(
+                TIMEOUT_MILLIS,
+                () -> {
+                    if (!answered[0] && host.mEpoch == epoch) {
+                        answered[0] = true;
+                        host.mInProgress = false;
+                        host.mChoice.recordFailure(target, now());
+                        ask(host);
+                    }
+                });
+    }
+
+    private QuotaResponse lend(Host owner, int from, QuotaRequest request) {
+        QuotaShard.Fleet fleet =
+                new QuotaShard.Fleet(
+                        owner.mIndex == mPrimary, mNames, mScenario.hosts(), SILENT_MILLIS);
+        return owner.mShard.lend(
+                name(from),
+                request,
+                fleet,
+                team -> Optional.of(mScenario.limit().apply(now())),
+                now());
+    }
+
+    private void settle(Host host, QuotaRequest request, QuotaResponse response) {
+        host.mBorrower
+                .apply(request, response, now())
+                .forEach(
+                        settled -> {
+                            if (settled.decision() instanceof QuotaDecision.Admitted) {
+                                use(settled.request());
+                            }
+                        });
+        if (host.mBorrower.hasWaiting()) {
+            exchange(host);
+        }
+    }
+
+    private void send(int from, int to, Runnable arrival) {
+        if (from == to) {
+            arrival.run();
+            return;
+        }
+        mMessages++;
+        boolean lost =
+                mRandom.nextDouble() < mScenario.loss()
+                        || mScenario.cut().test(from * 1_000 + to, now());
+        long epoch = mHosts.get(to).mEpoch;
+        if (!lost) {
+            at(
+                    MIN_DELAY_MILLIS + mRandom.nextDouble() * DELAY_SPREAD_MILLIS,
+                    () -> {
+                        Host receiver = mHosts.get(to);
+                        if (mNow >= receiver.mDownUntil && receiver.mEpoch == epoch) {
+                            arrival.run();
+                        }
+                    });
+        }
+    }
+
+    private void kill() {
+        mScenario
+                .killed()
+                .forEach(
+                        index -> {
+                            Host host = mHosts.get(index == PRIMARY ? mPrimary : index);
+                            host.mEpoch++;
+                            host.mDownUntil = now() + mScenario.returnMillis();
+                            host.mBorrower = new QuotaBorrower<>(0);
+                            host.mShard = new QuotaShard(mBounds, now() + mScenario.returnMillis());
+                            host.mChoice = new OwnerChoice();
+                            host.mInProgress = false;
+                            host.mLevel = 0;
+                        });
+    }
+
+    private double mostExcess() {
+        double most = -1;
+        double window = mBounds.windowSeconds() * 1_000;
+        long sum = 0;
+        int first = 0;
+        for (Use last : mUses) {
+            sum += last.cost();
+            while (mUses.get(first).atMillis() <= last.atMillis() - window) {
+                sum -= mUses.get(first).cost();
+                first++;
+            }
+            // A lower limit binds once a whole window lies behind its change.
+            double bound =
+                    Math.max(
+                            mBounds.mostInWindow(mScenario.limit().apply((long) last.atMillis())),
+                            mBounds.mostInWindow(
+                                    mScenario
+                                            .limit()
+                                            .apply((long) Math.max(0, last.atMillis() - window))));
+            most = Math.max(most, sum / bound - 1);
+        }
+        return most;
+    }
+}
