Report idle quota shards less often, and build clients once

Each host reported to the owners of eight shards every second over a thread of its own, and each call to a backend server built a new client of the library.

Change: a host reports on a shard of which it uses nothing every two seconds, and on another one only if it has not asked within the last second; messages between hosts run on the event loop of the process; a failed report goes to the next owner at once, and a deputy for all hosts comes before those of a failure domain; a pool may fill to the burst and the overage that the deployment allows. Clients of backend servers and timers of metrics are kept.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -5,6 +5,8 @@
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.http.CleartextClients;
 
@@ -33,6 +35,11 @@
     private static final long KEEP_ALIVE_IDLE_MILLIS = 10_000;
     private static final long MAX_RESPONSE_BYTES = 16L << 20;
 
+    /** Number of clients above which they are all created anew; backend servers change address. */
+    private static final int MAX_CLIENTS = 4_096;
+
+    private record Target(String address, int port, boolean keepAlive) {}
+
     private final ClientFactory mSingleUse =
             CleartextClients.factory()
                     .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
@@ -47,6 +54,9 @@
                     .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ResetWatch::watch)
                     .build();
 
+    // Building a client costs more processor time than sending a call with it.
+    private final Map<Target, WebClient> mClients = new ConcurrentHashMap<>();
+
     /**
      * Returns a client that opens a new connection for each call.
      *
@@ -63,7 +73,7 @@
      * @param port its TCP port
      */
     public WebClient client(String address, int port) {
-        return client(address, port, mSingleUse);
+        return client(address, port, false);
     }
 
     /**
@@ -82,7 +92,7 @@
      * @param port its TCP port
      */
     public WebClient keepAliveClient(String address, int port) {
-        return client(address, port, mKeepAlive);
+        return client(address, port, true);
     }
 
     /**
@@ -93,7 +103,12 @@
      * @param keepAlive whether it uses keep-alive connections
      */
     public WebClient client(String address, int port, boolean keepAlive) {
-        return keepAlive ? keepAliveClient(address, port) : client(address, port);
+        if (mClients.size() > MAX_CLIENTS) {
+            mClients.clear();
+        }
+        return mClients.computeIfAbsent(
+                new Target(address, port, keepAlive),
+                target -> build(target, keepAlive ? mKeepAlive : mSingleUse));
     }
 
     @Override
@@ -102,8 +117,8 @@
         mKeepAlive.close();
     }
 
-    private static WebClient client(String address, int port, ClientFactory factory) {
-        return WebClient.builder(SessionProtocol.H1C, Endpoint.of(address, port))
+    private static WebClient build(Target target, ClientFactory factory) {
+        return WebClient.builder(SessionProtocol.H1C, Endpoint.of(target.address(), target.port()))
                 .factory(factory)
                 .responseTimeoutMillis(0)
                 .maxResponseLength(MAX_RESPONSE_BYTES)
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
@@ -46,6 +46,7 @@
     private final FrameTransport mTransport;
     private final Dialer mDialer;
     private final EventLoopGroup mEventLoops;
+    private final boolean mOwnsEventLoops;
     private final Map<HostId, OutgoingPeer> mPeers = new ConcurrentHashMap<>();
     private final AtomicLong mCorrelation = new AtomicLong(OutgoingConnection.HELLO_CORRELATION);
     private final AtomicInteger mIncomingCount = new AtomicInteger();
@@ -67,17 +68,53 @@
             PeerSettings settings,
             Clock clock,
             PeerCounters counters) {
+        this(
+                self,
+                listener,
+                settings,
+                clock,
+                counters,
+                new MultiThreadIoEventLoopGroup(
+                        settings.ioThreads(),
+                        new DefaultThreadFactory("peer-io", true),
+                        NioIoHandler.newFactory()),
+                true);
+    }
+
+    /**
+     * Creates a network that uses event loops of the process; no port is bound yet.
+     *
+     * <p>A host that sends a few messages a second then needs no further thread, and a message
+     * about a request passes from no thread to another.
+     *
+     * @param eventLoops event loops, which are not shut down with this network
+     */
+    public static PeerNetwork onSharedLoops(
+            Supplier<HostRecord> self,
+            PeerListener listener,
+            PeerSettings settings,
+            Clock clock,
+            PeerCounters counters,
+            EventLoopGroup eventLoops) {
+        return new PeerNetwork(self, listener, settings, clock, counters, eventLoops, false);
+    }
+
+    private PeerNetwork(
+            Supplier<HostRecord> self,
+            PeerListener listener,
+            PeerSettings settings,
+            Clock clock,
+            PeerCounters counters,
+            EventLoopGroup eventLoops,
+            boolean ownsEventLoops) {
         mSelf = self;
         mListener = listener;
         mSettings = settings;
         mClock = clock;
         mTransport = new FrameTransport(counters);
         mDialer = new Dialer(mTransport, self, settings);
-        mEventLoops =
-                new MultiThreadIoEventLoopGroup(
-                        settings.ioThreads(),
-                        new DefaultThreadFactory("peer-io", true),
-                        NioIoHandler.newFactory());
+        mEventLoops = eventLoops;
+        mOwnsEventLoops = ownsEventLoops;
     }
 
     /**
@@ -186,7 +223,9 @@
         mClosed = true;
         mServer.ifPresent(server -> server.close().awaitUninterruptibly());
         mPeers.values().forEach(OutgoingPeer::close);
-        mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        if (mOwnsEventLoops) {
+            mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        }
     }
 
     private OutgoingPeer peer(HostRecord to) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +25,7 @@
 
     private static final String OTHER_TEAMS = "other";
 
+    private final Map<Enum<?>, Timer> mTimers = new ConcurrentHashMap<>();
     private final Set<String> mTeams = ConcurrentHashMap.newKeySet();
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -35,17 +37,7 @@
      * @param millis time from its arrival to its end, in milliseconds
      */
     public void recordResponse(Enum<?> kind, long millis) {
-        Timer.builder(PREFIX + "request")
-                .tag("kind", tag(kind))
-                .publishPercentileHistogram(false)
-                .serviceLevelObjectives(
-                        Duration.ofMillis(50),
-                        Duration.ofMillis(100),
-                        Duration.ofMillis(300),
-                        Duration.ofMillis(1_000),
-                        Duration.ofMillis(4_000))
-                .register(mRegistry)
-                .record(millis, TimeUnit.MILLISECONDS);
+        mTimers.computeIfAbsent(kind, this::timer).record(millis, TimeUnit.MILLISECONDS);
     }
 
     /** Records a request that ended without a backend server's response. */
@@ -104,6 +96,19 @@
         return mRegistry.scrape();
     }
 
+    private Timer timer(Enum<?> kind) {
+        return Timer.builder(PREFIX + "request")
+                .tag("kind", tag(kind))
+                .publishPercentileHistogram(false)
+                .serviceLevelObjectives(
+                        Duration.ofMillis(50),
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(300),
+                        Duration.ofMillis(1_000),
+                        Duration.ofMillis(4_000))
+                .register(mRegistry);
+    }
+
     private Counter counter(String name, String tag, String value) {
         return Counter.builder(PREFIX + name).tag(tag, value).register(mRegistry);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -89,9 +89,21 @@
         }
     }
 
-    /** Reports to the owners of all shards. */
-    void reportAll() {
-        IntStream.range(0, QuotaMembers.SHARDS).forEach(this::report);
+    /** Reports to the owners of all shards for which a regular report is due. */
+    void reportDue() {
+        int hosts = mMembers.get().hostCount();
+        long activeMillis = QuotaTiming.reportMillis(hosts);
+        long idleMillis = QuotaTiming.idleReportMillis(hosts);
+        long now = mClock.millis();
+        IntStream.range(0, QuotaMembers.SHARDS)
+                .filter(
+                        shard ->
+                                mTable.read(
+                                        state ->
+                                                state.mBorrowers
+                                                        .get(shard)
+                                                        .reportDue(activeMillis, idleMillis, now)))
+                .forEach(this::report);
     }
 
     /** Reports to a shard's owner, unless a report to it is in progress. */
@@ -150,7 +162,10 @@
             mLog.log(event, report.owner(), shard);
         }
         settled.forEach(request -> request.request().accept(request.decision()));
-        if (mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
+        // After a failure the next owner is asked at once, even if nothing waits: a deputy lends
+        // what
+        // the hosts that it hears are entitled to, and must hear those that use nothing, too.
+        if (response.isEmpty() || mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
             report(shard);
         }
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.quota;
 
+import com.linecorp.armeria.common.CommonPools;
 import io.vavr.control.Try;
 import java.util.Collection;
 import java.util.Optional;
@@ -30,7 +31,7 @@
  */
 public final class QuotaController implements AutoCloseable {
 
-    /** Connections between hosts; a single thread, since a host sends some messages a second. */
+    /** Connections between hosts; frames wait no longer than their senders. */
     private static final PeerSettings PEERS =
             new PeerSettings(1, 500, 50, 2_000, 2_000, 30_000, 64, 200, 2_048);
 
@@ -74,12 +75,13 @@
                         HostState.ALIVE);
         QuotaLender lender = new QuotaLender(bounds, () -> mMembers, limits, clock);
         mNetwork =
-                new PeerNetwork(
+                PeerNetwork.onSharedLoops(
                         () -> mSelf,
                         (from, message) -> respond(lender, from, message),
                         PEERS,
                         clock,
-                        counters);
+                        counters,
+                        CommonPools.workerGroup());
         mClient = new QuotaClient(() -> mMembers, lender, this::send, log, clock);
     }
 
@@ -122,7 +124,7 @@
         long millis = QuotaTiming.reportMillis(mMembers.hostCount());
         mExecutor.schedule(
                 () -> {
-                    mClient.reportAll();
+                    mClient.reportDue();
                     scheduleReports();
                 },
                 millis,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaLender.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaLender.java
@@ -56,7 +56,8 @@
                         members.isPrimary(request.shard()),
                         members.hosts(),
                         members.hostCount(),
-                        QuotaTiming.silentMillis(members.hostCount()));
+                        QuotaTiming.silentMillis(members.hostCount()),
+                        QuotaTiming.idleSilentMillis(members.hostCount()));
         return Optional.of(
                 mShards.read(
                         shards ->
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
@@ -29,8 +29,11 @@
     /** Number of hosts assumed before the first listing, as for the retry budget. */
     static final int ASSUMED_HOSTS = 100;
 
-    /** Deputies that a host knows for each shard, besides itself. */
-    private static final int DEPUTIES = 2;
+    /** Owners of a shard among all hosts: the primary owner and a deputy for all of them. */
+    private static final int GLOBAL_OWNERS = 2;
+
+    /** Deputies of a shard in each failure domain, for when it is cut off. */
+    private static final int DOMAIN_DEPUTIES = 2;
 
     /** The incarnations of other hosts are not known; messages are addressed by name. */
     private static final long ANY_INCARNATION = 1;
@@ -74,8 +77,8 @@
     }
 
     /**
-     * Returns the owners that this host may borrow from: the primary owner, deputies in its own
-     * failure domain, and itself.
+     * Returns the owners that this host may borrow from: the primary owner, a deputy for all hosts,
+     * deputies in its own failure domain, and itself.
      */
     List<HostId> candidates(int shard) {
         return mCandidates.get(shard);
@@ -110,10 +113,11 @@
     }
 
     private List<HostId> candidates(String subject, List<HostRecord> ownDomain) {
-        Stream<HostRecord> primary = Rendezvous.top(subject, mHosts.values(), 1).stream();
-        Stream<HostRecord> deputies = Rendezvous.top(subject, ownDomain, DEPUTIES).stream();
+        Stream<HostRecord> global =
+                Rendezvous.top(subject, mHosts.values(), GLOBAL_OWNERS).stream();
+        Stream<HostRecord> deputies = Rendezvous.top(subject, ownDomain, DOMAIN_DEPUTIES).stream();
         return Stream.concat(
-                        Stream.concat(primary, deputies).map(host -> host.incarnation().host()),
+                        Stream.concat(global, deputies).map(host -> host.incarnation().host()),
                         Stream.of(mSelf))
                 .distinct()
                 .collect(Collectors.toList());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaTiming.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaTiming.java
@@ -12,6 +12,9 @@
     /** Time that an owner may spend on the regular report of one host, in milliseconds. */
     private static final long REPORT_MILLIS_PER_HOST = 10;
 
+    /** Multiple of the interval at which a host reports on a shard of which it uses nothing. */
+    private static final long IDLE_FACTOR = 2;
+
     /** Regular reports that may be missing before a host counts as silent. */
     private static final double SILENT_REPORTS = 2.5;
 
@@ -22,6 +25,16 @@
         return Math.max(MIN_REPORT_MILLIS, hosts * REPORT_MILLIS_PER_HOST);
     }
 
+    /** Returns the interval of reports on a shard of which a host uses nothing. */
+    static long idleReportMillis(int hosts) {
+        return reportMillis(hosts) * IDLE_FACTOR;
+    }
+
+    /** Returns the time without a report after which a host counts as silent that uses nothing. */
+    static long idleSilentMillis(int hosts) {
+        return silentMillis(hosts) * IDLE_FACTOR;
+    }
+
     /** Returns the time without a report after which a host counts as silent. */
     static long silentMillis(int hosts) {
         return Math.round(reportMillis(hosts) * SILENT_REPORTS);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
@@ -35,6 +35,7 @@
 
     private final int mShard;
     private final Map<TeamName, QuotaAccount<W>> mAccounts = new HashMap<>();
+    private long mReportMillis = Long.MIN_VALUE / 2;
     private long mEntitledUntilMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -70,6 +71,18 @@
         return mAccounts.values().stream().anyMatch(account -> account.needsUnits(nowMillis));
     }
 
+    /**
+     * Returns whether a regular report is due.
+     *
+     * <p>A shard of which nothing is used only has to show that this host is alive.
+     *
+     * @param activeMillis interval of reports on a shard that is used, in milliseconds
+     * @param idleMillis interval of reports on another one, in milliseconds
+     */
+    public boolean reportDue(long activeMillis, long idleMillis, long nowMillis) {
+        return nowMillis - mReportMillis >= (mAccounts.isEmpty() ? idleMillis : activeMillis);
+    }
+
     /** Returns whether any request waits. */
     public boolean hasWaiting() {
         return mAccounts.values().stream().anyMatch(QuotaAccount::hasWaiting);
@@ -77,6 +90,7 @@
 
     /** Returns the message to send to the owner. */
     public QuotaRequest report(long nowMillis) {
+        mReportMillis = nowMillis;
         mAccounts.values().removeIf(account -> account.isClosed(nowMillis));
         return new QuotaRequest(
                 mShard,
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -27,10 +27,16 @@
      * @param primary whether this host is the primary owner of the shard
      * @param hosts hosts of the fleet, as far as they are known
      * @param hostCount number of hosts of the fleet, at least that of {@code hosts}
-     * @param silentMillis time without a report after which a host counts as silent, in
-     *     milliseconds
+     * @param silentMillis time without a report after which a host that uses the shard counts as
+     *     silent, in milliseconds
+     * @param idleSilentMillis the same for a host that uses nothing of it
      */
-    public record Fleet(boolean primary, Set<HostId> hosts, int hostCount, long silentMillis) {
+    public record Fleet(
+            boolean primary,
+            Set<HostId> hosts,
+            int hostCount,
+            long silentMillis,
+            long idleSilentMillis) {
 
         public Fleet {
             if (hostCount < Math.max(1, hosts.size()) || silentMillis < 1) {
@@ -51,6 +57,7 @@
         private final Map<TeamName, TeamState> mTeams = new HashMap<>();
         private long mHeardMillis;
         private long mEntitledUntilMillis;
+        private boolean mIdle;
 
         private TeamState team(TeamName team) {
             return mTeams.computeIfAbsent(team, any -> new TeamState());
@@ -93,6 +100,7 @@
         applyFleet(fleet, limits, nowMillis);
         HostState host = hear(from, fleet, limits, nowMillis);
         host.mEntitledUntilMillis = nowMillis + request.entitledMillis();
+        host.mIdle = request.teams().isEmpty();
         List<QuotaResponse.Grant> grants =
                 request.teams().stream()
                         .map(use -> grant(host, use, fleet, limits, nowMillis))
@@ -185,7 +193,7 @@
     }
 
     private QuotaPool refill(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
-        double capacity = QuotaPool.capacity(limit);
+        double capacity = QuotaPool.capacity(limit) * (1 + mBounds.overage());
         long fullMillis = (long) (capacity / limit.unitsPerSecond() * MILLIS_PER_SECOND);
         long filledSince =
                 fleet.primary() ? Math.max(mRoleSinceMillis, nowMillis - fullMillis) : nowMillis;
@@ -246,6 +254,7 @@
     }
 
     private static boolean isSilent(HostState host, Fleet fleet, long nowMillis) {
-        return nowMillis - host.mHeardMillis > fleet.silentMillis();
+        long silentMillis = host.mIdle ? fleet.idleSilentMillis() : fleet.silentMillis();
+        return nowMillis - host.mHeardMillis > silentMillis;
     }
 }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaLoadTest.java
@@ -112,7 +112,7 @@
             {"one domain cut off, 67 hosts", scenario(67, USUAL_LOAD, CUT), cut},
             {"one domain cut off, seven times the load", scenario(67, HOT_LOAD, CUT), cut},
             {"all domains cut off, 67 hosts", scenario(67, USUAL_LOAD, ALL_CUT), cut},
-            {"all domains cut off, seven times the load", scenario(67, HOT_LOAD, ALL_CUT), 1.0},
+            {"all domains cut off, seven times the load", scenario(67, HOT_LOAD, ALL_CUT), cut},
             {"all hosts killed, 67 hosts", killed(67, all(67), 1_500), cut},
             {"owner killed, 67 hosts", killed(67, Set.of(QuotaModel.PRIMARY), 1_500), cut},
             {"owner gone for good, 67 hosts", killed(67, Set.of(QuotaModel.PRIMARY), 60_000), cut},
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
@@ -34,6 +34,11 @@
     private static final long TIMEOUT_MILLIS = 200;
     private static final long REPORT_MILLIS = 1_000;
     private static final long SILENT_MILLIS = 2_500;
+    private static final long IDLE_FACTOR = 2;
+
+    /** Time from the start of the hosts to that of the traffic. */
+    private static final long TRAFFIC_MILLIS = 3_000;
+
     private static final double MIN_DELAY_MILLIS = 0.4;
     private static final double DELAY_SPREAD_MILLIS = 3;
 
@@ -118,6 +123,7 @@
     private final List<Use> mUses = new ArrayList<>();
     private final Set<HostId> mNames = new HashSet<>();
     private final int mPrimary;
+    private final int mSecond;
     private double mNow;
     private long mOrder;
     private long mAsked;
@@ -141,13 +147,14 @@
                             mNames.add(name(index));
                         });
         mPrimary = mRandom.nextInt(scenario.hosts());
+        mSecond = (mPrimary + 1 + mRandom.nextInt(scenario.hosts() - 1)) % scenario.hosts();
     }
 
     /** Plays the scenario and returns what was measured. */
     Result run(long millis) {
         for (int client = 0; client < mScenario.clients(); client++) {
-            int host = mRandom.nextInt(mScenario.hosts());
-            scheduleArrival(mHosts.get(host));
+            Host host = mHosts.get(mRandom.nextInt(mScenario.hosts()));
+            at(TRAFFIC_MILLIS, () -> scheduleArrival(host));
         }
         mHosts.forEach(host -> at(mRandom.nextDouble() * REPORT_MILLIS, () -> regular(host)));
         if (mScenario.killMillis() > 0) {
@@ -256,7 +263,9 @@
     private void regular(Host host) {
         if (mNow >= host.mDownUntil) {
             if (mWay == Way.LENDING) {
-                exchange(host);
+                if (host.mBorrower.reportDue(REPORT_MILLIS, REPORT_MILLIS * IDLE_FACTOR, now())) {
+                    exchange(host);
+                }
             } else if (mWay == Way.DEMAND_PARTS) {
                 double demand = host.mDemand.perSecond(now());
                 mHosts.stream()
@@ -284,8 +293,13 @@
         }
         List<HostId> candidates = new ArrayList<>();
         candidates.add(name(mPrimary));
+        candidates.add(name(mSecond));
         IntStream.range(0, mScenario.hosts())
-                .filter(other -> domain(other) == domain(host.mIndex) && other != mPrimary)
+                .filter(
+                        other ->
+                                domain(other) == domain(host.mIndex)
+                                        && other != mPrimary
+                                        && other != mSecond)
                 .mapToObj(QuotaModel::name)
                 .filter(other -> !other.equals(name(host.mIndex)))
                 .limit(1)
@@ -321,7 +335,7 @@
                         answered[0] = true;
                         host.mInProgress = false;
                         host.mChoice.recordFailure(target, now());
-                        ask(host);
+                        exchange(host);
                     }
                 });
     }
@@ -329,7 +343,11 @@
     private QuotaResponse lend(Host owner, int from, QuotaRequest request) {
         QuotaShard.Fleet fleet =
                 new QuotaShard.Fleet(
-                        owner.mIndex == mPrimary, mNames, mScenario.hosts(), SILENT_MILLIS);
+                        owner.mIndex == mPrimary,
+                        mNames,
+                        mScenario.hosts(),
+                        SILENT_MILLIS,
+                        SILENT_MILLIS * IDLE_FACTOR);
         return owner.mShard.lend(
                 name(from),
                 request,
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
@@ -24,11 +24,11 @@
     private static final Function<TeamName, Optional<QuotaLimit>> LIMITS =
             team -> Optional.of(LIMIT);
     private static final QuotaShard.Fleet PRIMARY =
-            new QuotaShard.Fleet(true, Set.of(SELF, OTHER), 2, SILENT_MILLIS);
+            new QuotaShard.Fleet(true, Set.of(SELF, OTHER), 2, SILENT_MILLIS, 5 * SILENT_MILLIS);
     private static final QuotaShard.Fleet DEPUTY =
-            new QuotaShard.Fleet(false, Set.of(SELF, OTHER), 2, SILENT_MILLIS);
+            new QuotaShard.Fleet(false, Set.of(SELF, OTHER), 2, SILENT_MILLIS, 5 * SILENT_MILLIS);
 
-    private final QuotaBounds mBounds = new QuotaBounds(8, 0.1, 0);
+    private final QuotaBounds mBounds = new QuotaBounds(8, 0, 0);
 
     private static QuotaRequest need(long needed, long first, long usePerSecond) {
         return need(needed, first, usePerSecond, 0, 0);
