--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -162,9 +162,8 @@
             mLog.log(event, report.owner(), shard);
         }
         settled.forEach(request -> request.request().accept(request.decision()));
-        // After a failure the next owner is asked at once, even if nothing waits: a deputy lends
-        // what
-        // the hosts that it hears are entitled to, and must hear those that use nothing, too.
+        // After a failure the next owner gets the report even if nothing waits: a deputy can lend
+        // a host's entitlement only after that host has reported to it.
         if (response.isEmpty() || mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
             report(shard);
         }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -16,8 +16,8 @@
  *
  * <p>As primary owner it lends the whole limit less what silent hosts may use without it: their
  * last reported rate until {@link QuotaBorrower#ENTITLEMENT_MILLIS} have passed, and an equal part
- * of the limit from then on. As deputy it lends just that to the hosts that it hears. Both sides of
- * a partition together therefore lend no more than the limit. Not thread-safe.
+ * of the limit from then on. As deputy it lends just that to the hosts that report to it. Both
+ * sides of a partition together therefore lend no more than the limit. Not thread-safe.
  */
 public final class QuotaShard {
 
@@ -55,7 +55,7 @@
 
     private static final class HostState {
         private final Map<TeamName, TeamState> mTeams = new HashMap<>();
-        private long mHeardMillis;
+        private long mLastReportMillis;
         private long mEntitledUntilMillis;
         private boolean mIdle;
 
@@ -98,7 +98,7 @@
             Function<TeamName, Optional<QuotaLimit>> limits,
             long nowMillis) {
         applyFleet(fleet, limits, nowMillis);
-        HostState host = hear(from, fleet, limits, nowMillis);
+        HostState host = recordReport(from, fleet, limits, nowMillis);
         host.mEntitledUntilMillis = nowMillis + request.entitledMillis();
         host.mIdle = request.teams().isEmpty();
         List<QuotaResponse.Grant> grants =
@@ -124,7 +124,7 @@
     }
 
     /** Records that a host is not silent, and releases what was reserved while it was. */
-    private HostState hear(
+    private HostState recordReport(
             HostId from,
             Fleet fleet,
             Function<TeamName, Optional<QuotaLimit>> limits,
@@ -146,7 +146,7 @@
                         state.mReserved = 0;
                     });
         }
-        host.mHeardMillis = nowMillis;
+        host.mLastReportMillis = nowMillis;
         return host;
     }
 
@@ -200,14 +200,14 @@
         QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince));
         double seconds = Math.max(0, nowMillis - pool.atMillis()) / MILLIS_PER_SECOND;
         if (fleet.primary()) {
-            double unheard =
+            double unreported =
                     (fleet.hostCount() - mHosts.size())
                             * limit.unitsPerSecond()
                             / fleet.hostCount();
-            double units = (limit.unitsPerSecond() - Math.max(0, unheard)) * seconds;
+            double units = (limit.unitsPerSecond() - Math.max(0, unreported)) * seconds;
             pool.refill(units - newReserves(team, limit, fleet, nowMillis), capacity, nowMillis);
         } else {
-            double rate = heardRate(team, limit, fleet, nowMillis);
+            double rate = entitledRate(team, limit, fleet, nowMillis);
             double share = Math.min(1, rate / limit.unitsPerSecond());
             pool.refill(rate * seconds, capacity * share, nowMillis);
         }
@@ -221,7 +221,11 @@
             if (isSilent(host, fleet, nowMillis)) {
                 TeamState state = host.team(team);
                 double reserved =
-                        reserve(nowMillis - host.mHeardMillis, state.mUsePerSecond, limit, fleet);
+                        reserve(
+                                nowMillis - host.mLastReportMillis,
+                                state.mUsePerSecond,
+                                limit,
+                                fleet);
                 reserves += reserved - state.mReserved;
                 state.mReserved = reserved;
             }
@@ -237,8 +241,8 @@
                 / MILLIS_PER_SECOND;
     }
 
-    /** Returns the rate to which the hosts that this deputy hears are entitled. */
-    private double heardRate(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
+    /** Returns the sum of the entitlements of the hosts that report to this deputy. */
+    private double entitledRate(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
         return mHosts.values().stream()
                 .filter(host -> !isSilent(host, fleet, nowMillis))
                 .mapToDouble(
@@ -255,6 +259,6 @@
 
     private static boolean isSilent(HostState host, Fleet fleet, long nowMillis) {
         long silentMillis = host.mIdle ? fleet.idleSilentMillis() : fleet.silentMillis();
-        return nowMillis - host.mHeardMillis > silentMillis;
+        return nowMillis - host.mLastReportMillis > silentMillis;
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/package-info.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/package-info.java
@@ -6,6 +6,6 @@
  * org.cyclamenpaddle.routing.limit.QuotaBorrower} of each host. A host that cannot reach the
  * primary owner borrows from a deputy. So that both sides of a partition together stay within the
  * quota, a primary owner reserves for a silent host what that host may use meanwhile, and a deputy
- * lends no more than the hosts that it hears are entitled to.
+ * lends no more than the entitlements of the hosts that report to it.
  */
 package org.cyclamenpaddle.routing.limit;
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
@@ -61,7 +61,7 @@
         return lent(shard.lend(host, need(1_000_000, 1, 0), fleet, LIMITS, now));
     }
 
-    private QuotaShard heardByBoth(long now) {
+    private QuotaShard reportedByBoth(long now) {
         QuotaShard shard = new QuotaShard(mBounds, 0);
         shard.lend(SELF, need(0, 0, 0), PRIMARY, LIMITS, now);
         shard.lend(OTHER, need(0, 0, 0), PRIMARY, LIMITS, now);
@@ -70,7 +70,7 @@
 
     @Test
     public void primaryOwnerLendsTheBurstAndThenTheRate() {
-        QuotaShard shard = heardByBoth(0);
+        QuotaShard shard = reportedByBoth(0);
         assertEquals(lendAll(shard, PRIMARY, SELF, 1_500), 1_000);
         assertEquals(lendAll(shard, PRIMARY, SELF, 2_000), 500);
     }
@@ -78,7 +78,7 @@
     /** Failure: small requests take units as they come, and a large one never finds enough. */
     @Test
     public void firstRequestIsLentAllThatItNeedsWhileUnitsAreLeft() {
-        QuotaShard shard = heardByBoth(0);
+        QuotaShard shard = reportedByBoth(0);
         assertEquals(lent(shard.lend(SELF, need(4_000, 4_000, 0), PRIMARY, LIMITS, 1_000)), 4_000);
         QuotaResponse refused = shard.lend(SELF, need(200, 200, 0), PRIMARY, LIMITS, 2_000);
         assertEquals(lent(refused), 0);
@@ -92,7 +92,7 @@
      */
     @Test
     public void whatASilentHostMayUseIsReserved() {
-        QuotaShard shard = heardByBoth(0);
+        QuotaShard shard = reportedByBoth(0);
         shard.lend(OTHER, need(0, 0, 600), PRIMARY, LIMITS, 1_000);
         lendAll(shard, PRIMARY, SELF, 1_000);
         long lent = 0;
@@ -104,7 +104,7 @@
 
     @Test
     public void reserveIsReleasedWhenTheHostReportsWhatItUsed() {
-        QuotaShard shard = heardByBoth(0);
+        QuotaShard shard = reportedByBoth(0);
         shard.lend(OTHER, need(0, 0, 600), PRIMARY, LIMITS, 1_000);
         lendAll(shard, PRIMARY, SELF, 1_000);
         lendAll(shard, PRIMARY, SELF, 5_000);
@@ -114,7 +114,7 @@
     }
 
     @Test
-    public void deputyLendsWhatTheHostsThatItHearsAreEntitledTo() {
+    public void deputyLendsTheEntitlementsOfReportingHosts() {
         QuotaShard shard = new QuotaShard(mBounds, 0);
         shard.lend(SELF, need(0, 0, 0, 0, 300), DEPUTY, LIMITS, 0);
         long lent = 0;
