Let a host owe no more of a quota than the overage covers

Cause: reading the diff. Units held in advance (0.4 of the excess), a burst filled by the overage and half a second of the rate owed by hosts add up to more than the overage of a deployment without slack (192 of 180 units for 200 a second, a burst of 200 and a window of 8 s).

Change: a host may owe a quarter of a second of its acknowledged rate (142 of 180 units). Windows much shorter than 8 s without slack are still not covered.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
@@ -23,7 +23,7 @@
     private static final double ADVANCE_SECONDS = 0.5;
 
     /** Use at the acknowledged rate that a host may owe to the owner, in seconds. */
-    private static final double OVERDRAFT_SECONDS = 0.5;
+    private static final double OVERDRAFT_SECONDS = 0.25;
 
     /** Multiple of the advance above which a host gives units back. */
     private static final double SURPLUS_FACTOR = 3;
