Log what backend servers ask of their callers in their responses

The adapter now decodes the limit from the head of any response; CP2114 and a counter show when it is set, changed or lifted, by server, incarnation and request. Nothing acts on it yet.

All calls to engines beside callers' requests pass through BackendCalls, so that their responses are read as well; orders took another way before. Cancelled reservations and released prompts name their engine, so that another process at its address rejects them and cannot set a directive.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlatformAdapter.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/PlatformAdapter.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.assembly;
 
+import java.util.function.Function;
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.host.HostStore;
@@ -7,6 +8,7 @@
 import org.cyclamenpaddle.relay.role.LeaseStore;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.store.EntrySource;
+import org.cyclamenpaddle.relay.wire.BackendCaller;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
 import org.cyclamenpaddle.relay.wire.EngineMessages;
@@ -21,7 +23,7 @@
  * @param engineMessages codec of calls about engine memory
  * @param hosts store of the hosts' registrations
  * @param lease store of the lease on orders
- * @param orders client for orders to engines
+ * @param orders creates the client for orders to engines
  * @param connections connections to backend servers, which the relay closes
  */
 public record PlatformAdapter(
@@ -32,5 +34,5 @@
         EngineMessages engineMessages,
         HostStore hosts,
         LeaseStore lease,
-        EngineOrderClient orders,
+        Function<BackendCaller, EngineOrderClient> orders,
         BackendConnections connections) {}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -31,6 +31,7 @@
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
 import org.cyclamenpaddle.relay.backend.CostSettings;
+import org.cyclamenpaddle.relay.front.BackendCalls;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
 import org.cyclamenpaddle.relay.front.RelayContext;
 import org.cyclamenpaddle.relay.front.RelayService;
@@ -94,6 +95,7 @@
     private final DemandMeter mDemand = new DemandMeter();
     private final SharedRetryBudget mBudget;
     private final BackendRegistry mRegistry;
+    private final BackendCalls mCalls;
     private final StartupGate mStartupGate = new StartupGate();
     private final StateUpdater mUpdater;
     private final RelayService mService;
@@ -132,6 +134,9 @@
                         mLog, mConfiguration, mRegistry, mClock, mStartupGate, this::logReady);
         RelaySettings.Retry retry = settings.retry();
         mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
+        mCalls =
+                new BackendCalls(
+                        mConnections, mRegistry, adapter.backendMessages(), mLog, mMetrics, mClock);
         RelayContext relay =
                 new RelayContext(
                         mRegistry,
@@ -139,6 +144,7 @@
                         mDemand,
                         new Table<>(TableOrder.CALLERS, new ReturningCallers()),
                         mConnections,
+                        mCalls,
                         adapter.backendMessages(),
                         adapter.engineMessages(),
                         mLog,
@@ -302,7 +308,7 @@
                         mRegistry,
                         mDemand,
                         new RoleAllocation(),
-                        mAdapter.orders(),
+                        mAdapter.orders().apply(mCalls),
                         mAdapter.lease(),
                         mLog),
                 () ->
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -14,6 +14,8 @@
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.core.table.TableOrder;
+import org.cyclamenpaddle.relay.directive.DirectiveChange;
+import org.cyclamenpaddle.relay.directive.Directives;
 
 /**
  * Registry of the backend servers: their entries, this host's in-flight work and results per
@@ -215,6 +217,24 @@
         return mTable.read(state -> state.stateOf(backend).reportDue(nowMillis));
     }
 
+    /**
+     * Records what a server asks of its callers in the head of a response.
+     *
+     * @param backend the server
+     * @param directives directives in the head
+     * @param sentMillis time at which the request was sent
+     * @param nowMillis current time of the steady clock
+     * @return what has changed
+     */
+    public List<DirectiveChange> recordDirectives(
+            Backend backend, Directives directives, long sentMillis, long nowMillis) {
+        return mTable.read(
+                state ->
+                        state.stateOf(backend)
+                                .directives()
+                                .apply(directives, sentMillis, nowMillis));
+    }
+
     /** Stores a server's report. */
     public void recordReport(Backend backend, EngineReport report, long nowMillis) {
         mTable.write(state -> state.stateOf(backend).recordReport(report, nowMillis));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.backend;
 
 import java.util.Optional;
+import org.cyclamenpaddle.relay.directive.DirectiveState;
 
 /**
  * Tracks the state of one incarnation of a backend server, apart from its entry in the store.
@@ -51,6 +52,7 @@
     private final long mStartedMillis;
     private final InFlightWork mInFlightWork = new InFlightWork();
     private final BackendHealth mHealth = new BackendHealth();
+    private final DirectiveState mDirectives = new DirectiveState();
     private final MovingAverage mExcessWait = new MovingAverage(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
     private long mFullUntilMillis = Long.MIN_VALUE / 2;
     private long mLastResponseMillis = Long.MIN_VALUE;
@@ -77,6 +79,10 @@
         return mHealth;
     }
 
+    DirectiveState directives() {
+        return mDirectives;
+    }
+
     void recordStart(WorkSize size) {
         mInFlightWork.recordStart(size);
         mHealth.recordSend();
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveKind.java
@@ -0,0 +1,7 @@
+package org.cyclamenpaddle.relay.directive;
+
+/** Kind of a directive, for logs and metrics. */
+public enum DirectiveKind {
+    /** Maximum rate of requests from all hosts, in requests per second. */
+    LIMIT
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -88,6 +88,7 @@
     private BackendExchange mExchange;
     private Optional<ScheduledFuture<?>> mSilenceTimeout = Optional.empty();
     private BackendResponse mHead;
+    private long mSentMillis;
     private final boolean mRetriableElsewhere;
     private final Runnable mBeforeResend;
     private Connection mConnection;
@@ -122,6 +123,7 @@
 
     private void open() {
         boolean pooled = mConnection != Connection.NEW;
+        mSentMillis = mRelay.clock().millis();
         mExchange =
                 BackendExchange.send(
                         mRelay.connections().client(target().address(), target().port(), pooled),
@@ -162,6 +164,10 @@
     @Override
     public void head(BackendResponse head) {
         mHead = head;
+        if (head.notRun() || isResponseToThisRequest(head)) {
+            mRelay.calls()
+                    .recordHead(target(), mRequest.caller().id(), head.headers(), mSentMillis);
+        }
         if (head.notRun()) {
             mExchange.cancel();
             end(
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -0,0 +1,94 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.engine.http.BackendConnections;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendRegistry;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.log.RelayEventLog;
+import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.wire.BackendCaller;
+import org.cyclamenpaddle.relay.wire.BackendMessages;
+
+/**
+ * Sends calls to backend servers and records what the servers ask for in their responses.
+ *
+ * <p>Thread-safe.
+ */
+public final class BackendCalls implements BackendCaller {
+
+    private final BackendConnections mConnections;
+    private final BackendRegistry mRegistry;
+    private final BackendMessages mMessages;
+    private final RelayEventLog mLog;
+    private final RelayMetrics mMetrics;
+    private final Clock mClock;
+
+    public BackendCalls(
+            BackendConnections connections,
+            BackendRegistry registry,
+            BackendMessages messages,
+            RelayEventLog log,
+            RelayMetrics metrics,
+            Clock clock) {
+        mConnections = connections;
+        mRegistry = registry;
+        mMessages = messages;
+        mLog = log;
+        mMetrics = metrics;
+        mClock = clock;
+    }
+
+    @Override
+    public CompletableFuture<AggregatedHttpResponse> call(
+            Backend target, Options options, HttpRequest request) {
+        long sentMillis = mClock.millis();
+        return mConnections
+                .client(target.address(), target.port(), options.keepAlive())
+                .execute(
+                        request,
+                        RequestOptions.builder()
+                                .responseTimeoutMillis(options.timeoutMillis())
+                                .build())
+                .aggregate()
+                .thenApply(
+                        response -> {
+                            recordHead(target, options.cause(), response.headers(), sentMillis);
+                            return response;
+                        });
+    }
+
+    /**
+     * Records what a server asks for in the head of a response.
+     *
+     * @param target server that the request was addressed to
+     * @param cause id of the caller's request, or what else the call was made for
+     * @param head head of the response
+     * @param sentMillis time at which the request was sent
+     */
+    void recordHead(Backend target, String cause, ResponseHeaders head, long sentMillis) {
+        if (head.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
+            // Another process responded from this address.
+            return;
+        }
+        mRegistry
+                .recordDirectives(target, mMessages.directives(head), sentMillis, mClock.millis())
+                .forEach(
+                        change -> {
+                            mMetrics.recordDirective(change.kind());
+                            mLog.log(
+                                    RelayEvent.DIRECTIVE_CHANGED,
+                                    target.id(),
+                                    target.startedMillis(),
+                                    change.kind(),
+                                    change.value(),
+                                    cause);
+                        });
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -1,6 +1,5 @@
 package org.cyclamenpaddle.relay.front;
 
-import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
 import io.netty.channel.EventLoop;
@@ -14,6 +13,7 @@
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.EngineProfile;
+import org.cyclamenpaddle.relay.wire.BackendCaller;
 import org.cyclamenpaddle.routing.reservation.ReservationWait;
 
 /**
@@ -86,14 +86,11 @@
     }
 
     private void fetchReport(Backend engine, Runnable done) {
-        mRelay.connections()
-                .keepAliveClient(engine.address(), engine.port())
-                .execute(
-                        HttpRequest.of(mRelay.engineMessages().report(engine)),
-                        RequestOptions.builder()
-                                .responseTimeoutMillis(REPORT_TIMEOUT_MILLIS)
-                                .build())
-                .aggregate()
+        mRelay.calls()
+                .call(
+                        engine,
+                        new BackendCaller.Options(true, REPORT_TIMEOUT_MILLIS, "report"),
+                        HttpRequest.of(mRelay.engineMessages().report(engine)))
                 .whenCompleteAsync(
                         (response, failure) -> {
                             handleReport(engine, response, failure);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -48,6 +48,7 @@
     private final Consumer<Optional<PromptHandle>> mDone;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final long mStartMillis;
+    private long mSentMillis;
     private EventLoop mLoop;
     private long mRemainingMillis;
     private boolean mPooled;
@@ -84,6 +85,7 @@
 
     private void open(boolean pooled) {
         mPooled = pooled;
+        mSentMillis = mRelay.clock().millis();
         BackendCall call =
                 new BackendCall(
                         mEngine,
@@ -121,6 +123,7 @@
     @Override
     public void head(BackendResponse response) {
         mResponse = response;
+        mRelay.calls().recordHead(mEngine, mRequest.caller().id(), response.headers(), mSentMillis);
         mExchange.requestMore();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -358,7 +358,10 @@
             mPrefillEngine.ifPresent(
                     prefillEngine ->
                             attempt.prompt()
-                                    .map(mRelay.engineMessages()::release)
+                                    .map(
+                                            prompt ->
+                                                    mRelay.engineMessages()
+                                                            .release(prefillEngine, prompt))
                                     .ifPresent(
                                             call ->
                                                     ReserveCall.sendIgnoringFailure(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -1,6 +1,5 @@
 package org.cyclamenpaddle.relay.front;
 
-import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
@@ -14,6 +13,7 @@
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.wire.BackendCaller;
 
 /**
  * Reserves memory for one request on one engine.
@@ -98,7 +98,7 @@
 
     /** Cancels a reservation that no request will use. */
     static void cancel(RelayContext relay, Backend engine, String reservation) {
-        sendIgnoringFailure(relay, engine, relay.engineMessages().cancel(reservation));
+        sendIgnoringFailure(relay, engine, relay.engineMessages().cancel(engine, reservation));
     }
 
     /**
@@ -106,12 +106,8 @@
      * anyway.
      */
     static void sendIgnoringFailure(RelayContext relay, Backend backend, RequestHeaders call) {
-        relay.connections()
-                .keepAliveClient(backend.address(), backend.port())
-                .execute(
-                        HttpRequest.of(call),
-                        RequestOptions.builder().responseTimeoutMillis(CALL_TIMEOUT_MILLIS).build())
-                .aggregate()
+        relay.calls()
+                .call(backend, options(true, "release"), HttpRequest.of(call))
                 .exceptionally(
                         failure -> {
                             relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), failure);
@@ -121,12 +117,11 @@
 
     private CompletableFuture<Result> requestReservation(long tokens, long millis, boolean pooled) {
         long startMillis = mRelay.clock().millis();
-        return mRelay.connections()
-                .client(mEngine.address(), mEngine.port(), pooled)
-                .execute(
-                        mRelay.engineMessages().reserve(mEngine, tokens, millis).toHttpRequest(),
-                        RequestOptions.builder().responseTimeoutMillis(CALL_TIMEOUT_MILLIS).build())
-                .aggregate()
+        return mRelay.calls()
+                .call(
+                        mEngine,
+                        options(pooled, mRequest.caller().id()),
+                        mRelay.engineMessages().reserve(mEngine, tokens, millis).toHttpRequest())
                 .handle(
                         (response, failure) -> {
                             long spent = mRelay.clock().millis() - startMillis;
@@ -138,6 +133,10 @@
                 .thenCompose(Function.identity());
     }
 
+    private static BackendCaller.Options options(boolean keepAlive, String cause) {
+        return new BackendCaller.Options(keepAlive, CALL_TIMEOUT_MILLIS, cause);
+    }
+
     private Result result(AggregatedHttpResponse response, Throwable failure) {
         if (failure != null) {
             return new Result(Optional.empty(), SendOutcome.NOT_SENT, String.valueOf(failure));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -43,6 +43,11 @@
             2112, Priority.STATE, "owner of quotas does not respond", List.of("host", "shard")),
     OWNER_REACHABLE(
             2113, Priority.STATE, "owner of quotas responds again", List.of("host", "shard")),
+    DIRECTIVE_CHANGED(
+            2114,
+            Priority.STATE,
+            "directive of a backend server changed",
+            List.of("backend", "started", "directive", "value", "request")),
     LEASE_CHANGED(2109, Priority.STATE, "lease on orders changed", List.of("holder", "reason")),
     ORDER_ENDED(
             2110,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -71,6 +71,11 @@
                 .increment(units);
     }
 
+    /** Records a directive of a backend server that was set, changed or lifted. */
+    public void recordDirective(Enum<?> kind) {
+        counter("directives", "kind", tag(kind)).increment();
+    }
+
     /** Records a frame between hosts that was rejected or dropped. */
     public void recordLostFrame(Enum<?> reason) {
         counter("peer_frames_lost", REASON, tag(reason)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendMessages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendMessages.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import org.cyclamenpaddle.relay.directive.Directives;
 
 /** Encodes requests to backend servers and decodes the heads of their responses. */
 public interface BackendMessages {
@@ -11,4 +12,7 @@
 
     /** Decodes the head of a response. */
     BackendResponse response(ResponseHeaders headers);
+
+    /** Decodes what a server asks of its callers in the head of any response. */
+    Directives directives(ResponseHeaders headers);
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/EngineMessages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/EngineMessages.java
@@ -35,13 +35,13 @@
     Either<String, Optional<String>> reservation(AggregatedHttpResponse response);
 
     /** Returns the call that cancels a reservation that no request will use. */
-    RequestHeaders cancel(String reservation);
+    RequestHeaders cancel(Backend engine, String reservation);
 
     /**
      * Returns the call that releases a prefilled prompt, or a generation's memory, that no engine
      * will fetch.
      */
-    RequestHeaders release(PromptHandle prompt);
+    RequestHeaders release(Backend engine, PromptHandle prompt);
 
     /** Returns the call that requests an engine's report. */
     RequestHeaders report(Backend engine);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.directive.Directives;
 import org.cyclamenpaddle.relay.wire.BackendCall;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.BackendResponse;
@@ -38,6 +39,11 @@
         public BackendResponse response(ResponseHeaders headers) {
             return new BackendResponse(headers, Optional.of("r1"), true, false);
         }
+
+        @Override
+        public Directives directives(ResponseHeaders headers) {
+            return Directives.NONE;
+        }
     }
 
     /** Records the calls that it receives, in order. */
