Permit calls to a limited server from one owner for all hosts

Cause: no host evaluated the limit in a server's responses; the choice of a server knew outcomes and load only. The class of fault: an instruction of a server that has to hold for the sum over all hosts, kept by none.

Change: the owner of a server's limit, chosen by rendezvous hashing, keeps one token bucket for all hosts. Every call to the server takes a permit from it, which expires after 500 ms: requests, resends, both calls of a generation, prefills, orders, cancels. Reports and growth checks are left out. Other servers take the work first and permits are requested in advance; where all servers are limited, a request is rejected at once with the time after which a permit is likely.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
@@ -12,6 +12,8 @@
                 GrantRegister,
                 Heartbeat,
                 Hello,
+                PermitRequest,
+                PermitResponse,
                 ProbeResponse,
                 ProbeRequest,
                 QuotaRequest,
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -17,6 +17,8 @@
     RETRIES,
     QUOTA_ACCOUNTS,
     QUOTA_SHARDS,
+    PERMIT_OWNERS,
+    PERMITS,
     DEMAND,
     CALLERS
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
@@ -18,6 +18,8 @@
 import org.cyclamenpaddle.core.message.Heartbeat;
 import org.cyclamenpaddle.core.message.Hello;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.message.PermitRequest;
+import org.cyclamenpaddle.core.message.PermitResponse;
 import org.cyclamenpaddle.core.message.ProbeRequest;
 import org.cyclamenpaddle.core.message.ProbeResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
@@ -114,7 +116,27 @@
                 out.flag(m.primary());
                 out.list(m.grants(), grant -> NestedFields.writeQuotaGrant(out, grant));
             },
-            in -> new QuotaResponse(in.flag(), in.list(() -> NestedFields.readQuotaGrant(in))));
+            in -> new QuotaResponse(in.flag(), in.list(() -> NestedFields.readQuotaGrant(in)))),
+    PERMIT_REQUEST(
+            16,
+            PermitRequest.class,
+            (out, m) -> {
+                out.text(m.backend().value());
+                out.number(m.startedMillis());
+                out.number(m.limitMillihertz());
+                out.number(m.calls());
+            },
+            in ->
+                    new PermitRequest(
+                            new BackendId(in.text()), in.number(), in.number(), in.integer())),
+    PERMIT_RESPONSE(
+            17,
+            PermitResponse.class,
+            (out, m) -> {
+                out.flag(m.granted());
+                out.number(m.retryMillis());
+            },
+            in -> new PermitResponse(in.flag(), in.number()));
 
     private final int mCode;
     private final Class<? extends PeerMessage> mType;
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
@@ -29,6 +29,8 @@
 import org.cyclamenpaddle.core.message.HostState;
 import org.cyclamenpaddle.core.message.LedgerSummary;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.message.PermitRequest;
+import org.cyclamenpaddle.core.message.PermitResponse;
 import org.cyclamenpaddle.core.message.ProbeRequest;
 import org.cyclamenpaddle.core.message.ProbeResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
@@ -92,7 +94,9 @@
                             List.of(
                                     new QuotaRequest.TeamUse(
                                             TEAM, 5_400, 2_700, 800, 40, 0, 90, 4_000, 3_900))),
-                    new QuotaResponse(true, List.of(new QuotaResponse.Grant(TEAM, 6_200, 0))));
+                    new QuotaResponse(true, List.of(new QuotaResponse.Grant(TEAM, 6_200, 0))),
+                    new PermitRequest(new BackendId("engine-1"), 1_700_000_000_000L, 1_400, 2),
+                    new PermitResponse(false, 700));
 
     private Samples() {}
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -32,6 +32,7 @@
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
 import org.cyclamenpaddle.relay.backend.CostSettings;
 import org.cyclamenpaddle.relay.front.BackendCalls;
+import org.cyclamenpaddle.relay.front.BackendPermits;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
 import org.cyclamenpaddle.relay.front.RelayContext;
 import org.cyclamenpaddle.relay.front.RelayService;
@@ -134,6 +135,18 @@
                         mLog, mConfiguration, mRegistry, mClock, mStartupGate, this::logReady);
         RelaySettings.Retry retry = settings.retry();
         mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
+        mQuotas =
+                new QuotaController(
+                        new PeerAddress(
+                                new HostId(settings.host().name()),
+                                new FailureDomain(settings.host().domain()),
+                                settings.listen().peers()),
+                        settings.quota(),
+                        this::quotaLimit,
+                        new LostFrames(mMetrics),
+                        mLog,
+                        mScheduler,
+                        mClock);
         mCalls =
                 new BackendCalls(
                         mConnections, mRegistry, adapter.backendMessages(), mLog, mMetrics, mClock);
@@ -144,6 +157,7 @@
                         mDemand,
                         new Table<>(TableOrder.CALLERS, new ReturningCallers()),
                         mConnections,
+                        new BackendPermits(mRegistry, mQuotas.permits(), mClock),
                         mCalls,
                         adapter.backendMessages(),
                         adapter.engineMessages(),
@@ -151,18 +165,6 @@
                         mMetrics,
                         mClock,
                         mRandom);
-        mQuotas =
-                new QuotaController(
-                        new PeerAddress(
-                                new HostId(settings.host().name()),
-                                new FailureDomain(settings.host().domain()),
-                                settings.listen().peers()),
-                        settings.quota(),
-                        this::quotaLimit,
-                        new LostFrames(mMetrics),
-                        mLog,
-                        mScheduler,
-                        mClock);
         mShutdown = new GracefulShutdown(settings.stop().graceMillis(), mClock);
         mService =
                 new RelayService(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
@@ -47,7 +49,13 @@
                     && connectivity(backend).admits(nowMillis);
         }
 
+        /** Returns whether what the server asks of its callers leaves room for a request. */
+        private boolean permits(Backend backend, WorkSize size, long nowMillis) {
+            return stateOf(backend).directives().permits(backend.stage().calls(size), nowMillis);
+        }
+
         private void recordStart(Backend backend, WorkSize size, long nowMillis) {
+            stateOf(backend).directives().tryUse(backend.stage().calls(size), nowMillis);
             stateOf(backend).recordStart(size);
             connectivity(backend).recordSend(nowMillis);
         }
@@ -67,6 +75,7 @@
     private final FailureDomain mOwnDomain;
     private final CostSettings mCosts;
     private final DoubleSupplier mRandom;
+    private volatile boolean mLimitsSeen;
     private final Table<State> mTable = new Table<>(TableOrder.BACKENDS, new State());
 
     /**
@@ -120,7 +129,7 @@
         return mTable.read(
                 state -> {
                     List<Backend> engines =
-                            candidates(state, service, avoid, nowMillis)
+                            candidates(state, service, size, avoid, nowMillis)
                                     .filter(backend -> backend.stage().completesRequests())
                                     .filter(backend -> !state.stateOf(backend).isFull(nowMillis))
                                     .filter(
@@ -228,11 +237,118 @@
      */
     public List<DirectiveChange> recordDirectives(
             Backend backend, Directives directives, long sentMillis, long nowMillis) {
+        List<DirectiveChange> changes =
+                mTable.read(
+                        state ->
+                                state.stateOf(backend)
+                                        .directives()
+                                        .apply(directives, sentMillis, nowMillis));
+        mLimitsSeen |= directives.requestsPerSecond().isPresent();
+        return changes;
+    }
+
+    /**
+     * Returns the servers of a service that limit their calls and for which this host holds too few
+     * permits for a request, in random order.
+     *
+     * @param service service of the request
+     * @param size size of its work
+     * @param avoid servers to leave out
+     * @param nowMillis current time of the steady clock
+     */
+    public List<LimitedBackend> limited(
+            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+        if (!mLimitsSeen) {
+            return List.of();
+        }
         return mTable.read(
+                state ->
+                        state.mDirectory
+                                .usable(service)
+                                .filter(backend -> !avoid.contains(backend.id()))
+                                .filter(backend -> !state.permits(backend, size, nowMillis))
+                                .sorted(Comparator.comparing(backend -> mRandom.getAsDouble()))
+                                .flatMap(backend -> limited(state, backend, size).stream())
+                                .toList());
+    }
+
+    /**
+     * Returns the time until a server of a service may be called again, in milliseconds; empty if
+     * the directives of its servers are not what prevents it.
+     *
+     * @param service service of the request
+     * @param size size of its work
+     * @param avoid servers that cannot take the request for another reason
+     * @param nowMillis current time of the steady clock
+     */
+    public OptionalLong directiveWaitMillis(
+            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+        if (!mLimitsSeen) {
+            return OptionalLong.empty();
+        }
+        return mTable.read(
+                state -> {
+                    List<Backend> usable =
+                            state.mDirectory
+                                    .usable(service)
+                                    .filter(backend -> backend.stage().completesRequests())
+                                    .filter(backend -> !avoid.contains(backend.id()))
+                                    .toList();
+                    return usable.stream()
+                                    .anyMatch(backend -> state.permits(backend, size, nowMillis))
+                            ? OptionalLong.empty()
+                            : usable.stream()
+                                    .mapToLong(
+                                            backend ->
+                                                    state.stateOf(backend)
+                                                            .directives()
+                                                            .waitMillis(nowMillis))
+                                    .min();
+                });
+    }
+
+    /** Returns whether permits for a server should be requested; if so, marks that as begun. */
+    public boolean beginPermitRequest(Backend backend, long nowMillis) {
+        return mTable.read(
+                state -> state.stateOf(backend).directives().beginPermitRequest(nowMillis));
+    }
+
+    /**
+     * Records the response to a request for permits.
+     *
+     * @param backend the server
+     * @param calls number of calls that are permitted; 0 if the request was denied
+     * @param retryMillis time after which permits may be requested again, if it was denied
+     * @param nowMillis current time of the steady clock
+     */
+    public void recordPermits(Backend backend, int calls, long retryMillis, long nowMillis) {
+        mTable.write(
                 state ->
                         state.stateOf(backend)
                                 .directives()
-                                .apply(directives, sentMillis, nowMillis));
+                                .recordPermits(calls, retryMillis, nowMillis));
+    }
+
+    /**
+     * Returns whether a server may be called once more on behalf of a request that was sent to it,
+     * and uses the permits for it.
+     */
+    public boolean tryCall(Backend backend, int calls, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().tryUse(calls, nowMillis));
+    }
+
+    /** Returns whether a server limits its calls, so that calls which can be left out are. */
+    public boolean isLimited(Backend backend) {
+        return mTable.read(state -> state.stateOf(backend).directives().limited());
+    }
+
+    private static Optional<LimitedBackend> limited(State state, Backend backend, WorkSize size) {
+        OptionalDouble perSecond = state.stateOf(backend).directives().callsPerSecond();
+        return perSecond.isPresent()
+                ? Optional.of(
+                        new LimitedBackend(
+                                backend, perSecond.getAsDouble(), backend.stage().calls(size)))
+                : Optional.empty();
     }
 
     /** Stores a server's report. */
@@ -305,8 +421,9 @@
     }
 
     private Stream<Backend> candidates(
-            State state, ServiceName service, Set<BackendId> avoid, long nowMillis) {
-        List<Backend> usable = excluding(state.mDirectory.usable(service), avoid);
+            State state, ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+        List<Backend> usable =
+                permitted(state, state.mDirectory.usable(service), size, avoid, nowMillis);
         List<Backend> admitted =
                 usable.stream().filter(backend -> state.admits(backend, nowMillis)).toList();
         boolean canServe =
@@ -318,11 +435,20 @@
         // fault of this host, and the rejected request would have been served.
         return usable.stream().anyMatch(backend -> backend.stage().completesRequests())
                 ? usable.stream()
-                : excluding(state.mDirectory.lapsed(service, nowMillis), avoid).stream();
+                : permitted(
+                        state, state.mDirectory.lapsed(service, nowMillis), size, avoid, nowMillis)
+                        .stream();
     }
 
-    private static List<Backend> excluding(Stream<Backend> backends, Set<BackendId> avoid) {
-        return backends.filter(backend -> !avoid.contains(backend.id())).toList();
+    private static List<Backend> permitted(
+            State state,
+            Stream<Backend> backends,
+            WorkSize size,
+            Set<BackendId> avoid,
+            long nowMillis) {
+        return backends.filter(backend -> !avoid.contains(backend.id()))
+                .filter(backend -> state.permits(backend, size, nowMillis))
+                .toList();
     }
 
     private Optional<Backend> cheapest(List<Backend> backends, ToDoubleFunction<Backend> cost) {
@@ -354,6 +480,7 @@
                         .usable(decodeEngine.service())
                         .filter(backend -> backend.stage() == BackendStage.PREFILL)
                         .filter(backend -> state.admits(backend, nowMillis))
+                        .filter(backend -> state.permits(backend, size, nowMillis))
                         .filter(
                                 prefillEngine ->
                                         !state.stateOf(prefillEngine)
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendStage.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendStage.java
@@ -15,6 +15,15 @@
         mCompletesRequests = completesRequests;
     }
 
+    /**
+     * Returns the number of calls that a request makes to a server of this stage.
+     *
+     * @param size size of its work
+     */
+    public int calls(WorkSize size) {
+        return mCompletesRequests ? size.calls() : 1;
+    }
+
     /** Returns whether requests run to completion on a server of this stage. */
     public boolean completesRequests() {
         return mCompletesRequests;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/WorkSize.java
@@ -28,6 +28,14 @@
         return promptTokens + outputTokens;
     }
 
+    /**
+     * Returns the number of calls that the request makes to the server that completes it: an engine
+     * gets a reservation first.
+     */
+    public int calls() {
+        return promptTokens > 0 ? 2 : 1;
+    }
+
     /** Converts this size to the work of a new generation. */
     public NewGeneration asNewWork() {
         return new NewGeneration(promptTokens, outputTokens);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.directive;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -12,7 +13,7 @@
  */
 public final class DirectiveState {
 
-    private OptionalDouble mPerSecond = OptionalDouble.empty();
+    private Optional<CallLimit> mLimit = Optional.empty();
     private long mNamedMillis;
 
     /**
@@ -27,19 +28,68 @@
         OptionalDouble named = directives.requestsPerSecond();
         if (named.isPresent()) {
             mNamedMillis = nowMillis;
-            if (named.equals(mPerSecond)) {
-                return List.of();
-            }
-            mPerSecond = named;
-            return List.of(
-                    new DirectiveChange(DirectiveKind.LIMIT, String.valueOf(named.getAsDouble())));
+            return nameLimit(named.getAsDouble());
         }
         boolean lifted =
-                mPerSecond.isPresent() && !directives.unreadable() && sentMillis >= mNamedMillis;
+                mLimit.isPresent() && !directives.unreadable() && sentMillis >= mNamedMillis;
         if (!lifted) {
             return List.of();
         }
-        mPerSecond = OptionalDouble.empty();
+        mLimit = Optional.empty();
         return List.of(new DirectiveChange(DirectiveKind.LIMIT, DirectiveChange.NONE));
     }
+
+    /** Returns whether the server limits its calls. */
+    public boolean limited() {
+        return mLimit.isPresent();
+    }
+
+    /** Returns the limit in force, in calls per second of all hosts. */
+    public OptionalDouble callsPerSecond() {
+        return mLimit.isPresent()
+                ? OptionalDouble.of(mLimit.get().perSecond())
+                : OptionalDouble.empty();
+    }
+
+    /** Returns whether this host may make the given number of calls now. */
+    public boolean permits(int calls, long nowMillis) {
+        return mLimit.map(limit -> limit.permits(calls, nowMillis)).orElse(true);
+    }
+
+    /** Uses permits for the given number of calls, and returns whether the calls may be made. */
+    public boolean tryUse(int calls, long nowMillis) {
+        return mLimit.map(limit -> limit.tryUse(calls, nowMillis)).orElse(true);
+    }
+
+    /** Returns whether permits should be requested now; if so, marks the request as sent. */
+    public boolean beginPermitRequest(long nowMillis) {
+        return mLimit.map(limit -> limit.beginRequest(nowMillis)).orElse(false);
+    }
+
+    /** Records the response to a request for permits; 0 calls if it was denied. */
+    public void recordPermits(int calls, long retryMillis, long nowMillis) {
+        mLimit.ifPresent(
+                limit -> {
+                    if (calls > 0) {
+                        limit.recordGranted(calls, nowMillis);
+                    } else {
+                        limit.recordDenied(retryMillis, nowMillis);
+                    }
+                });
+    }
+
+    /** Returns the time until further calls may be permitted, in milliseconds. */
+    public long waitMillis(long nowMillis) {
+        return mLimit.map(limit -> limit.waitMillis(nowMillis)).orElse(0L);
+    }
+
+    private List<DirectiveChange> nameLimit(double perSecond) {
+        if (mLimit.isEmpty()) {
+            mLimit = Optional.of(new CallLimit(perSecond));
+        } else if (mLimit.get().perSecond() == perSecond) {
+            return List.of();
+        }
+        mLimit.get().updatePerSecond(perSecond);
+        return List.of(new DirectiveChange(DirectiveKind.LIMIT, String.valueOf(perSecond)));
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -54,7 +54,10 @@
      *     take the request
      */
     void requiredTokens(Backend engine, ReservationWait wait, Consumer<OptionalLong> done) {
-        if (mRelay.registry().reportDue(engine, mRelay.clock().millis())) {
+        if (mRelay.registry().isLimited(engine)) {
+            // Neither a report nor a reservation for growth is worth one of the permitted calls.
+            done.accept(OptionalLong.of(0));
+        } else if (mRelay.registry().reportDue(engine, mRelay.clock().millis())) {
             fetchReport(engine, () -> done.accept(requiredTokensNow(engine, wait)));
         } else {
             done.accept(requiredTokensNow(engine, wait));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -172,9 +172,9 @@
         if (mEnded) {
             return;
         }
-        if (mPooled && mResponse == null && outcome == SendOutcome.UNKNOWN) {
-            // A pooled connection may have been closed while it was idle. A prefill may be
-            // repeated.
+        // A pooled connection may have been closed while it was idle. A prefill may be repeated.
+        boolean mayResend = mPooled && mResponse == null && outcome == SendOutcome.UNKNOWN;
+        if (mayResend && mRelay.registry().tryCall(mEngine, 1, mRelay.clock().millis())) {
             open(false);
         } else {
             fail(outcome, String.valueOf(cause));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -20,6 +20,7 @@
  * @param demand measured demand of generations
  * @param returningClients how long callers wait and whether they retry, by route
  * @param connections connections to backend servers
+ * @param permits permits for backend servers that limit their calls
  * @param calls calls to backend servers beside the requests of callers
  * @param backendMessages codec of requests to backend servers
  * @param engineMessages codec of calls about engine memory
@@ -34,6 +35,7 @@
         DemandMeter demand,
         Table<ReturningCallers> returningClients,
         BackendConnections connections,
+        BackendPermits permits,
         BackendCalls calls,
         BackendMessages backendMessages,
         EngineMessages engineMessages,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -58,6 +59,7 @@
     private Optional<Backend> mFailedPrefillEngine = Optional.empty();
     private long mPlacementMillis = -1;
     private boolean mReserving;
+    private boolean mPermitRequested;
     private boolean mEnded;
 
     RequestExchange(
@@ -116,14 +118,49 @@
                                 mTried,
                                 mRelay.clock().millis());
         if (backend.isEmpty()) {
-            fail(SendOutcome.NOT_SENT, "no backend server available");
+            obtainPermitOrFail();
         } else {
+            mRelay.permits().requestInAdvance(mRequest.service(), mRequest.caller().size());
             send(
                     new ReservationSearch.Placement(backend.get(), Optional.empty()),
                     Optional.empty());
         }
     }
 
+    /** Requests a permit if only directives of the servers prevent the send; fails otherwise. */
+    private void obtainPermitOrFail() {
+        OptionalLong wait = directiveWait();
+        if (mPermitRequested || wait.isEmpty() || wait.getAsLong() > 0) {
+            fail(
+                    SendOutcome.NOT_SENT,
+                    wait.isPresent()
+                            ? "all backend servers limit their calls"
+                            : "no backend server available");
+            return;
+        }
+        mPermitRequested = true;
+        mRelay.permits()
+                .request(
+                        mRequest.service(),
+                        mRequest.caller().size(),
+                        mTried,
+                        mLoop,
+                        granted -> {
+                            if (!mEnded) {
+                                selectBackend();
+                            }
+                        });
+    }
+
+    private OptionalLong directiveWait() {
+        return mRelay.registry()
+                .directiveWaitMillis(
+                        mRequest.service(),
+                        mRequest.caller().size(),
+                        mTried,
+                        mRelay.clock().millis());
+    }
+
     private void placementFound(Optional<ReservationSearch.Placement> found) {
         mSearch = Optional.empty();
         if (found.isEmpty()) {
@@ -237,7 +274,7 @@
         }
         if (outcome == SendOutcome.REJECTED && attempt.prompt().isPresent()) {
             prefillResultLost(attempt, cause);
-        } else if (outcome == SendOutcome.UNKNOWN && mayResumeOnSameEngine()) {
+        } else if (outcome == SendOutcome.UNKNOWN && mayResumeOnSameEngine(attempt.target())) {
             resumeOnSameEngine(attempt, cause);
         } else {
             retryOrFail(attempt, outcome, cause);
@@ -257,9 +294,11 @@
         }
     }
 
-    private boolean mayResumeOnSameEngine() {
+    private boolean mayResumeOnSameEngine(Backend engine) {
         return mRequest.engine().isPresent()
-                && mRetryPolicy.mayResumeOnSameBackend(mRelay.clock().millis());
+                && mRetryPolicy.mayResumeOnSameBackend(mRelay.clock().millis())
+                && mRelay.registry()
+                        .tryCall(engine, mRequest.caller().size().calls(), mRelay.clock().millis());
     }
 
     /**
@@ -320,7 +359,9 @@
         mFailedPrefillEngine.ifPresent(
                 prefillEngine -> mRelay.registry().recordPrefillResultLost(prefillEngine, now));
         mPrefillEngine = Optional.empty();
-        boolean again = mRetryPolicy.resendToSameBackend(now, this::takeRetry);
+        boolean again =
+                mRelay.registry().tryCall(attempt.target(), 1, now)
+                        && mRetryPolicy.resendToSameBackend(now, this::takeRetry);
         if (!again) {
             retryOrFail(attempt, SendOutcome.REJECTED, cause);
             return;
@@ -407,7 +448,8 @@
             mResponse.abort();
             mRequestLog.truncated(mLastBackend, reason);
         } else {
-            mResponse.refuse(reply, mRequest.minRetryDelayMillis(mRelay.demand()));
+            long minDelayMillis = mRequest.minRetryDelayMillis(mRelay.demand());
+            mResponse.refuse(reply, Math.max(minDelayMillis, directiveWait().orElse(0)));
             mRequestLog.failed(reply, reason);
         }
         mRelay.metrics().recordRefusal(reply);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -47,6 +47,7 @@
     private final ReservePacing mReservePacing = new ReservePacing();
     private final GrowthCapacity mGrowthCapacity;
     private Optional<Backend> mPending = Optional.empty();
+    private boolean mPermitRequested;
     private boolean mClosed;
 
     ReservationSearch(
@@ -98,8 +99,12 @@
                         ? Optional.empty()
                         : mRelay.registry().select(mRequest.service(), size(), mAvoid, now);
         if (selected.isPresent()) {
+            mRelay.permits().requestInAdvance(mRequest.service(), size());
             reserve(selected.get());
-        } else if (!mReservationWait.mayRetry(now)) {
+        } else if (mayObtainPermit(now)) {
+            mRelay.permits()
+                    .request(mRequest.service(), size(), mAvoid, mLoop, granted -> findAgain());
+        } else if (!mReservationWait.mayRetry(now + directiveWaitMillis(now))) {
             mClosed = true;
             mListener.found(Optional.empty());
         } else {
@@ -108,6 +113,22 @@
         }
     }
 
+    /** Returns whether only directives prevent a reservation, and permits may be requested. */
+    private boolean mayObtainPermit(long nowMillis) {
+        OptionalLong wait = directiveWait(nowMillis);
+        boolean mayObtain = !mPermitRequested && wait.isPresent() && wait.getAsLong() == 0;
+        mPermitRequested |= mayObtain;
+        return mayObtain;
+    }
+
+    private long directiveWaitMillis(long nowMillis) {
+        return directiveWait(nowMillis).orElse(0);
+    }
+
+    private OptionalLong directiveWait(long nowMillis) {
+        return mRelay.registry().directiveWaitMillis(mRequest.service(), size(), mAvoid, nowMillis);
+    }
+
     /** Cancels the search because the request has ended. */
     void cancel() {
         mClosed = true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -106,6 +106,10 @@
      * anyway.
      */
     static void sendIgnoringFailure(RelayContext relay, Backend backend, RequestHeaders call) {
+        if (!mayCall(relay, backend)) {
+            relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), "server limits its calls");
+            return;
+        }
         relay.calls()
                 .call(backend, options(true, "release"), HttpRequest.of(call))
                 .exceptionally(
@@ -126,13 +130,19 @@
                         (response, failure) -> {
                             long spent = mRelay.clock().millis() - startMillis;
                             // A pooled connection may have been closed while it was idle.
-                            return pooled && failure != null && spent < CALL_TIMEOUT_MILLIS
+                            boolean mayResend =
+                                    pooled && failure != null && spent < CALL_TIMEOUT_MILLIS;
+                            return mayResend && mayCall(mRelay, mEngine)
                                     ? requestReservation(tokens, millis, false)
                                     : CompletableFuture.completedFuture(result(response, failure));
                         })
                 .thenCompose(Function.identity());
     }
 
+    private static boolean mayCall(RelayContext relay, Backend backend) {
+        return relay.registry().tryCall(backend, 1, relay.clock().millis());
+    }
+
     private static BackendCaller.Options options(boolean keepAlive, String cause) {
         return new BackendCaller.Options(keepAlive, CALL_TIMEOUT_MILLIS, cause);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -8,12 +8,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.message.PermitRequest;
+import org.cyclamenpaddle.core.message.PermitResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
 import org.cyclamenpaddle.core.time.Clock;
@@ -26,8 +27,9 @@
 import org.cyclamenpaddle.routing.limit.QuotaLimit;
 
 /**
- * Controller that shares the quotas of teams among the hosts: connects them, reports this host's
- * use at regular intervals, and lends from the shards that this host owns.
+ * Controller that shares limits among the hosts, the quotas of teams and the limits of backend
+ * servers: connects the hosts, reports this host's use of quotas at regular intervals, and lends
+ * from what this host owns.
  */
 public final class QuotaController implements AutoCloseable {
 
@@ -39,6 +41,8 @@
     private final HostRecord mSelf;
     private final PeerNetwork mNetwork;
     private final QuotaClient mClient;
+    private final PermitClient mPermits;
+    private final Clock mClock;
     private final ScheduledExecutorService mExecutor;
     private volatile QuotaMembers mMembers;
 
@@ -63,6 +67,7 @@
             Clock clock) {
         mConfigured = self;
         mExecutor = executor;
+        mClock = clock;
         mMembers = QuotaMembers.unknown(self);
         // Incarnations are compared for the same host only; none is compared here.
         mSelf =
@@ -74,15 +79,17 @@
                         0,
                         HostState.ALIVE);
         QuotaLender lender = new QuotaLender(bounds, () -> mMembers, limits, clock);
+        PermitLender permits = new PermitLender(() -> mMembers, clock);
         mNetwork =
                 PeerNetwork.onSharedLoops(
                         () -> mSelf,
-                        (from, message) -> respond(lender, from, message),
+                        (from, message) -> respond(lender, permits, from, message),
                         PEERS,
                         clock,
                         counters,
                         CommonPools.workerGroup());
         mClient = new QuotaClient(() -> mMembers, lender, this::send, log, clock);
+        mPermits = new PermitClient(() -> mMembers, permits, this::send, clock);
     }
 
     /**
@@ -108,9 +115,14 @@
         return mClient;
     }
 
-    /** Replaces the hosts that share quotas. */
+    /** Returns the permits for calls to backend servers with a limit. */
+    public Permits permits() {
+        return mPermits;
+    }
+
+    /** Replaces the hosts that share limits. */
     public void updateHosts(Collection<PeerAddress> listed) {
-        QuotaMembers updated = QuotaMembers.of(mConfigured, listed);
+        QuotaMembers updated = mMembers.updated(mConfigured, listed, mClock.millis());
         updated.goneSince(mMembers).forEach(mNetwork::removeHost);
         mMembers = updated;
     }
@@ -132,20 +144,31 @@
     }
 
     private CompletableFuture<Optional<QuotaResponse>> send(HostRecord to, QuotaRequest request) {
+        return request(to, request, QuotaResponse.class);
+    }
+
+    private CompletableFuture<Optional<PermitResponse>> send(HostRecord to, PermitRequest request) {
+        return request(to, request, PermitResponse.class);
+    }
+
+    private <R extends PeerMessage> CompletableFuture<Optional<R>> request(
+            HostRecord to, PeerMessage request, Class<R> response) {
         return mNetwork.request(to, request, QuotaTiming.TIMEOUT_MILLIS)
                 .thenApply(
                         result ->
                                 result.toJavaOptional()
-                                        .filter(QuotaResponse.class::isInstance)
-                                        .map(QuotaResponse.class::cast));
+                                        .filter(response::isInstance)
+                                        .map(response::cast));
     }
 
     private static CompletableFuture<Optional<PeerMessage>> respond(
-            QuotaLender lender, HostRecord from, PeerMessage message) {
-        HostId sender = from.incarnation().host();
-        return CompletableFuture.completedFuture(
-                message instanceof QuotaRequest request
-                        ? lender.lend(sender, request).map(PeerMessage.class::cast)
-                        : Optional.empty());
+            QuotaLender lender, PermitLender permits, HostRecord from, PeerMessage message) {
+        Optional<? extends PeerMessage> response = Optional.empty();
+        if (message instanceof QuotaRequest request) {
+            response = lender.lend(from.incarnation().host(), request);
+        } else if (message instanceof PermitRequest request) {
+            response = Optional.of(permits.lend(request));
+        }
+        return CompletableFuture.completedFuture(response.map(PeerMessage.class::cast));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
@@ -17,7 +17,7 @@
 import org.cyclamenpaddle.fleet.ownership.Rendezvous;
 
 /**
- * Immutable snapshot of the hosts that share quotas, and the owners of each shard among them.
+ * Immutable snapshot of the hosts that share limits, and the owners of the limits among them.
  *
  * <p>Owners follow from the names of the hosts alone, so that hosts with the same view agree.
  */
@@ -41,34 +41,51 @@
     private final HostId mSelf;
     private final Map<HostId, HostRecord> mHosts;
     private final int mHostCount;
+    private final boolean mCounted;
+    private final long mChangedMillis;
+    private final List<HostRecord> mOwnDomain;
     private final List<List<HostId>> mCandidates;
 
-    private QuotaMembers(PeerAddress self, Map<HostId, HostRecord> hosts, int hostCount) {
+    private QuotaMembers(
+            PeerAddress self,
+            Map<HostId, HostRecord> hosts,
+            int hostCount,
+            boolean counted,
+            long changedMillis) {
         mSelf = self.host();
         mHosts = hosts;
         mHostCount = hostCount;
-        List<HostRecord> ownDomain =
+        mCounted = counted;
+        mChangedMillis = changedMillis;
+        mOwnDomain =
                 hosts.values().stream()
                         .filter(host -> host.domain().equals(self.domain()))
                         .toList();
         mCandidates =
                 Stream.iterate(0, shard -> shard + 1)
                         .limit(SHARDS)
-                        .map(shard -> candidates("quota-" + shard, ownDomain))
+                        .map(shard -> shardCandidates(shard))
                         .toList();
     }
 
     /** Returns the view of a host that knows no other one yet. */
     static QuotaMembers unknown(PeerAddress self) {
-        return new QuotaMembers(self, Map.of(self.host(), record(self)), ASSUMED_HOSTS);
+        return new QuotaMembers(self, Map.of(self.host(), record(self)), ASSUMED_HOSTS, false, 0);
     }
 
-    /** Returns the view of a host after a listing. */
+    /** Returns the view of a host after its first listing. */
     static QuotaMembers of(PeerAddress self, Collection<PeerAddress> listed) {
+        return unknown(self).updated(self, listed, 0);
+    }
+
+    /** Returns the view of a host after a listing that follows this one. */
+    QuotaMembers updated(PeerAddress self, Collection<PeerAddress> listed, long nowMillis) {
         Map<HostId, HostRecord> hosts = new HashMap<>();
         listed.forEach(peer -> hosts.put(peer.host(), record(peer)));
         hosts.put(self.host(), record(self));
-        return new QuotaMembers(self, hosts, hosts.size());
+        boolean unchanged = mCounted && hosts.keySet().equals(mHosts.keySet());
+        return new QuotaMembers(
+                self, hosts, hosts.size(), true, unchanged ? mChangedMillis : nowMillis);
     }
 
     /** Returns the shard of a team. */
@@ -88,6 +105,32 @@
         return mCandidates.get(shard).get(0).equals(mSelf);
     }
 
+    /**
+     * Returns the hosts that may lend from the limit of a subject: its owner, a deputy for all
+     * hosts, and a deputy in this host's failure domain.
+     */
+    List<HostId> owners(String subject) {
+        return names(
+                Stream.concat(
+                        Rendezvous.top(subject, mHosts.values(), GLOBAL_OWNERS).stream(),
+                        Rendezvous.top(subject, mOwnDomain, 1).stream()));
+    }
+
+    /** Returns whether this host is the owner of the limit of a subject in its own view. */
+    boolean isOwner(String subject) {
+        return owners(subject).get(0).equals(mSelf);
+    }
+
+    /** Returns whether the hosts have been listed. */
+    boolean counted() {
+        return mCounted;
+    }
+
+    /** Returns the time at which a listing last changed the hosts. */
+    long changedMillis() {
+        return mChangedMillis;
+    }
+
     HostId self() {
         return mSelf;
     }
@@ -112,15 +155,16 @@
         return gone;
     }
 
-    private List<HostId> candidates(String subject, List<HostRecord> ownDomain) {
+    private List<HostId> shardCandidates(int shard) {
+        String subject = "quota-" + shard;
         Stream<HostRecord> global =
                 Rendezvous.top(subject, mHosts.values(), GLOBAL_OWNERS).stream();
-        Stream<HostRecord> deputies = Rendezvous.top(subject, ownDomain, DOMAIN_DEPUTIES).stream();
-        return Stream.concat(
-                        Stream.concat(global, deputies).map(host -> host.incarnation().host()),
-                        Stream.of(mSelf))
-                .distinct()
-                .collect(Collectors.toList());
+        Stream<HostRecord> deputies = Rendezvous.top(subject, mOwnDomain, DOMAIN_DEPUTIES).stream();
+        return names(Stream.of(global, deputies, find(mSelf).stream()).flatMap(hosts -> hosts));
+    }
+
+    private static List<HostId> names(Stream<HostRecord> hosts) {
+        return hosts.map(host -> host.incarnation().host()).distinct().collect(Collectors.toList());
     }
 
     private static HostRecord record(PeerAddress peer) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleController.java
@@ -50,6 +50,9 @@
      */
     private static final int CHANGE_TIMEOUT_FACTOR = 2;
 
+    /** Calls for one order: the number of accepted orders, and the order itself. */
+    private static final int CALLS_PER_ORDER = 2;
+
     private record PendingChange(BackendStage stage, long untilMillis) {}
 
     /**
@@ -186,7 +189,7 @@
                 mServices.current().entrySet().stream()
                         .flatMap(entry -> nextChange(entry.getKey(), entry.getValue()).stream())
                         .findFirst();
-        if (change.isEmpty()) {
+        if (change.isEmpty() || !mayCall(change.get().engine())) {
             scheduleNext(HOLDER_INTERVAL_MILLIS);
             return;
         }
@@ -196,6 +199,10 @@
                 .thenAcceptAsync(accepted -> sendOrder(change.get(), accepted), mExecutor);
     }
 
+    private boolean mayCall(Backend engine) {
+        return mDependencies.registry().tryCall(engine, CALLS_PER_ORDER, mClock.millis());
+    }
+
     private Optional<StageChange> nextChange(ServiceName service, EngineProfile profile) {
         List<Backend> engines =
                 mDependencies.registry().usable(service).stream()
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
@@ -12,9 +12,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.PermitRequest;
 import org.cyclamenpaddle.core.time.MonotonicClock;
 import org.cyclamenpaddle.peer.net.PeerCounters;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
@@ -118,4 +120,39 @@
         TimeUnit.MILLISECONDS.sleep(300);
         awaitAdmission(survivor);
     }
+
+    private static boolean permitted(QuotaController host, double perSecond) {
+        PermitRequest request =
+                new PermitRequest(new BackendId("booking-1"), 1, Math.round(perSecond * 1_000), 1);
+        return host.permits().request(request).orTimeout(10, TimeUnit.SECONDS).join().granted();
+    }
+
+    /** Each host permits calls to a limited server as if it were the only one. */
+    @Test
+    public void hostsTogetherStayWithinTheLimitOfAServer() {
+        double perSecond = 20;
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(RUN_SECONDS);
+        int permitted = 0;
+        for (int i = 0; System.nanoTime() < end; i++) {
+            permitted += permitted(mHosts.get(i % mHosts.size()), perSecond) ? 1 : 0;
+        }
+        double most = perSecond * RUN_SECONDS;
+        assertTrue(permitted <= most, permitted + " calls permitted, the limit is " + most);
+        assertTrue(permitted > most / 4, permitted + " calls permitted of " + most);
+    }
+
+    /** The owner of a server's limit dies, and no host may call the server any more. */
+    @Test
+    public void deputyPermitsCallsAfterTheOwnerHasDied() throws InterruptedException {
+        QuotaMembers members = QuotaMembers.of(mAddresses.get(0), mAddresses);
+        HostId owner = members.owners("booking-1").get(0);
+        int index = Integer.parseInt(owner.value().substring(2)) - 1;
+        mHosts.get(index).close();
+        QuotaController survivor = mHosts.get((index + 1) % mHosts.size());
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!permitted(survivor, 20)) {
+            assertTrue(System.nanoTime() < deadline, "nothing permitted within 20 s");
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
 }
