Log how long a backend server wants no requests

CP2114 and the counter of directives now name it (PAUSE), with server, incarnation and request. Nothing acts on it yet.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
@@ -1,8 +1,10 @@
 package org.cyclamenpaddle.relay.directive;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * Directives in force of one incarnation of a backend server, as this host has received them.
@@ -15,6 +17,7 @@
 
     private Optional<CallLimit> mLimit = Optional.empty();
     private long mNamedMillis;
+    private long mPausedUntilMillis = Long.MIN_VALUE / 2;
 
     /**
      * Applies the directives of a response.
@@ -25,6 +28,24 @@
      * @return what has changed
      */
     public List<DirectiveChange> apply(Directives directives, long sentMillis, long nowMillis) {
+        List<DirectiveChange> changes = new ArrayList<>();
+        applyPause(directives.pauseMillis(), nowMillis).ifPresent(changes::add);
+        applyLimit(directives, sentMillis, nowMillis).ifPresent(changes::add);
+        return changes;
+    }
+
+    /** A later response never shortens a pause; it may be older than the one that began it. */
+    private Optional<DirectiveChange> applyPause(OptionalLong pauseMillis, long nowMillis) {
+        if (pauseMillis.isEmpty() || nowMillis + pauseMillis.getAsLong() <= mPausedUntilMillis) {
+            return Optional.empty();
+        }
+        mPausedUntilMillis = nowMillis + pauseMillis.getAsLong();
+        String value = String.valueOf(pauseMillis.getAsLong());
+        return Optional.of(new DirectiveChange(DirectiveKind.PAUSE, value));
+    }
+
+    private Optional<DirectiveChange> applyLimit(
+            Directives directives, long sentMillis, long nowMillis) {
         OptionalDouble named = directives.requestsPerSecond();
         if (named.isPresent()) {
             mNamedMillis = nowMillis;
@@ -33,10 +54,10 @@
         boolean lifted =
                 mLimit.isPresent() && !directives.unreadable() && sentMillis >= mNamedMillis;
         if (!lifted) {
-            return List.of();
+            return Optional.empty();
         }
         mLimit = Optional.empty();
-        return List.of(new DirectiveChange(DirectiveKind.LIMIT, DirectiveChange.NONE));
+        return Optional.of(new DirectiveChange(DirectiveKind.LIMIT, DirectiveChange.NONE));
     }
 
     /** Returns whether the server limits its calls. */
@@ -83,13 +104,13 @@
         return mLimit.map(limit -> limit.waitMillis(nowMillis)).orElse(0L);
     }
 
-    private List<DirectiveChange> nameLimit(double perSecond) {
+    private Optional<DirectiveChange> nameLimit(double perSecond) {
         if (mLimit.isEmpty()) {
             mLimit = Optional.of(new CallLimit(perSecond));
         } else if (mLimit.get().perSecond() == perSecond) {
-            return List.of();
+            return Optional.empty();
         }
         mLimit.get().updatePerSecond(perSecond);
-        return List.of(new DirectiveChange(DirectiveKind.LIMIT, String.valueOf(perSecond)));
+        return Optional.of(new DirectiveChange(DirectiveKind.LIMIT, String.valueOf(perSecond)));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveValues.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveValues.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import java.util.stream.DoubleStream;
 
@@ -14,19 +15,34 @@
  */
 public final class DirectiveValues {
 
+    /**
+     * Maximum time without requests, in milliseconds, so that a faulty value does not take a server
+     * out of service for good.
+     */
+    static final long MAX_PAUSE_MILLIS = 600_000;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** Larger and more precise numbers are of no use as a rate or a duration. */
     private static final Pattern DECIMAL = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
     private DirectiveValues() {}
 
     /**
-     * Reads a limit.
+     * Reads the directives of a response. Each value may be a list of numbers.
      *
-     * @param values values of the header; each may be a list, of which the lowest number applies
+     * @param limits requests per second; the lowest number applies
+     * @param pauses seconds without requests; the longest time applies, up to {@link
+     *     #MAX_PAUSE_MILLIS}
      */
-    public static Directives limit(Collection<String> values) {
-        OptionalDouble lowest = numbers(values).min();
-        return new Directives(lowest, !values.isEmpty() && lowest.isEmpty());
+    public static Directives of(Collection<String> limits, Collection<String> pauses) {
+        OptionalDouble lowest = numbers(limits).min();
+        OptionalLong longest =
+                numbers(pauses)
+                        .mapToLong(seconds -> (long) Math.ceil(seconds * MILLIS_PER_SECOND))
+                        .map(millis -> Math.min(MAX_PAUSE_MILLIS, millis))
+                        .max();
+        return new Directives(lowest, !limits.isEmpty() && lowest.isEmpty(), longest);
     }
 
     private static DoubleStream numbers(Collection<String> values) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/Directives.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/Directives.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.directive;
 
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * What a backend server asks of its callers in the head of one response.
@@ -9,16 +10,24 @@
  *     names none
  * @param unreadable whether the response names a rate that cannot be read; it neither sets nor
  *     lifts a limit
+ * @param pauseMillis time for which the server wants no request of this host; empty if it asks for
+ *     no such time
  */
-public record Directives(OptionalDouble requestsPerSecond, boolean unreadable) {
+public record Directives(
+        OptionalDouble requestsPerSecond, boolean unreadable, OptionalLong pauseMillis) {
 
     /** A response that asks for nothing. */
-    public static final Directives NONE = new Directives(OptionalDouble.empty(), false);
+    public static final Directives NONE =
+            new Directives(OptionalDouble.empty(), false, OptionalLong.empty());
 
     public Directives {
         if (requestsPerSecond == null || requestsPerSecond.orElse(0) < 0) {
             throw new IllegalArgumentException(
                     "rate must be empty or at least 0, but is " + requestsPerSecond);
         }
+        if (pauseMillis == null || pauseMillis.orElse(0) < 0) {
+            throw new IllegalArgumentException(
+                    "pause must be empty or at least 0 ms, but is " + pauseMillis);
+        }
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/directive/DirectiveStateTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/directive/DirectiveStateTest.java
@@ -4,15 +4,17 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.testng.annotations.Test;
 
 /** Tests which responses set, change and lift a directive. */
 public class DirectiveStateTest {
 
-    private static final Directives UNREADABLE = new Directives(OptionalDouble.empty(), true);
+    private static final Directives UNREADABLE =
+            new Directives(OptionalDouble.empty(), true, OptionalLong.empty());
 
     private static Directives limit(double perSecond) {
-        return new Directives(OptionalDouble.of(perSecond), false);
+        return new Directives(OptionalDouble.of(perSecond), false, OptionalLong.empty());
     }
 
     private static List<DirectiveChange> change(String value) {
