Send a backend server nothing while it asks for no requests

Cause: Retry-After of a server was not evaluated. A rejection only raised the server's cost for some seconds, so that load decided whether it got further requests.

Change: the time is kept with the server's directives, by incarnation, and each way out of the host checks it: selection, also of a service's last server, prefills, resends, reservations, cancels, orders, reports. A call that waits for a connection is checked again before it is written (WITHHELD, no evidence about the server's health), and a generation whose engine asks for no requests after it granted a reservation is placed again. Where all servers of a service ask for none, callers are rejected at once, with a time to retry not before the first of them accepts requests, spread over as long again.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -55,7 +55,7 @@
      */
     boolean recordOutcome(SendOutcome outcome, long nowMillis) {
         mProbeInFlight = false;
-        if (outcome == SendOutcome.ABANDONED) {
+        if (!outcome.concernsHealth()) {
             return false;
         }
         if (outcome == SendOutcome.SILENT) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -49,6 +49,10 @@
                     && connectivity(backend).admits(nowMillis);
         }
 
+        private boolean acceptsCalls(Backend backend, long nowMillis) {
+            return stateOf(backend).directives().acceptsCalls(nowMillis);
+        }
+
         /** Returns whether what the server asks of its callers leaves room for a request. */
         private boolean permits(Backend backend, WorkSize size, long nowMillis) {
             return stateOf(backend).directives().permits(backend.stage().calls(size), nowMillis);
@@ -75,7 +79,7 @@
     private final FailureDomain mOwnDomain;
     private final CostSettings mCosts;
     private final DoubleSupplier mRandom;
-    private volatile boolean mLimitsSeen;
+    private volatile boolean mDirectivesSeen;
     private final Table<State> mTable = new Table<>(TableOrder.BACKENDS, new State());
 
     /**
@@ -243,7 +247,7 @@
                                 state.stateOf(backend)
                                         .directives()
                                         .apply(directives, sentMillis, nowMillis));
-        mLimitsSeen |= directives.requestsPerSecond().isPresent();
+        mDirectivesSeen |= !changes.isEmpty();
         return changes;
     }
 
@@ -258,7 +262,7 @@
      */
     public List<LimitedBackend> limited(
             ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
-        if (!mLimitsSeen) {
+        if (!mDirectivesSeen) {
             return List.of();
         }
         return mTable.read(
@@ -266,6 +270,7 @@
                         state.mDirectory
                                 .usable(service)
                                 .filter(backend -> !avoid.contains(backend.id()))
+                                .filter(backend -> state.acceptsCalls(backend, nowMillis))
                                 .filter(backend -> !state.permits(backend, size, nowMillis))
                                 .sorted(Comparator.comparing(backend -> mRandom.getAsDouble()))
                                 .flatMap(backend -> limited(state, backend, size).stream())
@@ -283,7 +288,7 @@
      */
     public OptionalLong directiveWaitMillis(
             ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
-        if (!mLimitsSeen) {
+        if (!mDirectivesSeen) {
             return OptionalLong.empty();
         }
         return mTable.read(
@@ -337,9 +342,17 @@
         return mTable.read(state -> state.stateOf(backend).directives().tryUse(calls, nowMillis));
     }
 
-    /** Returns whether a server limits its calls, so that calls which can be left out are. */
-    public boolean isLimited(Backend backend) {
-        return mTable.read(state -> state.stateOf(backend).directives().limited());
+    /**
+     * Returns whether a server still accepts a call for which permits were used before; it may have
+     * asked for no calls since.
+     */
+    public boolean acceptsCalls(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.acceptsCalls(backend, nowMillis));
+    }
+
+    /** Returns whether a server asks for fewer calls, so that calls which can be left out are. */
+    public boolean isRestricted(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().restricted(nowMillis));
     }
 
     private static Optional<LimitedBackend> limited(State state, Backend backend, WorkSize size) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/SendOutcome.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/SendOutcome.java
@@ -4,6 +4,8 @@
 public enum SendOutcome {
     /** No byte of the request was sent, and none will be. */
     NOT_SENT(false, true),
+    /** No byte was sent, because the server asked for no requests after the send had begun. */
+    WITHHELD(false, false),
     /** The server responded that it has not run the request and never will. */
     REJECTED(false, false),
     /** The server responded that it is not the intended one and has not run the request. */
@@ -35,6 +37,16 @@
         return mMayHaveRun;
     }
 
+    /** Returns whether no byte of the request was sent. */
+    public boolean unsent() {
+        return this == NOT_SENT || this == WITHHELD;
+    }
+
+    /** Returns whether the outcome shows anything about the health of the server. */
+    public boolean concernsHealth() {
+        return this != ABANDONED && this != WITHHELD;
+    }
+
     /** Returns whether the server has responded. */
     public boolean serverResponded() {
         return this == REJECTED || this == MISDIRECTED || this == SUCCEEDED || this == FAILED;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
@@ -60,9 +60,14 @@
         return Optional.of(new DirectiveChange(DirectiveKind.LIMIT, DirectiveChange.NONE));
     }
 
-    /** Returns whether the server limits its calls. */
-    public boolean limited() {
-        return mLimit.isPresent();
+    /** Returns whether the server accepts calls of this host, apart from its limit. */
+    public boolean acceptsCalls(long nowMillis) {
+        return nowMillis >= mPausedUntilMillis;
+    }
+
+    /** Returns whether the server asks for fewer calls, so that calls which can be left out are. */
+    public boolean restricted(long nowMillis) {
+        return mLimit.isPresent() || !acceptsCalls(nowMillis);
     }
 
     /** Returns the limit in force, in calls per second of all hosts. */
@@ -74,12 +79,14 @@
 
     /** Returns whether this host may make the given number of calls now. */
     public boolean permits(int calls, long nowMillis) {
-        return mLimit.map(limit -> limit.permits(calls, nowMillis)).orElse(true);
+        return acceptsCalls(nowMillis)
+                && mLimit.map(limit -> limit.permits(calls, nowMillis)).orElse(true);
     }
 
     /** Uses permits for the given number of calls, and returns whether the calls may be made. */
     public boolean tryUse(int calls, long nowMillis) {
-        return mLimit.map(limit -> limit.tryUse(calls, nowMillis)).orElse(true);
+        return acceptsCalls(nowMillis)
+                && mLimit.map(limit -> limit.tryUse(calls, nowMillis)).orElse(true);
     }
 
     /** Returns whether permits should be requested now; if so, marks the request as sent. */
@@ -101,7 +108,8 @@
 
     /** Returns the time until further calls may be permitted, in milliseconds. */
     public long waitMillis(long nowMillis) {
-        return mLimit.map(limit -> limit.waitMillis(nowMillis)).orElse(0L);
+        long limitMillis = mLimit.map(limit -> limit.waitMillis(nowMillis)).orElse(0L);
+        return Math.max(limitMillis, mPausedUntilMillis - nowMillis);
     }
 
     private Optional<DirectiveChange> nameLimit(double perSecond) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -132,6 +132,7 @@
                         mRelay.backendMessages(),
                         mLoop,
                         this);
+        mRelay.calls().withholdIfUnwanted(target(), mExchange.context());
         mExchange.subscribe();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -1,10 +1,16 @@
 package org.cyclamenpaddle.relay.front;
 
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.ClientRequestContextCaptor;
+import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.logging.RequestLogProperty;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.engine.http.BackendConnections;
@@ -49,13 +55,7 @@
     public CompletableFuture<AggregatedHttpResponse> call(
             Backend target, Options options, HttpRequest request) {
         long sentMillis = mClock.millis();
-        return mConnections
-                .client(target.address(), target.port(), options.keepAlive())
-                .execute(
-                        request,
-                        RequestOptions.builder()
-                                .responseTimeoutMillis(options.timeoutMillis())
-                                .build())
+        return execute(target, options, request)
                 .aggregate()
                 .thenApply(
                         response -> {
@@ -64,6 +64,38 @@
                         });
     }
 
+    private HttpResponse execute(Backend target, Options options, HttpRequest request) {
+        WebClient client =
+                mConnections.client(target.address(), target.port(), options.keepAlive());
+        try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
+            HttpResponse response =
+                    client.execute(
+                            request,
+                            RequestOptions.builder()
+                                    .responseTimeoutMillis(options.timeoutMillis())
+                                    .build());
+            withholdIfUnwanted(target, captor.get());
+            return response;
+        }
+    }
+
+    /**
+     * Cancels a call that waits for a connection if its server asks for no calls in the meantime.
+     *
+     * @param target server that the call is addressed to
+     * @param call the call, which has just been started
+     */
+    void withholdIfUnwanted(Backend target, ClientRequestContext call) {
+        call.log()
+                .whenAvailable(RequestLogProperty.SESSION)
+                .thenRun(
+                        () -> {
+                            if (!mRegistry.acceptsCalls(target, mClock.millis())) {
+                                call.cancel(new CallWithheldException(target.id().value()));
+                            }
+                        });
+    }
+
     /**
      * Records what a server asks for in the head of a response.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -80,6 +80,11 @@
         }
     }
 
+    /** Returns the call of this exchange. */
+    ClientRequestContext context() {
+        return mContext;
+    }
+
     /** Starts delivering the response to the listener. */
     void subscribe() {
         mResponse.subscribe(this, mLoop);
@@ -144,8 +149,16 @@
             return;
         }
         mClosed = true;
-        boolean unsent = CallFailure.of(mContext, failure) == CallFailure.NOT_CONNECTED;
-        mListener.failed(unsent ? SendOutcome.NOT_SENT : SendOutcome.UNKNOWN, failure);
+        mListener.failed(outcome(failure), failure);
+    }
+
+    private SendOutcome outcome(Throwable failure) {
+        if (CallWithheldException.causes(failure)) {
+            return SendOutcome.WITHHELD;
+        }
+        return CallFailure.of(mContext, failure) == CallFailure.NOT_CONNECTED
+                ? SendOutcome.NOT_SENT
+                : SendOutcome.UNKNOWN;
     }
 
     @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ExchangeListener.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ExchangeListener.java
@@ -19,7 +19,8 @@
     /**
      * Called once when the response will not be completed.
      *
-     * @param outcome {@link SendOutcome#NOT_SENT} or {@link SendOutcome#UNKNOWN}
+     * @param outcome {@link SendOutcome#NOT_SENT}, {@link SendOutcome#WITHHELD} or {@link
+     *     SendOutcome#UNKNOWN}
      * @param cause failure, for logs
      */
     void failed(SendOutcome outcome, Throwable cause);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -104,6 +104,7 @@
                         mRelay.backendMessages(),
                         mLoop,
                         this);
+        mRelay.calls().withholdIfUnwanted(mEngine, mExchange.context());
         mExchange.subscribe();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -134,7 +134,7 @@
             fail(
                     SendOutcome.NOT_SENT,
                     wait.isPresent()
-                            ? "all backend servers limit their calls"
+                            ? "all backend servers ask for fewer requests"
                             : "no backend server available");
             return;
         }
@@ -220,12 +220,37 @@
 
     private void send(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
         Backend backend = placement.backend();
+        if (!mRelay.registry().acceptsCalls(backend, mRelay.clock().millis())) {
+            placeAgain(placement, prompt);
+            return;
+        }
         mTried.add(backend.id());
         mLastBackend = Optional.of(backend);
         mRetryPolicy.beginSend();
         open(placement, prompt);
     }
 
+    /** Looks for another server after the chosen one has asked for no requests. */
+    private void placeAgain(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
+        cancelPlacement(placement);
+        prompt.ifPresent(this::releasePrompt);
+        // A second prefill of the request counts as a retry.
+        if (prompt.isEmpty() || takeRetry()) {
+            selectBackend();
+        } else {
+            fail(SendOutcome.NOT_SENT, "engine asks for no requests, retry budget empty");
+        }
+    }
+
+    private void releasePrompt(PromptHandle prompt) {
+        mPrefillEngine.ifPresent(
+                prefillEngine ->
+                        ReserveCall.sendIgnoringFailure(
+                                mRelay,
+                                prefillEngine,
+                                mRelay.engineMessages().release(prefillEngine, prompt)));
+    }
+
     private void open(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
         Backend backend = placement.backend();
         BackendCall call =
@@ -396,17 +421,7 @@
     /** Releases the prefilled prompt if the backend server did not fetch it. */
     private void releaseUnusedPrompt(BackendAttempt attempt, SendOutcome outcome) {
         if (!outcome.mayHaveRun()) {
-            mPrefillEngine.ifPresent(
-                    prefillEngine ->
-                            attempt.prompt()
-                                    .map(
-                                            prompt ->
-                                                    mRelay.engineMessages()
-                                                            .release(prefillEngine, prompt))
-                                    .ifPresent(
-                                            call ->
-                                                    ReserveCall.sendIgnoringFailure(
-                                                            mRelay, prefillEngine, call)));
+            attempt.prompt().ifPresent(this::releasePrompt);
         }
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.cyclamenpaddle.engine.http.CallFailure;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -107,7 +108,7 @@
      */
     static void sendIgnoringFailure(RelayContext relay, Backend backend, RequestHeaders call) {
         if (!mayCall(relay, backend)) {
-            relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), "server limits its calls");
+            relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), "server asks for fewer calls");
             return;
         }
         relay.calls()
@@ -149,7 +150,11 @@
 
     private Result result(AggregatedHttpResponse response, Throwable failure) {
         if (failure != null) {
-            return new Result(Optional.empty(), SendOutcome.NOT_SENT, String.valueOf(failure));
+            boolean withheld = CallWithheldException.causes(CallFailure.cause(failure));
+            return new Result(
+                    Optional.empty(),
+                    withheld ? SendOutcome.WITHHELD : SendOutcome.NOT_SENT,
+                    String.valueOf(failure));
         }
         if (response.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
             return new Result(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -161,7 +161,7 @@
     public RetryDecision endSend(SendOutcome outcome, long nowMillis, BooleanSupplier budget) {
         Invariants.require(mSendInFlight, () -> "send ended that was not started");
         mSendInFlight = false;
-        if (outcome == SendOutcome.NOT_SENT) {
+        if (outcome.unsent()) {
             mSends--;
             mUnsent++;
         }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/directive/DirectiveStateTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/directive/DirectiveStateTest.java
@@ -1,6 +1,8 @@
 package org.cyclamenpaddle.relay.directive;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.OptionalDouble;
@@ -41,6 +43,35 @@
         assertEquals(state.apply(Directives.NONE, 15, 900), change("none"));
     }
 
+    private static Directives pause(long millis) {
+        return new Directives(OptionalDouble.empty(), false, OptionalLong.of(millis));
+    }
+
+    /** A shorter time in a later response ends a pause early. */
+    @Test
+    public void pauseLastsUntilTheLatestEndThatWasAskedFor() {
+        DirectiveState state = new DirectiveState();
+        state.apply(pause(3_000), 0, 100);
+        state.apply(pause(500), 50, 200);
+        state.apply(Directives.NONE, 300, 400);
+        assertFalse(state.acceptsCalls(3_099));
+        assertFalse(state.tryUse(1, 3_099));
+        assertTrue(state.tryUse(1, 3_100));
+    }
+
+    /** A pause or a limit alone permits calls while the other one forbids them. */
+    @Test
+    public void pauseAndLimitHoldTogether() {
+        DirectiveState state = new DirectiveState();
+        Directives both = new Directives(OptionalDouble.of(1), false, OptionalLong.of(100));
+        state.apply(both, 0, 10);
+        assertFalse(state.permits(1, 200), "not paused, but without a permit");
+        state.recordPermits(2, 0, 200);
+        state.apply(both, 210, 220);
+        assertFalse(state.permits(1, 319), "permitted, but paused");
+        assertTrue(state.permits(1, 320));
+    }
+
     /** A malformed value lifts the limit that is in force. */
     @Test
     public void unreadableValueNeitherSetsNorLiftsALimit() {
