Keep directives of a server while its entry is missing

A listing without a server dropped its state on this host, and with it the limit or the pause in force, although entries are missing for some seconds whenever the store was away. When the entry came back, the server got requests within its pause, and calls without permits.

Directives in force now outlast a missing entry: a pause until its end, a limit for 60 s. BackendCallsTest.directivesOutlastAMissingEntry failed before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -100,7 +100,7 @@
         mTable.write(
                 state -> {
                     state.mDirectory.applyListing(listed, nowMillis);
-                    state.mStates.keySet().removeIf(id -> unused(state, id));
+                    state.mStates.keySet().removeIf(id -> unused(state, id, nowMillis));
                 });
     }
 
@@ -537,8 +537,11 @@
                 + backendState.excessWaitMillis(nowMillis);
     }
 
-    private static boolean unused(State state, BackendId id) {
+    /** An entry may be missing for a time; the server's directives still hold when it is back. */
+    private static boolean unused(State state, BackendId id, long nowMillis) {
+        BackendState backendState = state.mStates.get(id);
         return state.mDirectory.find(id).isEmpty()
-                && state.mStates.get(id).inFlightWork().requests() == 0;
+                && backendState.inFlightWork().requests() == 0
+                && !backendState.directives().retained(nowMillis);
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
@@ -15,8 +15,15 @@
  */
 public final class DirectiveState {
 
+    /**
+     * Time for which directives are kept of a server that the store does not list, in milliseconds;
+     * longer than any entry is missing while its server runs.
+     */
+    static final long RETENTION_MILLIS = 60_000;
+
     private Optional<CallLimit> mLimit = Optional.empty();
     private long mNamedMillis;
+    private long mAppliedMillis;
     private long mPausedUntilMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -28,6 +35,7 @@
      * @return what has changed
      */
     public List<DirectiveChange> apply(Directives directives, long sentMillis, long nowMillis) {
+        mAppliedMillis = nowMillis;
         List<DirectiveChange> changes = new ArrayList<>();
         applyPause(directives.pauseMillis(), nowMillis).ifPresent(changes::add);
         applyLimit(directives, sentMillis, nowMillis).ifPresent(changes::add);
@@ -77,6 +85,12 @@
                 : OptionalDouble.empty();
     }
 
+    /** Returns whether directives are in force that must outlast a missing entry of the server. */
+    public boolean retained(long nowMillis) {
+        return !acceptsCalls(nowMillis)
+                || mLimit.isPresent() && nowMillis - mAppliedMillis < RETENTION_MILLIS;
+    }
+
     /** Returns whether this host may make the given number of calls now. */
     public boolean permits(int calls, long nowMillis) {
         return acceptsCalls(nowMillis)
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -165,6 +165,15 @@
                 Optional.of(mBackend));
     }
 
+    /** A listing lacks a server for a moment, and the server gets requests within its pause. */
+    @Test
+    public void directivesOutlastAMissingEntry() {
+        mRegistry.recordDirectives(mBackend, PAUSE, 1_000, 1_000);
+        mRegistry.applyListing(Map.of(), 1_100);
+        mRegistry.applyListing(Map.of(mBackend.id(), mBackend), 1_200);
+        assertTrue(mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 3_999).isEmpty());
+    }
+
     /** A restarted server is left out because the process before it had asked for no calls. */
     @Test
     public void directivesEndWithTheIncarnationOfTheServer() {
