Give a server that announces its shutdown no new work

A server may announce its shutdown in any response, some seconds before the store lists it as draining, or where the store never does. Hosts sent it new requests until the store told them.

The announcement is kept with the server's directives and holds from any response until another incarnation is listed. Selection, the last server of a service and lapsed entries included, prefills, resends and orders leave the server out; calls that wait for a connection are withheld; running requests go on, and reservations and prompts there are still released.

RelayDirectivesTest.serverThatAnnouncesItsShutdownGetsNoNewRequest failed before (the leaving server responded to further requests).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -49,8 +49,14 @@
                     && connectivity(backend).admits(nowMillis);
         }
 
-        private boolean acceptsCalls(Backend backend, long nowMillis) {
-            return stateOf(backend).directives().acceptsCalls(nowMillis);
+        private boolean acceptsWork(Backend backend, long nowMillis) {
+            return stateOf(backend).directives().acceptsWork(nowMillis);
+        }
+
+        private Stream<Backend> staying(ServiceName service) {
+            return mDirectory
+                    .usable(service)
+                    .filter(backend -> !stateOf(backend).directives().leaving());
         }
 
         /** Returns whether what the server asks of its callers leaves room for a request. */
@@ -109,9 +115,9 @@
         mTable.write(state -> state.mDirectory.applyChange(id, entry, nowMillis));
     }
 
-    /** Returns the servers of a service that accept new requests. */
+    /** Returns the servers of a service that are not about to shut down. */
     public List<Backend> usable(ServiceName service) {
-        return mTable.read(state -> state.mDirectory.usable(service).toList());
+        return mTable.read(state -> state.staying(service).toList());
     }
 
     /** Returns the number of servers in the store. */
@@ -270,7 +276,7 @@
                         state.mDirectory
                                 .usable(service)
                                 .filter(backend -> !avoid.contains(backend.id()))
-                                .filter(backend -> state.acceptsCalls(backend, nowMillis))
+                                .filter(backend -> state.acceptsWork(backend, nowMillis))
                                 .filter(backend -> !state.permits(backend, size, nowMillis))
                                 .sorted(Comparator.comparing(backend -> mRandom.getAsDouble()))
                                 .flatMap(backend -> limited(state, backend, size).stream())
@@ -294,8 +300,7 @@
         return mTable.read(
                 state -> {
                     List<Backend> usable =
-                            state.mDirectory
-                                    .usable(service)
+                            state.staying(service)
                                     .filter(backend -> backend.stage().completesRequests())
                                     .filter(backend -> !avoid.contains(backend.id()))
                                     .toList();
@@ -339,15 +344,31 @@
      * and uses the permits for it.
      */
     public boolean tryCall(Backend backend, int calls, long nowMillis) {
-        return mTable.read(state -> state.stateOf(backend).directives().tryUse(calls, nowMillis));
+        return mTable.read(
+                state ->
+                        state.acceptsWork(backend, nowMillis)
+                                && state.stateOf(backend).directives().tryUse(calls, nowMillis));
+    }
+
+    /**
+     * Returns whether a server may be called to release what this host holds there, and uses a
+     * permit for it.
+     */
+    public boolean tryRelease(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().tryUse(1, nowMillis));
     }
 
     /**
-     * Returns whether a server still accepts a call for which permits were used before; it may have
-     * asked for no calls since.
+     * Returns whether a server still accepts work for which permits were used before; it may have
+     * asked for none since.
      */
-    public boolean acceptsCalls(Backend backend, long nowMillis) {
-        return mTable.read(state -> state.acceptsCalls(backend, nowMillis));
+    public boolean acceptsWork(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.acceptsWork(backend, nowMillis));
+    }
+
+    /** Returns whether a server still accepts calls that release what this host holds there. */
+    public boolean acceptsRelease(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().acceptsCalls(nowMillis));
     }
 
     /** Returns whether a server asks for fewer calls, so that calls which can be left out are. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveKind.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveKind.java
@@ -5,5 +5,7 @@
     /** Maximum rate of requests from all hosts, in requests per second. */
     LIMIT,
     /** Time for which a server wants no request of this host, in milliseconds. */
-    PAUSE
+    PAUSE,
+    /** The server announces its shutdown and takes no new work. */
+    LEAVING
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
@@ -24,6 +24,7 @@
     private Optional<CallLimit> mLimit = Optional.empty();
     private long mNamedMillis;
     private long mAppliedMillis;
+    private boolean mLeaving;
     private long mPausedUntilMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -39,6 +40,10 @@
         List<DirectiveChange> changes = new ArrayList<>();
         applyPause(directives.pauseMillis(), nowMillis).ifPresent(changes::add);
         applyLimit(directives, sentMillis, nowMillis).ifPresent(changes::add);
+        if (directives.leaving() && !mLeaving) {
+            mLeaving = true;
+            changes.add(new DirectiveChange(DirectiveKind.LEAVING, "true"));
+        }
         return changes;
     }
 
@@ -68,14 +73,27 @@
         return Optional.of(new DirectiveChange(DirectiveKind.LIMIT, DirectiveChange.NONE));
     }
 
-    /** Returns whether the server accepts calls of this host, apart from its limit. */
+    /** Returns whether the server accepts any calls of this host, apart from its limit. */
     public boolean acceptsCalls(long nowMillis) {
         return nowMillis >= mPausedUntilMillis;
     }
 
+    /**
+     * Returns whether the server accepts new work of this host, apart from its limit. A server that
+     * leaves still accepts calls that release what this host holds there.
+     */
+    public boolean acceptsWork(long nowMillis) {
+        return acceptsCalls(nowMillis) && !mLeaving;
+    }
+
+    /** Returns whether the server has announced its shutdown, which nothing takes back. */
+    public boolean leaving() {
+        return mLeaving;
+    }
+
     /** Returns whether the server asks for fewer calls, so that calls which can be left out are. */
     public boolean restricted(long nowMillis) {
-        return mLimit.isPresent() || !acceptsCalls(nowMillis);
+        return mLimit.isPresent() || !acceptsWork(nowMillis);
     }
 
     /** Returns the limit in force, in calls per second of all hosts. */
@@ -88,16 +106,20 @@
     /** Returns whether directives are in force that must outlast a missing entry of the server. */
     public boolean retained(long nowMillis) {
         return !acceptsCalls(nowMillis)
-                || mLimit.isPresent() && nowMillis - mAppliedMillis < RETENTION_MILLIS;
+                || (mLimit.isPresent() || mLeaving)
+                        && nowMillis - mAppliedMillis < RETENTION_MILLIS;
     }
 
-    /** Returns whether this host may make the given number of calls now. */
+    /** Returns whether this host may make the given number of calls for new work now. */
     public boolean permits(int calls, long nowMillis) {
-        return acceptsCalls(nowMillis)
+        return acceptsWork(nowMillis)
                 && mLimit.map(limit -> limit.permits(calls, nowMillis)).orElse(true);
     }
 
-    /** Uses permits for the given number of calls, and returns whether the calls may be made. */
+    /**
+     * Uses permits for the given number of calls, and returns whether the calls may be made; new
+     * work has to be accepted besides.
+     */
     public boolean tryUse(int calls, long nowMillis) {
         return acceptsCalls(nowMillis)
                 && mLimit.map(limit -> limit.tryUse(calls, nowMillis)).orElse(true);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveValues.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveValues.java
@@ -21,6 +21,9 @@
      */
     static final long MAX_PAUSE_MILLIS = 600_000;
 
+    /** Value of a flag that is set. */
+    private static final String SET = "1";
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** Larger and more precise numbers are of no use as a rate or a duration. */
@@ -34,15 +37,18 @@
      * @param limits requests per second; the lowest number applies
      * @param pauses seconds without requests; the longest time applies, up to {@link
      *     #MAX_PAUSE_MILLIS}
+     * @param leaving flags of a shutdown; only {@link #SET} announces one
      */
-    public static Directives of(Collection<String> limits, Collection<String> pauses) {
+    public static Directives of(
+            Collection<String> limits, Collection<String> pauses, Collection<String> leaving) {
         OptionalDouble lowest = numbers(limits).min();
         OptionalLong longest =
                 numbers(pauses)
                         .mapToLong(seconds -> (long) Math.ceil(seconds * MILLIS_PER_SECOND))
                         .map(millis -> Math.min(MAX_PAUSE_MILLIS, millis))
                         .max();
-        return new Directives(lowest, !limits.isEmpty() && lowest.isEmpty(), longest);
+        return new Directives(
+                lowest, !limits.isEmpty() && lowest.isEmpty(), longest, leaving.contains(SET));
     }
 
     private static DoubleStream numbers(Collection<String> values) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/Directives.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/Directives.java
@@ -12,13 +12,17 @@
  *     lifts a limit
  * @param pauseMillis time for which the server wants no request of this host; empty if it asks for
  *     no such time
+ * @param leaving whether the server announces its shutdown
  */
 public record Directives(
-        OptionalDouble requestsPerSecond, boolean unreadable, OptionalLong pauseMillis) {
+        OptionalDouble requestsPerSecond,
+        boolean unreadable,
+        OptionalLong pauseMillis,
+        boolean leaving) {
 
     /** A response that asks for nothing. */
     public static final Directives NONE =
-            new Directives(OptionalDouble.empty(), false, OptionalLong.empty());
+            new Directives(OptionalDouble.empty(), false, OptionalLong.empty(), false);
 
     public Directives {
         if (requestsPerSecond == null || requestsPerSecond.orElse(0) < 0) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -12,6 +12,7 @@
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.relay.wire.BackendCaller;
 import org.cyclamenpaddle.relay.wire.BackendResponse;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
@@ -132,7 +133,8 @@
                         mRelay.backendMessages(),
                         mLoop,
                         this);
-        mRelay.calls().withholdIfUnwanted(target(), mExchange.context());
+        mRelay.calls()
+                .withholdIfUnwanted(target(), BackendCaller.Purpose.WORK, mExchange.context());
         mExchange.subscribe();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -74,7 +74,7 @@
                             RequestOptions.builder()
                                     .responseTimeoutMillis(options.timeoutMillis())
                                     .build());
-            withholdIfUnwanted(target, captor.get());
+            withholdIfUnwanted(target, options.purpose(), captor.get());
             return response;
         }
     }
@@ -83,19 +83,27 @@
      * Cancels a call that waits for a connection if its server asks for no calls in the meantime.
      *
      * @param target server that the call is addressed to
+     * @param purpose why the call is made
      * @param call the call, which has just been started
      */
-    void withholdIfUnwanted(Backend target, ClientRequestContext call) {
+    void withholdIfUnwanted(Backend target, Purpose purpose, ClientRequestContext call) {
         call.log()
                 .whenAvailable(RequestLogProperty.SESSION)
                 .thenRun(
                         () -> {
-                            if (!mRegistry.acceptsCalls(target, mClock.millis())) {
+                            if (!accepts(target, purpose)) {
                                 call.cancel(new CallWithheldException(target.id().value()));
                             }
                         });
     }
 
+    private boolean accepts(Backend target, Purpose purpose) {
+        long now = mClock.millis();
+        return purpose == Purpose.WORK
+                ? mRegistry.acceptsWork(target, now)
+                : mRegistry.acceptsRelease(target, now);
+    }
+
     /**
      * Records what a server asks for in the head of a response.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -92,7 +92,8 @@
         mRelay.calls()
                 .call(
                         engine,
-                        new BackendCaller.Options(true, REPORT_TIMEOUT_MILLIS, "report"),
+                        new BackendCaller.Options(
+                                true, REPORT_TIMEOUT_MILLIS, BackendCaller.Purpose.WORK, "report"),
                         HttpRequest.of(mRelay.engineMessages().report(engine)))
                 .whenCompleteAsync(
                         (response, failure) -> {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -12,6 +12,7 @@
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.relay.wire.BackendCaller;
 import org.cyclamenpaddle.relay.wire.BackendResponse;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
@@ -104,7 +105,7 @@
                         mRelay.backendMessages(),
                         mLoop,
                         this);
-        mRelay.calls().withholdIfUnwanted(mEngine, mExchange.context());
+        mRelay.calls().withholdIfUnwanted(mEngine, BackendCaller.Purpose.WORK, mExchange.context());
         mExchange.subscribe();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -107,12 +107,15 @@
      * anyway.
      */
     static void sendIgnoringFailure(RelayContext relay, Backend backend, RequestHeaders call) {
-        if (!mayCall(relay, backend)) {
+        if (!relay.registry().tryRelease(backend, relay.clock().millis())) {
             relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), "server asks for fewer calls");
             return;
         }
         relay.calls()
-                .call(backend, options(true, "release"), HttpRequest.of(call))
+                .call(
+                        backend,
+                        options(true, BackendCaller.Purpose.RELEASE, "release"),
+                        HttpRequest.of(call))
                 .exceptionally(
                         failure -> {
                             relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), failure);
@@ -125,7 +128,7 @@
         return mRelay.calls()
                 .call(
                         mEngine,
-                        options(pooled, mRequest.caller().id()),
+                        options(pooled, BackendCaller.Purpose.WORK, mRequest.caller().id()),
                         mRelay.engineMessages().reserve(mEngine, tokens, millis).toHttpRequest())
                 .handle(
                         (response, failure) -> {
@@ -133,19 +136,18 @@
                             // A pooled connection may have been closed while it was idle.
                             boolean mayResend =
                                     pooled && failure != null && spent < CALL_TIMEOUT_MILLIS;
-                            return mayResend && mayCall(mRelay, mEngine)
+                            return mayResend
+                                            && mRelay.registry()
+                                                    .tryCall(mEngine, 1, mRelay.clock().millis())
                                     ? requestReservation(tokens, millis, false)
                                     : CompletableFuture.completedFuture(result(response, failure));
                         })
                 .thenCompose(Function.identity());
     }
 
-    private static boolean mayCall(RelayContext relay, Backend backend) {
-        return relay.registry().tryCall(backend, 1, relay.clock().millis());
-    }
-
-    private static BackendCaller.Options options(boolean keepAlive, String cause) {
-        return new BackendCaller.Options(keepAlive, CALL_TIMEOUT_MILLIS, cause);
+    private static BackendCaller.Options options(
+            boolean keepAlive, BackendCaller.Purpose purpose, String cause) {
+        return new BackendCaller.Options(keepAlive, CALL_TIMEOUT_MILLIS, purpose, cause);
     }
 
     private Result result(AggregatedHttpResponse response, Throwable failure) {
