Search servers of plain services in a class of its own

RequestExchange had grown by the request for permits, which stood there for plain services and in ReservationSearch for engines. Both searches are now behind one interface, and an exchange only handles their results.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -50,7 +50,7 @@
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mTimeout;
-    private Optional<ReservationSearch> mSearch = Optional.empty();
+    private Optional<BackendSearch> mSearch = Optional.empty();
     private Optional<ReservationSearch.Placement> mPlacement = Optional.empty();
     private Optional<PrefillExchange> mPrefill = Optional.empty();
     private Optional<BackendAttempt> mAttempt = Optional.empty();
@@ -59,7 +59,6 @@
     private Optional<Backend> mFailedPrefillEngine = Optional.empty();
     private long mPlacementMillis = -1;
     private boolean mReserving;
-    private boolean mPermitRequested;
     private boolean mEnded;
 
     RequestExchange(
@@ -103,53 +102,28 @@
     }
 
     private void selectBackend() {
-        if (mRequest.engine().isPresent()) {
-            ReservationSearch search =
-                    new ReservationSearch(mRelay, mRequest, mLoop, mTried, this::placementFound);
-            mSearch = Optional.of(search);
-            search.find();
-            return;
-        }
-        Optional<Backend> backend =
-                mRelay.registry()
-                        .select(
-                                mRequest.service(),
-                                mRequest.caller().size(),
-                                mTried,
-                                mRelay.clock().millis());
-        if (backend.isEmpty()) {
-            obtainPermitOrFail();
+        BackendSearch search =
+                mRequest.engine().isPresent()
+                        ? new ReservationSearch(
+                                mRelay, mRequest, mLoop, mTried, this::placementFound)
+                        : new PlainSearch(mRelay, mRequest, mLoop, mTried, this::serverFound);
+        mSearch = Optional.of(search);
+        search.find();
+    }
+
+    private void serverFound(Optional<Backend> found) {
+        mSearch = Optional.empty();
+        if (found.isEmpty()) {
+            fail(SendOutcome.NOT_SENT, noServerReason("no backend server available"));
         } else {
-            mRelay.permits().requestInAdvance(mRequest.service(), mRequest.caller().size());
-            send(
-                    new ReservationSearch.Placement(backend.get(), Optional.empty()),
-                    Optional.empty());
+            send(new ReservationSearch.Placement(found.get(), Optional.empty()), Optional.empty());
         }
     }
 
-    /** Requests a permit if only directives of the servers prevent the send; fails otherwise. */
-    private void obtainPermitOrFail() {
-        OptionalLong wait = directiveWait();
-        if (mPermitRequested || wait.isEmpty() || wait.getAsLong() > 0) {
-            fail(
-                    SendOutcome.NOT_SENT,
-                    wait.isPresent()
-                            ? "all backend servers ask for fewer requests"
-                            : "no backend server available");
-            return;
-        }
-        mPermitRequested = true;
-        mRelay.permits()
-                .request(
-                        mRequest.service(),
-                        mRequest.caller().size(),
-                        mTried,
-                        mLoop,
-                        granted -> {
-                            if (!mEnded) {
-                                selectBackend();
-                            }
-                        });
+    private String noServerReason(String otherwise) {
+        return directiveWait().isPresent()
+                ? "all backend servers ask for fewer requests"
+                : otherwise;
     }
 
     private OptionalLong directiveWait() {
@@ -164,7 +138,7 @@
     private void placementFound(Optional<ReservationSearch.Placement> found) {
         mSearch = Optional.empty();
         if (found.isEmpty()) {
-            fail(SendOutcome.NOT_SENT, "no engine has room");
+            fail(SendOutcome.NOT_SENT, noServerReason("no engine has room"));
             return;
         }
         long now = mRelay.clock().millis();
@@ -480,7 +454,7 @@
             prefill.cancel();
             cancelPlacement(mPlacement.orElseThrow());
         }
-        mSearch.ifPresent(ReservationSearch::cancel);
+        mSearch.ifPresent(BackendSearch::cancel);
         mSearch = Optional.empty();
         mEndListener.ended(mRetryPolicy.mayHaveRun());
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -23,7 +23,7 @@
  * prefill was wasted. A reservation is therefore requested from the engine itself. When all engines
  * are full, the search is retried as {@link ReservationWait} determines, and then fails.
  */
-final class ReservationSearch {
+final class ReservationSearch implements BackendSearch {
 
     /** Notified of the placement; empty if none was found in time. */
     interface Listener {
@@ -92,7 +92,8 @@
     /**
      * Tries the best engine that has not just reported that it is full, or schedules the next try.
      */
-    void find() {
+    @Override
+    public void find() {
         long now = mRelay.clock().millis();
         Optional<Backend> selected =
                 mReservePacing.pauseIsDue()
@@ -101,10 +102,14 @@
         if (selected.isPresent()) {
             mRelay.permits().requestInAdvance(mRequest.service(), size());
             reserve(selected.get());
-        } else if (mayObtainPermit(now)) {
+            return;
+        }
+        OptionalLong directiveWait =
+                mRelay.registry().directiveWaitMillis(mRequest.service(), size(), mAvoid, now);
+        if (mayObtainPermit(directiveWait)) {
             mRelay.permits()
                     .request(mRequest.service(), size(), mAvoid, mLoop, granted -> findAgain());
-        } else if (!mReservationWait.mayRetry(now + directiveWaitMillis(now))) {
+        } else if (!mReservationWait.mayRetry(now + directiveWait.orElse(0))) {
             mClosed = true;
             mListener.found(Optional.empty());
         } else {
@@ -113,24 +118,16 @@
         }
     }
 
-    /** Returns whether only directives prevent a reservation, and permits may be requested. */
-    private boolean mayObtainPermit(long nowMillis) {
-        OptionalLong wait = directiveWait(nowMillis);
-        boolean mayObtain = !mPermitRequested && wait.isPresent() && wait.getAsLong() == 0;
+    /** Returns whether only limits of engines prevent a reservation, and permits are requested. */
+    private boolean mayObtainPermit(OptionalLong directiveWait) {
+        boolean mayObtain =
+                !mPermitRequested && directiveWait.isPresent() && directiveWait.getAsLong() <= 0;
         mPermitRequested |= mayObtain;
         return mayObtain;
     }
 
-    private long directiveWaitMillis(long nowMillis) {
-        return directiveWait(nowMillis).orElse(0);
-    }
-
-    private OptionalLong directiveWait(long nowMillis) {
-        return mRelay.registry().directiveWaitMillis(mRequest.service(), size(), mAvoid, nowMillis);
-    }
-
-    /** Cancels the search because the request has ended. */
-    void cancel() {
+    @Override
+    public void cancel() {
         mClosed = true;
         mPending.ifPresent(engine -> release(engine, SendOutcome.ABANDONED));
         mPending = Optional.empty();
