Tell callers to return after the pause of the server that rejected them

The caller whose own request the only server of a service rejected with Retry-After: 3 was told to return after 0.3 s, since servers that had been tried did not count for the time to retry; it came back within the pause and was rejected again. All servers of the service count now.

RelayDirectivesTest.callerReturnsAfterTheTimeThatTheOnlyServerAskedFor failed before (0.327 s) and passes.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -121,17 +121,17 @@
     }
 
     private String noServerReason(String otherwise) {
-        return directiveWait().isPresent()
+        return directiveWait(mTried).isPresent()
                 ? "all backend servers ask for fewer requests"
                 : otherwise;
     }
 
-    private OptionalLong directiveWait() {
+    private OptionalLong directiveWait(Set<BackendId> avoid) {
         return mRelay.registry()
                 .directiveWaitMillis(
                         mRequest.service(),
                         mRequest.caller().size(),
-                        mTried,
+                        avoid,
                         mRelay.clock().millis());
     }
 
@@ -438,7 +438,7 @@
             mRequestLog.truncated(mLastBackend, reason);
         } else {
             long minDelayMillis = mRequest.minRetryDelayMillis(mRelay.demand());
-            mResponse.refuse(reply, Math.max(minDelayMillis, directiveWait().orElse(0)));
+            mResponse.refuse(reply, Math.max(minDelayMillis, directiveWait(Set.of()).orElse(0)));
             mRequestLog.failed(reply, reason);
         }
         mRelay.metrics().recordRefusal(reply);
