Show which servers were passed over for their directives

A request that went to another server, or was refused, gave no hint that directives were the reason, and cyclamenctl log explain left out CP2114 if it was older than five seconds. CP2201 and CP2202 now count the servers that the last selection passed over (passedOver), and log explain shows the directives in force on the request's hosts.

LogExplainCommandTest.directivesInForceAreShown covers limits, pauses that have ended or not, and other hosts.

--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
@@ -5,7 +5,9 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cyclamenpaddle.ctl.log.LogFile;
@@ -21,7 +23,7 @@
  *
  * <p>Lines with the id of the request contain the decisions. Lines of the same host that record a
  * state change of the backend servers involved, or of the store, shortly before or during the
- * request contain the reasons.
+ * request contain the reasons, and so do the directives of backend servers that were in force then.
  */
 final class LogExplainCommand {
 
@@ -35,6 +37,15 @@
     private static final Set<String> STATE_EVENTS =
             Set.of("CP2101", "CP2102", "CP2103", "CP2106", "CP2107", "CP2108");
 
+    /** Event of a directive that was set, changed or lifted. */
+    private static final String DIRECTIVE_EVENT = "CP2114";
+
+    /** Directive with a duration in milliseconds as its value. */
+    private static final String PAUSE = "PAUSE";
+
+    /** Value of a directive that has ended. */
+    private static final String LIFTED = "none";
+
     private static final Set<String> COLUMN_FIELDS = Set.of("time", "node", "code", "event");
     private static final String NO_BACKEND = "none";
 
@@ -58,8 +69,13 @@
                             arguments.file() + " contains no line of request " + arguments.name()));
         }
         ArrayNode rows = Json.array();
+        Set<LogLine> directives = directivesInForce(lines, requestLines);
         lines.stream()
-                .filter(line -> isAbout(line, arguments.name()) || isContext(line, requestLines))
+                .filter(
+                        line ->
+                                isAbout(line, arguments.name())
+                                        || isContext(line, requestLines)
+                                        || directives.contains(line))
                 .forEach(line -> rows.add(row(line)));
         return Either.right(
                 Report.of(rows, ReportTable.of(rows, "time", "node", "code", "event", "detail")));
@@ -70,9 +86,8 @@
             return false;
         }
         Instant from = requestLines.get(0).time().minus(LOOKBACK);
-        Instant to = requestLines.get(requestLines.size() - 1).time();
-        Set<String> nodes =
-                requestLines.stream().map(l -> l.text("node")).collect(Collectors.toSet());
+        Instant to = lastTime(requestLines);
+        Set<String> nodes = nodes(requestLines);
         Set<String> backends =
                 requestLines.stream().map(l -> l.text("backend")).collect(Collectors.toSet());
         String backend = line.fields().path("backend").asText(NO_BACKEND);
@@ -82,6 +97,45 @@
                 && (backend.equals(NO_BACKEND) || backends.contains(backend));
     }
 
+    /**
+     * Returns the lines of the directives that the hosts of a request had received before its end.
+     */
+    private static Set<LogLine> directivesInForce(List<LogLine> lines, List<LogLine> requestLines) {
+        Set<String> nodes = nodes(requestLines);
+        Instant to = lastTime(requestLines);
+        Map<List<String>, LogLine> latest = new HashMap<>();
+        lines.stream()
+                .filter(line -> line.text("code").equals(DIRECTIVE_EVENT))
+                .filter(line -> nodes.contains(line.text("node")) && !line.time().isAfter(to))
+                .forEach(
+                        line ->
+                                latest.put(
+                                        List.of(
+                                                line.text("node"),
+                                                line.text("backend"),
+                                                line.text("directive")),
+                                        line));
+        return latest.values().stream()
+                .filter(line -> isInForce(line, requestLines.get(0).time()))
+                .collect(Collectors.toSet());
+    }
+
+    private static boolean isInForce(LogLine line, Instant time) {
+        if (line.text("directive").equals(PAUSE)) {
+            long millis = line.fields().path("value").asLong();
+            return !line.time().plusMillis(millis).isBefore(time);
+        }
+        return !line.text("value").equals(LIFTED);
+    }
+
+    private static Instant lastTime(List<LogLine> requestLines) {
+        return requestLines.get(requestLines.size() - 1).time();
+    }
+
+    private static Set<String> nodes(List<LogLine> requestLines) {
+        return requestLines.stream().map(line -> line.text("node")).collect(Collectors.toSet());
+    }
+
     private static JsonNode row(LogLine line) {
         String detail =
                 line.fields().properties().stream()
--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
@@ -75,6 +75,50 @@
         assertTrue(report.tables().get(0).rows().get(3).get(4).contains("told=502 reason=reset"));
     }
 
+    /** A server was passed over for a directive that it had sent long before the request. */
+    @Test
+    public void directivesInForceAreShown() throws IOException {
+        String directives =
+                line("01", "h1", "CP2114", "'backend':'i-3','directive':'LIMIT','value':'1.4'")
+                        + line(
+                                "02",
+                                "h1",
+                                "CP2114",
+                                "'backend':'i-4','directive':'LIMIT','value':'2'")
+                        + line(
+                                "03",
+                                "h1",
+                                "CP2114",
+                                "'backend':'i-4','directive':'LIMIT','value':'none'")
+                        + line(
+                                "04",
+                                "h1",
+                                "CP2114",
+                                "'backend':'i-5','directive':'PAUSE','value':'3000'")
+                        + line(
+                                "08",
+                                "h1",
+                                "CP2114",
+                                "'backend':'i-6','directive':'PAUSE','value':'3000'")
+                        + line(
+                                "08",
+                                "h2",
+                                "CP2114",
+                                "'backend':'i-7','directive':'LEAVING','value':'true'")
+                        + line(
+                                "11",
+                                "h1",
+                                "CP2114",
+                                "'backend':'i-8','directive':'LEAVING','value':'true'");
+        Files.writeString(mFile, LOG + directives);
+        List<String> backends =
+                explain("r7").get().tables().get(0).rows().stream()
+                        .filter(row -> row.get(2).equals("CP2114"))
+                        .map(row -> row.get(4).split(" ")[0])
+                        .toList();
+        assertEquals(backends, List.of("backend=i-3", "backend=i-6"));
+    }
+
     @Test
     public void unknownRequestIsNotFound() {
         assertEquals(explain("r9").getLeft().code(), ExitCode.NOT_FOUND);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -317,6 +317,22 @@
                 });
     }
 
+    /**
+     * Returns the number of servers of a service that a selection now passes over because of their
+     * directives.
+     */
+    public long passedOver(ServiceName service, WorkSize size, long nowMillis) {
+        if (!mDirectivesSeen) {
+            return 0;
+        }
+        return mTable.read(
+                state ->
+                        state.mDirectory
+                                .usable(service)
+                                .filter(backend -> !state.permits(backend, size, nowMillis))
+                                .count());
+    }
+
     /** Returns whether permits for a server should be requested; if so, marks that as begun. */
     public boolean beginPermitRequest(Backend backend, long nowMillis) {
         return mTable.read(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -108,6 +108,12 @@
                                 mRelay, mRequest, mLoop, mTried, this::placementFound)
                         : new PlainSearch(mRelay, mRequest, mLoop, mTried, this::serverFound);
         mSearch = Optional.of(search);
+        mRequestLog.serversPassedOver(
+                mRelay.registry()
+                        .passedOver(
+                                mRequest.service(),
+                                mRequest.caller().size(),
+                                mRelay.clock().millis()));
         search.find();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -19,6 +19,7 @@
     private final RetryPolicy mRetryPolicy;
     private final CallerResponse mResponse;
     private final long mStartMillis;
+    private long mPassedOver;
 
     RequestLog(
             RelayContext relay,
@@ -33,6 +34,11 @@
         mStartMillis = startMillis;
     }
 
+    /** Records how many servers the latest selection passed over because of their directives. */
+    void serversPassedOver(long servers) {
+        mPassedOver = servers;
+    }
+
     /** Logs that the caller disconnected before the response was complete. */
     void callerDisconnected(Optional<Backend> backend) {
         mRelay.log().log(
@@ -70,7 +76,8 @@
                 reservationMillis,
                 name(prefillEngine),
                 mResponse.events(),
-                mResponse.maxPauseMillis());
+                mResponse.maxPauseMillis(),
+                mPassedOver);
     }
 
     /** Logs that the response to the caller was truncated. */
@@ -98,7 +105,8 @@
                 reply.status(),
                 reason,
                 mRetryPolicy.sends(),
-                elapsedMillis());
+                elapsedMillis(),
+                mPassedOver);
     }
 
     /** Logs an attempt that ended without a response for the caller. */
