Ask each silent owner of a limit once for a permit

While none of the owners of a limit responded, a request waited for the last of them up to three times, 0.6 s, before it was rejected. Each owner is asked once for a request; owners that were silent are left out for the time that quotas use, so that later requests wait 0.2 s at most.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/PermitClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/PermitClient.java
@@ -1,7 +1,8 @@
 package org.cyclamenpaddle.relay.quota;
 
+import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.cyclamenpaddle.core.id.HostId;
@@ -16,10 +17,10 @@
 final class PermitClient implements Permits {
 
     /**
-     * Time after which a host asks again that does not know the other hosts, or reaches none of the
-     * owners, in milliseconds.
+     * Response for a host that does not know the other hosts, or reaches none of the owners; it
+     * asks again after half a second.
      */
-    private static final long NO_OWNER_RETRY_MILLIS = 500;
+    private static final PermitResponse NO_OWNER = new PermitResponse(false, 500);
 
     private final Supplier<QuotaMembers> mMembers;
     private final PermitLender mLender;
@@ -44,39 +45,49 @@
         QuotaMembers members = mMembers.get();
         List<HostId> owners = members.owners(PermitLender.subject(request));
         return members.counted()
-                ? request(request, members, owners, owners.size())
-                : CompletableFuture.completedFuture(
-                        new PermitResponse(false, NO_OWNER_RETRY_MILLIS));
+                ? request(request, members, owners, Set.of())
+                : CompletableFuture.completedFuture(NO_OWNER);
     }
 
     private CompletableFuture<PermitResponse> request(
-            PermitRequest request, QuotaMembers members, List<HostId> owners, int tries) {
-        if (tries == 0) {
-            return CompletableFuture.completedFuture(
-                    new PermitResponse(false, NO_OWNER_RETRY_MILLIS));
-        }
+            PermitRequest request, QuotaMembers members, List<HostId> owners, Set<HostId> silent) {
         HostId owner = mOwners.read(choice -> choice.choose(owners, mClock.millis()));
+        if (silent.contains(owner)) {
+            return CompletableFuture.completedFuture(NO_OWNER);
+        }
         if (owner.equals(members.self())) {
             return CompletableFuture.completedFuture(mLender.lend(request));
         }
         return mTransport
                 .send(members.find(owner).orElseThrow(), request)
                 .thenCompose(
-                        response -> responded(request, members, owners, tries, owner, response));
+                        response -> {
+                            recordOutcome(owner, response.isPresent());
+                            return response.map(CompletableFuture::completedFuture)
+                                    .orElseGet(
+                                            () ->
+                                                    request(
+                                                            request,
+                                                            members,
+                                                            owners,
+                                                            with(silent, owner)));
+                        });
     }
 
-    private CompletableFuture<PermitResponse> responded(
-            PermitRequest request,
-            QuotaMembers members,
-            List<HostId> owners,
-            int tries,
-            HostId owner,
-            Optional<PermitResponse> response) {
-        if (response.isPresent()) {
-            mOwners.write(choice -> choice.recordSuccess(owner));
-            return CompletableFuture.completedFuture(response.get());
-        }
-        mOwners.write(choice -> choice.recordFailure(owner, mClock.millis()));
-        return request(request, members, owners, tries - 1);
+    private void recordOutcome(HostId owner, boolean responded) {
+        mOwners.write(
+                choice -> {
+                    if (responded) {
+                        choice.recordSuccess(owner);
+                    } else {
+                        choice.recordFailure(owner, mClock.millis());
+                    }
+                });
+    }
+
+    private static Set<HostId> with(Set<HostId> hosts, HostId host) {
+        Set<HostId> all = new HashSet<>(hosts);
+        all.add(host);
+        return all;
     }
 }
