Keep the state of a restarted server when its previous process responds late

A response that an earlier incarnation of a server had sent, or an outcome of a request to it, replaced the state that this host keeps of the new one: its in-flight work, its health and its directives. A pause that the new process had asked for ended that way. Late records about an incarnation that the store no longer lists now change nothing of the listed one.

BackendCallsTest.directivesEndWithTheIncarnationOfTheServer, extended by a late response, failed before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -70,15 +70,23 @@
             connectivity(backend).recordSend(nowMillis);
         }
 
+        /**
+         * Returns the state of a server.
+         *
+         * <p>A restarted server begins with fresh state: the in-flight work, failures, waits and
+         * directives of its previous incarnation do not apply. What arrives late about the previous
+         * incarnation is recorded in a state of its own, which nothing else reads.
+         */
         private BackendState stateOf(Backend backend) {
-            return mStates.compute(
-                    backend.id(),
-                    (id, old) ->
-                            // A restarted server begins with fresh state: the in-flight work,
-                            // failures and waits of its previous incarnation do not apply.
-                            old == null || old.startedMillis() != backend.startedMillis()
-                                    ? new BackendState(backend.startedMillis())
-                                    : old);
+            BackendState known = mStates.get(backend.id());
+            if (known != null && known.startedMillis() == backend.startedMillis()) {
+                return known;
+            }
+            BackendState fresh = new BackendState(backend.startedMillis());
+            if (mDirectory.find(backend.id()).map(backend::sameIncarnation).orElse(true)) {
+                mStates.put(backend.id(), fresh);
+            }
+            return fresh;
         }
     }
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -216,5 +216,12 @@
         assertEquals(
                 mRegistry.select(restarted.service(), WorkSize.PLAIN, Set.of(), 1_200),
                 Optional.of(restarted));
+        mRegistry.recordDirectives(restarted, PAUSE, 1_200, 1_300);
+        // A response of the previous process arrives late.
+        mRegistry.recordDirectives(mBackend, Directives.NONE, 1_000, 1_400);
+        mRegistry.recordPermits(mBackend, 1, 0, 1_400);
+        assertTrue(
+                mRegistry.select(restarted.service(), WorkSize.PLAIN, Set.of(), 1_500).isEmpty(),
+                "a late response of the previous incarnation ends the pause");
     }
 }
