Request permits for a waiting request from its own servers only

A request that waited for a permit could be granted one for a prefill engine, which does not let it begin, and was then rejected although a decode engine might have had room. Only servers that complete requests are asked for now. The flag that directives have been seen is set, never computed from itself, so that a concurrent update cannot clear it.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -261,7 +261,9 @@
                                 state.stateOf(backend)
                                         .directives()
                                         .apply(directives, sentMillis, nowMillis));
-        mDirectivesSeen |= !changes.isEmpty();
+        if (!changes.isEmpty()) {
+            mDirectivesSeen = true;
+        }
         return changes;
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendPermits.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendPermits.java
@@ -52,7 +52,11 @@
             Set<BackendId> avoid,
             EventLoop loop,
             Listener done) {
-        List<LimitedBackend> limited = mRegistry.limited(service, size, avoid, mClock.millis());
+        // A permit for a prefill engine alone would not let the request begin.
+        List<LimitedBackend> limited =
+                mRegistry.limited(service, size, avoid, mClock.millis()).stream()
+                        .filter(server -> server.backend().stage().completesRequests())
+                        .toList();
         requestNext(limited, 0).thenAcceptAsync(done::ended, loop);
     }
 
