Separate what servers ask of their callers from the registry

They stand in BackendDirectives now, beside the registry and on the same lock; the guarded state is a class of its own. No change of behaviour; the tests of relay and platform pass.

--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
@@ -0,0 +1,202 @@
+package org.cyclamenpaddle.relay.backend;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.table.Table;
+import org.cyclamenpaddle.relay.directive.DirectiveChange;
+import org.cyclamenpaddle.relay.directive.Directives;
+
+/**
+ * What the registered backend servers ask of their callers, and the permits that this host holds.
+ *
+ * <p>Selection follows the directives by itself; every other call to a server asks here first.
+ * Thread-safe.
+ */
+public final class BackendDirectives {
+
+    private final Table<RegistryState> mTable;
+    private final DoubleSupplier mRandom;
+
+    /** Whether any server has sent a directive; until then, requests skip all checks. */
+    private volatile boolean mDirectivesSeen;
+
+    BackendDirectives(Table<RegistryState> table, DoubleSupplier random) {
+        mTable = table;
+        mRandom = random;
+    }
+
+    /**
+     * Records what a server asks of its callers in the head of a response.
+     *
+     * @param backend the server
+     * @param directives directives in the head
+     * @param sentMillis time at which the request was sent
+     * @param nowMillis current time of the steady clock
+     * @return what has changed
+     */
+    public List<DirectiveChange> record(
+            Backend backend, Directives directives, long sentMillis, long nowMillis) {
+        List<DirectiveChange> changes =
+                mTable.read(
+                        state ->
+                                state.stateOf(backend)
+                                        .directives()
+                                        .apply(directives, sentMillis, nowMillis));
+        if (!changes.isEmpty()) {
+            mDirectivesSeen = true;
+        }
+        return changes;
+    }
+
+    /**
+     * Returns the servers of a service that limit their calls and for which this host holds too few
+     * permits for a request, in random order.
+     *
+     * @param service service of the request
+     * @param size size of its work
+     * @param avoid servers to leave out
+     * @param nowMillis current time of the steady clock
+     */
+    public List<LimitedBackend> limited(
+            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+        if (!mDirectivesSeen) {
+            return List.of();
+        }
+        return mTable.read(
+                state ->
+                        state.directory()
+                                .usable(service)
+                                .filter(backend -> !avoid.contains(backend.id()))
+                                .filter(backend -> state.acceptsWork(backend, nowMillis))
+                                .filter(backend -> !state.permits(backend, size, nowMillis))
+                                .sorted(Comparator.comparing(backend -> mRandom.getAsDouble()))
+                                .flatMap(backend -> limited(state, backend, size).stream())
+                                .toList());
+    }
+
+    /**
+     * Returns the time until a server of a service may be called again, in milliseconds; empty if
+     * the directives of its servers are not what prevents it.
+     *
+     * @param service service of the request
+     * @param size size of its work
+     * @param avoid servers that cannot take the request for another reason
+     * @param nowMillis current time of the steady clock
+     */
+    public OptionalLong waitMillis(
+            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+        if (!mDirectivesSeen) {
+            return OptionalLong.empty();
+        }
+        return mTable.read(
+                state -> {
+                    List<Backend> usable =
+                            state.staying(service)
+                                    .filter(backend -> backend.stage().completesRequests())
+                                    .filter(backend -> !avoid.contains(backend.id()))
+                                    .toList();
+                    return usable.stream()
+                                    .anyMatch(backend -> state.permits(backend, size, nowMillis))
+                            ? OptionalLong.empty()
+                            : usable.stream()
+                                    .mapToLong(
+                                            backend ->
+                                                    state.stateOf(backend)
+                                                            .directives()
+                                                            .waitMillis(nowMillis))
+                                    .min();
+                });
+    }
+
+    /**
+     * Returns the number of servers of a service that a selection now passes over because of their
+     * directives.
+     */
+    public long passedOver(ServiceName service, WorkSize size, long nowMillis) {
+        if (!mDirectivesSeen) {
+            return 0;
+        }
+        return mTable.read(
+                state ->
+                        state.directory()
+                                .usable(service)
+                                .filter(backend -> !state.permits(backend, size, nowMillis))
+                                .count());
+    }
+
+    /** Returns whether permits for a server should be requested; if so, marks that as begun. */
+    public boolean beginPermitRequest(Backend backend, long nowMillis) {
+        return mTable.read(
+                state -> state.stateOf(backend).directives().beginPermitRequest(nowMillis));
+    }
+
+    /**
+     * Records the response to a request for permits.
+     *
+     * @param backend the server
+     * @param calls number of calls that are permitted; 0 if the request was denied
+     * @param retryMillis time after which permits may be requested again, if it was denied
+     * @param nowMillis current time of the steady clock
+     */
+    public void recordPermits(Backend backend, int calls, long retryMillis, long nowMillis) {
+        mTable.write(
+                state ->
+                        state.stateOf(backend)
+                                .directives()
+                                .recordPermits(calls, retryMillis, nowMillis));
+    }
+
+    /**
+     * Returns whether a server may be called once more on behalf of a request that was sent to it,
+     * and uses the permits for it.
+     */
+    public boolean tryCall(Backend backend, int calls, long nowMillis) {
+        return mTable.read(
+                state ->
+                        state.acceptsWork(backend, nowMillis)
+                                && state.stateOf(backend).directives().tryUse(calls, nowMillis));
+    }
+
+    /**
+     * Returns whether a server may be called to release what this host holds there, and uses a
+     * permit for it.
+     */
+    public boolean tryRelease(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().tryUse(1, nowMillis));
+    }
+
+    /**
+     * Returns whether a server still accepts work for which permits were used before; it may have
+     * asked for none since.
+     */
+    public boolean acceptsWork(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.acceptsWork(backend, nowMillis));
+    }
+
+    /** Returns whether a server still accepts calls that release what this host holds there. */
+    public boolean acceptsRelease(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().acceptsCalls(nowMillis));
+    }
+
+    /** Returns whether a server asks for fewer calls, so that calls which can be left out are. */
+    public boolean restricts(Backend backend, long nowMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().restricted(nowMillis));
+    }
+
+    private static Optional<LimitedBackend> limited(
+            RegistryState state, Backend backend, WorkSize size) {
+        OptionalDouble perSecond = state.stateOf(backend).directives().callsPerSecond();
+        return perSecond.isPresent()
+                ? Optional.of(
+                        new LimitedBackend(
+                                backend, perSecond.getAsDouble(), backend.stage().calls(size)))
+                : Optional.empty();
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
@@ -16,8 +14,6 @@
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.core.table.TableOrder;
-import org.cyclamenpaddle.relay.directive.DirectiveChange;
-import org.cyclamenpaddle.relay.directive.Directives;
 
 /**
  * Registry of the backend servers: their entries, this host's in-flight work and results per
@@ -28,73 +24,12 @@
  */
 public final class BackendRegistry {
 
-    private static final class State {
-        private final BackendDirectory mDirectory = new BackendDirectory();
-        private final Map<BackendId, BackendState> mStates = new HashMap<>();
-
-        private final Map<FailureDomain, DomainConnectivity> mConnectivity = new HashMap<>();
-        private final Map<ServiceName, PrefillThroughput> mThroughputs = new HashMap<>();
-
-        private PrefillThroughput throughput(ServiceName service) {
-            return mThroughputs.computeIfAbsent(service, key -> new PrefillThroughput());
-        }
-
-        private DomainConnectivity connectivity(Backend backend) {
-            return mConnectivity.computeIfAbsent(
-                    backend.domain(), domain -> new DomainConnectivity());
-        }
-
-        private boolean admits(Backend backend, long nowMillis) {
-            return stateOf(backend).health().admits(nowMillis)
-                    && connectivity(backend).admits(nowMillis);
-        }
-
-        private boolean acceptsWork(Backend backend, long nowMillis) {
-            return stateOf(backend).directives().acceptsWork(nowMillis);
-        }
-
-        private Stream<Backend> staying(ServiceName service) {
-            return mDirectory
-                    .usable(service)
-                    .filter(backend -> !stateOf(backend).directives().leaving());
-        }
-
-        /** Returns whether what the server asks of its callers leaves room for a request. */
-        private boolean permits(Backend backend, WorkSize size, long nowMillis) {
-            return stateOf(backend).directives().permits(backend.stage().calls(size), nowMillis);
-        }
-
-        private void recordStart(Backend backend, WorkSize size, long nowMillis) {
-            stateOf(backend).directives().tryUse(backend.stage().calls(size), nowMillis);
-            stateOf(backend).recordStart(size);
-            connectivity(backend).recordSend(nowMillis);
-        }
-
-        /**
-         * Returns the state of a server.
-         *
-         * <p>A restarted server begins with fresh state: the in-flight work, failures, waits and
-         * directives of its previous incarnation do not apply. What arrives late about the previous
-         * incarnation is recorded in a state of its own, which nothing else reads.
-         */
-        private BackendState stateOf(Backend backend) {
-            BackendState known = mStates.get(backend.id());
-            if (known != null && known.startedMillis() == backend.startedMillis()) {
-                return known;
-            }
-            BackendState fresh = new BackendState(backend.startedMillis());
-            if (mDirectory.find(backend.id()).map(backend::sameIncarnation).orElse(true)) {
-                mStates.put(backend.id(), fresh);
-            }
-            return fresh;
-        }
-    }
-
     private final FailureDomain mOwnDomain;
     private final CostSettings mCosts;
     private final DoubleSupplier mRandom;
-    private volatile boolean mDirectivesSeen;
-    private final Table<State> mTable = new Table<>(TableOrder.BACKENDS, new State());
+    private final BackendDirectives mDirectives;
+    private final Table<RegistryState> mTable =
+            new Table<>(TableOrder.BACKENDS, new RegistryState());
 
     /**
      * Creates an empty registry.
@@ -107,20 +42,26 @@
         mOwnDomain = ownDomain;
         mCosts = costs;
         mRandom = random;
+        mDirectives = new BackendDirectives(mTable, random);
+    }
+
+    /** Returns what the servers ask of their callers. */
+    public BackendDirectives directives() {
+        return mDirectives;
     }
 
     /** Replaces all entries with a complete listing; see {@link BackendDirectory#applyListing}. */
     public void applyListing(Map<BackendId, Backend> listed, long nowMillis) {
         mTable.write(
                 state -> {
-                    state.mDirectory.applyListing(listed, nowMillis);
-                    state.mStates.keySet().removeIf(id -> unused(state, id, nowMillis));
+                    state.directory().applyListing(listed, nowMillis);
+                    state.removeUnused(nowMillis);
                 });
     }
 
     /** Applies a change of one entry; see {@link BackendDirectory#applyChange}. */
     public void applyChange(BackendId id, Optional<Backend> entry, long nowMillis) {
-        mTable.write(state -> state.mDirectory.applyChange(id, entry, nowMillis));
+        mTable.write(state -> state.directory().applyChange(id, entry, nowMillis));
     }
 
     /** Returns the servers of a service that are not about to shut down. */
@@ -130,7 +71,7 @@
 
     /** Returns the number of servers in the store. */
     public int size() {
-        return mTable.read(state -> state.mDirectory.size());
+        return mTable.read(state -> state.directory().size());
     }
 
     /**
@@ -244,173 +185,6 @@
         return mTable.read(state -> state.stateOf(backend).reportDue(nowMillis));
     }
 
-    /**
-     * Records what a server asks of its callers in the head of a response.
-     *
-     * @param backend the server
-     * @param directives directives in the head
-     * @param sentMillis time at which the request was sent
-     * @param nowMillis current time of the steady clock
-     * @return what has changed
-     */
-    public List<DirectiveChange> recordDirectives(
-            Backend backend, Directives directives, long sentMillis, long nowMillis) {
-        List<DirectiveChange> changes =
-                mTable.read(
-                        state ->
-                                state.stateOf(backend)
-                                        .directives()
-                                        .apply(directives, sentMillis, nowMillis));
-        if (!changes.isEmpty()) {
-            mDirectivesSeen = true;
-        }
-        return changes;
-    }
-
-    /**
-     * Returns the servers of a service that limit their calls and for which this host holds too few
-     * permits for a request, in random order.
-     *
-     * @param service service of the request
-     * @param size size of its work
-     * @param avoid servers to leave out
-     * @param nowMillis current time of the steady clock
-     */
-    public List<LimitedBackend> limited(
-            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
-        if (!mDirectivesSeen) {
-            return List.of();
-        }
-        return mTable.read(
-                state ->
-                        state.mDirectory
-                                .usable(service)
-                                .filter(backend -> !avoid.contains(backend.id()))
-                                .filter(backend -> state.acceptsWork(backend, nowMillis))
-                                .filter(backend -> !state.permits(backend, size, nowMillis))
-                                .sorted(Comparator.comparing(backend -> mRandom.getAsDouble()))
-                                .flatMap(backend -> limited(state, backend, size).stream())
-                                .toList());
-    }
-
-    /**
-     * Returns the time until a server of a service may be called again, in milliseconds; empty if
-     * the directives of its servers are not what prevents it.
-     *
-     * @param service service of the request
-     * @param size size of its work
-     * @param avoid servers that cannot take the request for another reason
-     * @param nowMillis current time of the steady clock
-     */
-    public OptionalLong directiveWaitMillis(
-            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
-        if (!mDirectivesSeen) {
-            return OptionalLong.empty();
-        }
-        return mTable.read(
-                state -> {
-                    List<Backend> usable =
-                            state.staying(service)
-                                    .filter(backend -> backend.stage().completesRequests())
-                                    .filter(backend -> !avoid.contains(backend.id()))
-                                    .toList();
-                    return usable.stream()
-                                    .anyMatch(backend -> state.permits(backend, size, nowMillis))
-                            ? OptionalLong.empty()
-                            : usable.stream()
-                                    .mapToLong(
-                                            backend ->
-                                                    state.stateOf(backend)
-                                                            .directives()
-                                                            .waitMillis(nowMillis))
-                                    .min();
-                });
-    }
-
-    /**
-     * Returns the number of servers of a service that a selection now passes over because of their
-     * directives.
-     */
-    public long passedOver(ServiceName service, WorkSize size, long nowMillis) {
-        if (!mDirectivesSeen) {
-            return 0;
-        }
-        return mTable.read(
-                state ->
-                        state.mDirectory
-                                .usable(service)
-                                .filter(backend -> !state.permits(backend, size, nowMillis))
-                                .count());
-    }
-
-    /** Returns whether permits for a server should be requested; if so, marks that as begun. */
-    public boolean beginPermitRequest(Backend backend, long nowMillis) {
-        return mTable.read(
-                state -> state.stateOf(backend).directives().beginPermitRequest(nowMillis));
-    }
-
-    /**
-     * Records the response to a request for permits.
-     *
-     * @param backend the server
-     * @param calls number of calls that are permitted; 0 if the request was denied
-     * @param retryMillis time after which permits may be requested again, if it was denied
-     * @param nowMillis current time of the steady clock
-     */
-    public void recordPermits(Backend backend, int calls, long retryMillis, long nowMillis) {
-        mTable.write(
-                state ->
-                        state.stateOf(backend)
-                                .directives()
-                                .recordPermits(calls, retryMillis, nowMillis));
-    }
-
-    /**
-     * Returns whether a server may be called once more on behalf of a request that was sent to it,
-     * and uses the permits for it.
-     */
-    public boolean tryCall(Backend backend, int calls, long nowMillis) {
-        return mTable.read(
-                state ->
-                        state.acceptsWork(backend, nowMillis)
-                                && state.stateOf(backend).directives().tryUse(calls, nowMillis));
-    }
-
-    /**
-     * Returns whether a server may be called to release what this host holds there, and uses a
-     * permit for it.
-     */
-    public boolean tryRelease(Backend backend, long nowMillis) {
-        return mTable.read(state -> state.stateOf(backend).directives().tryUse(1, nowMillis));
-    }
-
-    /**
-     * Returns whether a server still accepts work for which permits were used before; it may have
-     * asked for none since.
-     */
-    public boolean acceptsWork(Backend backend, long nowMillis) {
-        return mTable.read(state -> state.acceptsWork(backend, nowMillis));
-    }
-
-    /** Returns whether a server still accepts calls that release what this host holds there. */
-    public boolean acceptsRelease(Backend backend, long nowMillis) {
-        return mTable.read(state -> state.stateOf(backend).directives().acceptsCalls(nowMillis));
-    }
-
-    /** Returns whether a server asks for fewer calls, so that calls which can be left out are. */
-    public boolean isRestricted(Backend backend, long nowMillis) {
-        return mTable.read(state -> state.stateOf(backend).directives().restricted(nowMillis));
-    }
-
-    private static Optional<LimitedBackend> limited(State state, Backend backend, WorkSize size) {
-        OptionalDouble perSecond = state.stateOf(backend).directives().callsPerSecond();
-        return perSecond.isPresent()
-                ? Optional.of(
-                        new LimitedBackend(
-                                backend, perSecond.getAsDouble(), backend.stage().calls(size)))
-                : Optional.empty();
-    }
-
     /** Stores a server's report. */
     public void recordReport(Backend backend, EngineReport report, long nowMillis) {
         mTable.write(state -> state.stateOf(backend).recordReport(report, nowMillis));
@@ -481,9 +255,13 @@
     }
 
     private Stream<Backend> candidates(
-            State state, ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+            RegistryState state,
+            ServiceName service,
+            WorkSize size,
+            Set<BackendId> avoid,
+            long nowMillis) {
         List<Backend> usable =
-                permitted(state, state.mDirectory.usable(service), size, avoid, nowMillis);
+                permitted(state, state.directory().usable(service), size, avoid, nowMillis);
         List<Backend> admitted =
                 usable.stream().filter(backend -> state.admits(backend, nowMillis)).toList();
         boolean canServe =
@@ -496,12 +274,12 @@
         return usable.stream().anyMatch(backend -> backend.stage().completesRequests())
                 ? usable.stream()
                 : permitted(
-                        state, state.mDirectory.lapsed(service, nowMillis), size, avoid, nowMillis)
+                        state, state.directory().lapsed(service, nowMillis), size, avoid, nowMillis)
                         .stream();
     }
 
     private static List<Backend> permitted(
-            State state,
+            RegistryState state,
             Stream<Backend> backends,
             WorkSize size,
             Set<BackendId> avoid,
@@ -518,7 +296,7 @@
         return backends.stream().min(Comparator.comparing(costs::get));
     }
 
-    private double requestCost(State state, Backend backend, long nowMillis) {
+    private double requestCost(RegistryState state, Backend backend, long nowMillis) {
         BackendState backendState = state.stateOf(backend);
         return prefillMillis(state, backend, backendState.inFlightWork().pendingPromptTokens())
                 + backendState.inFlightWork().requests() * mCosts.requestMillis()
@@ -528,15 +306,15 @@
                 + backendState.excessWaitMillis(nowMillis);
     }
 
-    private double prefillMillis(State state, Backend backend, long promptTokens) {
+    private double prefillMillis(RegistryState state, Backend backend, long promptTokens) {
         double share = backend.stage() == BackendStage.PREFILL ? 1 : mCosts.localPrefillShare();
         return promptTokens / (state.throughput(backend.service()).tokensPerMilli() * share);
     }
 
     private Optional<Backend> cheapestPrefillEngine(
-            State state, Backend decodeEngine, WorkSize size, long nowMillis) {
+            RegistryState state, Backend decodeEngine, WorkSize size, long nowMillis) {
         List<Backend> prefillEngines =
-                state.mDirectory
+                state.directory()
                         .usable(decodeEngine.service())
                         .filter(backend -> backend.stage() == BackendStage.PREFILL)
                         .filter(backend -> state.admits(backend, nowMillis))
@@ -566,7 +344,7 @@
     }
 
     private double prefillCost(
-            State state,
+            RegistryState state,
             Backend prefillEngine,
             Backend decodeEngine,
             WorkSize size,
@@ -583,12 +361,4 @@
                 + backendState.health().failureRate(nowMillis) * mCosts.failureMillis()
                 + backendState.excessWaitMillis(nowMillis);
     }
-
-    /** An entry may be missing for a time; the server's directives still hold when it is back. */
-    private static boolean unused(State state, BackendId id, long nowMillis) {
-        BackendState backendState = state.mStates.get(id);
-        return state.mDirectory.find(id).isEmpty()
-                && backendState.inFlightWork().requests() == 0
-                && !backendState.directives().retained(nowMillis);
-    }
 }
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
@@ -0,0 +1,86 @@
+package org.cyclamenpaddle.relay.backend;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.ServiceName;
+
+/** Entries and states of the backend servers that the registry guards; not thread-safe. */
+final class RegistryState {
+    private final BackendDirectory mDirectory = new BackendDirectory();
+    private final Map<BackendId, BackendState> mStates = new HashMap<>();
+
+    private final Map<FailureDomain, DomainConnectivity> mConnectivity = new HashMap<>();
+    private final Map<ServiceName, PrefillThroughput> mThroughputs = new HashMap<>();
+
+    PrefillThroughput throughput(ServiceName service) {
+        return mThroughputs.computeIfAbsent(service, key -> new PrefillThroughput());
+    }
+
+    DomainConnectivity connectivity(Backend backend) {
+        return mConnectivity.computeIfAbsent(backend.domain(), domain -> new DomainConnectivity());
+    }
+
+    boolean admits(Backend backend, long nowMillis) {
+        return stateOf(backend).health().admits(nowMillis)
+                && connectivity(backend).admits(nowMillis);
+    }
+
+    boolean acceptsWork(Backend backend, long nowMillis) {
+        return stateOf(backend).directives().acceptsWork(nowMillis);
+    }
+
+    Stream<Backend> staying(ServiceName service) {
+        return mDirectory
+                .usable(service)
+                .filter(backend -> !stateOf(backend).directives().leaving());
+    }
+
+    /** Returns whether what the server asks of its callers leaves room for a request. */
+    boolean permits(Backend backend, WorkSize size, long nowMillis) {
+        return stateOf(backend).directives().permits(backend.stage().calls(size), nowMillis);
+    }
+
+    void recordStart(Backend backend, WorkSize size, long nowMillis) {
+        stateOf(backend).directives().tryUse(backend.stage().calls(size), nowMillis);
+        stateOf(backend).recordStart(size);
+        connectivity(backend).recordSend(nowMillis);
+    }
+
+    /**
+     * Returns the state of a server.
+     *
+     * <p>A restarted server begins with fresh state: the in-flight work, failures, waits and
+     * directives of its previous incarnation do not apply. What arrives late about the previous
+     * incarnation is recorded in a state of its own, which nothing else reads.
+     */
+    BackendState stateOf(Backend backend) {
+        BackendState known = mStates.get(backend.id());
+        if (known != null && known.startedMillis() == backend.startedMillis()) {
+            return known;
+        }
+        BackendState fresh = new BackendState(backend.startedMillis());
+        if (mDirectory.find(backend.id()).map(backend::sameIncarnation).orElse(true)) {
+            mStates.put(backend.id(), fresh);
+        }
+        return fresh;
+    }
+
+    BackendDirectory directory() {
+        return mDirectory;
+    }
+
+    /** Removes the state of servers that are not listed and of which nothing has to be kept. */
+    void removeUnused(long nowMillis) {
+        mStates.entrySet().removeIf(entry -> unused(entry.getKey(), entry.getValue(), nowMillis));
+    }
+
+    /** An entry may be missing for a time; the server's directives still hold when it is back. */
+    private boolean unused(BackendId id, BackendState state, long nowMillis) {
+        return mDirectory.find(id).isEmpty()
+                && state.inFlightWork().requests() == 0
+                && !state.directives().retained(nowMillis);
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -218,7 +218,7 @@
     @Override
     public void failed(SendOutcome outcome, Throwable cause) {
         if (mayHaveBeenStale(outcome)
-                && mRelay.registry().tryCall(target(), 1, mRelay.clock().millis())
+                && mRelay.registry().directives().tryCall(target(), 1, mRelay.clock().millis())
                 && mRelay.budget().tryTake(mRequest.service())) {
             mConnection = Connection.NEW;
             mBeforeResend.run();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -100,8 +100,8 @@
     private boolean accepts(Backend target, Purpose purpose) {
         long now = mClock.millis();
         return purpose == Purpose.WORK
-                ? mRegistry.acceptsWork(target, now)
-                : mRegistry.acceptsRelease(target, now);
+                ? mRegistry.directives().acceptsWork(target, now)
+                : mRegistry.directives().acceptsRelease(target, now);
     }
 
     /**
@@ -118,7 +118,8 @@
             return;
         }
         mRegistry
-                .recordDirectives(target, mMessages.directives(head), sentMillis, mClock.millis())
+                .directives()
+                .record(target, mMessages.directives(head), sentMillis, mClock.millis())
                 .forEach(
                         change -> {
                             mMetrics.recordDirective(change.kind());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendPermits.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendPermits.java
@@ -35,7 +35,10 @@
 
     /** Requests permits for later requests to the limited servers of a service, if it has any. */
     void requestInAdvance(ServiceName service, WorkSize size) {
-        mRegistry.limited(service, size, Set.of(), mClock.millis()).forEach(this::request);
+        mRegistry
+                .directives()
+                .limited(service, size, Set.of(), mClock.millis())
+                .forEach(this::request);
     }
 
     /**
@@ -54,7 +57,7 @@
             Listener done) {
         // A permit for a prefill engine alone would not let the request begin.
         List<LimitedBackend> limited =
-                mRegistry.limited(service, size, avoid, mClock.millis()).stream()
+                mRegistry.directives().limited(service, size, avoid, mClock.millis()).stream()
                         .filter(server -> server.backend().stage().completesRequests())
                         .toList();
         requestNext(limited, 0).thenAcceptAsync(done::ended, loop);
@@ -73,7 +76,7 @@
     }
 
     private CompletableFuture<Boolean> request(LimitedBackend limited) {
-        if (!mRegistry.beginPermitRequest(limited.backend(), mClock.millis())) {
+        if (!mRegistry.directives().beginPermitRequest(limited.backend(), mClock.millis())) {
             return CompletableFuture.completedFuture(false);
         }
         PermitRequest request =
@@ -86,11 +89,13 @@
     }
 
     private boolean record(LimitedBackend limited, PermitResponse response) {
-        mRegistry.recordPermits(
-                limited.backend(),
-                response.granted() ? limited.calls() : 0,
-                response.retryMillis(),
-                mClock.millis());
+        mRegistry
+                .directives()
+                .recordPermits(
+                        limited.backend(),
+                        response.granted() ? limited.calls() : 0,
+                        response.retryMillis(),
+                        mClock.millis());
         return response.granted();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -54,7 +54,7 @@
      *     take the request
      */
     void requiredTokens(Backend engine, ReservationWait wait, Consumer<OptionalLong> done) {
-        if (mRelay.registry().isRestricted(engine, mRelay.clock().millis())) {
+        if (mRelay.registry().directives().restricts(engine, mRelay.clock().millis())) {
             // Neither a report nor a reservation for growth is worth one of the permitted calls.
             done.accept(OptionalLong.of(0));
         } else if (mRelay.registry().reportDue(engine, mRelay.clock().millis())) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlainSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlainSearch.java
@@ -70,7 +70,8 @@
     private boolean mayObtainPermit(long nowMillis) {
         OptionalLong wait =
                 mRelay.registry()
-                        .directiveWaitMillis(mRequest.service(), size(), mAvoid, nowMillis);
+                        .directives()
+                        .waitMillis(mRequest.service(), size(), mAvoid, nowMillis);
         return !mPermitRequested && wait.isPresent() && wait.getAsLong() <= 0;
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -176,7 +176,8 @@
         }
         // A pooled connection may have been closed while it was idle. A prefill may be repeated.
         boolean mayResend = mPooled && mResponse == null && outcome == SendOutcome.UNKNOWN;
-        if (mayResend && mRelay.registry().tryCall(mEngine, 1, mRelay.clock().millis())) {
+        if (mayResend
+                && mRelay.registry().directives().tryCall(mEngine, 1, mRelay.clock().millis())) {
             open(false);
         } else {
             fail(outcome, String.valueOf(cause));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -110,6 +110,7 @@
         mSearch = Optional.of(search);
         mRequestLog.serversPassedOver(
                 mRelay.registry()
+                        .directives()
                         .passedOver(
                                 mRequest.service(),
                                 mRequest.caller().size(),
@@ -134,7 +135,8 @@
 
     private OptionalLong directiveWait(Set<BackendId> avoid) {
         return mRelay.registry()
-                .directiveWaitMillis(
+                .directives()
+                .waitMillis(
                         mRequest.service(),
                         mRequest.caller().size(),
                         avoid,
@@ -200,7 +202,7 @@
 
     private void send(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
         Backend backend = placement.backend();
-        if (!mRelay.registry().acceptsWork(backend, mRelay.clock().millis())) {
+        if (!mRelay.registry().directives().acceptsWork(backend, mRelay.clock().millis())) {
             placeAgain(placement, prompt);
             return;
         }
@@ -303,6 +305,7 @@
         return mRequest.engine().isPresent()
                 && mRetryPolicy.mayResumeOnSameBackend(mRelay.clock().millis())
                 && mRelay.registry()
+                        .directives()
                         .tryCall(engine, mRequest.caller().size().calls(), mRelay.clock().millis());
     }
 
@@ -365,7 +368,7 @@
                 prefillEngine -> mRelay.registry().recordPrefillResultLost(prefillEngine, now));
         mPrefillEngine = Optional.empty();
         boolean again =
-                mRelay.registry().tryCall(attempt.target(), 1, now)
+                mRelay.registry().directives().tryCall(attempt.target(), 1, now)
                         && mRetryPolicy.resendToSameBackend(now, this::takeRetry);
         if (!again) {
             retryOrFail(attempt, SendOutcome.REJECTED, cause);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -105,7 +105,7 @@
             return;
         }
         OptionalLong directiveWait =
-                mRelay.registry().directiveWaitMillis(mRequest.service(), size(), mAvoid, now);
+                mRelay.registry().directives().waitMillis(mRequest.service(), size(), mAvoid, now);
         if (mayObtainPermit(directiveWait)) {
             mRelay.permits()
                     .request(mRequest.service(), size(), mAvoid, mLoop, granted -> findAgain());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -107,7 +107,7 @@
      * anyway.
      */
     static void sendIgnoringFailure(RelayContext relay, Backend backend, RequestHeaders call) {
-        if (!relay.registry().tryRelease(backend, relay.clock().millis())) {
+        if (!relay.registry().directives().tryRelease(backend, relay.clock().millis())) {
             relay.log().log(RelayEvent.RELEASE_FAILED, backend.id(), "server asks for fewer calls");
             return;
         }
@@ -138,6 +138,7 @@
                                     pooled && failure != null && spent < CALL_TIMEOUT_MILLIS;
                             return mayResend
                                             && mRelay.registry()
+                                                    .directives()
                                                     .tryCall(mEngine, 1, mRelay.clock().millis())
                                     ? requestReservation(tokens, millis, false)
                                     : CompletableFuture.completedFuture(result(response, failure));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleController.java
@@ -200,7 +200,10 @@
     }
 
     private boolean mayCall(Backend engine) {
-        return mDependencies.registry().tryCall(engine, CALLS_PER_ORDER, mClock.millis());
+        return mDependencies
+                .registry()
+                .directives()
+                .tryCall(engine, CALLS_PER_ORDER, mClock.millis());
     }
 
     private Optional<StageChange> nextChange(ServiceName service, EngineProfile profile) {
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -146,7 +146,7 @@
      */
     @Test(dataProvider = "connections")
     public void callIsNotWrittenAfterItsServerHasAskedForNone(boolean keepAlive) {
-        mRegistry.recordDirectives(mBackend, PAUSE, 1_000, 1_000);
+        mRegistry.directives().record(mBackend, PAUSE, 1_000, 1_000);
         assertWithheld(keepAlive);
         mMillis.set(4_000);
         assertEquals(call(keepAlive).contentUtf8(), "done");
@@ -155,10 +155,10 @@
     /** A server that shuts down gets new work, or cannot be told to release what it holds. */
     @Test(dataProvider = "connections")
     public void serverThatLeavesGetsNoWorkButReleases(boolean keepAlive) {
-        mRegistry.recordDirectives(mBackend, LEAVING, 1_000, 1_000);
+        mRegistry.directives().record(mBackend, LEAVING, 1_000, 1_000);
         assertWithheld(keepAlive);
         assertEquals(call(keepAlive, BackendCaller.Purpose.RELEASE).contentUtf8(), "done");
-        mRegistry.recordDirectives(mBackend, Directives.NONE, 2_000, 2_000);
+        mRegistry.directives().record(mBackend, Directives.NONE, 2_000, 2_000);
         mRegistry.applyListing(Map.of(mBackend.id(), mBackend), 2_100);
         assertTrue(
                 mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 9_000).isEmpty(),
@@ -181,7 +181,9 @@
         call(false);
         assertTrue(mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 3_999).isEmpty());
         assertEquals(
-                mRegistry.directiveWaitMillis(mBackend.service(), WorkSize.PLAIN, Set.of(), 1_500),
+                mRegistry
+                        .directives()
+                        .waitMillis(mBackend.service(), WorkSize.PLAIN, Set.of(), 1_500),
                 OptionalLong.of(2_500));
         assertEquals(
                 mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 4_000),
@@ -191,7 +193,7 @@
     /** A listing lacks a server for a moment, and the server gets requests within its pause. */
     @Test
     public void directivesOutlastAMissingEntry() {
-        mRegistry.recordDirectives(mBackend, PAUSE, 1_000, 1_000);
+        mRegistry.directives().record(mBackend, PAUSE, 1_000, 1_000);
         mRegistry.applyListing(Map.of(), 1_100);
         mRegistry.applyListing(Map.of(mBackend.id(), mBackend), 1_200);
         assertTrue(mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 3_999).isEmpty());
@@ -200,7 +202,7 @@
     /** A restarted server is left out because the process before it had asked for no calls. */
     @Test
     public void directivesEndWithTheIncarnationOfTheServer() {
-        mRegistry.recordDirectives(mBackend, PAUSE, 1_000, 1_000);
+        mRegistry.directives().record(mBackend, PAUSE, 1_000, 1_000);
         Backend restarted =
                 new Backend(
                         mBackend.id(),
@@ -216,10 +218,10 @@
         assertEquals(
                 mRegistry.select(restarted.service(), WorkSize.PLAIN, Set.of(), 1_200),
                 Optional.of(restarted));
-        mRegistry.recordDirectives(restarted, PAUSE, 1_200, 1_300);
+        mRegistry.directives().record(restarted, PAUSE, 1_200, 1_300);
         // A response of the previous process arrives late.
-        mRegistry.recordDirectives(mBackend, Directives.NONE, 1_000, 1_400);
-        mRegistry.recordPermits(mBackend, 1, 0, 1_400);
+        mRegistry.directives().record(mBackend, Directives.NONE, 1_000, 1_400);
+        mRegistry.directives().recordPermits(mBackend, 1, 0, 1_400);
         assertTrue(
                 mRegistry.select(restarted.service(), WorkSize.PLAIN, Set.of(), 1_500).isEmpty(),
                 "a late response of the previous incarnation ends the pause");
