Check a waiting call before it can be written, never after

Cause: the check before the write was attached to a call after it had been started. On another thread than the call's event loop, the call could be written first and was then cancelled and reported as not sent, although the server had run it. The class of fault: a promise of 'not sent' by a check that races with the write.

The check is attached when the call's context is created, before anything of it is started. BackendCallsTest.withheldCallIsNeverWritten, 500 calls over new and over open connections each, failed on the code before and passes.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.util.SafeCloseable;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
@@ -125,16 +126,17 @@
     private void open() {
         boolean pooled = mConnection != Connection.NEW;
         mSentMillis = mRelay.clock().millis();
-        mExchange =
-                BackendExchange.send(
-                        mRelay.connections().client(target().address(), target().port(), pooled),
-                        mRelay.backendMessages().request(mRequest.caller(), mCall),
-                        mRequest.body(),
-                        mRelay.backendMessages(),
-                        mLoop,
-                        this);
-        mRelay.calls()
-                .withholdIfUnwanted(target(), BackendCaller.Purpose.WORK, mExchange.context());
+        try (SafeCloseable guarded = mRelay.calls().guard(target(), BackendCaller.Purpose.WORK)) {
+            mExchange =
+                    BackendExchange.send(
+                            mRelay.connections()
+                                    .client(target().address(), target().port(), pooled),
+                            mRelay.backendMessages().request(mRequest.caller(), mCall),
+                            mRequest.body(),
+                            mRelay.backendMessages(),
+                            mLoop,
+                            this);
+        }
         mExchange.subscribe();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -1,7 +1,5 @@
 package org.cyclamenpaddle.relay.front;
 
-import com.linecorp.armeria.client.ClientRequestContext;
-import com.linecorp.armeria.client.ClientRequestContextCaptor;
 import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.client.WebClient;
@@ -11,6 +9,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.logging.RequestLogProperty;
+import com.linecorp.armeria.common.util.SafeCloseable;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.engine.http.BackendConnections;
@@ -67,34 +66,38 @@
     private HttpResponse execute(Backend target, Options options, HttpRequest request) {
         WebClient client =
                 mConnections.client(target.address(), target.port(), options.keepAlive());
-        try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
-            HttpResponse response =
-                    client.execute(
-                            request,
-                            RequestOptions.builder()
-                                    .responseTimeoutMillis(options.timeoutMillis())
-                                    .build());
-            withholdIfUnwanted(target, options.purpose(), captor.get());
-            return response;
+        try (SafeCloseable guarded = guard(target, options.purpose())) {
+            return client.execute(
+                    request,
+                    RequestOptions.builder()
+                            .responseTimeoutMillis(options.timeoutMillis())
+                            .build());
         }
     }
 
     /**
-     * Cancels a call that waits for a connection if its server asks for no calls in the meantime.
+     * Guards the calls that this thread starts until the result is closed: a call that waits for a
+     * connection is cancelled if its server asks for no calls in the meantime.
      *
-     * @param target server that the call is addressed to
-     * @param purpose why the call is made
-     * @param call the call, which has just been started
+     * <p>The check is attached before the call is started. Attached later, it could run after the
+     * call has been written, and a call that may have run would be reported as not sent.
+     *
+     * @param target server that the calls are addressed to
+     * @param purpose why they are made
      */
-    void withholdIfUnwanted(Backend target, Purpose purpose, ClientRequestContext call) {
-        call.log()
-                .whenAvailable(RequestLogProperty.SESSION)
-                .thenRun(
-                        () -> {
-                            if (!accepts(target, purpose)) {
-                                call.cancel(new CallWithheldException(target.id().value()));
-                            }
-                        });
+    SafeCloseable guard(Backend target, Purpose purpose) {
+        return Clients.withContextCustomizer(
+                call ->
+                        call.log()
+                                .whenAvailable(RequestLogProperty.SESSION)
+                                .thenRun(
+                                        () -> {
+                                            if (!accepts(target, purpose)) {
+                                                call.cancel(
+                                                        new CallWithheldException(
+                                                                target.id().value()));
+                                            }
+                                        }));
     }
 
     private boolean accepts(Backend target, Purpose purpose) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -80,11 +80,6 @@
         }
     }
 
-    /** Returns the call of this exchange. */
-    ClientRequestContext context() {
-        return mContext;
-    }
-
     /** Starts delivering the response to the listener. */
     void subscribe() {
         mResponse.subscribe(this, mLoop);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.util.SafeCloseable;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
@@ -97,15 +98,16 @@
                         mRequest.teamName(),
                         mRequest.enginePriority(),
                         Optional.empty());
-        mExchange =
-                BackendExchange.send(
-                        mRelay.connections().client(mEngine.address(), mEngine.port(), pooled),
-                        mRelay.backendMessages().request(mRequest.caller(), call),
-                        mRequest.body(),
-                        mRelay.backendMessages(),
-                        mLoop,
-                        this);
-        mRelay.calls().withholdIfUnwanted(mEngine, BackendCaller.Purpose.WORK, mExchange.context());
+        try (SafeCloseable guarded = mRelay.calls().guard(mEngine, BackendCaller.Purpose.WORK)) {
+            mExchange =
+                    BackendExchange.send(
+                            mRelay.connections().client(mEngine.address(), mEngine.port(), pooled),
+                            mRelay.backendMessages().request(mRequest.caller(), call),
+                            mRequest.body(),
+                            mRelay.backendMessages(),
+                            mLoop,
+                            this);
+        }
         mExchange.subscribe();
     }
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -152,6 +152,19 @@
         assertEquals(call(keepAlive).contentUtf8(), "done");
     }
 
+    /**
+     * The check runs after the call was written, and a call that has run is reported as not sent.
+     */
+    @Test(dataProvider = "connections")
+    public void withheldCallIsNeverWritten(boolean keepAlive) {
+        call(keepAlive);
+        mRegistry.directives().record(mBackend, PAUSE, 1_000, 1_000);
+        mArrivals.set(0);
+        for (int i = 0; i < 500; i++) {
+            assertWithheld(keepAlive);
+        }
+    }
+
     /** A server that shuts down gets new work, or cannot be told to release what it holds. */
     @Test(dataProvider = "connections")
     public void serverThatLeavesGetsNoWorkButReleases(boolean keepAlive) {
