--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/directive/SharedLimitLoadTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/directive/SharedLimitLoadTest.java
@@ -18,6 +18,12 @@
 
     private static final long SEEDS = 20;
 
+    /**
+     * Least share of a limit in use: the owner lends 0.85 of it, and the model loses at most the
+     * half of the permits that are requested in advance.
+     */
+    private static final double LEAST_USED = 0.85 / 2;
+
     @DataProvider
     public Object[][] fleets() {
         return new Object[][] {
@@ -71,7 +77,7 @@
                         .mapToDouble(Result::usedShare)
                         .average()
                         .orElse(0);
-        assertTrue(used > 0.3, "used share of the limit: " + used);
+        assertTrue(used >= LEAST_USED, "used share of the limit: " + used);
     }
 
     /** Shows that the load distinguishes sharing from hosts that each keep an equal part. */
