Separate the placement of a request from its exchange

Change: PlacementPhase owns search, reservation and prefill until a server is found, and releases them if the request ends before. No change of behaviour is intended.

--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -0,0 +1,208 @@
+package org.cyclamenpaddle.relay.front;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.wire.PromptHandle;
+
+/**
+ * Finds a server for one send of a request and prefills its prompt, if it is a generation.
+ *
+ * <p>Owns the search, the reservation and the prefill until the listener is notified; {@link
+ * #cancel} releases what is held until then. All methods run on the event loop of the caller's
+ * connection.
+ */
+final class PlacementPhase {
+
+    /** Notified once of the result, unless the phase is cancelled. */
+    interface Listener {
+
+        /** Called when the request can be sent. */
+        void placed(Placed placed);
+
+        /** Called when no server can take the request. */
+        void notPlaced(String reason);
+    }
+
+    /**
+     * Server for a send, with what is held for the request on it and elsewhere.
+     *
+     * @param backend server that will run the request
+     * @param reservation name of the reservation there; empty if none is needed
+     * @param prefillEngine engine that was to prefill the prompt; empty if the server does
+     * @param prompt handle of the prefilled prompt; empty if there is none
+     * @param reservedMillis clock reading at which the reservation was granted; empty if none is
+     *     needed
+     */
+    record Placed(
+            Backend backend,
+            Optional<String> reservation,
+            Optional<Backend> prefillEngine,
+            Optional<PromptHandle> prompt,
+            OptionalLong reservedMillis) {
+
+        /** Returns a placement on a server without a prefilled prompt. */
+        static Placed on(Backend backend, Optional<String> reservation) {
+            return new Placed(
+                    backend, reservation, Optional.empty(), Optional.empty(), OptionalLong.empty());
+        }
+
+        /** Releases the reservation and the prompt of a request that is not sent. */
+        void release(RelayContext relay, RelayRequest request) {
+            reservation.ifPresent(name -> ReserveCall.cancel(relay, backend, name));
+            relay.registry()
+                    .recordOutcome(
+                            backend,
+                            request.caller().size(),
+                            true,
+                            SendOutcome.ABANDONED,
+                            relay.clock().millis());
+            releasePrompt(relay);
+        }
+
+        /** Releases the prefilled prompt, which no server will fetch. */
+        void releasePrompt(RelayContext relay) {
+            prefillEngine.ifPresent(
+                    engine ->
+                            prompt.ifPresent(
+                                    handle ->
+                                            ReserveCall.sendIgnoringFailure(
+                                                    relay,
+                                                    engine,
+                                                    relay.engineMessages()
+                                                            .release(engine, handle))));
+        }
+
+        private Placed with(Optional<PromptHandle> handle) {
+            return new Placed(backend, reservation, prefillEngine, handle, reservedMillis);
+        }
+    }
+
+    private final RelayContext mRelay;
+    private final RelayRequest mRequest;
+    private final EventLoop mLoop;
+    private final Set<BackendId> mTried;
+    private final BooleanSupplier mRetryBudget;
+    private final Listener mListener;
+    private Optional<BackendSearch> mSearch = Optional.empty();
+    private Optional<PrefillExchange> mPrefill = Optional.empty();
+    private Optional<Placed> mReserved = Optional.empty();
+
+    /**
+     * Creates the phase; {@link #start} starts it.
+     *
+     * @param tried servers that have already been tried
+     * @param retryBudget takes one retry from the shared budget; false if there is none left
+     */
+    PlacementPhase(
+            RelayContext relay,
+            RelayRequest request,
+            EventLoop loop,
+            Set<BackendId> tried,
+            BooleanSupplier retryBudget,
+            Listener listener) {
+        mRelay = relay;
+        mRequest = request;
+        mLoop = loop;
+        mTried = tried;
+        mRetryBudget = retryBudget;
+        mListener = listener;
+    }
+
+    /**
+     * Starts the search.
+     *
+     * @param timeoutMillis clock reading at which the request times out
+     */
+    void start(long timeoutMillis) {
+        BackendSearch search =
+                mRequest.engine().isPresent()
+                        ? new ReservationSearch(
+                                mRelay,
+                                mRequest,
+                                mLoop,
+                                mTried,
+                                found -> reserved(found, timeoutMillis))
+                        : new PlainSearch(mRelay, mRequest, mLoop, mTried, this::serverFound);
+        mSearch = Optional.of(search);
+        search.find();
+    }
+
+    /** Ends the phase and releases what it holds. */
+    void cancel() {
+        mPrefill.ifPresent(PrefillExchange::cancel);
+        mPrefill = Optional.empty();
+        mReserved.ifPresent(placed -> placed.release(mRelay, mRequest));
+        mReserved = Optional.empty();
+        mSearch.ifPresent(BackendSearch::cancel);
+        mSearch = Optional.empty();
+    }
+
+    private void serverFound(Optional<Backend> found) {
+        mSearch = Optional.empty();
+        if (found.isEmpty()) {
+            mListener.notPlaced(reason("no backend server available"));
+        } else {
+            mListener.placed(Placed.on(found.get(), Optional.empty()));
+        }
+    }
+
+    private void reserved(Optional<ReservationSearch.Placement> found, long timeoutMillis) {
+        mSearch = Optional.empty();
+        if (found.isEmpty()) {
+            mListener.notPlaced(reason("no engine has room"));
+            return;
+        }
+        long now = mRelay.clock().millis();
+        Backend engine = found.get().backend();
+        Placed placed =
+                new Placed(
+                        engine,
+                        found.get().reservation(),
+                        mRelay.registry()
+                                .selectPrefillEngine(engine, mRequest.caller().size(), now),
+                        Optional.empty(),
+                        OptionalLong.of(now));
+        if (placed.prefillEngine().isEmpty()) {
+            mListener.placed(placed);
+            return;
+        }
+        PrefillExchange prefill =
+                new PrefillExchange(
+                        mRelay, mRequest, placed.prefillEngine().get(), this::prefillEnded);
+        mPrefill = Optional.of(prefill);
+        mReserved = Optional.of(placed);
+        prefill.start(mLoop, Math.max(0, timeoutMillis - now));
+    }
+
+    private void prefillEnded(Optional<PromptHandle> handle) {
+        boolean rejected = mPrefill.map(PrefillExchange::rejected).orElse(false);
+        Placed placed = mReserved.orElseThrow();
+        mPrefill = Optional.empty();
+        mReserved = Optional.empty();
+        if (rejected && !mRetryBudget.getAsBoolean()) {
+            placed.release(mRelay, mRequest);
+            mListener.notPlaced("prefill engine full, retry budget empty");
+            return;
+        }
+        mListener.placed(placed.with(handle));
+    }
+
+    private String reason(String otherwise) {
+        boolean limited =
+                mRelay.registry()
+                        .directives()
+                        .waitMillis(
+                                mRequest.service(),
+                                mRequest.caller().size(),
+                                mTried,
+                                mRelay.clock().millis())
+                        .isPresent();
+        return limited ? "all backend servers ask for fewer requests" : otherwise;
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -19,11 +19,10 @@
 import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.wire.BackendCall;
-import org.cyclamenpaddle.relay.wire.PromptHandle;
 
 /**
- * Manages one request from its arrival to its end: reserves engine memory, forwards the request,
- * retries it and completes it exactly once.
+ * Manages one request from its arrival to its end: places it, forwards it, retries it and completes
+ * it exactly once.
  *
  * <p>All methods run on the event loop of the caller's connection.
  */
@@ -50,14 +49,11 @@
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mTimeout;
-    private Optional<BackendSearch> mSearch = Optional.empty();
-    private Optional<ReservationSearch.Placement> mPlacement = Optional.empty();
-    private Optional<PrefillExchange> mPrefill = Optional.empty();
+    private Optional<PlacementPhase> mPlacement = Optional.empty();
+    private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
     private Optional<BackendAttempt> mAttempt = Optional.empty();
-    private Optional<Backend> mLastBackend = Optional.empty();
-    private Optional<Backend> mPrefillEngine = Optional.empty();
     private Optional<Backend> mFailedPrefillEngine = Optional.empty();
-    private long mPlacementMillis = -1;
+    private OptionalLong mReservedMillis = OptionalLong.empty();
     private boolean mReserving;
     private boolean mEnded;
 
@@ -97,151 +93,84 @@
         }
         mAttempt.ifPresent(BackendAttempt::cancel);
         mRelay.metrics().recordDisconnect();
-        mRequestLog.callerDisconnected(mLastBackend);
+        mRequestLog.callerDisconnected(lastBackend());
         end();
     }
 
     private void selectBackend() {
-        BackendSearch search =
-                mRequest.engine().isPresent()
-                        ? new ReservationSearch(
-                                mRelay, mRequest, mLoop, mTried, this::placementFound)
-                        : new PlainSearch(mRelay, mRequest, mLoop, mTried, this::serverFound);
-        mSearch = Optional.of(search);
+        PlacementPhase placement =
+                new PlacementPhase(
+                        mRelay,
+                        mRequest,
+                        mLoop,
+                        mTried,
+                        this::takeRetry,
+                        new PlacementPhase.Listener() {
+                            @Override
+                            public void placed(PlacementPhase.Placed placed) {
+                                mPlacement = Optional.empty();
+                                send(placed);
+                            }
+
+                            @Override
+                            public void notPlaced(String reason) {
+                                mPlacement = Optional.empty();
+                                fail(SendOutcome.NOT_SENT, reason);
+                            }
+                        });
+        mPlacement = Optional.of(placement);
+        long now = mRelay.clock().millis();
         mRequestLog.serversPassedOver(
                 mRelay.registry()
                         .directives()
-                        .passedOver(
-                                mRequest.service(),
-                                mRequest.caller().size(),
-                                mRelay.clock().millis()));
-        search.find();
-    }
-
-    private void serverFound(Optional<Backend> found) {
-        mSearch = Optional.empty();
-        if (found.isEmpty()) {
-            fail(SendOutcome.NOT_SENT, noServerReason("no backend server available"));
-        } else {
-            send(new ReservationSearch.Placement(found.get(), Optional.empty()), Optional.empty());
-        }
-    }
-
-    private String noServerReason(String otherwise) {
-        return directiveWait(mTried).isPresent()
-                ? "all backend servers ask for fewer requests"
-                : otherwise;
+                        .passedOver(mRequest.service(), mRequest.caller().size(), now));
+        placement.start(now + mRetryPolicy.remainingMillis(now));
     }
 
-    private OptionalLong directiveWait(Set<BackendId> avoid) {
+    private OptionalLong directiveWait() {
         return mRelay.registry()
                 .directives()
                 .waitMillis(
                         mRequest.service(),
                         mRequest.caller().size(),
-                        avoid,
+                        Set.of(),
                         mRelay.clock().millis());
     }
 
-    private void placementFound(Optional<ReservationSearch.Placement> found) {
-        mSearch = Optional.empty();
-        if (found.isEmpty()) {
-            fail(SendOutcome.NOT_SENT, noServerReason("no engine has room"));
-            return;
-        }
-        long now = mRelay.clock().millis();
-        mPlacementMillis = now - mStartMillis;
-        ReservationSearch.Placement placement = found.get();
-        mPrefillEngine =
-                mRelay.registry()
-                        .selectPrefillEngine(placement.backend(), mRequest.caller().size(), now);
-        if (mPrefillEngine.isEmpty()) {
-            send(placement, Optional.empty());
-            return;
+    private void send(PlacementPhase.Placed placed) {
+        Backend backend = placed.backend();
+        if (placed.reservedMillis().isPresent()) {
+            mReservedMillis = placed.reservedMillis();
         }
-        PrefillExchange prefill =
-                new PrefillExchange(
-                        mRelay,
-                        mRequest,
-                        mPrefillEngine.get(),
-                        handle -> prefillEnded(placement, handle));
-        mPrefill = Optional.of(prefill);
-        mPlacement = Optional.of(placement);
-        prefill.start(mLoop, mRetryPolicy.remainingMillis(now));
-    }
-
-    private void prefillEnded(
-            ReservationSearch.Placement placement, Optional<PromptHandle> handle) {
-        boolean rejected = mPrefill.map(PrefillExchange::rejected).orElse(false);
-        mPrefill = Optional.empty();
-        if (rejected && !takeRetry()) {
-            cancelPlacement(placement);
-            fail(SendOutcome.NOT_SENT, "prefill engine full, retry budget empty");
-            return;
-        }
-        send(placement, handle);
-    }
-
-    /** Cancels the placement of a request that ends before it was sent. */
-    private void cancelPlacement(ReservationSearch.Placement placement) {
-        placement
-                .reservation()
-                .ifPresent(name -> ReserveCall.cancel(mRelay, placement.backend(), name));
-        release(placement.backend());
-    }
-
-    private void release(Backend backend) {
-        mRelay.registry()
-                .recordOutcome(
-                        backend,
-                        mRequest.caller().size(),
-                        true,
-                        SendOutcome.ABANDONED,
-                        mRelay.clock().millis());
-    }
-
-    private void send(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
-        Backend backend = placement.backend();
         if (!mRelay.registry().directives().acceptsWork(backend, mRelay.clock().millis())) {
-            placeAgain(placement, prompt);
+            placeAgain(placed);
             return;
         }
         mTried.add(backend.id());
-        mLastBackend = Optional.of(backend);
         mRetryPolicy.beginSend();
-        open(placement, prompt);
+        open(placed);
     }
 
     /** Looks for another server after the chosen one has asked for no further work. */
-    private void placeAgain(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
-        cancelPlacement(placement);
-        prompt.ifPresent(this::releasePrompt);
+    private void placeAgain(PlacementPhase.Placed placed) {
+        placed.release(mRelay, mRequest);
         // A second prefill of the request counts as a retry.
-        if (prompt.isEmpty() || takeRetry()) {
+        if (placed.prompt().isEmpty() || takeRetry()) {
             selectBackend();
         } else {
             fail(SendOutcome.NOT_SENT, "engine asks for no further work, retry budget empty");
         }
     }
 
-    private void releasePrompt(PromptHandle prompt) {
-        mPrefillEngine.ifPresent(
-                prefillEngine ->
-                        ReserveCall.sendIgnoringFailure(
-                                mRelay,
-                                prefillEngine,
-                                mRelay.engineMessages().release(prefillEngine, prompt)));
-    }
-
-    private void open(ReservationSearch.Placement placement, Optional<PromptHandle> prompt) {
-        Backend backend = placement.backend();
+    private void open(PlacementPhase.Placed placed) {
+        mPlaced = Optional.of(placed);
         BackendCall call =
                 new BackendCall(
-                        backend,
+                        placed.backend(),
                         mRetryPolicy.remainingMillis(mRelay.clock().millis()),
                         false,
-                        prompt,
-                        placement.reservation(),
+                        placed.prompt(),
+                        placed.reservation(),
                         mRequest.teamName(),
                         mRequest.enginePriority(),
                         mResponse.lastEventId());
@@ -254,17 +183,17 @@
                         call,
                         mResponse,
                         new BackendAttempt.Terms(
-                                mPrefillEngine.isPresent(),
+                                placed.prefillEngine().isPresent(),
                                 retriableElsewhere,
-                                connection(placement),
+                                connection(placed),
                                 mRetryPolicy::recordDuplicateSend),
                         this::attemptEnded);
         mAttempt = Optional.of(attempt);
         attempt.start(mLoop);
     }
 
-    private BackendAttempt.Connection connection(ReservationSearch.Placement placement) {
-        if (placement.reservation().isPresent()) {
+    private BackendAttempt.Connection connection(PlacementPhase.Placed placed) {
+        if (placed.reservation().isPresent()) {
             return BackendAttempt.Connection.RECENTLY_USED;
         }
         return mRequest.route().kind() == RouteKind.IDEMPOTENT
@@ -275,7 +204,7 @@
     private void attemptEnded(SendOutcome outcome, String cause) {
         BackendAttempt attempt = mAttempt.orElseThrow();
         mAttempt = Optional.empty();
-        releaseUnusedPrompt(attempt, outcome);
+        releaseUnusedPrompt(outcome);
         if (outcome == SendOutcome.REJECTED && attempt.prompt().isEmpty()) {
             rejectedDespiteReservation(attempt.target());
         }
@@ -347,10 +276,9 @@
     private void openOnSameEngine(BackendAttempt attempt, Optional<String> reservation) {
         mRelay.metrics().recordRetry(SendOutcome.UNKNOWN);
         mResponse.discardPartial();
-        mPrefillEngine = Optional.empty();
         mRelay.registry().recordAlive(attempt.target());
         mRelay.registry().recordResend(attempt.target(), mRequest.caller().size());
-        open(new ReservationSearch.Placement(attempt.target(), reservation), Optional.empty());
+        open(PlacementPhase.Placed.on(attempt.target(), reservation));
     }
 
     /**
@@ -363,10 +291,9 @@
      */
     private void prefillResultLost(BackendAttempt attempt, String cause) {
         long now = mRelay.clock().millis();
-        mFailedPrefillEngine = mPrefillEngine;
+        mFailedPrefillEngine = prefillEngine();
         mFailedPrefillEngine.ifPresent(
                 prefillEngine -> mRelay.registry().recordPrefillResultLost(prefillEngine, now));
-        mPrefillEngine = Optional.empty();
         boolean again =
                 mRelay.registry().directives().tryCall(attempt.target(), 1, now)
                         && mRetryPolicy.resendToSameBackend(now, this::takeRetry);
@@ -377,7 +304,7 @@
         mRequestLog.attemptEnded(attempt, SendOutcome.REJECTED, cause, RetryDecision.SEND_AGAIN);
         mRelay.metrics().recordRetry(SendOutcome.REJECTED);
         mRelay.registry().recordResend(attempt.target(), mRequest.caller().size());
-        open(new ReservationSearch.Placement(attempt.target(), Optional.empty()), Optional.empty());
+        open(PlacementPhase.Placed.on(attempt.target(), Optional.empty()));
     }
 
     private void retryOrFail(BackendAttempt attempt, SendOutcome outcome, String cause) {
@@ -402,9 +329,9 @@
     }
 
     /** Releases the prefilled prompt if the backend server did not fetch it. */
-    private void releaseUnusedPrompt(BackendAttempt attempt, SendOutcome outcome) {
+    private void releaseUnusedPrompt(SendOutcome outcome) {
         if (!outcome.mayHaveRun()) {
-            attempt.prompt().ifPresent(this::releasePrompt);
+            mPlaced.ifPresent(placed -> placed.releasePrompt(mRelay));
         }
     }
 
@@ -412,7 +339,10 @@
         mResponse.finish();
         recordDemand();
         mRelay.metrics().recordResponse(mRequest.route().kind(), mRequestLog.elapsedMillis());
-        mRequestLog.completed(mLastBackend, mPrefillEngine, mPlacementMillis);
+        mRequestLog.completed(
+                lastBackend(),
+                prefillEngine(),
+                mReservedMillis.isPresent() ? mReservedMillis.getAsLong() - mStartMillis : -1);
         end();
     }
 
@@ -444,27 +374,29 @@
         CallerReply reply = mRetryPolicy.reply(outcome, mRelay.clock().millis());
         if (mRetryPolicy.isForwarding()) {
             mResponse.abort();
-            mRequestLog.truncated(mLastBackend, reason);
+            mRequestLog.truncated(lastBackend(), reason);
         } else {
             long minDelayMillis = mRequest.minRetryDelayMillis(mRelay.demand());
-            mResponse.refuse(reply, Math.max(minDelayMillis, directiveWait(Set.of()).orElse(0)));
+            mResponse.refuse(reply, Math.max(minDelayMillis, directiveWait().orElse(0)));
             mRequestLog.failed(reply, reason);
         }
         mRelay.metrics().recordRefusal(reply);
         end();
     }
 
+    private Optional<Backend> lastBackend() {
+        return mPlaced.map(PlacementPhase.Placed::backend);
+    }
+
+    private Optional<Backend> prefillEngine() {
+        return mPlaced.flatMap(PlacementPhase.Placed::prefillEngine);
+    }
+
     private void end() {
         mEnded = true;
         mTimeout.cancel(false);
-        if (mPrefill.isPresent()) {
-            PrefillExchange prefill = mPrefill.get();
-            mPrefill = Optional.empty();
-            prefill.cancel();
-            cancelPlacement(mPlacement.orElseThrow());
-        }
-        mSearch.ifPresent(BackendSearch::cancel);
-        mSearch = Optional.empty();
+        mPlacement.ifPresent(PlacementPhase::cancel);
+        mPlacement = Optional.empty();
         mEndListener.ended(mRetryPolicy.mayHaveRun());
     }
 }
