Order requests that wait for memory by urgency

Cause: when the engines are full, the class with the shortest target has the shortest wait and is served worst.

Change: a new request knows how many priorities of its service are higher. Its pauses grow with their number, and it leaves free the memory that more urgent requests are expected to need until a generation ends, except in the last fifth of its wait. The pauses of the highest priority do not grow with the rounds. Services with one priority are unchanged.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReservePacing.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/ReservePacing.java
@@ -6,7 +6,10 @@
  * <p>Safeguard: a search that pauses only once all engines have rejected it never pauses in a large
  * fleet. Its calls then grow with the number of engines, and under load the hosts spend their
  * processor time on requests that cannot succeed. Sent in rounds with growing pauses, a search
- * costs about the same with six engines and with six hundred. Not thread-safe.
+ * costs about the same with six engines and with six hundred.
+ *
+ * <p>Where a service has several priorities, the pauses of the highest do not grow and those of the
+ * others are longer: the next request sent after memory becomes free gets it. Not thread-safe.
  */
 public final class ReservePacing {
 
@@ -37,9 +40,10 @@
      */
     public long pauseMillis(ReservationWait search, long nowMillis) {
         long own = search.pauseMillis(nowMillis);
-        long grown = Math.min(own << Math.min(mRounds, Integer.SIZE), MAX_PAUSE_MILLIS);
+        int doublings = search.pausesGrow() ? Math.min(mRounds, Integer.SIZE) : 0;
+        long grown = Math.min(own << doublings, MAX_PAUSE_MILLIS);
         mRequestsInRound = 0;
         mRounds++;
-        return Math.max(own, grown);
+        return search.orderedPauseMillis(Math.max(own, grown), nowMillis);
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/RetryStage.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/reservation/RetryStage.java
@@ -35,15 +35,14 @@
 
         @Override
         long pauseMillis(long remainingMillis, long waitMillis) {
-            long millisUntilFinalPart =
-                    remainingMillis - (long) (waitMillis * RETURNING_FINAL_SHARE);
+            long millisUntilFinalPart = remainingMillis - (long) (waitMillis * FINAL_SHARE);
             return Math.max(
                     MIN_PAUSE_MILLIS, Math.min(RETURNING_PAUSE_MILLIS, millisUntilFinalPart));
         }
 
         @Override
         boolean leavesHeadroom(long remainingMillis, long waitMillis) {
-            return remainingMillis > waitMillis * RETURNING_FINAL_SHARE;
+            return remainingMillis > waitMillis * FINAL_SHARE;
         }
     },
 
@@ -75,8 +74,11 @@
      */
     static final long RETURNING_PAUSE_MILLIS = 16 * MIN_PAUSE_MILLIS;
 
-    /** Final share of its wait in which a returning caller's request tries as often as others. */
-    static final double RETURNING_FINAL_SHARE = 0.2;
+    /**
+     * Final share of its wait in which a returning caller's request tries as often as others, and
+     * in which no request leaves memory free for others.
+     */
+    static final double FINAL_SHARE = 0.2;
 
     /**
      * Share of the target that a new request may spend on reserving capacity: the rest suffices for
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservationWaitLoadTest.java
@@ -88,7 +88,7 @@
     @Test
     public void returningCallerRetriesOftenAtEndOfWait() {
         ReservationWait search = ReservationWait.begin(0, LIMITS, RetryStage.RETURNING);
-        long finalMillis = (long) (search.waitMillis() * RetryStage.RETURNING_FINAL_SHARE);
+        long finalMillis = (long) (search.waitMillis() * RetryStage.FINAL_SHARE);
         long finalFrom = search.waitMillis() - finalMillis;
         assertTrue(search.pauseMillis(0) == RetryStage.RETURNING_PAUSE_MILLIS);
         assertTrue(search.pauseMillis(finalFrom) == RetryStage.MIN_PAUSE_MILLIS);
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservePacingLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/reservation/ReservePacingLoadTest.java
@@ -52,13 +52,47 @@
         assertEquals(pacing.pauseMillis(search, 0), ReservePacing.MAX_PAUSE_MILLIS);
     }
 
+    /**
+     * The requests of the most urgent class do not pause longer in each round. Their number must
+     * stay bounded all the same, and less urgent requests must ask less often than all do today.
+     */
+    @Test(dataProvider = "fleets")
+    public void lessUrgentRequestsAskLessOften(int engines) {
+        int equal = reserveRequests(engines, start(Urgency.EQUAL));
+        int highest = reserveRequests(engines, start(new Urgency(0, 0, 2)));
+        int middle = reserveRequests(engines, start(new Urgency(1, 1, 1)));
+        int lowest = reserveRequests(engines, start(new Urgency(2, 2, 0)));
+        assertTrue(highest <= 48, highest + " requests of the most urgent class");
+        assertTrue(middle < equal, middle + " requests against " + equal);
+        assertTrue(lowest <= middle, lowest + " requests against " + middle);
+        assertTrue(lowest >= ReservePacing.REQUESTS_PER_ROUND, lowest + " requests");
+    }
+
+    /** A longer pause must not use up the wait: the request would be refused without a last try. */
+    @Test
+    public void longerPauseEndsBeforeTheWait() {
+        ReservationWait search = start(new Urgency(9, 9, 0));
+        ReservePacing pacing = new ReservePacing();
+        for (long now = 0; search.mayRetry(now + 2 * ReservePacing.MAX_PAUSE_MILLIS); now++) {
+            long pause = pacing.pauseMillis(search, now);
+            assertTrue(search.mayRetry(now + pause), "pause of " + pause + " ms at " + now);
+        }
+    }
+
+    private static ReservationWait start(Urgency urgency) {
+        return ReservationWait.begin(0, LIMITS, RetryStage.FIRST, urgency);
+    }
+
     private static double rate(int engines, RetryStage stage) {
         return (double) reserveRequests(engines, stage)
                 / ReservationWait.begin(0, LIMITS, stage).waitMillis();
     }
 
     private static int reserveRequests(int engines, RetryStage stage) {
-        ReservationWait search = ReservationWait.begin(0, LIMITS, stage);
+        return reserveRequests(engines, ReservationWait.begin(0, LIMITS, stage));
+    }
+
+    private static int reserveRequests(int engines, ReservationWait search) {
         ReservePacing pacing = new ReservePacing();
         long[] fullUntil = new long[engines];
         long now = 0;
