Give engines' memory to waiting requests by urgency

Cause: the search for memory did not know how urgent a request is among the routes of its service, and a request larger than an engine asked engine after engine until its wait was over.

Change: the configuration tells the urgency of a priority in a service. The search uses it for pauses and for the memory that it leaves free, which follows from the priorities in the engine's report. A request larger than an engine's memory is refused without a call. CP2201 and CP2202 have the inputs of the decision, and generation_refusals counts refusals by urgency.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/EngineReport.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/EngineReport.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.backend;
 
 import java.util.List;
+import java.util.OptionalInt;
 import org.cyclamenpaddle.routing.memory.RunningGeneration;
 
 /**
@@ -19,8 +20,9 @@
      * @param request id of its request
      * @param heldTokens number of tokens that it occupies in memory
      * @param events number of events of its stream so far
+     * @param priority its priority, 0 being the highest; empty if it is not reported
      */
-    public record Generation(String request, long heldTokens, long events) {}
+    public record Generation(String request, long heldTokens, long events, OptionalInt priority) {}
 
     public EngineReport {
         generations = List.copyOf(generations);
@@ -37,7 +39,8 @@
                         generation ->
                                 new RunningGeneration(
                                         generation.heldTokens(),
-                                        generation.events() * tokensPerEvent))
+                                        generation.events() * tokensPerEvent,
+                                        generation.priority()))
                 .toList();
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/GrowthCapacity.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.EngineProfile;
 import org.cyclamenpaddle.relay.wire.BackendCaller;
+import org.cyclamenpaddle.routing.memory.RunningGeneration;
 import org.cyclamenpaddle.routing.reservation.ReservationWait;
 
 /**
@@ -38,6 +39,7 @@
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
+    private long mUrgentTokens;
 
     GrowthCapacity(RelayContext relay, RelayRequest request, EventLoop loop) {
         mRelay = relay;
@@ -70,16 +72,24 @@
         WorkSize size = mRequest.caller().size();
         TimedReport none = new TimedReport(new EngineReport(0, false, List.of()), now);
         TimedReport report = mRelay.registry().report(engine, now).orElse(none);
+        List<RunningGeneration> running = report.report().runningWork(profile.tokensPerEvent());
         OptionalLong growth =
                 mRelay.demand()
                         .requiredFreeTokens(
                                 mRequest.service(),
                                 profile,
-                                report.report().runningWork(profile.tokensPerEvent()),
+                                running,
                                 report.ageMillis(now) + REPORT_DELAY_MILLIS,
                                 size);
-        long reserved = wait.headroomTokens(now, size.memoryTokens(), averageTokens());
-        return growth.isPresent() ? OptionalLong.of(growth.getAsLong() + reserved) : growth;
+        OptionalLong average = averageTokens();
+        mUrgentTokens = wait.urgentTokens(now, size.memoryTokens(), average, running);
+        long headroom = wait.headroomTokens(now, size.memoryTokens(), average) + mUrgentTokens;
+        return growth.isPresent() ? OptionalLong.of(growth.getAsLong() + headroom) : growth;
+    }
+
+    /** Returns the memory that the last check left free for more urgent requests. */
+    long urgentTokens() {
+        return mUrgentTokens;
     }
 
     private OptionalLong averageTokens() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -88,6 +89,7 @@
     private final EventLoop mLoop;
     private final Set<BackendId> mTried;
     private final BooleanSupplier mRetryBudget;
+    private final Consumer<SearchInputs> mSearched;
     private final Listener mListener;
     private Optional<BackendSearch> mSearch = Optional.empty();
     private Optional<PrefillExchange> mPrefill = Optional.empty();
@@ -98,6 +100,7 @@
      *
      * @param tried servers that have already been tried
      * @param retryBudget takes one retry from the shared budget; false if there is none left
+     * @param searched gets the inputs of a search for engine memory when it has ended
      */
     PlacementPhase(
             RelayContext relay,
@@ -105,12 +108,14 @@
             EventLoop loop,
             Set<BackendId> tried,
             BooleanSupplier retryBudget,
+            Consumer<SearchInputs> searched,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
         mTried = tried;
         mRetryBudget = retryBudget;
+        mSearched = searched;
         mListener = listener;
     }
 
@@ -120,6 +125,10 @@
      * @param timeoutMillis clock reading at which the request times out
      */
     void start(long timeoutMillis) {
+        if (!mRequest.fitsEngine()) {
+            mListener.notPlaced("larger than the memory of an engine");
+            return;
+        }
         BackendSearch search =
                 mRequest.engine().isPresent()
                         ? new ReservationSearch(
@@ -153,6 +162,7 @@
     }
 
     private void reserved(Optional<ReservationSearch.Placement> found, long timeoutMillis) {
+        mSearch.flatMap(BackendSearch::inputs).ifPresent(mSearched);
         mSearch = Optional.empty();
         if (found.isEmpty()) {
             mListener.notPlaced(reason("no engine has room"));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -5,13 +5,17 @@
 import java.util.OptionalInt;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.route.EngineProfile;
+import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
 import org.cyclamenpaddle.routing.reservation.CallerRetryDelay;
+import org.cyclamenpaddle.routing.reservation.Urgency;
 
 /**
  * A request with the configuration that applies to it.
@@ -22,6 +26,8 @@
  * @param service the route's service that was selected
  * @param team team of the caller; empty if it has none
  * @param engine engine profile of that service; empty for a plain service
+ * @param urgency urgency among the routes of that service; no class is more urgent than another at
+ *     a plain service
  * @param version version of the configuration used
  */
 record RelayRequest(
@@ -31,6 +37,7 @@
         ServiceName service,
         Optional<Team> team,
         Optional<EngineProfile> engine,
+        Urgency urgency,
         long version) {
 
     /**
@@ -39,6 +46,26 @@
      */
     private static final double RETRY_TARGET_SHARE = 0.5;
 
+    /** Applies a configuration to a request that may be forwarded. */
+    static RelayRequest of(RequestAdmission.Admitted admitted, HttpData body, ServiceName service) {
+        RelayConfiguration configuration = admitted.configuration();
+        Optional<EngineProfile> engine = configuration.engineProfile(service);
+        int priority = priority(admitted.team(), admitted.route());
+        return new RelayRequest(
+                admitted.caller(),
+                body,
+                admitted.route(),
+                service,
+                admitted.team(),
+                engine,
+                engine.isPresent() ? configuration.urgency(service, priority) : Urgency.EQUAL,
+                configuration.version());
+    }
+
+    private static int priority(Optional<Team> team, Route route) {
+        return team.map(Team::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+    }
+
     /** Returns the name of the caller's team; empty if it has none. */
     Optional<TeamName> teamName() {
         return team.map(Team::name);
@@ -49,12 +76,38 @@
      * server.
      */
     OptionalInt enginePriority() {
-        return engine.isEmpty()
-                ? OptionalInt.empty()
-                : OptionalInt.of(
-                        team.map(Team::priority)
-                                .orElse(OptionalInt.empty())
-                                .orElse(route.priority()));
+        return engine.isEmpty() ? OptionalInt.empty() : OptionalInt.of(priority(team, route));
+    }
+
+    /** Counts a request of an engine service that ended without a backend server's response. */
+    void recordRefusal(RelayMetrics metrics, CallerReply reply) {
+        if (engine.isPresent()) {
+            metrics.recordUrgencyRefusal(urgency.level(), reply);
+        }
+    }
+
+    /**
+     * Records a completed generation; does nothing for a plain call.
+     *
+     * @param demand meter to record it in
+     * @param events number of its events
+     * @param decodeMillis time from its first event to its last
+     */
+    void recordDemand(DemandMeter demand, long events, long decodeMillis) {
+        engine.ifPresent(
+                profile ->
+                        demand.recordEnd(
+                                service,
+                                caller.size(),
+                                new Demand(
+                                        caller.size().promptTokens(),
+                                        events * profile.tokensPerEvent(),
+                                        decodeMillis)));
+    }
+
+    /** Returns whether an engine of the service could hold the request if it were empty. */
+    boolean fitsEngine() {
+        return engine.map(profile -> profile.holds(caller.size().memoryTokens())).orElse(true);
     }
 
     /** Returns the minimum retry delay of a refused request, in milliseconds. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -177,15 +177,7 @@
             HttpResponseWriter writer,
             RequestExchange.EndListener endListener) {
         ServiceName service = admitted.route().serviceFor(mRelay.random().getAsDouble());
-        RelayRequest relayed =
-                new RelayRequest(
-                        admitted.caller(),
-                        aggregated.content(),
-                        admitted.route(),
-                        service,
-                        admitted.team(),
-                        admitted.configuration().engineProfile(service),
-                        admitted.configuration().version());
+        RelayRequest relayed = RelayRequest.of(admitted, aggregated.content(), service);
         Channel connection = context.log().partial().channel();
         CallerConnection watch = new CallerConnection(connection);
         RequestExchange exchange =
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -11,12 +11,10 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
-import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
 import org.cyclamenpaddle.relay.retry.RetryLimits;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
-import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.wire.BackendCall;
 
@@ -105,6 +103,7 @@
                         mLoop,
                         mTried,
                         this::takeRetry,
+                        mRequestLog::searched,
                         new PlacementPhase.Listener() {
                             @Override
                             public void placed(PlacementPhase.Placed placed) {
@@ -349,13 +348,9 @@
     private void recordDemand() {
         long first = mResponse.firstMillis(mStartMillis);
         boolean complete = mRequest.caller().resumeAfter().isEmpty() && mResponse.status() < 300;
-        if (mRequest.engine().isPresent() && first >= 0 && complete) {
-            WorkSize size = mRequest.caller().size();
-            long outputTokens = mResponse.events() * mRequest.engine().get().tokensPerEvent();
-            Demand demand =
-                    new Demand(
-                            size.promptTokens(), outputTokens, mRequestLog.elapsedMillis() - first);
-            mRelay.demand().recordEnd(mRequest.service(), size, demand);
+        if (first >= 0 && complete) {
+            mRequest.recordDemand(
+                    mRelay.demand(), mResponse.events(), mRequestLog.elapsedMillis() - first);
         }
     }
 
@@ -381,6 +376,7 @@
             mRequestLog.failed(reply, reason);
         }
         mRelay.metrics().recordRefusal(reply);
+        mRequest.recordRefusal(mRelay.metrics(), reply);
         end();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -20,6 +20,7 @@
     private final CallerResponse mResponse;
     private final long mStartMillis;
     private long mPassedOver;
+    private SearchInputs mSearch = SearchInputs.NONE;
 
     RequestLog(
             RelayContext relay,
@@ -39,6 +40,11 @@
         mPassedOver = servers;
     }
 
+    /** Records the inputs of the latest search for engine memory. */
+    void searched(SearchInputs inputs) {
+        mSearch = inputs;
+    }
+
     /** Logs that the caller disconnected before the response was complete. */
     void callerDisconnected(Optional<Backend> backend) {
         mRelay.log().log(
@@ -77,7 +83,12 @@
                 name(prefillEngine),
                 mResponse.events(),
                 mResponse.maxPauseMillis(),
-                mPassedOver);
+                mPassedOver,
+                priority(),
+                mRequest.urgency().moreUrgent(),
+                mSearch.waitMillis(),
+                mSearch.rejects(),
+                mSearch.leftTokens());
     }
 
     /** Logs that the response to the caller was truncated. */
@@ -106,7 +117,12 @@
                 reason,
                 mRetryPolicy.sends(),
                 elapsedMillis(),
-                mPassedOver);
+                mPassedOver,
+                priority(),
+                mRequest.urgency().moreUrgent(),
+                mSearch.waitMillis(),
+                mSearch.rejects(),
+                mSearch.leftTokens());
     }
 
     /** Logs an attempt that ended without a response for the caller. */
@@ -127,6 +143,10 @@
         return mRelay.clock().millis() - mStartMillis;
     }
 
+    private int priority() {
+        return mRequest.enginePriority().orElse(-1);
+    }
+
     private String team() {
         return mRequest.teamName().map(TeamName::value).orElse(NONE);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -47,6 +47,7 @@
     private final ReservePacing mReservePacing = new ReservePacing();
     private final GrowthCapacity mGrowthCapacity;
     private Optional<Backend> mPending = Optional.empty();
+    private int mRejects;
     private boolean mPermitRequested;
     private boolean mClosed;
 
@@ -64,7 +65,8 @@
         mGrowthCapacity = new GrowthCapacity(relay, request, loop);
         long now = relay.clock().millis();
         RetryStage stage = stage(relay, request, !avoid.isEmpty(), now);
-        mReservationWait = ReservationWait.begin(now, request.route().terms(), stage);
+        mReservationWait =
+                ReservationWait.begin(now, request.route().terms(), stage, request.urgency());
     }
 
     private static RetryStage stage(
@@ -133,6 +135,13 @@
         mPending = Optional.empty();
     }
 
+    @Override
+    public Optional<SearchInputs> inputs() {
+        return Optional.of(
+                new SearchInputs(
+                        mReservationWait.waitMillis(), mRejects, mGrowthCapacity.urgentTokens()));
+    }
+
     private void findAgain() {
         if (!mClosed) {
             find();
@@ -194,6 +203,7 @@
         if (result.full()) {
             mRelay.registry().recordFull(engine, mRelay.clock().millis());
             mReservePacing.rejected();
+            mRejects++;
         } else {
             mAvoid.add(engine.id());
             mRelay.log().log(
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SearchInputs.java
@@ -0,0 +1,14 @@
+package org.cyclamenpaddle.relay.front;
+
+/**
+ * Inputs of the decisions of one search for engine memory, for logs.
+ *
+ * @param waitMillis maximum duration of the search
+ * @param rejects number of engines that had too little free memory
+ * @param leftTokens memory that the last check left free for more urgent requests
+ */
+record SearchInputs(long waitMillis, int rejects, long leftTokens) {
+
+    /** Inputs of a request that has not searched for memory. */
+    static final SearchInputs NONE = new SearchInputs(0, 0, 0);
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -45,6 +45,19 @@
         counter("refusals", REASON, tag(reason)).increment();
     }
 
+    /**
+     * Records a request for engines that ended without a backend server's response.
+     *
+     * @param level its position among the priorities of its service
+     */
+    public void recordUrgencyRefusal(Enum<?> level, Enum<?> reason) {
+        Counter.builder(PREFIX + "generation_refusals")
+                .tag("urgency", tag(level))
+                .tag(REASON, tag(reason))
+                .register(mRegistry)
+                .increment();
+    }
+
     /** Records a send that was followed by another one. */
     public void recordRetry(Enum<?> reason) {
         counter("retries", REASON, tag(reason)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/EngineProfile.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/EngineProfile.java
@@ -36,4 +36,9 @@
                             + " ms");
         }
     }
+
+    /** Returns whether an empty engine could hold a request of the given size. */
+    public boolean holds(long tokens) {
+        return tokens <= memoryTokens;
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
@@ -5,10 +5,13 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.relay.team.TeamDirectory;
+import org.cyclamenpaddle.routing.reservation.Urgency;
 
 /** Immutable snapshot of one version of the routes, services and teams. */
 public final class RelayConfiguration {
@@ -19,6 +22,7 @@
     private final long mVersion;
     private final Map<String, List<Route>> mRoutesByHost;
     private final Map<ServiceName, ServicePolicy> mServices;
+    private final Map<ServiceName, Set<Integer>> mPriorities;
     private final TeamDirectory mTeams;
 
     /**
@@ -37,6 +41,14 @@
                 routes.stream()
                         .sorted(LONGEST_PREFIX_FIRST)
                         .collect(Collectors.groupingBy(Route::host));
+        mPriorities =
+                routes.stream()
+                        .flatMap(RelayConfiguration::priorities)
+                        .collect(
+                                Collectors.groupingBy(
+                                        Map.Entry::getKey,
+                                        Collectors.mapping(
+                                                Map.Entry::getValue, Collectors.toSet())));
         mServices =
                 services.stream()
                         .collect(Collectors.toMap(ServicePolicy::name, Function.identity()));
@@ -66,6 +78,22 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the urgency of a request among the routes of its service.
+     *
+     * @param service its service
+     * @param priority its priority, 0 being the highest
+     */
+    public Urgency urgency(ServiceName service, int priority) {
+        return Urgency.of(priority, mPriorities.getOrDefault(service, Set.of()));
+    }
+
+    private static Stream<Map.Entry<ServiceName, Integer>> priorities(Route route) {
+        return route.services().stream()
+                .filter(candidate -> candidate.weight() > 0)
+                .map(candidate -> Map.entry(candidate.service(), route.priority()));
+    }
+
     /** Returns the teams of this version. */
     public TeamDirectory teams() {
         return mTeams;
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/route/RelayConfigurationTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/route/RelayConfigurationTest.java
@@ -7,12 +7,18 @@
 import java.util.List;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.relay.team.TeamDirectory;
+import org.cyclamenpaddle.routing.reservation.Urgency;
 import org.testng.annotations.Test;
 
 /** Tests the selection of routes and of their services. */
 public class RelayConfigurationTest {
 
     private static Route route(String name, String host, String prefix, WeightedService... to) {
+        return route(name, host, prefix, 2, to);
+    }
+
+    private static Route route(
+            String name, String host, String prefix, int priority, WeightedService... to) {
         return new Route(
                 name,
                 host,
@@ -21,7 +27,7 @@
                 800,
                 100,
                 2_000,
-                2,
+                priority,
                 List.of(to),
                 2,
                 false,
@@ -49,6 +55,23 @@
         assertTrue(configuration.find("c.example", "/x/").isEmpty());
     }
 
+    /** Routes of another service, or that get no share of this one, must not count. */
+    @Test
+    public void urgencyComparesThePrioritiesOfOneService() {
+        RelayConfiguration configuration =
+                new RelayConfiguration(
+                        3,
+                        List.of(
+                                route("a", "h", "/a/", 0, weighted("s", 1)),
+                                route("b", "h", "/b/", 2, weighted("s", 1), weighted("t", 1)),
+                                route("c", "h", "/c/", 1, weighted("t", 1), weighted("s", 0))),
+                        List.of(),
+                        TeamDirectory.NONE);
+        assertEquals(configuration.urgency(new ServiceName("s"), 2), new Urgency(2, 1, 0));
+        assertEquals(configuration.urgency(new ServiceName("t"), 1), new Urgency(1, 0, 1));
+        assertEquals(configuration.urgency(new ServiceName("u"), 1), new Urgency(1, 0, 0));
+    }
+
     @Test
     public void weightsDivideTheRequests() {
         Route split = route("r", "h", "/", weighted("a", 90), weighted("b", 10));
