Write out equals and hashCode of identifiers used at start

Cause: the first call of a record's generated equals or hashCode links method handles. Tracing the linkage of a start shows this for FailureDomain, HostId, TeamName, ServiceName and BackendId.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/FailureDomain.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/FailureDomain.java
@@ -16,6 +16,17 @@
         return value.compareTo(other.value);
     }
 
+    // Written out, because linking the generated methods costs processor time at each start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FailureDomain that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/ServiceName.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/id/ServiceName.java
@@ -16,6 +16,17 @@
         return value.compareTo(other.value);
     }
 
+    // Written out, because linking the generated methods costs processor time at each start.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
