--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/LibraryConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/LibraryConfiguration.java
@@ -37,5 +37,8 @@
         // store would be read at each start, while callers wait.
         System.setProperty("javax.net.ssl.trustStore", "NONE");
         UnusedTls.install();
+        // JSON mappers create a calendar, for which Java would load the CLDR's locale data. The far
+        // smaller data of the JDK's base module suffices.
+        System.setProperty("java.locale.providers", "COMPAT");
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/LibraryLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/LibraryLog.java
@@ -15,6 +15,22 @@
  */
 public final class LibraryLog {
 
+    /**
+     * Leaves the library without a configuration; created by the library by its name.
+     *
+     * <p>The library would otherwise read the JDK's configuration file at each start and prepare a
+     * handler for standard error, although {@link #install} removes both again.
+     */
+    public static final class NoConfiguration {
+
+        /** Configures nothing. */
+        public NoConfiguration() {
+            // The library requires a public constructor.
+        }
+    }
+
+    private static final String CONFIGURATION = "java.util.logging.config.class";
+
     private static final class EventLogHandler extends Handler {
 
         private final RelayEventLog mLog;
@@ -50,6 +66,7 @@
 
     /** Redirects warnings and errors of all libraries from standard error to a log. */
     public static void install(RelayEventLog log) {
+        System.setProperty(CONFIGURATION, NoConfiguration.class.getName());
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
         Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
