Skip native transports, version checks and the host name at start

Cause: Armeria tries to load Netty's native transports although NIO is set, reads the versions of Netty's parts from all jar files for a warning, and asks for the host's name for each server.

Change: two flags of the libraries, and a fixed name of the servers, which is used in no response.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/LibraryConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/LibraryConfiguration.java
@@ -28,6 +28,10 @@
         System.setProperty(
                 "io.netty.maxDirectMemory",
                 String.valueOf(Runtime.getRuntime().maxMemory() / DIRECT_MEMORY_DIVISOR));
+        // Skips the search for native transports, which are not used.
+        System.setProperty("io.netty.transport.noNative", "true");
+        // Skips reading the versions of Netty's parts from its jar files; the build fixes them.
+        System.setProperty("com.linecorp.armeria.warnNettyVersions", "false");
         // Used for channel ids in the library's logs; otherwise each start scans the network
         // interfaces.
         System.setProperty("io.netty.machineId", NO_MACHINE_ID);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -76,6 +76,9 @@
     /** Maximum size of the header block, in bytes; configurations allow 16 KiB. */
     private static final int MAX_HEADER_BYTES = 32 << 10;
 
+    /** Name of the servers in the library's own log; by default it asks the operating system. */
+    private static final String LOCAL_NAME = "localhost";
+
     private static final String READY_PATH = "/v1/ready";
     private static final String METRICS_PATH = "/metrics";
 
@@ -334,6 +337,7 @@
                 .http1MaxInitialLineLength(MAX_HEADER_BYTES)
                 .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
                 .meterRegistry(NoopMeterRegistry.get())
+                .defaultHostname(LOCAL_NAME)
                 .disableServerHeader()
                 .disableDateHeader()
                 .serviceUnder("/", mService)
@@ -345,6 +349,7 @@
                 .http(address(mSettings.listen().checks()))
                 .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
                 .meterRegistry(NoopMeterRegistry.get())
+                .defaultHostname(LOCAL_NAME)
                 .service(READY_PATH, (context, request) -> readiness())
                 .service(METRICS_PATH, (context, request) -> metrics())
                 .build();
