Bound the bodies and responses that the relay holds

Cause: the relay read bodies whole, up to 8 MiB each, and requested each part of a response only after the caller had taken the previous one. Change: with the table limits, a body is admitted by its stated length before it is read, or part by part where it comes in chunks, and is refused with 503 and Retry-After otherwise; responses are read ahead of slow callers within the bounds; servers whose outstanding bodies reach their bound are passed over. A request counts as in flight until its caller has taken the response. RequestBody replaces the library's aggregation, which collects a body completely before it calls a function on its parts. recordDemand moves to RequestLog to keep RequestExchange short.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -56,6 +56,7 @@
 import org.cyclamenpaddle.relay.store.Follower;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamQuota;
+import org.cyclamenpaddle.routing.buffer.ByteAccount;
 import org.cyclamenpaddle.routing.limit.QuotaLimit;
 import org.cyclamenpaddle.routing.reservation.ReturningCallers;
 
@@ -150,6 +151,7 @@
         mCalls =
                 new BackendCalls(
                         mConnections, mRegistry, adapter.backendMessages(), mLog, mMetrics, mClock);
+        ByteAccount bytes = new ByteAccount(settings.bytes());
         RelayContext relay =
                 new RelayContext(
                         mRegistry,
@@ -158,6 +160,7 @@
                         new Table<>(TableOrder.CALLERS, new ReturningCallers()),
                         mConnections,
                         new BackendPermits(mRegistry, mQuotas.permits(), mClock),
+                        bytes,
                         mCalls,
                         adapter.backendMessages(),
                         adapter.engineMessages(),
@@ -177,6 +180,7 @@
         mCallerServer = callerServer();
         mCheckServer = checkServer();
         mMetrics.gauge("requests_in_flight", mService::inFlight);
+        mMetrics.gauge("bytes_held", bytes::held);
         mMetrics.gauge("backends_named", mRegistry::size);
         mMetrics.gauge("configuration_version", mConfiguration::version);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -7,10 +7,14 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.EventFramer;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.relay.wire.BackendResponse;
+import org.cyclamenpaddle.routing.buffer.ByteBounds;
+import org.cyclamenpaddle.routing.buffer.RequestBytes;
 
 /**
  * Assembles the single response to a caller from the responses of one or more backend servers.
@@ -18,6 +22,9 @@
  * <p>Nothing is written to the caller until there is usable content: {@link #MAX_BUFFERED_BYTES} or
  * the end of a plain response, or the first event of a stream. Until then a failed attempt leaves
  * no trace and another one can replace it.
+ *
+ * <p>Data is accepted ahead of a slow caller as far as the account of bytes allows. Beyond that, it
+ * is accepted no faster than the caller takes it.
  */
 final class CallerResponse {
 
@@ -27,12 +34,21 @@
      */
     private static final int MAX_BUFFERED_BYTES = 64 << 10;
 
+    private final RelayContext mRelay;
+    private final RelayRequest mRequest;
+    private final RequestBytes mBytes;
     private final HttpResponseWriter mWriter;
     private final RetryAfter mRetryAfter;
     private final RetryPolicy mRetryPolicy;
     private final boolean mStreams;
     private final EventFramer mTail;
     private final ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
+
+    /** Requests more data; null while data is requested or nothing more is expected. */
+    private final AtomicReference<Runnable> mPausedRead = new AtomicReference<>();
+
+    private long mUnqueuedBytes;
+    private boolean mReachedBound;
     private BackendResponse mHead;
     private long mFirstMillis = -1;
     private long mLastMillis = -1;
@@ -40,10 +56,15 @@
     private int mStatus;
 
     CallerResponse(
+            RelayContext relay,
             HttpResponseWriter writer,
             RelayRequest request,
+            RequestBytes bytes,
             RetryAfter retryAfter,
             RetryPolicy retryPolicy) {
+        mRelay = relay;
+        mRequest = request;
+        mBytes = bytes;
         mWriter = writer;
         mRetryAfter = retryAfter;
         mRetryPolicy = retryPolicy;
@@ -67,8 +88,11 @@
      * @param next run when more data can be accepted
      */
     void data(HttpData data, long nowMillis, Runnable next) {
+        mBytes.received(data.length());
+        mUnqueuedBytes += data.length();
         byte[] forwarded = bytesToForward(data.array());
         if (forwarded.length == 0) {
+            mBytes.readNext();
             next.run();
             return;
         }
@@ -79,8 +103,51 @@
         mMaxPauseMillis = Math.max(mMaxPauseMillis, nowMillis - mLastMillis);
         mLastMillis = nowMillis;
         writeHead();
-        if (mWriter.tryWrite(HttpData.wrap(forwarded))) {
-            mWriter.whenConsumed().thenRun(next);
+        queue(forwarded, next);
+    }
+
+    private void queue(byte[] forwarded, Runnable next) {
+        mUnqueuedBytes -= forwarded.length;
+        mBytes.queued(forwarded.length);
+        if (!mWriter.tryWrite(HttpData.wrap(forwarded))) {
+            return;
+        }
+        mPausedRead.set(next);
+        mWriter.whenConsumed()
+                .thenRun(
+                        () -> {
+                            mBytes.delivered(forwarded.length);
+                            readIfAllowed();
+                        });
+        if (!readIfAllowed()) {
+            recordBoundReached();
+        }
+    }
+
+    /** Requests more data unless it must wait, and returns whether none is waiting. */
+    private boolean readIfAllowed() {
+        if (mPausedRead.get() == null) {
+            return true;
+        }
+        if (!mBytes.tryReadNext()) {
+            return false;
+        }
+        Optional.ofNullable(mPausedRead.getAndSet(null)).ifPresent(Runnable::run);
+        return true;
+    }
+
+    private void recordBoundReached() {
+        ByteBounds bounds = mRelay.bytes().bounds();
+        if (!mReachedBound && bounds.responseBytes() > 0) {
+            mReachedBound = true;
+            mRelay.log().log(
+                    RelayEvent.RESPONSE_AT_BOUND,
+                    mRequest.caller().id(),
+                    mRequest.route().name(),
+                    mBytes.response(),
+                    bounds.responseBytes(),
+                    mRelay.bytes().held(),
+                    bounds.totalBytes());
         }
     }
 
@@ -88,6 +155,8 @@
     void discardPartial() {
         mTail.discardPartialEvent();
         mBuffer.reset();
+        mBytes.discarded(mUnqueuedBytes);
+        mUnqueuedBytes = 0;
     }
 
     /** Completes the response. */
@@ -100,6 +169,16 @@
         mWriter.close();
     }
 
+    /** Runs {@code work} when the caller has taken the response or the response was aborted. */
+    void whenDelivered(Runnable work) {
+        mWriter.whenComplete().whenComplete((done, failure) -> work.run());
+    }
+
+    /** Aborts a response that is complete, but that the caller has not taken. */
+    void abortDelivery() {
+        mWriter.abort();
+    }
+
     /** Aborts the response so that the caller cannot mistake it for a complete one. */
     void abort() {
         mWriter.close(AbortedStreamException.get());
@@ -155,7 +234,7 @@
             return bytes;
         }
         mBuffer.writeBytes(bytes);
-        if (mBuffer.size() < MAX_BUFFERED_BYTES) {
+        if (mBuffer.size() < MAX_BUFFERED_BYTES && mBytes.mayWaitForMore()) {
             return new byte[0];
         }
         byte[] buffered = mBuffer.toByteArray();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -9,6 +9,7 @@
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
+import org.cyclamenpaddle.routing.buffer.RequestBytes;
 
 /**
  * Finds a server for one send of a request and prefills its prompt, if it is a generation.
@@ -85,8 +86,9 @@
 
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
+    private final RequestBytes mBytes;
     private final EventLoop mLoop;
-    private final Set<BackendId> mTried;
+    private final Set<BackendId> mAvoid;
     private final BooleanSupplier mRetryBudget;
     private final Listener mListener;
     private Optional<BackendSearch> mSearch = Optional.empty();
@@ -96,20 +98,23 @@
     /**
      * Creates the phase; {@link #start} starts it.
      *
-     * @param tried servers that have already been tried
+     * @param bytes bytes held for the request
+     * @param avoid servers that have already been tried or cannot take the body
      * @param retryBudget takes one retry from the shared budget; false if there is none left
      */
     PlacementPhase(
             RelayContext relay,
             RelayRequest request,
+            RequestBytes bytes,
             EventLoop loop,
-            Set<BackendId> tried,
+            Set<BackendId> avoid,
             BooleanSupplier retryBudget,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
-        mTried = tried;
+        mBytes = bytes;
+        mAvoid = avoid;
         mRetryBudget = retryBudget;
         mListener = listener;
     }
@@ -126,9 +131,9 @@
                                 mRelay,
                                 mRequest,
                                 mLoop,
-                                mTried,
+                                mAvoid,
                                 found -> reserved(found, timeoutMillis))
-                        : new PlainSearch(mRelay, mRequest, mLoop, mTried, this::serverFound);
+                        : new PlainSearch(mRelay, mRequest, mLoop, mAvoid, this::serverFound);
         mSearch = Optional.of(search);
         search.find();
     }
@@ -165,7 +170,8 @@
                         engine,
                         found.get().reservation(),
                         mRelay.registry()
-                                .selectPrefillEngine(engine, mRequest.caller().size(), now),
+                                .selectPrefillEngine(engine, mRequest.caller().size(), now)
+                                .filter(this::prefillFits),
                         Optional.empty(),
                         OptionalLong.of(now));
         if (placed.prefillEngine().isEmpty()) {
@@ -180,6 +186,25 @@
         prefill.start(mLoop, Math.max(0, timeoutMillis - now));
     }
 
+    /**
+     * Returns whether the body fits at a prefill engine. If it does not, the decode engine prefills
+     * the prompt itself.
+     */
+    private boolean prefillFits(Backend engine) {
+        boolean fits = mBytes.trySend(engine.id());
+        if (!fits) {
+            BytesRefusal.ofServer(mRelay, mRequest, engine.id());
+            mRelay.registry()
+                    .recordOutcome(
+                            engine,
+                            mRequest.caller().size(),
+                            false,
+                            SendOutcome.ABANDONED,
+                            mRelay.clock().millis());
+        }
+        return fits;
+    }
+
     private void prefillEnded(Optional<PromptHandle> handle) {
         boolean rejected = mPrefill.map(PrefillExchange::rejected).orElse(false);
         Placed placed = mReserved.orElseThrow();
@@ -200,7 +225,7 @@
                         .waitMillis(
                                 mRequest.service(),
                                 mRequest.caller().size(),
-                                mTried,
+                                mAvoid,
                                 mRelay.clock().millis())
                         .isPresent();
         return limited ? "all backend servers ask for fewer requests" : otherwise;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -10,6 +10,7 @@
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.EngineMessages;
+import org.cyclamenpaddle.routing.buffer.ByteAccount;
 import org.cyclamenpaddle.routing.reservation.ReturningCallers;
 
 /**
@@ -21,6 +22,7 @@
  * @param returningClients how long callers wait and whether they retry, by route
  * @param connections connections to backend servers
  * @param permits permits for backend servers that limit their calls
+ * @param bytes account of the bytes held for callers and backend servers
  * @param calls calls to backend servers beside the requests of callers
  * @param backendMessages codec of requests to backend servers
  * @param engineMessages codec of calls about engine memory
@@ -36,6 +38,7 @@
         Table<ReturningCallers> returningClients,
         BackendConnections connections,
         BackendPermits permits,
+        ByteAccount bytes,
         BackendCalls calls,
         BackendMessages backendMessages,
         EngineMessages engineMessages,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -1,14 +1,14 @@
 package org.cyclamenpaddle.relay.front;
 
-import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -18,10 +18,12 @@
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.quota.TeamQuotas;
 import org.cyclamenpaddle.relay.retry.CallerReply;
+import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamQuota;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
+import org.cyclamenpaddle.routing.buffer.RequestBytes;
 import org.cyclamenpaddle.routing.limit.QuotaDecision;
 
 /** Receives callers' requests, finds their routes and starts their exchanges. */
@@ -29,6 +31,12 @@
 
     private static final String NONE = "none";
 
+    /**
+     * Share of a route's target latency after which a body that did not fit may be sent again:
+     * about the time until a request in flight ends and releases its bytes.
+     */
+    private static final double BODY_RETRY_TARGET_SHARE = 0.5;
+
     private final RelayContext mRelay;
     private final CallerMessages mMessages;
     private final ConfigurationCell mConfiguration;
@@ -93,33 +101,76 @@
             ServiceRequestContext context,
             HttpRequest request,
             RequestAdmission.Admitted admitted) {
+        RequestBytes bytes = mRelay.bytes().newRequest();
+        long statedBytes = statedLength(context, request);
+        if (!bytes.tryAdmit(statedBytes)) {
+            return HttpResponse.of(refuseBody(request, admitted));
+        }
         HttpResponseWriter writer = HttpResponse.streaming();
+        CallerConnection watch = new CallerConnection(context.log().partial().channel());
         mInFlight.incrementAndGet();
-        request.aggregate(context.eventLoop())
-                .handle(
-                        (aggregated, failure) -> {
+        writer.whenComplete()
+                .whenComplete(
+                        (done, failure) -> {
+                            watch.close();
+                            bytes.close();
+                            mInFlight.decrementAndGet();
+                        });
+        watch.onDisconnect(writer::abort);
+        RequestBody body = new RequestBody(bytes, statedBytes);
+        body.result()
+                .whenComplete(
+                        (whole, failure) -> {
                             if (failure == null) {
-                                start(context, aggregated, admitted, writer);
+                                start(context, whole, admitted, bytes, writer);
+                            } else if (failure instanceof BodyRefusedException) {
+                                writer.tryWrite(refuseBody(request, admitted));
+                                writer.close();
                             } else {
                                 // The caller disconnected, or its body was too large, before the
                                 // request was complete.
-                                mInFlight.decrementAndGet();
                                 writer.close(failure);
                             }
-                            return null;
                         });
+        request.subscribe(body, context.eventLoop());
         return writer;
     }
 
+    /**
+     * Returns the length that the head of a request states; 0 if it states none, or one that the
+     * server refuses by itself.
+     */
+    private static long statedLength(ServiceRequestContext context, HttpRequest request) {
+        long length = Math.max(0, request.headers().contentLength());
+        return length > context.maxRequestLength() ? 0 : length;
+    }
+
+    /** Refuses a request whose body does not fit; nothing of it was sent to a server. */
+    private ResponseHeaders refuseBody(HttpRequest request, RequestAdmission.Admitted admitted) {
+        CallerReply reply = CallerReply.NOT_RUN;
+        Route route = admitted.route();
+        mRelay.metrics().recordRefusal(reply);
+        BytesRefusal.ofProcess(mRelay, admitted.caller(), route, request.headers().contentLength());
+        logRefusal(
+                request.headers(),
+                admitted.caller().id(),
+                admitted.team().map(Team::name),
+                reply.status(),
+                "no memory for the body");
+        long retryMillis = (long) (route.targetMillis() * BODY_RETRY_TARGET_SHARE);
+        return mRetryAfter.refusal(reply.status(), OptionalLong.of(retryMillis));
+    }
+
     /** Starts a request that has arrived completely, if the quota of its team admits it. */
     private void start(
             ServiceRequestContext context,
-            AggregatedHttpRequest aggregated,
+            HttpData body,
             RequestAdmission.Admitted admitted,
+            RequestBytes bytes,
             HttpResponseWriter writer) {
         Optional<TeamQuota> quota = admitted.team().flatMap(Team::quota);
         if (quota.isEmpty()) {
-            forward(context, aggregated, admitted, writer, mayHaveRun -> {});
+            forward(context, body, admitted, bytes, writer, mayHaveRun -> {});
             return;
         }
         Team team = admitted.team().orElseThrow();
@@ -130,7 +181,7 @@
                 cost,
                 decision -> {
                     Runnable next =
-                            () -> decided(context, aggregated, admitted, writer, cost, decision);
+                            () -> decided(context, body, admitted, bytes, writer, cost, decision);
                     if (loop.inEventLoop()) {
                         next.run();
                     } else {
@@ -141,22 +192,23 @@
 
     private void decided(
             ServiceRequestContext context,
-            AggregatedHttpRequest aggregated,
+            HttpData body,
             RequestAdmission.Admitted admitted,
+            RequestBytes bytes,
             HttpResponseWriter writer,
             long cost,
             QuotaDecision decision) {
         Team team = admitted.team().orElseThrow();
         if (decision instanceof QuotaDecision.Denied denied) {
-            mInFlight.decrementAndGet();
             mRelay.metrics().recordQuota(team.name(), false, cost);
             refuseOverQuota(context.request().headers(), admitted, writer, denied);
         } else if (writer.isOpen() && context.log().partial().channel().isActive()) {
             mRelay.metrics().recordQuota(team.name(), true, cost);
             forward(
                     context,
-                    aggregated,
+                    body,
                     admitted,
+                    bytes,
                     writer,
                     mayHaveRun -> {
                         if (!mayHaveRun) {
@@ -164,7 +216,6 @@
                         }
                     });
         } else {
-            mInFlight.decrementAndGet();
             mQuotas.giveBack(team, cost);
             writer.close();
         }
@@ -172,34 +223,30 @@
 
     private void forward(
             ServiceRequestContext context,
-            AggregatedHttpRequest aggregated,
+            HttpData body,
             RequestAdmission.Admitted admitted,
+            RequestBytes bytes,
             HttpResponseWriter writer,
-            RequestExchange.EndListener endListener) {
+            RequestEndListener endListener) {
         ServiceName service = admitted.route().serviceFor(mRelay.random().getAsDouble());
         RelayRequest relayed =
                 new RelayRequest(
                         admitted.caller(),
-                        aggregated.content(),
+                        body,
                         admitted.route(),
                         service,
                         admitted.team(),
                         admitted.configuration().engineProfile(service),
                         admitted.configuration().version());
-        Channel connection = context.log().partial().channel();
-        CallerConnection watch = new CallerConnection(connection);
         RequestExchange exchange =
                 new RequestExchange(
                         mRelay,
                         relayed,
                         context.eventLoop().withoutContext(),
+                        bytes,
                         writer,
                         mRetryAfter,
-                        mayHaveRun -> {
-                            watch.close();
-                            mInFlight.decrementAndGet();
-                            endListener.ended(mayHaveRun);
-                        });
+                        endListener);
         writer.whenComplete()
                 .whenCompleteAsync(
                         (done, failure) -> {
@@ -209,7 +256,6 @@
                         },
                         context.eventLoop());
         exchange.start();
-        watch.onDisconnect(exchange::callerDisconnected);
     }
 
     private void refuseOverQuota(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -11,14 +11,13 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
-import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
 import org.cyclamenpaddle.relay.retry.RetryLimits;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
-import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.routing.buffer.RequestBytes;
 
 /**
  * Manages one request from its arrival to its end: places it, forwards it, retries it and completes
@@ -28,22 +27,12 @@
  */
 final class RequestExchange {
 
-    /** Notified once when the request has ended. */
-    interface EndListener {
-
-        /**
-         * Called at the end of the request.
-         *
-         * @param mayHaveRun whether a backend server may have run it
-         */
-        void ended(boolean mayHaveRun);
-    }
-
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final CallerResponse mResponse;
-    private final EndListener mEndListener;
+    private final RequestBytes mBytes;
+    private final RequestEndListener mEndListener;
     private final RetryPolicy mRetryPolicy;
     private final RequestLog mRequestLog;
     private final long mStartMillis;
@@ -61,18 +50,20 @@
             RelayContext relay,
             RelayRequest request,
             EventLoop loop,
+            RequestBytes bytes,
             HttpResponseWriter writer,
             RetryAfter retryAfter,
-            EndListener endListener) {
+            RequestEndListener endListener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
+        mBytes = bytes;
         mEndListener = endListener;
         mStartMillis = relay.clock().millis();
         long callerTimeoutMillis = request.caller().callerTimeoutMillis().orElse(Long.MAX_VALUE);
         mRetryPolicy =
                 new RetryPolicy(RetryLimits.of(request.route(), callerTimeoutMillis), mStartMillis);
-        mResponse = new CallerResponse(writer, request, retryAfter, mRetryPolicy);
+        mResponse = new CallerResponse(relay, writer, request, bytes, retryAfter, mRetryPolicy);
         mRequestLog = new RequestLog(relay, request, mRetryPolicy, mResponse, mStartMillis);
     }
 
@@ -98,12 +89,14 @@
     }
 
     private void selectBackend() {
+        mBytes.sendEnded();
         PlacementPhase placement =
                 new PlacementPhase(
                         mRelay,
                         mRequest,
+                        mBytes,
                         mLoop,
-                        mTried,
+                        BytesRefusal.serversToAvoid(mRelay, mRequest, mTried),
                         this::takeRetry,
                         new PlacementPhase.Listener() {
                             @Override
@@ -142,7 +135,14 @@
         if (placed.reservedMillis().isPresent()) {
             mReservedMillis = placed.reservedMillis();
         }
-        if (!mRelay.registry().directives().acceptsWork(backend, mRelay.clock().millis())) {
+        if (mBytes.isClosed()) {
+            // The caller has left; its notice is queued behind this call.
+            placed.release(mRelay, mRequest);
+            callerDisconnected();
+            return;
+        }
+        if (!mRelay.registry().directives().acceptsWork(backend, mRelay.clock().millis())
+                || !mBytes.trySend(backend.id())) {
             placeAgain(placed);
             return;
         }
@@ -158,7 +158,7 @@
         if (placed.prompt().isEmpty() || takeRetry()) {
             selectBackend();
         } else {
-            fail(SendOutcome.NOT_SENT, "engine asks for no further work, retry budget empty");
+            fail(SendOutcome.NOT_SENT, "engine takes no further work, retry budget empty");
         }
     }
 
@@ -337,7 +337,7 @@
 
     private void complete() {
         mResponse.finish();
-        recordDemand();
+        mRequestLog.recordDemand();
         mRelay.metrics().recordResponse(mRequest.route().kind(), mRequestLog.elapsedMillis());
         mRequestLog.completed(
                 lastBackend(),
@@ -346,21 +346,10 @@
         end();
     }
 
-    private void recordDemand() {
-        long first = mResponse.firstMillis(mStartMillis);
-        boolean complete = mRequest.caller().resumeAfter().isEmpty() && mResponse.status() < 300;
-        if (mRequest.engine().isPresent() && first >= 0 && complete) {
-            WorkSize size = mRequest.caller().size();
-            long outputTokens = mResponse.events() * mRequest.engine().get().tokensPerEvent();
-            Demand demand =
-                    new Demand(
-                            size.promptTokens(), outputTokens, mRequestLog.elapsedMillis() - first);
-            mRelay.demand().recordEnd(mRequest.service(), size, demand);
-        }
-    }
-
     private void timeOut() {
         if (mEnded) {
+            mResponse.abortDelivery();
+            mRequestLog.truncated(lastBackend(), "caller did not take the response in time");
             return;
         }
         SendOutcome unsent = mReserving ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
@@ -394,7 +383,8 @@
 
     private void end() {
         mEnded = true;
-        mTimeout.cancel(false);
+        mBytes.sendEnded();
+        mResponse.whenDelivered(() -> mTimeout.cancel(false));
         mPlacement.ifPresent(PlacementPhase::cancel);
         mPlacement = Optional.empty();
         mEndListener.ended(mRetryPolicy.mayHaveRun());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -4,10 +4,12 @@
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
+import org.cyclamenpaddle.relay.role.Demand;
 
 /** Writes the log lines of one request: decisions, outcomes and durations. */
 final class RequestLog {
@@ -134,4 +136,16 @@
     private static String name(Optional<Backend> backend) {
         return backend.map(known -> known.id().value()).orElse(NONE);
     }
+
+    /** Records what a completed generation has shown of the demand of its service. */
+    void recordDemand() {
+        long first = mResponse.firstMillis(mStartMillis);
+        boolean complete = mRequest.caller().resumeAfter().isEmpty() && mResponse.status() < 300;
+        if (mRequest.engine().isPresent() && first >= 0 && complete) {
+            WorkSize size = mRequest.caller().size();
+            long outputTokens = mResponse.events() * mRequest.engine().get().tokensPerEvent();
+            Demand demand = new Demand(size.promptTokens(), outputTokens, elapsedMillis() - first);
+            mRelay.demand().recordEnd(mRequest.service(), size, demand);
+        }
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -127,6 +127,16 @@
             2209, Priority.DIAGNOSTIC, "engine memory not released", List.of("backend", "cause")),
     REPORT_FAILED(
             2210, Priority.DIAGNOSTIC, "engine report not available", List.of("backend", "cause")),
+    BYTES_REFUSED(
+            2215,
+            Priority.DIAGNOSTIC,
+            "body does not fit into the memory for requests",
+            List.of("request", "route", "backend", "length", "held", "bound")),
+    RESPONSE_AT_BOUND(
+            2216,
+            Priority.DIAGNOSTIC,
+            "response is read no further ahead of its caller",
+            List.of("request", "route", "responseHeld", "responseBound", "held", "bound")),
     REQUEST_REFUSED(
             2207,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -76,6 +76,15 @@
         counter("directives", "kind", tag(kind)).increment();
     }
 
+    /**
+     * Records a body that did not fit into the memory for requests.
+     *
+     * @param reason the bound that it exceeded
+     */
+    public void recordBytesRefused(Enum<?> reason) {
+        counter("bytes_refused", REASON, tag(reason)).increment();
+    }
+
     /** Records a frame between hosts that was rejected or dropped. */
     public void recordLostFrame(Enum<?> reason) {
         counter("peer_frames_lost", REASON, tag(reason)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.settings;
 
+import org.cyclamenpaddle.routing.buffer.ByteBounds;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 
 /**
@@ -11,9 +12,16 @@
  * @param stop timing of a planned stop
  * @param retry retry budget shared by all hosts
  * @param quota bounds of the quotas shared by all hosts
+ * @param bytes bounds of the bytes that this host holds
  */
 public record RelaySettings(
-        Host host, Listen listen, Store store, Stop stop, Retry retry, QuotaBounds quota) {
+        Host host,
+        Listen listen,
+        Store store,
+        Stop stop,
+        Retry retry,
+        QuotaBounds quota,
+        ByteBounds bytes) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -24,6 +32,7 @@
         required("stop", stop);
         required("retry", retry);
         required("quota", quota);
+        required("bytes", bytes);
     }
 
     /**
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.cyclamenpaddle.routing.buffer.ByteBounds;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 
 /** Reads and validates a relay's settings file. */
@@ -49,7 +50,10 @@
                         retry(file.table("retry")),
                         file.optionalTable("quota")
                                 .map(RelaySettingsReader::quota)
-                                .orElse(QuotaBounds.DEFAULTS));
+                                .orElse(QuotaBounds.DEFAULTS),
+                        file.optionalTable("limits")
+                                .map(RelaySettingsReader::limits)
+                                .orElse(ByteBounds.UNBOUNDED));
         file.rejectUnknownKeys();
         return settings;
     }
@@ -92,6 +96,12 @@
         return retry;
     }
 
+    private static ByteBounds limits(SettingsTable table) {
+        ByteBounds bounds = ByteBounds.ofMemory(table.positive("memoryMb"));
+        table.rejectUnknownKeys();
+        return bounds;
+    }
+
     private static QuotaBounds quota(SettingsTable table) {
         QuotaBounds bounds =
                 new QuotaBounds(
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/settings/RelaySettingsReaderTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/settings/RelaySettingsReaderTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import java.util.stream.Stream;
+import org.cyclamenpaddle.routing.buffer.ByteBounds;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -33,6 +34,8 @@
             windowSeconds = 8
             overage = 0.1
             slack = 190000
+            [limits]
+            memoryMb = 258
             """;
 
     @Test
@@ -42,8 +45,10 @@
         assertEquals(settings.stop().graceMillis(), 8_000);
         assertEquals(settings.retry().windowMillis(), 10_000);
         assertEquals(settings.quota(), new QuotaBounds(8, 0.1, 190_000));
+        assertEquals(settings.bytes(), ByteBounds.ofMemory(258));
         String without = GOOD.substring(0, GOOD.indexOf("[quota]"));
         assertEquals(RelaySettingsReader.parse(without).get().quota(), QuotaBounds.DEFAULTS);
+        assertEquals(RelaySettingsReader.parse(without).get().bytes(), ByteBounds.UNBOUNDED);
     }
 
     @DataProvider
@@ -59,6 +64,9 @@
             {"domain = \"d\"", "domain = \"d\"\nfloor = 3", "floor"},
             {"overage = 0.1", "overage = -0.1", "quota.overage must be 0 or more"},
             {"slack = 190000", "", "quota.slack is missing"},
+            {"memoryMb = 258", "memoryMb = 0", "limits.memoryMb must be above 0"},
+            {"memoryMb = 258", "memory = 258", "limits.memoryMb is missing"},
+            {"memoryMb = 258", "memoryMb = 258\nbodies = 3", "unknown key: limits.bodies"},
             {"peers = \"10.1.0.38:7380\"\n", "", "listen.peers is missing"},
             {"[store]\naddress = \"10.200.1.7:8142\"\n", "", "store"},
         };
@@ -80,6 +88,7 @@
             {"windowSeconds = 8", "quota.windowSeconds"},
             {"overage = 0.1", "quota.overage"},
             {"slack = 190000", "quota.slack"},
+            {"memoryMb = 258", "limits.memoryMb"},
         };
     }
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/buffer/RequestBytes.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/buffer/RequestBytes.java
@@ -149,6 +149,11 @@
         return mResponse;
     }
 
+    /** Returns whether everything was released. */
+    public synchronized boolean isClosed() {
+        return mClosed;
+    }
+
     /** Releases everything. */
     @Override
     public synchronized void close() {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/buffer/RequestBytesTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/buffer/RequestBytesTest.java
@@ -87,6 +87,7 @@
         request.close();
         request.delivered(20_000);
         request.received(9_000);
+        assertTrue(request.isClosed());
         assertFalse(request.tryReadNext());
         assertFalse(request.tryAddBody(1));
         assertFalse(request.trySend(SERVER));
