--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -154,4 +154,13 @@
     private static String name(Optional<Backend> backend) {
         return backend.map(known -> known.id().value()).orElse(NONE);
     }
+
+    /** Records what a completed generation has shown of the demand of its service. */
+    void recordDemand() {
+        long first = mResponse.firstMillis(mStartMillis);
+        boolean complete = mRequest.caller().resumeAfter().isEmpty() && mResponse.status() < 300;
+        if (first >= 0 && complete) {
+            mRequest.recordDemand(mRelay.demand(), mResponse.events(), elapsedMillis() - first);
+        }
+    }
 }
