Model teams on all hosts and a slow restart

No scenario of the quota model showed it: its only team has nine clients, and messages work again as soon as a killed host runs.

Change: QuotaRestartTest plays 16 teams of unequal load on 77 hosts, three of them at six times their usual load, kills all hosts, and loses or delays all messages for a second after the restart. It measures units denied in vain per second against an exact bucket, and the part of the bound that a hot team gets. It checks the bound with and without slack at 6, 77 and 410 hosts, in a cut and at a change of the owner. The scenario and the measurement are now files of their own; the existing scenarios are unchanged.

--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaLoadTest.java
@@ -44,21 +44,34 @@
                             && millis < CUT_TO_MILLIS
                             && pair / 1_000 % 4 != pair % 1_000 % 4;
 
-    private static QuotaModel.Scenario scenario(
+    private static QuotaScenario scenario(
             int hosts, DoubleUnaryOperator load, BiPredicate<Integer, Long> cut) {
-        return new QuotaModel.Scenario(hosts, 9, millis -> LIMIT, load, cut, 0, Set.of(), 0, 0);
+        return new QuotaScenario(
+                hosts,
+                QuotaScenario.FEW_CLIENTS,
+                millis -> LIMIT,
+                load,
+                cut,
+                0,
+                Set.of(),
+                0,
+                0,
+                0,
+                0);
     }
 
-    private static QuotaModel.Scenario killed(int hosts, Set<Integer> killed, long returnMillis) {
-        return new QuotaModel.Scenario(
+    private static QuotaScenario killed(int hosts, Set<Integer> killed, long returnMillis) {
+        return new QuotaScenario(
                 hosts,
-                9,
+                QuotaScenario.FEW_CLIENTS,
                 millis -> LIMIT,
                 USUAL_LOAD,
                 WHOLE,
                 CUT_FROM_MILLIS,
                 killed,
                 returnMillis,
+                0,
+                0,
                 0);
     }
 
@@ -69,14 +82,19 @@
     /** Mean and worst result over the seeds. */
     private record Summary(double excess, double inVain, double waited, double messages) {
 
-        static Summary of(QuotaModel.Way way, QuotaModel.Scenario scenario, int seeds) {
+        static Summary of(QuotaModel.Way way, QuotaScenario scenario, int seeds) {
+            return of(way, scenario, BOUNDS, seeds);
+        }
+
+        static Summary of(
+                QuotaModel.Way way, QuotaScenario scenario, QuotaBounds bounds, int seeds) {
             double excess = -1;
             double inVain = 0;
             double waited = 0;
             double messages = 0;
             for (int seed = 0; seed < seeds; seed++) {
                 QuotaModel.Result result =
-                        new QuotaModel(way, scenario, BOUNDS, seed).run(RUN_MILLIS);
+                        new QuotaModel(way, scenario, bounds, seed).run(RUN_MILLIS);
                 excess = Math.max(excess, result.mostExcess());
                 inVain += result.refusedInVain() / seeds;
                 waited += result.waited() / seeds;
@@ -97,15 +115,17 @@
             {"seven times the load, 67 hosts", scenario(67, HOT_LOAD, WHOLE), whole},
             {
                 "limit falls to a third, 67 hosts",
-                new QuotaModel.Scenario(
+                new QuotaScenario(
                         67,
-                        9,
+                        QuotaScenario.FEW_CLIENTS,
                         millis -> millis < 15_000 ? LIMIT : new QuotaLimit(28_000, 28_000),
                         USUAL_LOAD,
                         WHOLE,
                         0,
                         Set.of(),
                         0,
+                        0,
+                        0,
                         0),
                 whole
             },
@@ -118,8 +138,18 @@
             {"owner gone for good, 67 hosts", killed(67, Set.of(QuotaModel.PRIMARY), 60_000), cut},
             {
                 "a twentieth of the messages lost",
-                new QuotaModel.Scenario(
-                        67, 9, millis -> LIMIT, USUAL_LOAD, WHOLE, 0, Set.of(), 0, 0.05),
+                new QuotaScenario(
+                        67,
+                        QuotaScenario.FEW_CLIENTS,
+                        millis -> LIMIT,
+                        USUAL_LOAD,
+                        WHOLE,
+                        0,
+                        Set.of(),
+                        0,
+                        0,
+                        0,
+                        0.05),
                 cut
             },
         };
@@ -127,7 +157,7 @@
 
     /** Failure: hosts that share a quota exceed it together, or refuse what it allows. */
     @Test(dataProvider = "scenarios")
-    public void quotaIsKeptAndUsed(String name, QuotaModel.Scenario scenario, double mostInVain) {
+    public void quotaIsKeptAndUsed(String name, QuotaScenario scenario, double mostInVain) {
         Summary lending = Summary.of(QuotaModel.Way.LENDING, scenario, SEEDS);
         print(name, QuotaModel.Way.LENDING, lending);
         assertTrue(lending.excess() <= 0, "bound exceeded by " + lending.excess());
@@ -137,7 +167,7 @@
     /** Equal parts refuse most of what a team with few clients may use. */
     @Test
     public void lendingRefusesLessThanEqualPartsAndSendsLessThanDemandParts() {
-        QuotaModel.Scenario scenario = scenario(67, USUAL_LOAD, CUT);
+        QuotaScenario scenario = scenario(67, USUAL_LOAD, CUT);
         Summary lending = Summary.of(QuotaModel.Way.LENDING, scenario, FEW_SEEDS);
         Summary equal = Summary.of(QuotaModel.Way.EQUAL_PARTS, scenario, FEW_SEEDS);
         Summary demand = Summary.of(QuotaModel.Way.DEMAND_PARTS, scenario, FEW_SEEDS);
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.function.BiPredicate;
-import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -39,6 +37,9 @@
     /** Time from the start of the hosts to that of the traffic. */
     private static final long TRAFFIC_MILLIS = 3_000;
 
+    /** Time within which all hosts have noticed a change of the owner, in milliseconds. */
+    static final long CHANGE_MILLIS = 1_000;
+
     private static final double MIN_DELAY_MILLIS = 0.4;
     private static final double DELAY_SPREAD_MILLIS = 3;
 
@@ -52,55 +53,40 @@
         LENDING
     }
 
-    /**
-     * What happens in a run.
-     *
-     * @param hosts number of hosts
-     * @param clients number of the team's clients
-     * @param limit limit at a time in milliseconds
-     * @param load load at a time in milliseconds, in units a second
-     * @param cut whether two hosts cannot reach each other at a time, given as {@code hostA * 1_000
-     *     + hostB} and milliseconds
-     * @param killMillis time at which all of {@code killed} lose their state; 0 for never
-     * @param killed hosts killed; {@link #PRIMARY} for the primary owner
-     * @param returnMillis time after which they run again
-     * @param loss share of messages lost
-     */
-    record Scenario(
-            int hosts,
-            int clients,
-            java.util.function.LongFunction<QuotaLimit> limit,
-            DoubleUnaryOperator load,
-            BiPredicate<Integer, Long> cut,
-            long killMillis,
-            Set<Integer> killed,
-            long returnMillis,
-            double loss) {}
-
     /**
      * Result of a run.
      *
      * @param mostExcess most by which the use in a window exceeded the bound, as a share of it;
      *     negative if it stayed below
      * @param refusedInVain share of the units that one exact bucket would have admitted and the
-     *     hosts refused in sum
+     *     hosts refused in sum, requests to hosts that are down included
+     * @param deniedInVain the same of requests to running hosts, summed over seconds: what is
+     *     admitted beyond the limit in one second does not make up for refusals in another
      * @param waited share of the requests that waited for an owner
+     * @param longestWait longest wait of a request for its decision, in milliseconds
      * @param messages messages a host and second
      */
-    record Result(double mostExcess, double refusedInVain, double waited, double messages) {}
+    record Result(
+            double mostExcess,
+            double refusedInVain,
+            double deniedInVain,
+            double waited,
+            double longestWait,
+            double messages) {}
 
-    private record Event(double atMillis, long order, Runnable work) {}
+    private record Request(long cost, double atMillis) {}
 
-    private record Use(double atMillis, long cost) {}
+    private record Event(double atMillis, long order, Runnable work) {}
 
     private final class Host {
         private final int mIndex;
-        private QuotaBorrower<Long> mBorrower = new QuotaBorrower<>(0);
+        private QuotaBorrower<Request> mBorrower = new QuotaBorrower<>(0);
         private QuotaShard mShard = new QuotaShard(mBounds, 0);
         private OwnerChoice mChoice = new OwnerChoice();
         private boolean mInProgress;
         private long mDownUntil;
         private long mEpoch;
+        private double mChangedAt = Double.MAX_VALUE;
         private double mLevel;
         private double mLevelAt;
         private DecayingRate mDemand = new DecayingRate(2_000);
@@ -113,32 +99,29 @@
     }
 
     private final Way mWay;
-    private final Scenario mScenario;
+    private final QuotaScenario mScenario;
     private final QuotaBounds mBounds;
     private final UniformRandomProvider mRandom;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingDouble(Event::atMillis).thenComparingLong(Event::order));
     private final List<Host> mHosts = new ArrayList<>();
-    private final List<Use> mUses = new ArrayList<>();
+    private final QuotaMeasure mMeasure;
     private final Set<HostId> mNames = new HashSet<>();
     private final int mPrimary;
     private final int mSecond;
     private double mNow;
     private long mOrder;
-    private long mAsked;
-    private long mAdmitted;
-    private long mExactAdmitted;
-    private double mExactLevel;
-    private double mExactAt;
     private long mRequests;
     private long mWaits;
+    private double mLongestWait;
     private long mMessages;
 
-    QuotaModel(Way way, Scenario scenario, QuotaBounds bounds, long seed) {
+    QuotaModel(Way way, QuotaScenario scenario, QuotaBounds bounds, long seed) {
         mWay = way;
         mScenario = scenario;
         mBounds = bounds;
+        mMeasure = new QuotaMeasure(bounds, scenario.limit());
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         IntStream.range(0, scenario.hosts())
                 .forEach(
@@ -152,23 +135,37 @@
 
     /** Plays the scenario and returns what was measured. */
     Result run(long millis) {
-        for (int client = 0; client < mScenario.clients(); client++) {
+        int clients = mScenario.traffic().clients();
+        for (int client = 0; client < clients; client++) {
             Host host = mHosts.get(mRandom.nextInt(mScenario.hosts()));
-            at(TRAFFIC_MILLIS, () -> scheduleArrival(host));
+            at(TRAFFIC_MILLIS, () -> scheduleArrival(host, clients));
+        }
+        if (clients == 0) {
+            mHosts.forEach(
+                    host -> at(TRAFFIC_MILLIS, () -> scheduleArrival(host, mScenario.hosts())));
         }
         mHosts.forEach(host -> at(mRandom.nextDouble() * REPORT_MILLIS, () -> regular(host)));
         if (mScenario.killMillis() > 0) {
             at(mScenario.killMillis(), this::kill);
         }
+        if (mScenario.changeMillis() > 0) {
+            mHosts.forEach(
+                    host ->
+                            host.mChangedAt =
+                                    mScenario.changeMillis()
+                                            + mRandom.nextDouble() * CHANGE_MILLIS);
+        }
         while (!mEvents.isEmpty() && mEvents.peek().atMillis() < millis) {
             Event next = mEvents.poll();
             mNow = next.atMillis();
             next.work().run();
         }
         return new Result(
-                mostExcess(),
-                Math.max(0, mExactAdmitted - mAdmitted) / (double) mAsked,
+                mMeasure.mostExcess(),
+                mMeasure.refusedInVain(),
+                mMeasure.deniedInVain(),
                 mWaits / (double) mRequests,
+                mLongestWait,
                 mMessages / (double) mScenario.hosts() / (millis / 1_000.0));
     }
 
@@ -188,35 +185,32 @@
         return (long) mNow;
     }
 
-    private void scheduleArrival(Host host) {
-        double perClient = mScenario.load().applyAsDouble(mNow) / mScenario.clients();
-        double requestsPerMilli = perClient / 2_200 / 1_000;
+    private void scheduleArrival(Host host, int clients) {
+        double perClient = mScenario.load().applyAsDouble(mNow) / clients;
+        double requestsPerMilli = perClient / mScenario.traffic().mean() / 1_000;
         at(
                 -Math.log(1 - mRandom.nextDouble()) / requestsPerMilli,
                 () -> {
                     arrive(host);
-                    scheduleArrival(host);
+                    scheduleArrival(host, clients);
                 });
     }
 
-    private long drawCost() {
-        return mRandom.nextDouble() < 0.62 ? 200 : 2_400 + mRandom.nextInt(6_000);
-    }
-
     private void arrive(Host host) {
-        long cost = drawCost();
+        long cost = mScenario.traffic().draw(mRandom);
         mRequests++;
-        mAsked += cost;
-        exact(cost);
-        if (mNow < host.mDownUntil) {
+        boolean running = mNow >= host.mDownUntil;
+        mMeasure.ask(cost, running, mNow);
+        if (!running) {
             return;
         }
         QuotaLimit limit = mScenario.limit().apply(now());
         switch (mWay) {
             case LENDING -> {
-                QuotaDecision decision = host.mBorrower.take(TEAM, cost, cost, now());
+                Request request = new Request(cost, mNow);
+                QuotaDecision decision = host.mBorrower.take(TEAM, cost, request, now());
                 if (decision instanceof QuotaDecision.Admitted) {
-                    use(cost);
+                    use(cost, mNow);
                 } else if (decision instanceof QuotaDecision.Pending) {
                     mWaits++;
                 }
@@ -240,24 +234,12 @@
         host.mLevelAt = mNow;
         if (host.mLevel > 0) {
             host.mLevel -= cost;
-            use(cost);
-        }
-    }
-
-    private void exact(long cost) {
-        QuotaLimit limit = mScenario.limit().apply(now());
-        double passed = (mNow - mExactAt) / 1_000;
-        mExactLevel = Math.min(limit.burstUnits(), mExactLevel + passed * limit.unitsPerSecond());
-        mExactAt = mNow;
-        if (mExactLevel >= cost) {
-            mExactLevel -= cost;
-            mExactAdmitted += cost;
+            use(cost, mNow);
         }
     }
 
-    private void use(long cost) {
-        mAdmitted += cost;
-        mUses.add(new Use(mNow, cost));
+    private void use(long cost, double arrivedMillis) {
+        mMeasure.use(cost, arrivedMillis, mNow);
     }
 
     private void regular(Host host) {
@@ -292,8 +274,9 @@
             return;
         }
         List<HostId> candidates = new ArrayList<>();
-        candidates.add(name(mPrimary));
-        candidates.add(name(mSecond));
+        boolean changed = mNow >= host.mChangedAt;
+        candidates.add(name(changed ? mSecond : mPrimary));
+        candidates.add(name(changed ? mPrimary : mSecond));
         IntStream.range(0, mScenario.hosts())
                 .filter(
                         other ->
@@ -343,7 +326,7 @@
     private QuotaResponse lend(Host owner, int from, QuotaRequest request) {
         QuotaShard.Fleet fleet =
                 new QuotaShard.Fleet(
-                        owner.mIndex == mPrimary,
+                        owner.mIndex == (mNow >= owner.mChangedAt ? mSecond : mPrimary),
                         mNames,
                         mScenario.hosts(),
                         SILENT_MILLIS,
@@ -361,8 +344,10 @@
                 .apply(request, response, now())
                 .forEach(
                         settled -> {
+                            Request waited = settled.request();
+                            mLongestWait = Math.max(mLongestWait, mNow - waited.atMillis());
                             if (settled.decision() instanceof QuotaDecision.Admitted) {
-                                use(settled.request());
+                                use(waited.cost(), waited.atMillis());
                             }
                         });
         if (host.mBorrower.hasWaiting()) {
@@ -380,9 +365,12 @@
                 mRandom.nextDouble() < mScenario.loss()
                         || mScenario.cut().test(from * 1_000 + to, now());
         long epoch = mHosts.get(to).mEpoch;
-        if (!lost) {
+        long restartMillis = mScenario.killMillis() + mScenario.returnMillis();
+        boolean slow = mNow < restartMillis + mScenario.slowMillis() && mNow >= restartMillis;
+        if (!lost && !(slow && mRandom.nextBoolean())) {
             at(
-                    MIN_DELAY_MILLIS + mRandom.nextDouble() * DELAY_SPREAD_MILLIS,
+                    (slow ? TIMEOUT_MILLIS * (1 + 2 * mRandom.nextDouble()) : MIN_DELAY_MILLIS)
+                            + mRandom.nextDouble() * DELAY_SPREAD_MILLIS,
                     () -> {
                         Host receiver = mHosts.get(to);
                         if (mNow >= receiver.mDownUntil && receiver.mEpoch == epoch) {
@@ -407,28 +395,4 @@
                             host.mLevel = 0;
                         });
     }
-
-    private double mostExcess() {
-        double most = -1;
-        double window = mBounds.windowSeconds() * 1_000;
-        long sum = 0;
-        int first = 0;
-        for (Use last : mUses) {
-            sum += last.cost();
-            while (mUses.get(first).atMillis() <= last.atMillis() - window) {
-                sum -= mUses.get(first).cost();
-                first++;
-            }
-            // A lower limit binds once a whole window lies behind its change.
-            double bound =
-                    Math.max(
-                            mBounds.mostInWindow(mScenario.limit().apply((long) last.atMillis())),
-                            mBounds.mostInWindow(
-                                    mScenario
-                                            .limit()
-                                            .apply((long) Math.max(0, last.atMillis() - window))));
-            most = Math.max(most, sum / bound - 1);
-        }
-        return most;
-    }
 }
--- /dev/null
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaRestartTest.java
@@ -0,0 +1,184 @@
+package org.cyclamenpaddle.routing.limit;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Pattern: 16 teams of unequal load on all of 77 hosts, three of them at six times their usual load
+ * for 8 s; all hosts are killed at once, and messages between them fail or are late for the first
+ * second after the restart.
+ */
+public class QuotaRestartTest {
+
+    private static final int SEEDS = 3;
+    private static final int HOSTS = 77;
+    private static final long RUN_MILLIS = 30_000;
+    private static final long KILL_MILLIS = 15_000;
+    private static final long RETURN_MILLIS = 2_500;
+    private static final long SLOW_MILLIS = 1_000;
+    private static final double HOT_FACTOR = 6;
+    private static final QuotaBounds SLACK = new QuotaBounds(8, 0.1, 190_000);
+    private static final QuotaBounds NO_SLACK = new QuotaBounds(8, 0.1, 0);
+    private static final BiPredicate<Integer, Long> WHOLE = (pair, millis) -> false;
+
+    /** Each of the four failure domains cannot reach any other for 6 s. */
+    private static final BiPredicate<Integer, Long> ALL_CUT =
+            (pair, millis) ->
+                    millis > KILL_MILLIS
+                            && millis < KILL_MILLIS + 6_000
+                            && pair / 1_000 % 4 != pair % 1_000 % 4;
+
+    /** A team's usual load in units a second, its limit as a multiple, and whether it is hot. */
+    private record TeamLoad(double usual, double limitFactor, boolean hot) {
+
+        QuotaLimit limit() {
+            return new QuotaLimit(usual * limitFactor, usual * limitFactor);
+        }
+
+        double load(double millis) {
+            return hot && millis > 10_000 && millis < 18_000 ? HOT_FACTOR * usual : usual;
+        }
+
+        QuotaScenario killed(int hosts, long slowMillis) {
+            return new QuotaScenario(
+                    hosts,
+                    QuotaScenario.ALL_HOSTS,
+                    millis -> limit(),
+                    this::load,
+                    WHOLE,
+                    KILL_MILLIS,
+                    IntStream.range(0, hosts).boxed().collect(Collectors.toSet()),
+                    RETURN_MILLIS,
+                    slowMillis,
+                    0,
+                    0);
+        }
+
+        QuotaScenario unkilled(BiPredicate<Integer, Long> cut, long changeMillis) {
+            return new QuotaScenario(
+                    HOSTS,
+                    QuotaScenario.ALL_HOSTS,
+                    millis -> limit(),
+                    this::load,
+                    cut,
+                    0,
+                    Set.of(),
+                    0,
+                    0,
+                    changeMillis,
+                    0);
+        }
+    }
+
+    /** Generations of 5,600 units once in 15 s and host are 28,700 units a second. */
+    private static final TeamLoad SMALL = new TeamLoad(29_500, 1.6, false);
+
+    private static final TeamLoad SMALL_HOT = new TeamLoad(29_500, 1.6, true);
+    private static final TeamLoad LARGE_HOT = new TeamLoad(52_000, 1.6, true);
+
+    private static final List<TeamLoad> TEAMS =
+            List.of(
+                    new TeamLoad(52_000, 1.6, false),
+                    LARGE_HOT,
+                    SMALL,
+                    SMALL_HOT,
+                    new TeamLoad(14_000, 1.6, false),
+                    new TeamLoad(10_000, 1.6, true),
+                    new TeamLoad(7_000, 8, false),
+                    new TeamLoad(5_000, 1.6, false),
+                    new TeamLoad(4_000, 8, false),
+                    new TeamLoad(3_000, 1.6, false),
+                    new TeamLoad(2_500, 8, false),
+                    new TeamLoad(2_000, 1.6, false),
+                    new TeamLoad(1_500, 1.6, false),
+                    new TeamLoad(1_000, 8, false),
+                    new TeamLoad(1_000, 1.6, false),
+                    new TeamLoad(700, 1.6, false));
+
+    /** Mean over the seeds, but the worst for the excess and the wait. */
+    private record Summary(
+            double excess,
+            double used,
+            double denied,
+            double waited,
+            double longestWait,
+            double messages) {
+
+        static Summary of(QuotaScenario scenario, QuotaBounds bounds) {
+            List<QuotaModel.Result> results =
+                    IntStream.range(0, SEEDS)
+                            .parallel()
+                            .mapToObj(
+                                    seed ->
+                                            new QuotaModel(
+                                                            QuotaModel.Way.LENDING,
+                                                            scenario,
+                                                            bounds,
+                                                            seed)
+                                                    .run(RUN_MILLIS))
+                            .toList();
+            return new Summary(
+                    results.stream().mapToDouble(r -> r.mostExcess()).max().orElse(0),
+                    results.stream().mapToDouble(r -> 1 + r.mostExcess()).average().orElse(0),
+                    results.stream().mapToDouble(r -> r.deniedInVain()).average().orElse(0),
+                    results.stream().mapToDouble(r -> r.waited()).average().orElse(0),
+                    results.stream().mapToDouble(r -> r.longestWait()).max().orElse(0),
+                    results.stream().mapToDouble(r -> r.messages()).average().orElse(0));
+        }
+    }
+
+    private static Summary measured(String name, QuotaScenario scenario, QuotaBounds bounds) {
+        Summary s = Summary.of(scenario, bounds);
+        System.out.printf(
+                "%s: excess %.2f, used %.2f, denied in vain %.3f, waited %.3f, longest %.0f ms,"
+                        + " messages %.1f%n",
+                name, s.excess(), s.used(), s.denied(), s.waited(), s.longestWait(), s.messages());
+        return s;
+    }
+
+    @DataProvider
+    public Object[][] bounds() {
+        return new Object[][] {{"slack", SLACK}, {"no slack", NO_SLACK}};
+    }
+
+    /** Failure: after a restart of all hosts, teams are refused although they are below it. */
+    @Test
+    public void teamsAreServedAfterARestartOfAllHosts() {
+        double units = 0;
+        double denied = 0;
+        for (TeamLoad team : TEAMS) {
+            String name = "restart, " + team;
+            Summary summary = measured(name, team.killed(HOSTS, SLOW_MILLIS), SLACK);
+            assertTrue(summary.excess() <= 0, name + " exceeded by " + summary.excess());
+            units += team.usual();
+            denied += team.usual() * summary.denied();
+        }
+        System.out.printf("restart, all teams: denied in vain %.4f%n", denied / units);
+    }
+
+    /** Failure: units are lent twice across a kill, a cut or a change of the owner. */
+    @Test(dataProvider = "bounds")
+    public void boundIsKeptAcrossFailures(String name, QuotaBounds bounds) {
+        for (TeamLoad team : List.of(LARGE_HOT, SMALL_HOT)) {
+            kept(name + ", killed, 6 hosts", team.killed(6, SLOW_MILLIS), bounds);
+            kept(name + ", killed, 77 hosts", team.killed(HOSTS, SLOW_MILLIS), bounds);
+            kept(name + ", killed, not slow", team.killed(HOSTS, 0), bounds);
+            kept(name + ", killed, 410 hosts", team.killed(410, SLOW_MILLIS), bounds);
+            kept(name + ", all domains cut off", team.unkilled(ALL_CUT, 0), bounds);
+            kept(name + ", owner changes", team.unkilled(WHOLE, 14_000), bounds);
+            kept(name + ", hot", team.unkilled(WHOLE, 0), bounds);
+        }
+    }
+
+    private static void kept(String name, QuotaScenario scenario, QuotaBounds bounds) {
+        Summary summary = measured(name, scenario, bounds);
+        assertTrue(summary.excess() <= 0, name + ": bound exceeded by " + summary.excess());
+    }
+}
