Bound units in advance per host and reserve earlier in a cut

Cause: hosts held up to 0.4 of the permitted excess in advance, and one host could hold the units of its largest request. With bounds without slack, two sides of a cut exceeded the bound by 5% at seven times the load: the owner reserved what hosts on the other side may use only after 2.5 s.

Change: all hosts together hold at most 0.2 of the excess, and each host its part among those that use the quota. The owner reserves what a host may use 600 ms after its last report.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
@@ -19,7 +19,7 @@
     /** Time constant of the rate of use, in milliseconds. */
     private static final double RATE_MILLIS = 4_000;
 
-    /** Use that units held in advance cover, in seconds. */
+    /** Use that units held in advance cover, in seconds; they cover one small request at least. */
     private static final double ADVANCE_SECONDS = 0.5;
 
     /** Use at the acknowledged rate that a host may owe to the owner, in seconds. */
@@ -39,8 +39,8 @@
      */
     private static final long MAX_DENIED_MILLIS = 100;
 
-    /** Factor by which the weight of a large request falls with each later one. */
-    private static final double COST_DECAY = 0.97;
+    /** Factor by which the weight of a small request falls with each later one. */
+    private static final double COST_GROWTH = 1.03;
 
     /** Least time between two reports that only ask for units in advance, in milliseconds. */
     private static final long ADVANCE_PAUSE_MILLIS = 100;
@@ -50,7 +50,7 @@
     private long mHeld;
     private long mElsewhere;
     private long mEntitledPerSecond;
-    private double mLargeCost;
+    private double mSmallCost = Double.MAX_VALUE;
     private long mReportMillis = Long.MIN_VALUE / 2;
     private long mLastRequestMillis;
     private long mDeniedUntilMillis = Long.MIN_VALUE;
@@ -67,7 +67,7 @@
      */
     QuotaDecision take(long cost, W request, boolean entitled, long nowMillis) {
         mLastRequestMillis = nowMillis;
-        mLargeCost = Math.max(cost, mLargeCost * COST_DECAY);
+        mSmallCost = Math.min(cost, mSmallCost * COST_GROWTH);
         double overdraft = entitled ? mEntitledPerSecond * OVERDRAFT_SECONDS : 0;
         if (mWaiting.isEmpty() && mHeld + overdraft >= cost) {
             spend(cost, nowMillis);
@@ -177,6 +177,6 @@
             return 0;
         }
         double bySecond = mUse.perSecond(nowMillis) * ADVANCE_SECONDS;
-        return Math.round(Math.max(bySecond, mLargeCost));
+        return Math.round(Math.max(bySecond, mSmallCost));
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBounds.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBounds.java
@@ -12,11 +12,8 @@
     /** Bounds of a deployment that states none. */
     public static final QuotaBounds DEFAULTS = new QuotaBounds(10, 0.1, 0);
 
-    /**
-     * Share of the excess that hosts may hold as unspent units. The rest covers units that are lent
-     * twice while a shard changes its owner.
-     */
-    private static final double ADVANCE_SHARE = 0.4;
+    /** Share of the excess that all hosts together may hold as unspent units. */
+    private static final double ADVANCE_SHARE = 0.2;
 
     public QuotaBounds {
         if (!(windowSeconds > 0) || !(overage >= 0) || !(slackUnits >= 0)) {
@@ -38,7 +35,11 @@
 
     /** Returns the most units that all hosts together may hold unspent. */
     double advanceUnits(QuotaLimit limit) {
+        return excessUnits(limit) * ADVANCE_SHARE;
+    }
+
+    private double excessUnits(QuotaLimit limit) {
         double withinLimit = limit.unitsPerSecond() * windowSeconds + limit.burstUnits();
-        return (mostInWindow(limit) - withinLimit) * ADVANCE_SHARE;
+        return mostInWindow(limit) - withinLimit;
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -66,6 +67,13 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * Time without a report after which the owner reserves what a host may use, in milliseconds. A
+     * host borrows from a deputy 200 ms after it was cut off. With a reserve only after 2.5 s, both
+     * sides of a cut exceeded a bound without slack at seven times the load.
+     */
+    private static final long RESERVE_MILLIS = 600;
+
     private final QuotaBounds mBounds;
     private final Map<HostId, HostState> mHosts = new HashMap<>();
     private final Map<TeamName, QuotaPool> mPools = new HashMap<>();
@@ -123,22 +131,22 @@
         }
     }
 
-    /** Records that a host is not silent, and releases what was reserved while it was. */
+    /** Records a host's report, and releases what was reserved since its last one. */
     private HostState recordReport(
             HostId from,
             Fleet fleet,
             Function<TeamName, Optional<QuotaLimit>> limits,
             long nowMillis) {
         HostState known = mHosts.get(from);
-        boolean wasSilent = known == null || isSilent(known, fleet, nowMillis);
-        if (wasSilent) {
+        boolean reserved = known == null || nowMillis - known.mLastReportMillis > RESERVE_MILLIS;
+        if (reserved) {
             mPools.forEach(
                     (team, pool) ->
                             limits.apply(team)
                                     .ifPresent(limit -> refill(team, limit, fleet, nowMillis)));
         }
         HostState host = mHosts.computeIfAbsent(from, any -> new HostState());
-        if (wasSilent) {
+        if (reserved) {
             host.mTeams.forEach(
                     (team, state) -> {
                         Optional.ofNullable(mPools.get(team))
@@ -176,20 +184,28 @@
                                 limit.get().unitsPerSecond(), use.firstUnits(), nowMillis)
                         : 0;
         if (lent == use.neededUnits()) {
-            double most = mBounds.advanceUnits(limit.get()) - heldUnits(use.team());
-            long advance = pool.lendInAdvance(use.advanceUnits(), most);
+            long advance =
+                    pool.lendInAdvance(
+                            use.advanceUnits(), advanceUnits(use.team(), state, limit.get()));
             state.mHeld += advance;
             lent += advance;
         }
         return new QuotaResponse.Grant(use.team(), lent, retryMillis);
     }
 
-    private double heldUnits(TeamName team) {
-        return mHosts.values().stream()
-                .map(host -> host.mTeams.get(team))
-                .filter(state -> state != null)
-                .mapToLong(state -> state.mHeld)
-                .sum();
+    /**
+     * Returns the most units that a host may get in advance: its part among the hosts that use the
+     * quota, as far as all together do not hold the total.
+     */
+    private double advanceUnits(TeamName team, TeamState host, QuotaLimit limit) {
+        LongSummaryStatistics held =
+                mHosts.values().stream()
+                        .map(other -> other.mTeams.get(team))
+                        .filter(state -> state != null)
+                        .mapToLong(state -> state.mHeld)
+                        .summaryStatistics();
+        double total = mBounds.advanceUnits(limit);
+        return Math.min(total - held.getSum(), total / held.getCount() - host.mHeld);
     }
 
     private QuotaPool refill(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
@@ -214,11 +230,11 @@
         return pool;
     }
 
-    /** Returns what silent hosts may have used since the last call. */
+    /** Returns what hosts may have used without this owner since the last call. */
     private double newReserves(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
         double reserves = 0;
         for (HostState host : mHosts.values()) {
-            if (isSilent(host, fleet, nowMillis)) {
+            if (nowMillis - host.mLastReportMillis > RESERVE_MILLIS) {
                 TeamState state = host.team(team);
                 double reserved =
                         reserve(
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaLoadTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaLoadTest.java
@@ -22,6 +22,7 @@
     private static final long CUT_FROM_MILLIS = 15_000;
     private static final long CUT_TO_MILLIS = 25_000;
     private static final QuotaBounds BOUNDS = new QuotaBounds(8, 0.1, 190_000);
+    private static final QuotaBounds NO_SLACK = new QuotaBounds(8, 0.1, 0);
     private static final QuotaLimit LIMIT = new QuotaLimit(84_000, 84_000);
     private static final double USUAL = 84_000 / 1.8;
 
@@ -164,6 +165,14 @@
         assertTrue(lending.inVain() <= mostInVain, "refused in vain " + lending.inVain());
     }
 
+    /** Failure: a bound without slack is exceeded, because units lent twice fit only a slack. */
+    @Test(dataProvider = "scenarios")
+    public void boundWithoutSlackIsKept(String name, QuotaScenario scenario, double mostInVain) {
+        Summary lending = Summary.of(QuotaModel.Way.LENDING, scenario, NO_SLACK, SEEDS);
+        print(name + ", no slack", QuotaModel.Way.LENDING, lending);
+        assertTrue(lending.excess() <= 0, "bound exceeded by " + lending.excess());
+    }
+
     /** Equal parts refuse most of what a team with few clients may use. */
     @Test
     public void lendingRefusesLessThanEqualPartsAndSendsLessThanDemandParts() {
