Lend beyond the limit what the deployment's bounds permit

The owner lent at the rate of the limit however much slack the deployment states.

Change: the primary owner lends, beyond the rate of the limit, 0.6 of the excess less the capacity beyond the burst and less one second of the rate, which deputies may lend as well before the owner reserves it in a cut. With an overage of 0.1 and no slack nothing remains, and the rate is as before.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBounds.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBounds.java
@@ -15,6 +15,15 @@
     /** Share of the excess that all hosts together may hold as unspent units. */
     private static final double ADVANCE_SHARE = 0.2;
 
+    /** Share of the excess that the primary owner lends, with what is lent twice in a cut. */
+    private static final double LENT_SHARE = 0.6;
+
+    /**
+     * Time for which the primary owner may lend what hosts borrow from deputies, in seconds: until
+     * it reserves that, and until the debt that it then has is repaid.
+     */
+    private static final double LENT_TWICE_SECONDS = 1;
+
     public QuotaBounds {
         if (!(windowSeconds > 0) || !(overage >= 0) || !(slackUnits >= 0)) {
             throw new IllegalArgumentException(
@@ -38,6 +47,24 @@
         return excessUnits(limit) * ADVANCE_SHARE;
     }
 
+    /** Returns the most units that the primary owner's pool can hold. */
+    double capacity(QuotaLimit limit) {
+        return QuotaPool.capacity(limit) * (1 + overage);
+    }
+
+    /**
+     * Returns the rate beyond the limit at which the primary owner lends, in units a second: the
+     * lent share of the excess, less the capacity beyond the burst, spread over a window and the
+     * time for which units may be lent twice.
+     */
+    double beyondPerSecond(QuotaLimit limit) {
+        double units =
+                excessUnits(limit) * LENT_SHARE
+                        - (capacity(limit) - limit.burstUnits())
+                        - limit.unitsPerSecond() * LENT_TWICE_SECONDS;
+        return Math.max(0, units) / (windowSeconds + LENT_TWICE_SECONDS);
+    }
+
     private double excessUnits(QuotaLimit limit) {
         double withinLimit = limit.unitsPerSecond() * windowSeconds + limit.burstUnits();
         return mostInWindow(limit) - withinLimit;
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -15,10 +15,11 @@
 /**
  * Lends the quotas of one shard to hosts, as its primary owner or as a deputy.
  *
- * <p>As primary owner it lends the whole limit less what silent hosts may use without it: their
- * last reported rate until {@link QuotaBorrower#ENTITLEMENT_MILLIS} have passed, and an equal part
- * of the limit from then on. As deputy it lends just that to the hosts that report to it. Both
- * sides of a partition together therefore lend no more than the limit. Not thread-safe.
+ * <p>As primary owner it lends the whole limit, and what {@link QuotaBounds#beyondPerSecond} states
+ * beyond it, less what silent hosts may use without it: their last reported rate until {@link
+ * QuotaBorrower#ENTITLEMENT_MILLIS} have passed, and an equal part of the limit from then on. As
+ * deputy it lends just that to the hosts that report to it. Both sides of a partition together
+ * therefore lend no more than the limit. Not thread-safe.
  */
 public final class QuotaShard {
 
@@ -209,7 +210,8 @@
     }
 
     private QuotaPool refill(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
-        double capacity = QuotaPool.capacity(limit) * (1 + mBounds.overage());
+        double capacity = mBounds.capacity(limit);
+        double beyond = mBounds.beyondPerSecond(limit);
         long fullMillis = (long) (capacity / limit.unitsPerSecond() * MILLIS_PER_SECOND);
         long filledSince =
                 fleet.primary() ? Math.max(mRoleSinceMillis, nowMillis - fullMillis) : nowMillis;
@@ -220,7 +222,7 @@
                     (fleet.hostCount() - mHosts.size())
                             * limit.unitsPerSecond()
                             / fleet.hostCount();
-            double units = (limit.unitsPerSecond() - Math.max(0, unreported)) * seconds;
+            double units = (limit.unitsPerSecond() + beyond - Math.max(0, unreported)) * seconds;
             pool.refill(units - newReserves(team, limit, fleet, nowMillis), capacity, nowMillis);
         } else {
             double rate = entitledRate(team, limit, fleet, nowMillis);
