Ask a failed owner again sooner, and tell refused connections apart

Cause: a host that got no response from an owner within 200 ms paused it for 500 ms, doubling up to 4 s, and connections were retried only every 2 s. Hosts stayed with deputies for seconds after the owner had returned.

Change: for quotas, the pause starts at 100 ms and grows to 1 s, or to 400 ms if there is no connection, since such an attempt fails at once. The transport reports which of the two it was. Connections between hosts are retried after at most 400 ms. Permits for calls to servers keep their pauses.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/PermitClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/PermitClient.java
@@ -22,12 +22,18 @@
      */
     private static final PermitResponse NO_OWNER = new PermitResponse(false, 500);
 
+    /** Pauses of an owner that does not respond, in milliseconds. */
+    private static final long MIN_PAUSE_MILLIS = 500;
+
+    private static final long MAX_PAUSE_MILLIS = 4_000;
+
     private final Supplier<QuotaMembers> mMembers;
     private final PermitLender mLender;
     private final PermitTransport mTransport;
     private final Clock mClock;
     private final Table<OwnerChoice> mOwners =
-            new Table<>(TableOrder.PERMIT_OWNERS, new OwnerChoice());
+            new Table<>(
+                    TableOrder.PERMIT_OWNERS, new OwnerChoice(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
 
     PermitClient(
             Supplier<QuotaMembers> members,
@@ -80,7 +86,8 @@
                     if (responded) {
                         choice.recordSuccess(owner);
                     } else {
-                        choice.recordFailure(owner, mClock.millis());
+                        choice.recordFailure(
+                                owner, OwnerChoice.FailureKind.NO_RESPONSE, mClock.millis());
                     }
                 });
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.quota;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -31,7 +32,7 @@
     private static final class State {
         private final List<QuotaBorrower<Consumer<QuotaDecision>>> mBorrowers = new ArrayList<>();
         private final boolean[] mInProgress = new boolean[QuotaMembers.SHARDS];
-        private final OwnerChoice mOwners = new OwnerChoice();
+        private final OwnerChoice mOwners = QuotaBorrower.owners();
 
         private State() {
             for (int shard = 0; shard < QuotaMembers.SHARDS; shard++) {
@@ -128,43 +129,45 @@
                         state.mBorrowers.get(shard).report(now)));
     }
 
-    private CompletableFuture<Optional<QuotaResponse>> send(QuotaMembers members, Report report) {
+    private CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
+            QuotaMembers members, Report report) {
         if (report.owner().equals(members.self())) {
             return CompletableFuture.completedFuture(
-                    mLender.lend(members.self(), report.request()));
+                    mLender.lend(members.self(), report.request())
+                            .<Either<OwnerChoice.FailureKind, QuotaResponse>>map(Either::right)
+                            .orElse(Either.left(OwnerChoice.FailureKind.NO_RESPONSE)));
         }
         HostRecord owner = members.find(report.owner()).orElseThrow();
         return mTransport.send(owner, report.request());
     }
 
-    private void ended(int shard, Report report, Optional<QuotaResponse> response) {
+    private void ended(
+            int shard, Report report, Either<OwnerChoice.FailureKind, QuotaResponse> response) {
         long now = mClock.millis();
         List<QuotaBorrower.Settled<Consumer<QuotaDecision>>> settled = new ArrayList<>();
         boolean changed =
                 mTable.read(
                         state -> {
                             state.mInProgress[shard] = false;
-                            response.ifPresent(
+                            response.forEach(
                                     lent ->
                                             settled.addAll(
                                                     state.mBorrowers
                                                             .get(shard)
                                                             .apply(report.request(), lent, now)));
-                            return response.isPresent()
-                                    ? state.mOwners.recordSuccess(report.owner())
-                                    : state.mOwners.recordFailure(report.owner(), now);
+                            return response.fold(
+                                    kind -> state.mOwners.recordFailure(report.owner(), kind, now),
+                                    lent -> state.mOwners.recordSuccess(report.owner()));
                         });
         if (changed) {
             RelayEvent event =
-                    response.isPresent()
-                            ? RelayEvent.OWNER_REACHABLE
-                            : RelayEvent.OWNER_UNREACHABLE;
+                    response.isRight() ? RelayEvent.OWNER_REACHABLE : RelayEvent.OWNER_UNREACHABLE;
             mLog.log(event, report.owner(), shard);
         }
         settled.forEach(request -> request.request().accept(request.decision()));
         // After a failure the next owner gets the report even if nothing waits: a deputy can lend
         // a host's entitlement only after that host has reported to it.
-        if (response.isEmpty() || mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
+        if (response.isLeft() || mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
             report(shard);
         }
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.quota;
 
 import com.linecorp.armeria.common.CommonPools;
+import io.vavr.control.Either;
 import io.vavr.control.Try;
 import java.util.Collection;
 import java.util.Optional;
@@ -19,10 +20,12 @@
 import org.cyclamenpaddle.core.message.QuotaResponse;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.peer.net.PeerCounters;
+import org.cyclamenpaddle.peer.net.PeerError;
 import org.cyclamenpaddle.peer.net.PeerNetwork;
 import org.cyclamenpaddle.peer.net.PeerSettings;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.settings.Endpoint;
+import org.cyclamenpaddle.routing.limit.OwnerChoice;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 import org.cyclamenpaddle.routing.limit.QuotaLimit;
 
@@ -33,9 +36,13 @@
  */
 public final class QuotaController implements AutoCloseable {
 
-    /** Connections between hosts; frames wait no longer than their senders. */
+    /**
+     * Connections between hosts. Frames wait no longer than their senders. Failed attempts are
+     * repeated after at most 400 ms, which is the longest pause of an owner without a connection;
+     * with 2 s, an owner that had restarted stayed unreachable for that long.
+     */
     private static final PeerSettings PEERS =
-            new PeerSettings(1, 500, 50, 2_000, 2_000, 30_000, 64, 200, 2_048);
+            new PeerSettings(1, 500, 50, 400, 2_000, 30_000, 64, 200, 2_048);
 
     private final PeerAddress mConfigured;
     private final HostRecord mSelf;
@@ -143,24 +150,34 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private CompletableFuture<Optional<QuotaResponse>> send(HostRecord to, QuotaRequest request) {
+    private CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
+            HostRecord to, QuotaRequest request) {
         return request(to, request, QuotaResponse.class);
     }
 
     private CompletableFuture<Optional<PermitResponse>> send(HostRecord to, PermitRequest request) {
-        return request(to, request, PermitResponse.class);
+        return request(to, request, PermitResponse.class).thenApply(Either::toJavaOptional);
     }
 
-    private <R extends PeerMessage> CompletableFuture<Optional<R>> request(
+    private <R extends PeerMessage> CompletableFuture<Either<OwnerChoice.FailureKind, R>> request(
             HostRecord to, PeerMessage request, Class<R> response) {
         return mNetwork.request(to, request, QuotaTiming.TIMEOUT_MILLIS)
                 .thenApply(
                         result ->
-                                result.toJavaOptional()
-                                        .filter(response::isInstance)
+                                result.mapLeft(QuotaController::failureKind)
+                                        .filterOrElse(
+                                                response::isInstance,
+                                                other -> OwnerChoice.FailureKind.NO_RESPONSE)
                                         .map(response::cast));
     }
 
+    private static OwnerChoice.FailureKind failureKind(PeerError error) {
+        return switch (error) {
+            case UNREACHABLE, CONNECTION_LOST -> OwnerChoice.FailureKind.NO_CONNECTION;
+            case TIMED_OUT, QUEUE_FULL, TOO_LONG, CLOSED -> OwnerChoice.FailureKind.NO_RESPONSE;
+        };
+    }
+
     private static CompletableFuture<Optional<PeerMessage>> respond(
             QuotaLender lender, PermitLender permits, HostRecord from, PeerMessage message) {
         Optional<? extends PeerMessage> response = Optional.empty();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaTransport.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaTransport.java
@@ -1,10 +1,11 @@
 package org.cyclamenpaddle.relay.quota;
 
-import java.util.Optional;
+import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.routing.limit.OwnerChoice;
 
 /** Sends reports to other hosts. */
 @FunctionalInterface
@@ -13,7 +14,8 @@
     /**
      * Sends a report.
      *
-     * @return completes with the response, or empty if there is none in time; never exceptionally
+     * @return completes with the response, or how the host failed to respond; never exceptionally
      */
-    CompletableFuture<Optional<QuotaResponse>> send(HostRecord to, QuotaRequest request);
+    CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
+            HostRecord to, QuotaRequest request);
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/OwnerChoice.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/OwnerChoice.java
@@ -11,15 +11,37 @@
  */
 public final class OwnerChoice {
 
-    /** Time for which a host is not asked again after a first failure, in milliseconds. */
-    static final long MIN_PAUSE_MILLIS = 500;
+    /** How a host failed to respond. */
+    public enum FailureKind {
+        /** No response came in time: the host may be overloaded, paused or cut off. */
+        NO_RESPONSE(Long.MAX_VALUE),
+        /** There is no connection: its process is down, and a further attempt fails at once. */
+        NO_CONNECTION(400);
 
-    /** Limit on that time, which doubles with each further failure, in milliseconds. */
-    static final long MAX_PAUSE_MILLIS = 4_000;
+        private final long mMaxPauseMillis;
+
+        FailureKind(long maxPauseMillis) {
+            mMaxPauseMillis = maxPauseMillis;
+        }
+    }
 
     private record Failure(long pauseMillis, long untilMillis) {}
 
     private final Map<HostId, Failure> mFailures = new HashMap<>();
+    private final long mMinPauseMillis;
+    private final long mMaxPauseMillis;
+
+    /**
+     * Creates a choice among hosts of which none has failed.
+     *
+     * @param minPauseMillis time for which a host is not asked again after a first failure, in
+     *     milliseconds
+     * @param maxPauseMillis limit on that time, which doubles with each further failure
+     */
+    public OwnerChoice(long minPauseMillis, long maxPauseMillis) {
+        mMinPauseMillis = minPauseMillis;
+        mMaxPauseMillis = maxPauseMillis;
+    }
 
     /**
      * Returns the host to ask.
@@ -39,12 +61,11 @@
      *
      * @return whether it had responded before
      */
-    public boolean recordFailure(HostId host, long nowMillis) {
+    public boolean recordFailure(HostId host, FailureKind kind, long nowMillis) {
         Failure last = mFailures.get(host);
+        long longest = Math.min(mMaxPauseMillis, kind.mMaxPauseMillis);
         long pauseMillis =
-                last == null
-                        ? MIN_PAUSE_MILLIS
-                        : Math.min(MAX_PAUSE_MILLIS, 2 * last.pauseMillis());
+                last == null ? mMinPauseMillis : Math.min(longest, 2 * last.pauseMillis());
         mFailures.put(host, new Failure(pauseMillis, nowMillis + pauseMillis));
         return last == null;
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
@@ -33,6 +33,15 @@
      */
     public record Settled<W>(W request, QuotaDecision decision) {}
 
+    /**
+     * Pauses of an owner that does not respond, in milliseconds. A waiting request asks the owner
+     * again after one response that is late by 200 ms, and an owner that has returned is asked
+     * within a second.
+     */
+    private static final long MIN_PAUSE_MILLIS = 100;
+
+    private static final long MAX_PAUSE_MILLIS = 1_000;
+
     private final int mShard;
     private final Map<TeamName, QuotaAccount<W>> mAccounts = new HashMap<>();
     private long mReportMillis = Long.MIN_VALUE / 2;
@@ -47,6 +56,11 @@
         mShard = shard;
     }
 
+    /** Returns the choice of the owners to borrow from. */
+    public static OwnerChoice owners() {
+        return new OwnerChoice(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS);
+    }
+
     /**
      * Takes the cost of a request from the units held.
      *
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
@@ -31,6 +31,10 @@
     private static final int DOMAINS = 4;
     private static final long TIMEOUT_MILLIS = 200;
     private static final long REPORT_MILLIS = 1_000;
+
+    /** A host that returns later than this has lost its power, and refuses no connections. */
+    private static final long REFUSING_MILLIS = 10_000;
+
     private static final long SILENT_MILLIS = 2_500;
     private static final long IDLE_FACTOR = 2;
 
@@ -82,7 +86,7 @@
         private final int mIndex;
         private QuotaBorrower<Request> mBorrower = new QuotaBorrower<>(0);
         private QuotaShard mShard = new QuotaShard(mBounds, 0);
-        private OwnerChoice mChoice = new OwnerChoice();
+        private OwnerChoice mChoice = QuotaBorrower.owners();
         private boolean mInProgress;
         private long mDownUntil;
         private long mEpoch;
@@ -311,13 +315,19 @@
                                 }
                             });
                 });
+        boolean refused = mNow < owner.mDownUntil && mScenario.returnMillis() <= REFUSING_MILLIS;
         at(
-                TIMEOUT_MILLIS,
+                refused ? MIN_DELAY_MILLIS : TIMEOUT_MILLIS,
                 () -> {
                     if (!answered[0] && host.mEpoch == epoch) {
                         answered[0] = true;
                         host.mInProgress = false;
-                        host.mChoice.recordFailure(target, now());
+                        host.mChoice.recordFailure(
+                                target,
+                                refused
+                                        ? OwnerChoice.FailureKind.NO_CONNECTION
+                                        : OwnerChoice.FailureKind.NO_RESPONSE,
+                                now());
                         exchange(host);
                     }
                 });
@@ -390,7 +400,7 @@
                             host.mDownUntil = now() + mScenario.returnMillis();
                             host.mBorrower = new QuotaBorrower<>(0);
                             host.mShard = new QuotaShard(mBounds, now() + mScenario.returnMillis());
-                            host.mChoice = new OwnerChoice();
+                            host.mChoice = QuotaBorrower.owners();
                             host.mInProgress = false;
                             host.mLevel = 0;
                         });
