Wait for an owner after a restart instead of a deputy's denial

Cause: after a restart of all hosts, a deputy without state denied the requests of hosts that got no response from the owner, and the pool of the new owner started empty. A host without a listing of the others considered itself the primary owner.

Change: a deputy's denial is not final until a request has waited 300 ms, about a third of the shortest target; until then the host asks again every 50 ms. In its first 0.8 s, while no primary owner has responded, a host admits one request of a team with a probability that keeps the sum over all hosts within 0.15 of the excess at six times the load of the limit, and reports it as used elsewhere. The pool of a new primary owner starts with 0.1 of the excess, not again if it regains its role within a window. A report to an owner that failed before ends after 100 ms while deputies lend. A host that has not listed the others is a deputy. CP2115 says how many requests no owner decided about. Tests: the checks of the bound also play hosts that are back after 500 ms and a team of 16,000 units a second; the longest wait, the units denied and the use of the bound are now checked.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -43,6 +43,11 @@
             2112, Priority.STATE, "owner of quotas does not respond", List.of("host", "shard")),
     OWNER_REACHABLE(
             2113, Priority.STATE, "owner of quotas responds again", List.of("host", "shard")),
+    QUOTA_UNANSWERED(
+            2115,
+            Priority.ORDINARY,
+            "no primary owner of quotas responded in time",
+            List.of("shard", "admitted", "denied")),
     DIRECTIVE_CHANGED(
             2114,
             Priority.STATE,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -41,24 +41,38 @@
         }
     }
 
-    private record Report(HostId owner, QuotaRequest request) {}
+    private record Report(HostId owner, QuotaRequest request, long timeoutMillis) {}
+
+    private static final int DELAY_GRANULARITY_MILLIS = 1;
 
     private final Supplier<QuotaMembers> mMembers;
     private final QuotaLender mLender;
     private final QuotaTransport mTransport;
+    private final QuotaBorrower.EntryRule mEntry;
+    private final DelayedTasks mDelayed;
     private final RelayEventLog mLog;
     private final Clock mClock;
     private final Table<State> mTable = new Table<>(TableOrder.QUOTA_ACCOUNTS, new State());
 
+    /**
+     * Creates a client that holds nothing.
+     *
+     * @param entry whether a request runs that no owner has decided about
+     * @param delayed runs tasks after a time
+     */
     QuotaClient(
             Supplier<QuotaMembers> members,
             QuotaLender lender,
             QuotaTransport transport,
+            QuotaBorrower.EntryRule entry,
+            DelayedTasks delayed,
             RelayEventLog log,
             Clock clock) {
         mMembers = members;
         mLender = lender;
         mTransport = transport;
+        mEntry = entry;
+        mDelayed = delayed;
         mLog = log;
         mClock = clock;
     }
@@ -74,7 +88,9 @@
         QuotaDecision decision =
                 mTable.read(
                         state -> state.mBorrowers.get(shard).take(team.name(), cost, decided, now));
-        if (!(decision instanceof QuotaDecision.Pending)) {
+        if (decision instanceof QuotaDecision.Pending) {
+            mDelayed.run(() -> expire(shard), QuotaBorrower.WAIT_MILLIS + DELAY_GRANULARITY_MILLIS);
+        } else {
             decided.accept(decision);
         }
         if (mTable.read(state -> state.mBorrowers.get(shard).needsUnits(now))) {
@@ -123,10 +139,14 @@
         }
         state.mInProgress[shard] = true;
         long now = mClock.millis();
+        HostId owner = state.mOwners.choose(members.candidates(shard), now);
+        QuotaBorrower<Consumer<QuotaDecision>> borrower = state.mBorrowers.get(shard);
+        boolean probe = state.mOwners.hasFailed(owner) && borrower.usesDeputies(now);
         return Optional.of(
                 new Report(
-                        state.mOwners.choose(members.candidates(shard), now),
-                        state.mBorrowers.get(shard).report(now)));
+                        owner,
+                        borrower.report(now),
+                        probe ? QuotaBorrower.PROBE_MILLIS : QuotaTiming.TIMEOUT_MILLIS));
     }
 
     private CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
@@ -138,7 +158,7 @@
                             .orElse(Either.left(OwnerChoice.FailureKind.NO_RESPONSE)));
         }
         HostRecord owner = members.find(report.owner()).orElseThrow();
-        return mTransport.send(owner, report.request());
+        return mTransport.send(owner, report.request(), report.timeoutMillis());
     }
 
     private void ended(
@@ -167,8 +187,33 @@
         settled.forEach(request -> request.request().accept(request.decision()));
         // After a failure the next owner gets the report even if nothing waits: a deputy can lend
         // a host's entitlement only after that host has reported to it.
-        if (response.isLeft() || mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
+        if (response.isLeft()) {
+            report(shard);
+        } else if (response.get().primary()) {
+            reportIfWaiting(shard);
+        } else {
+            mDelayed.run(() -> reportIfWaiting(shard), QuotaBorrower.ASK_AGAIN_MILLIS);
+        }
+    }
+
+    private void reportIfWaiting(int shard) {
+        if (mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
             report(shard);
         }
     }
+
+    /** Decides about requests that have waited for an owner as long as they may. */
+    private void expire(int shard) {
+        List<QuotaBorrower.Settled<Consumer<QuotaDecision>>> settled =
+                mTable.read(state -> state.mBorrowers.get(shard).expire(mEntry, mClock.millis()));
+        if (settled.isEmpty()) {
+            return;
+        }
+        long admitted =
+                settled.stream()
+                        .filter(request -> request.decision() instanceof QuotaDecision.Admitted)
+                        .count();
+        mLog.log(RelayEvent.QUOTA_UNANSWERED, shard, admitted, settled.size() - admitted);
+        settled.forEach(request -> request.request().accept(request.decision()));
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -6,7 +6,9 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.cyclamenpaddle.core.id.Incarnation;
@@ -95,7 +97,15 @@
                         clock,
                         counters,
                         CommonPools.workerGroup());
-        mClient = new QuotaClient(() -> mMembers, lender, this::send, log, clock);
+        mClient =
+                new QuotaClient(
+                        () -> mMembers,
+                        lender,
+                        this::send,
+                        (team, cost) -> enters(bounds, limits.apply(team), cost),
+                        this::schedule,
+                        log,
+                        clock);
         mPermits = new PermitClient(() -> mMembers, permits, this::send, clock);
     }
 
@@ -141,27 +151,44 @@
 
     private void scheduleReports() {
         long millis = QuotaTiming.reportMillis(mMembers.hostCount());
-        mExecutor.schedule(
+        schedule(
                 () -> {
                     mClient.reportDue();
                     scheduleReports();
                 },
-                millis,
-                TimeUnit.MILLISECONDS);
+                millis);
+    }
+
+    private void schedule(Runnable task, long delayMillis) {
+        try {
+            mExecutor.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException stopping) {
+            // Requests that still wait end with their connections.
+        }
+    }
+
+    private boolean enters(QuotaBounds bounds, Optional<QuotaLimit> limit, long cost) {
+        int hosts = mMembers.hostCount();
+        return limit.filter(
+                        known ->
+                                ThreadLocalRandom.current().nextDouble()
+                                        < bounds.entryProbability(known, cost, hosts))
+                .isPresent();
     }
 
     private CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
-            HostRecord to, QuotaRequest request) {
-        return request(to, request, QuotaResponse.class);
+            HostRecord to, QuotaRequest request, long timeoutMillis) {
+        return request(to, request, timeoutMillis, QuotaResponse.class);
     }
 
     private CompletableFuture<Optional<PermitResponse>> send(HostRecord to, PermitRequest request) {
-        return request(to, request, PermitResponse.class).thenApply(Either::toJavaOptional);
+        return request(to, request, QuotaTiming.TIMEOUT_MILLIS, PermitResponse.class)
+                .thenApply(Either::toJavaOptional);
     }
 
     private <R extends PeerMessage> CompletableFuture<Either<OwnerChoice.FailureKind, R>> request(
-            HostRecord to, PeerMessage request, Class<R> response) {
-        return mNetwork.request(to, request, QuotaTiming.TIMEOUT_MILLIS)
+            HostRecord to, PeerMessage request, long timeoutMillis, Class<R> response) {
+        return mNetwork.request(to, request, timeoutMillis)
                 .thenApply(
                         result ->
                                 result.mapLeft(QuotaController::failureKind)
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaLender.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaLender.java
@@ -53,7 +53,7 @@
         QuotaMembers members = mMembers.get();
         QuotaShard.Fleet fleet =
                 new QuotaShard.Fleet(
-                        members.isPrimary(request.shard()),
+                        members.counted() && members.isPrimary(request.shard()),
                         members.hosts(),
                         members.hostCount(),
                         QuotaTiming.silentMillis(members.hostCount()),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaTransport.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaTransport.java
@@ -14,8 +14,9 @@
     /**
      * Sends a report.
      *
+     * @param timeoutMillis longest wait for the response, in milliseconds
      * @return completes with the response, or how the host failed to respond; never exceptionally
      */
     CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
-            HostRecord to, QuotaRequest request);
+            HostRecord to, QuotaRequest request, long timeoutMillis);
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/OwnerChoice.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/OwnerChoice.java
@@ -79,6 +79,11 @@
         return mFailures.remove(host) != null;
     }
 
+    /** Returns whether a host did not respond when it was last asked. */
+    public boolean hasFailed(HostId host) {
+        return mFailures.containsKey(host);
+    }
+
     private boolean isPaused(HostId host, long nowMillis) {
         Failure last = mFailures.get(host);
         return last != null && nowMillis < last.untilMillis();
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.LongPredicate;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 
@@ -14,7 +15,7 @@
  */
 final class QuotaAccount<W> {
 
-    private record Waiting<W>(W request, long cost) {}
+    private record Waiting<W>(W request, long cost, long sinceMillis) {}
 
     /** Time constant of the rate of use, in milliseconds. */
     private static final double RATE_MILLIS = 4_000;
@@ -45,6 +46,12 @@
     /** Least time between two reports that only ask for units in advance, in milliseconds. */
     private static final long ADVANCE_PAUSE_MILLIS = 100;
 
+    /**
+     * Retry time of a request that no owner decided about, in milliseconds: an owner without a
+     * response is asked again within a second, and half of that has passed on average.
+     */
+    private static final long UNANSWERED_RETRY_MILLIS = 500;
+
     private final Deque<Waiting<W>> mWaiting = new ArrayDeque<>();
     private final DecayingRate mUse = new DecayingRate(RATE_MILLIS);
     private long mHeld;
@@ -76,7 +83,7 @@
         if (mWaiting.isEmpty() && nowMillis < mDeniedUntilMillis) {
             return new QuotaDecision.Denied(mRetryMillis);
         }
-        mWaiting.add(new Waiting<>(request, cost));
+        mWaiting.add(new Waiting<>(request, cost, nowMillis));
         return QuotaDecision.PENDING;
     }
 
@@ -155,6 +162,11 @@
             spend(next.cost(), nowMillis);
             settled.add(new QuotaBorrower.Settled<>(next.request(), QuotaDecision.ADMITTED));
         }
+        if (!primary) {
+            // A deputy may know nothing of this host. Requests wait for the primary owner until
+            // they expire.
+            mAsked = 0;
+        }
         if (mAsked > 0) {
             mRetryMillis = retryMillis;
             mDeniedUntilMillis = nowMillis + Math.min(retryMillis, MAX_DENIED_MILLIS);
@@ -167,6 +179,29 @@
         return settled;
     }
 
+    /**
+     * Decides about requests that have waited as long as they may.
+     *
+     * @param entry whether a request of a cost may run although no owner has decided about it
+     */
+    List<QuotaBorrower.Settled<W>> expire(LongPredicate entry, long nowMillis) {
+        List<QuotaBorrower.Settled<W>> settled = new ArrayList<>();
+        while (!mWaiting.isEmpty()
+                && nowMillis - mWaiting.peek().sinceMillis() >= QuotaBorrower.WAIT_MILLIS) {
+            Waiting<W> next = mWaiting.poll();
+            // Units lent for it by a response to come stay with this host.
+            mAsked = Math.max(0, mAsked - 1);
+            QuotaDecision decision = new QuotaDecision.Denied(UNANSWERED_RETRY_MILLIS);
+            if (entry.test(next.cost())) {
+                mElsewhere += next.cost();
+                mUse.add(next.cost(), nowMillis);
+                decision = QuotaDecision.ADMITTED;
+            }
+            settled.add(new QuotaBorrower.Settled<>(next.request(), decision));
+        }
+        return settled;
+    }
+
     private void spend(long cost, long nowMillis) {
         mHeld -= cost;
         mUse.add(cost, nowMillis);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
@@ -25,6 +27,30 @@
      */
     static final long ENTITLEMENT_MILLIS = 12_000;
 
+    /**
+     * Longest wait of a request for a primary owner's decision, in milliseconds: about a third of
+     * the shortest target for the first event, 0.8 s.
+     */
+    public static final long WAIT_MILLIS = 300;
+
+    /** Time until requests that a deputy gave no units ask again, in milliseconds. */
+    public static final long ASK_AGAIN_MILLIS = 50;
+
+    /**
+     * Timeout of a report to an owner that did not respond to the last one, while deputies lend, in
+     * milliseconds. Requests that wait for a deputy thus wait less than {@link #WAIT_MILLIS} when
+     * the owner and the deputy of all hosts are both cut off.
+     */
+    public static final long PROBE_MILLIS = 100;
+
+    /** Whether a request may run although no owner has decided about it. */
+    @FunctionalInterface
+    public interface EntryRule {
+
+        /** Returns whether the first such request of a team may run. */
+        boolean admits(TeamName team, long cost);
+    }
+
     /**
      * A decision about a request that waited.
      *
@@ -44,6 +70,9 @@
 
     private final int mShard;
     private final Map<TeamName, QuotaAccount<W>> mAccounts = new HashMap<>();
+    private final Set<TeamName> mEntered = new HashSet<>();
+    private boolean mPrimaryResponded;
+    private long mFirstReportMillis = Long.MAX_VALUE;
     private long mReportMillis = Long.MIN_VALUE / 2;
     private long mEntitledUntilMillis = Long.MIN_VALUE / 2;
 
@@ -97,14 +126,47 @@
         return nowMillis - mReportMillis >= (mAccounts.isEmpty() ? idleMillis : activeMillis);
     }
 
+    /** Returns whether deputies may lend this host the rates that the primary owner has known. */
+    public boolean usesDeputies(long nowMillis) {
+        return nowMillis < mEntitledUntilMillis;
+    }
+
     /** Returns whether any request waits. */
     public boolean hasWaiting() {
         return mAccounts.values().stream().anyMatch(QuotaAccount::hasWaiting);
     }
 
+    /**
+     * Decides about requests that have waited {@link #WAIT_MILLIS}. They are denied, except that
+     * shortly after a host has started, while no primary owner has responded to it, one request of
+     * each team may run.
+     *
+     * @param entry whether such a request runs; bounds the sum over all hosts
+     */
+    public List<Settled<W>> expire(EntryRule entry, long nowMillis) {
+        boolean entering =
+                !mPrimaryResponded
+                        && nowMillis - mFirstReportMillis <= QuotaBounds.ENTRY_MILLIS + WAIT_MILLIS;
+        return mAccounts.entrySet().stream()
+                .flatMap(
+                        account ->
+                                account
+                                        .getValue()
+                                        .expire(
+                                                cost ->
+                                                        entering
+                                                                && mEntered.add(account.getKey())
+                                                                && entry.admits(
+                                                                        account.getKey(), cost),
+                                                nowMillis)
+                                        .stream())
+                .toList();
+    }
+
     /** Returns the message to send to the owner. */
     public QuotaRequest report(long nowMillis) {
         mReportMillis = nowMillis;
+        mFirstReportMillis = Math.min(mFirstReportMillis, nowMillis);
         mAccounts.values().removeIf(account -> account.isClosed(nowMillis));
         return new QuotaRequest(
                 mShard,
@@ -122,6 +184,7 @@
      */
     public List<Settled<W>> apply(QuotaRequest sent, QuotaResponse response, long nowMillis) {
         if (response.primary()) {
+            mPrimaryResponded = true;
             mEntitledUntilMillis = nowMillis + ENTITLEMENT_MILLIS;
         }
         Map<TeamName, QuotaResponse.Grant> grants = new HashMap<>();
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaPool.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaPool.java
@@ -21,12 +21,14 @@
     private long mAtMillis;
 
     /**
-     * Creates an empty pool.
+     * Creates a pool.
      *
      * @param sinceMillis time from which it fills
+     * @param units units that it holds at that time
      */
-    QuotaPool(long sinceMillis) {
+    QuotaPool(long sinceMillis, double units) {
         mAtMillis = sinceMillis;
+        mUnits = units;
     }
 
     /** Returns the most units that a pool of a limit can hold. */
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -79,6 +79,8 @@
     private final Map<HostId, HostState> mHosts = new HashMap<>();
     private final Map<TeamName, QuotaPool> mPools = new HashMap<>();
     private boolean mPrimary;
+    private boolean mStartsFilled;
+    private long mWasPrimaryMillis = Long.MIN_VALUE / 2;
     private long mRoleSinceMillis;
 
     /**
@@ -121,11 +123,20 @@
     private void applyFleet(
             Fleet fleet, Function<TeamName, Optional<QuotaLimit>> limits, long nowMillis) {
         if (fleet.primary() != mPrimary) {
-            // What the previous owner has lent is unknown, so that the pools start empty.
+            // What the previous owner has lent is unknown, so that the pools start with the part
+            // of the excess that is left for this. A host that loses and regains its role within
+            // a window has used that part already.
             mPrimary = fleet.primary();
+            mStartsFilled =
+                    mPrimary
+                            && nowMillis - mWasPrimaryMillis
+                                    > mBounds.windowSeconds() * MILLIS_PER_SECOND;
             mRoleSinceMillis = nowMillis;
             mPools.clear();
         }
+        if (mPrimary) {
+            mWasPrimaryMillis = nowMillis;
+        }
         mPools.keySet().removeIf(team -> limits.apply(team).isEmpty());
         if (!fleet.hosts().isEmpty()) {
             mHosts.keySet().retainAll(fleet.hosts());
@@ -215,7 +226,8 @@
         long fullMillis = (long) (capacity / limit.unitsPerSecond() * MILLIS_PER_SECOND);
         long filledSince =
                 fleet.primary() ? Math.max(mRoleSinceMillis, nowMillis - fullMillis) : nowMillis;
-        QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince));
+        double start = fleet.primary() && mStartsFilled ? mBounds.startUnits(limit) : 0;
+        QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince, start));
         double seconds = Math.max(0, nowMillis - pool.atMillis()) / MILLIS_PER_SECOND;
         if (fleet.primary()) {
             double unreported =
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaBorrowerTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaBorrowerTest.java
@@ -16,6 +16,8 @@
 
     private static final TeamName TEAM = new TeamName("team");
 
+    private static final long WAIT = QuotaBorrower.WAIT_MILLIS;
+
     private QuotaBorrower<String> mBorrower;
 
     @BeforeMethod
@@ -105,6 +107,66 @@
         assertTrue(mBorrower.report(4).teams().get(0).heldUnits() <= 100);
     }
 
+    /** Failure: after a restart, a deputy that knows nothing yet denies requests. */
+    @Test
+    public void denialOfADeputyIsNotFinalUntilTheRequestExpires() {
+        mBorrower.take(TEAM, 100, "a", 0);
+        assertEquals(exchange(0, false, 3), List.of());
+        assertTrue(mBorrower.hasWaiting());
+        assertEquals(mBorrower.expire((team, cost) -> false, WAIT - 1), List.of());
+        List<QuotaBorrower.Settled<String>> settled = mBorrower.expire((team, cost) -> false, WAIT);
+        assertTrue(settled.get(0).decision() instanceof QuotaDecision.Denied, settled.toString());
+        assertFalse(mBorrower.hasWaiting());
+    }
+
+    /** Failure: a response that arrives after a request has expired counts it a second time. */
+    @Test
+    public void unitsForAnExpiredRequestStayWithTheHost() {
+        mBorrower.take(TEAM, 100, "a", 0);
+        QuotaRequest request = mBorrower.report(0);
+        assertEquals(mBorrower.expire((team, cost) -> false, WAIT).size(), 1);
+        List<QuotaBorrower.Settled<String>> settled =
+                mBorrower.apply(
+                        request,
+                        new QuotaResponse(true, List.of(new QuotaResponse.Grant(TEAM, 100, 0))),
+                        WAIT + 1);
+        assertEquals(settled, List.of());
+        assertEquals(mBorrower.take(TEAM, 100, "b", WAIT + 2), QuotaDecision.ADMITTED);
+        assertEquals(mBorrower.take(TEAM, 9_000, "c", WAIT + 2), QuotaDecision.PENDING);
+    }
+
+    /** Failure: all requests that arrive while no owner responds are admitted unseen. */
+    @Test
+    public void oneRequestOfATeamEntersAndIsReported() {
+        mBorrower.take(TEAM, 100, "a", 0);
+        mBorrower.take(TEAM, 100, "b", 0);
+        mBorrower.report(0);
+        List<QuotaBorrower.Settled<String>> settled = mBorrower.expire((team, cost) -> true, WAIT);
+        assertEquals(settled.get(0).decision(), QuotaDecision.ADMITTED);
+        assertTrue(settled.get(1).decision() instanceof QuotaDecision.Denied, settled.toString());
+        assertEquals(mBorrower.report(WAIT + 1).teams().get(0).elsewhereUnits(), 100);
+    }
+
+    /** Failure: a host that is cut off later admits requests as if it had just started. */
+    @Test
+    public void nothingEntersOnceAPrimaryOwnerHasResponded() {
+        mBorrower.take(TEAM, 100, "a", 0);
+        exchange(100, true, 3);
+        mBorrower.take(TEAM, 9_000, "b", 10);
+        List<QuotaBorrower.Settled<String>> settled =
+                mBorrower.expire((team, cost) -> true, 10 + WAIT);
+        assertTrue(settled.get(0).decision() instanceof QuotaDecision.Denied, settled.toString());
+    }
+
+    @Test
+    public void nothingEntersLongAfterTheStart() {
+        mBorrower.report(0);
+        mBorrower.take(TEAM, 100, "a", 5_000);
+        List<QuotaBorrower.Settled<String>> settled =
+                mBorrower.expire((team, cost) -> true, 5_000 + WAIT);
+        assertTrue(settled.get(0).decision() instanceof QuotaDecision.Denied, settled.toString());
+    }
+
     @Test
     public void onlyThePrimaryOwnerAcknowledgesARate() {
         mBorrower.take(TEAM, 4_000, "a", 0);
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
@@ -217,6 +217,7 @@
                     use(cost, mNow);
                 } else if (decision instanceof QuotaDecision.Pending) {
                     mWaits++;
+                    at(QuotaBorrower.WAIT_MILLIS + 1, () -> expire(host));
                 }
                 ask(host);
             }
@@ -316,8 +317,12 @@
                             });
                 });
         boolean refused = mNow < owner.mDownUntil && mScenario.returnMillis() <= REFUSING_MILLIS;
+        long timeoutMillis =
+                host.mBorrower.usesDeputies(now()) && host.mChoice.hasFailed(target)
+                        ? QuotaBorrower.PROBE_MILLIS
+                        : TIMEOUT_MILLIS;
         at(
-                refused ? MIN_DELAY_MILLIS : TIMEOUT_MILLIS,
+                refused ? MIN_DELAY_MILLIS : timeoutMillis,
                 () -> {
                     if (!answered[0] && host.mEpoch == epoch) {
                         answered[0] = true;
@@ -350,21 +355,43 @@
     }
 
     private void settle(Host host, QuotaRequest request, QuotaResponse response) {
-        host.mBorrower
-                .apply(request, response, now())
-                .forEach(
-                        settled -> {
-                            Request waited = settled.request();
-                            mLongestWait = Math.max(mLongestWait, mNow - waited.atMillis());
-                            if (settled.decision() instanceof QuotaDecision.Admitted) {
-                                use(waited.cost(), waited.atMillis());
-                            }
-                        });
+        decided(host.mBorrower.apply(request, response, now()));
+        if (response.primary()) {
+            askForWaiting(host);
+        } else {
+            at(QuotaBorrower.ASK_AGAIN_MILLIS, () -> askForWaiting(host));
+        }
+    }
+
+    private void askForWaiting(Host host) {
         if (host.mBorrower.hasWaiting()) {
             exchange(host);
         }
     }
 
+    private void expire(Host host) {
+        decided(
+                host.mBorrower.expire(
+                        (team, cost) ->
+                                mRandom.nextDouble()
+                                        < mBounds.entryProbability(
+                                                mScenario.limit().apply(now()),
+                                                cost,
+                                                mScenario.hosts()),
+                        now()));
+    }
+
+    private void decided(List<QuotaBorrower.Settled<Request>> decisions) {
+        decisions.forEach(
+                settled -> {
+                    Request waited = settled.request();
+                    mLongestWait = Math.max(mLongestWait, mNow - waited.atMillis());
+                    if (settled.decision() instanceof QuotaDecision.Admitted) {
+                        use(waited.cost(), waited.atMillis());
+                    }
+                });
+    }
+
     private void send(int from, int to, Runnable arrival) {
         if (from == to) {
             arrival.run();
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaRestartTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaRestartTest.java
@@ -24,6 +24,19 @@
     private static final long RETURN_MILLIS = 2_500;
     private static final long SLOW_MILLIS = 1_000;
     private static final double HOT_FACTOR = 6;
+
+    /** A third of the shortest target, 0.8 s, and the granularity of the timers. */
+    private static final double MOST_WAIT_MILLIS = 310;
+
+    /**
+     * Owners do not respond for a second of the 27 s with traffic, which is 0.037 of the units, and
+     * more of those of a hot team.
+     */
+    private static final double MOST_DENIED = 0.05;
+
+    /** The limit itself is 0.65 of the bound of the smaller team and 0.74 of the larger one's. */
+    private static final double LEAST_USED = 0.72;
+
     private static final QuotaBounds SLACK = new QuotaBounds(8, 0.1, 190_000);
     private static final QuotaBounds NO_SLACK = new QuotaBounds(8, 0.1, 0);
     private static final BiPredicate<Integer, Long> WHOLE = (pair, millis) -> false;
@@ -47,6 +60,10 @@
         }
 
         QuotaScenario killed(int hosts, long slowMillis) {
+            return killed(hosts, RETURN_MILLIS, slowMillis);
+        }
+
+        QuotaScenario killed(int hosts, long returnMillis, long slowMillis) {
             return new QuotaScenario(
                     hosts,
                     QuotaScenario.ALL_HOSTS,
@@ -55,7 +72,7 @@
                     WHOLE,
                     KILL_MILLIS,
                     IntStream.range(0, hosts).boxed().collect(Collectors.toSet()),
-                    RETURN_MILLIS,
+                    returnMillis,
                     slowMillis,
                     0,
                     0);
@@ -81,6 +98,7 @@
     private static final TeamLoad SMALL = new TeamLoad(29_500, 1.6, false);
 
     private static final TeamLoad SMALL_HOT = new TeamLoad(29_500, 1.6, true);
+    private static final TeamLoad MEDIUM_HOT = new TeamLoad(10_000, 1.6, true);
     private static final TeamLoad LARGE_HOT = new TeamLoad(52_000, 1.6, true);
 
     private static final List<TeamLoad> TEAMS =
@@ -90,7 +108,7 @@
                     SMALL,
                     SMALL_HOT,
                     new TeamLoad(14_000, 1.6, false),
-                    new TeamLoad(10_000, 1.6, true),
+                    MEDIUM_HOT,
                     new TeamLoad(7_000, 8, false),
                     new TeamLoad(5_000, 1.6, false),
                     new TeamLoad(4_000, 8, false),
@@ -161,16 +179,28 @@
             denied += team.usual() * summary.denied();
         }
         System.out.printf("restart, all teams: denied in vain %.4f%n", denied / units);
+        assertTrue(denied / units <= MOST_DENIED, "denied in vain " + denied / units);
+    }
+
+    /** Failure: a team that asks for more is refused far below the bound. */
+    @Test
+    public void teamThatAsksForMoreUsesMostOfTheBound() {
+        for (TeamLoad team : List.of(LARGE_HOT, SMALL_HOT)) {
+            String name = "hot, " + team;
+            Summary summary = measured(name, team.unkilled(WHOLE, 0), SLACK);
+            assertTrue(summary.used() >= LEAST_USED, name + " used " + summary.used());
+        }
     }
 
     /** Failure: units are lent twice across a kill, a cut or a change of the owner. */
     @Test(dataProvider = "bounds")
     public void boundIsKeptAcrossFailures(String name, QuotaBounds bounds) {
-        for (TeamLoad team : List.of(LARGE_HOT, SMALL_HOT)) {
+        for (TeamLoad team : List.of(LARGE_HOT, SMALL_HOT, MEDIUM_HOT)) {
             kept(name + ", killed, 6 hosts", team.killed(6, SLOW_MILLIS), bounds);
             kept(name + ", killed, 77 hosts", team.killed(HOSTS, SLOW_MILLIS), bounds);
             kept(name + ", killed, not slow", team.killed(HOSTS, 0), bounds);
             kept(name + ", killed, 410 hosts", team.killed(410, SLOW_MILLIS), bounds);
+            kept(name + ", killed, back soon", team.killed(HOSTS, 500, SLOW_MILLIS), bounds);
             kept(name + ", all domains cut off", team.unkilled(ALL_CUT, 0), bounds);
             kept(name + ", owner changes", team.unkilled(WHOLE, 14_000), bounds);
             kept(name + ", hot", team.unkilled(WHOLE, 0), bounds);
@@ -180,5 +210,6 @@
     private static void kept(String name, QuotaScenario scenario, QuotaBounds bounds) {
         Summary summary = measured(name, scenario, bounds);
         assertTrue(summary.excess() <= 0, name + ": bound exceeded by " + summary.excess());
+        assertTrue(summary.longestWait() <= MOST_WAIT_MILLIS, name + " " + summary);
     }
 }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
@@ -142,6 +142,23 @@
         assertTrue(lendAll(shard, PRIMARY, SELF, 50_000) <= 1);
     }
 
+    /** Failure: teams are refused after a restart although the excess allows a few requests. */
+    @Test
+    public void newOwnerStartsWithAPartOfTheExcess() {
+        QuotaShard shard = new QuotaShard(new QuotaBounds(8, 0, 5_000), 50_000);
+        long lent = lendAll(shard, PRIMARY, SELF, 50_000);
+        assertTrue(lent >= 490 && lent <= 510, "a tenth of the slack, lent " + lent);
+    }
+
+    /** Failure: hosts disagree for a while, and the owner gets the part again and again. */
+    @Test
+    public void ownerThatRegainsItsRoleWithinAWindowStartsWithoutUnits() {
+        QuotaShard shard = new QuotaShard(new QuotaBounds(8, 0, 5_000), 50_000);
+        lendAll(shard, PRIMARY, SELF, 50_000);
+        lendAll(shard, DEPUTY, SELF, 51_000);
+        assertTrue(lendAll(shard, PRIMARY, SELF, 52_000) <= 1);
+    }
+
     @Test
     public void teamWithoutALimitIsLentWhatItNeeds() {
         QuotaShard shard = new QuotaShard(mBounds, 0);
