Report only on shards with a limit, and at once after the first listing

Cause: hosts reported on all eight shards every two seconds, also in deployments without teams. After a start the first report came up to a second after the host knew the others; until then the owner reserves the host's part of every limit.

Change: a host reports on the shards of the teams that have a quota in its configuration, which is none without teams, and reports when it has listed the hosts for the first time. TeamDirectory names the teams with a quota.

Reports on shards with a limit that a host does not use stay.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -143,6 +144,7 @@
                                 settings.listen().peers()),
                         settings.quota(),
                         this::quotaLimit,
+                        this::teamsWithQuota,
                         new LostFrames(mMetrics),
                         mLog,
                         mScheduler,
@@ -294,6 +296,13 @@
                 : Stream.empty();
     }
 
+    private Set<TeamName> teamsWithQuota() {
+        return mConfiguration
+                .inForce()
+                .map(configuration -> configuration.teams().withQuota())
+                .orElse(Set.of());
+    }
+
     private Optional<QuotaLimit> quotaLimit(TeamName team) {
         return mConfiguration
                 .inForce()
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -4,11 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.stream.IntStream;
 import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
@@ -106,13 +107,21 @@
         }
     }
 
-    /** Reports to the owners of all shards for which a regular report is due. */
-    void reportDue() {
+    /**
+     * Reports to the owners of the shards for which a regular report is due. A host also reports on
+     * shards that it uses nothing of, because owners reserve a part of the limits for hosts that do
+     * not report; but not on shards without a limit.
+     *
+     * @param limited teams that have a quota
+     */
+    void reportDue(Set<TeamName> limited) {
         int hosts = mMembers.get().hostCount();
         long activeMillis = QuotaTiming.reportMillis(hosts);
         long idleMillis = QuotaTiming.idleReportMillis(hosts);
         long now = mClock.millis();
-        IntStream.range(0, QuotaMembers.SHARDS)
+        limited.stream()
+                .mapToInt(QuotaMembers::shard)
+                .distinct()
                 .filter(
                         shard ->
                                 mTable.read(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -5,12 +5,14 @@
 import io.vavr.control.Try;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
@@ -53,6 +55,7 @@
     private final PermitClient mPermits;
     private final Clock mClock;
     private final ScheduledExecutorService mExecutor;
+    private final Supplier<Set<TeamName>> mLimited;
     private volatile QuotaMembers mMembers;
 
     /**
@@ -61,6 +64,8 @@
      * @param self this host, with the endpoint of its settings
      * @param bounds bounds of the deployment
      * @param limits limits in force; empty for a team without one
+     * @param limited teams that have a quota in the configuration in force; this host reports on
+     *     their shards only
      * @param counters counters of frames and connections
      * @param log event log
      * @param executor runs the regular reports
@@ -70,12 +75,14 @@
             PeerAddress self,
             QuotaBounds bounds,
             Function<TeamName, Optional<QuotaLimit>> limits,
+            Supplier<Set<TeamName>> limited,
             PeerCounters counters,
             RelayEventLog log,
             ScheduledExecutorService executor,
             Clock clock) {
         mConfigured = self;
         mExecutor = executor;
+        mLimited = limited;
         mClock = clock;
         mMembers = QuotaMembers.unknown(self);
         // Incarnations are compared for the same host only; none is compared here.
@@ -141,7 +148,12 @@
     public void updateHosts(Collection<PeerAddress> listed) {
         QuotaMembers updated = mMembers.updated(mConfigured, listed, mClock.millis());
         updated.goneSince(mMembers).forEach(mNetwork::removeHost);
+        boolean first = !mMembers.counted();
         mMembers = updated;
+        if (first) {
+            // Owners reserve a part of each limit for hosts that have not reported yet.
+            reportDue();
+        }
     }
 
     @Override
@@ -153,12 +165,16 @@
         long millis = QuotaTiming.reportMillis(mMembers.hostCount());
         schedule(
                 () -> {
-                    mClient.reportDue();
+                    reportDue();
                     scheduleReports();
                 },
                 millis);
     }
 
+    private void reportDue() {
+        mClient.reportDue(mLimited.get());
+    }
+
     private void schedule(Runnable task, long delayMillis) {
         try {
             mExecutor.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/team/TeamDirectory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/team/TeamDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cyclamenpaddle.core.id.TeamName;
 
 /** Immutable snapshot of the teams of one configuration, found by API key or by name. */
@@ -16,12 +17,18 @@
     private final boolean mKeysRequired;
     private final Map<ApiKeyDigest, Team> mByKey;
     private final Map<TeamName, Team> mByName;
+    private final Set<TeamName> mWithQuota;
 
     private TeamDirectory(
             boolean keysRequired, Map<ApiKeyDigest, Team> byKey, Map<TeamName, Team> byName) {
         mKeysRequired = keysRequired;
         mByKey = byKey;
         mByName = byName;
+        mWithQuota =
+                byName.values().stream()
+                        .filter(team -> team.quota().isPresent())
+                        .map(Team::name)
+                        .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -80,6 +87,11 @@
         return Optional.ofNullable(mByName.get(name));
     }
 
+    /** Returns the teams that have a quota. */
+    public Set<TeamName> withQuota() {
+        return mWithQuota;
+    }
+
     /** Returns the number of teams. */
     public int size() {
         return mByName.size();
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -59,6 +60,7 @@
                                     new Endpoint("127.0.0.1", 0)),
                             BOUNDS,
                             team -> Optional.of(LIMIT),
+                            () -> Set.of(TEAM.name()),
                             PeerCounters.NONE,
                             new RelayEventLog(OutputStream.nullOutputStream(), "h", Instant::now),
                             mExecutor,
