Keep the bound while hosts disagree about the owner

Cause: hosts that have just started list the others a second time after 5 s, and may take different hosts for the owner until then. A primary owner also lent what lies beyond the limit before any host had reported to it.

Change: the primary owner lends the share of its whole rate that belongs to hosts that have reported. A host owes at most 0.15 s of its acknowledged rate instead of 0.25 s. Retry times count on the rate at which the owner lends.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaAccount.java
@@ -23,8 +23,11 @@
     /** Use that units held in advance cover, in seconds; they cover one small request at least. */
     private static final double ADVANCE_SECONDS = 0.5;
 
-    /** Use at the acknowledged rate that a host may owe to the owner, in seconds. */
-    private static final double OVERDRAFT_SECONDS = 0.25;
+    /**
+     * Use at the acknowledged rate that a host may owe to the owner, in seconds. With 0.25, a bound
+     * without slack was exceeded while hosts disagreed about the owner for 5 s.
+     */
+    private static final double OVERDRAFT_SECONDS = 0.15;
 
     /** Multiple of the advance above which a host gives units back. */
     private static final double SURPLUS_FACTOR = 3;
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -193,7 +193,9 @@
         long retryMillis =
                 lent < use.neededUnits()
                         ? pool.retryMillis(
-                                limit.get().unitsPerSecond(), use.firstUnits(), nowMillis)
+                                limit.get().unitsPerSecond() + mBounds.beyondPerSecond(limit.get()),
+                                use.firstUnits(),
+                                nowMillis)
                         : 0;
         if (lent == use.neededUnits()) {
             long advance =
@@ -230,11 +232,9 @@
         QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince, start));
         double seconds = Math.max(0, nowMillis - pool.atMillis()) / MILLIS_PER_SECOND;
         if (fleet.primary()) {
-            double unreported =
-                    (fleet.hostCount() - mHosts.size())
-                            * limit.unitsPerSecond()
-                            / fleet.hostCount();
-            double units = (limit.unitsPerSecond() + beyond - Math.max(0, unreported)) * seconds;
+            // Hosts that have not reported may borrow from an owner in their own view.
+            double reported = Math.min(1, mHosts.size() / (double) fleet.hostCount());
+            double units = (limit.unitsPerSecond() + beyond) * reported * seconds;
             pool.refill(units - newReserves(team, limit, fleet, nowMillis), capacity, nowMillis);
         } else {
             double rate = entitledRate(team, limit, fleet, nowMillis);
