--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -78,6 +78,7 @@
     private final QuotaBounds mBounds;
     private final Map<HostId, HostState> mHosts = new HashMap<>();
     private final Map<TeamName, QuotaPool> mPools = new HashMap<>();
+    private final Map<TeamName, Double> mDebts = new HashMap<>();
     private boolean mPrimary;
     private boolean mStartsFilled;
     private long mWasPrimaryMillis = Long.MIN_VALUE / 2;
@@ -132,6 +133,7 @@
                             && nowMillis - mWasPrimaryMillis
                                     > mBounds.windowSeconds() * MILLIS_PER_SECOND;
             mRoleSinceMillis = nowMillis;
+            mPools.forEach((team, pool) -> mDebts.put(team, Math.min(0, pool.units())));
             mPools.clear();
         }
         if (mPrimary) {
@@ -229,7 +231,15 @@
         long filledSince =
                 fleet.primary() ? Math.max(mRoleSinceMillis, nowMillis - fullMillis) : nowMillis;
         double start = fleet.primary() && mStartsFilled ? mBounds.startUnits(limit) : 0;
-        QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince, start));
+        QuotaPool pool =
+                mPools.computeIfAbsent(
+                        team,
+                        any ->
+                                new QuotaPool(
+                                        filledSince,
+                                        start
+                                                + Optional.ofNullable(mDebts.remove(team))
+                                                        .orElse(0.0)));
         double seconds = Math.max(0, nowMillis - pool.atMillis()) / MILLIS_PER_SECOND;
         if (fleet.primary()) {
             // Hosts that have not reported may borrow from an owner in their own view.
