--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -1,13 +1,15 @@
 package org.cyclamenpaddle.relay.quota;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.stream.IntStream;
 import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
@@ -31,7 +33,7 @@
     private static final class State {
         private final List<QuotaBorrower<Consumer<QuotaDecision>>> mBorrowers = new ArrayList<>();
         private final boolean[] mInProgress = new boolean[QuotaMembers.SHARDS];
-        private final OwnerChoice mOwners = new OwnerChoice();
+        private final OwnerChoice mOwners = QuotaBorrower.owners();
 
         private State() {
             for (int shard = 0; shard < QuotaMembers.SHARDS; shard++) {
@@ -40,24 +42,38 @@
         }
     }
 
-    private record Report(HostId owner, QuotaRequest request) {}
+    private record Report(HostId owner, QuotaRequest request, long timeoutMillis) {}
+
+    private static final int DELAY_GRANULARITY_MILLIS = 1;
 
     private final Supplier<QuotaMembers> mMembers;
     private final QuotaLender mLender;
     private final QuotaTransport mTransport;
+    private final QuotaBorrower.EntryRule mEntry;
+    private final DelayedTasks mDelayed;
     private final RelayEventLog mLog;
     private final Clock mClock;
     private final Table<State> mTable = new Table<>(TableOrder.QUOTA_ACCOUNTS, new State());
 
+    /**
+     * Creates a client that holds nothing.
+     *
+     * @param entry whether a request runs that no owner has decided about
+     * @param delayed runs tasks after a time
+     */
     QuotaClient(
             Supplier<QuotaMembers> members,
             QuotaLender lender,
             QuotaTransport transport,
+            QuotaBorrower.EntryRule entry,
+            DelayedTasks delayed,
             RelayEventLog log,
             Clock clock) {
         mMembers = members;
         mLender = lender;
         mTransport = transport;
+        mEntry = entry;
+        mDelayed = delayed;
         mLog = log;
         mClock = clock;
     }
@@ -73,7 +89,9 @@
         QuotaDecision decision =
                 mTable.read(
                         state -> state.mBorrowers.get(shard).take(team.name(), cost, decided, now));
-        if (!(decision instanceof QuotaDecision.Pending)) {
+        if (decision instanceof QuotaDecision.Pending) {
+            mDelayed.run(() -> expire(shard), QuotaBorrower.WAIT_MILLIS + DELAY_GRANULARITY_MILLIS);
+        } else {
             decided.accept(decision);
         }
         if (mTable.read(state -> state.mBorrowers.get(shard).needsUnits(now))) {
@@ -89,13 +107,21 @@
         }
     }
 
-    /** Reports to the owners of all shards for which a regular report is due. */
-    void reportDue() {
+    /**
+     * Reports to the owners of the shards for which a regular report is due. A host also reports on
+     * shards that it uses nothing of, because owners reserve a part of the limits for hosts that do
+     * not report; but not on shards without a limit.
+     *
+     * @param limited teams that have a quota
+     */
+    void reportDue(Set<TeamName> limited) {
         int hosts = mMembers.get().hostCount();
         long activeMillis = QuotaTiming.reportMillis(hosts);
         long idleMillis = QuotaTiming.idleReportMillis(hosts);
         long now = mClock.millis();
-        IntStream.range(0, QuotaMembers.SHARDS)
+        limited.stream()
+                .mapToInt(QuotaMembers::shard)
+                .distinct()
                 .filter(
                         shard ->
                                 mTable.read(
@@ -122,50 +148,81 @@
         }
         state.mInProgress[shard] = true;
         long now = mClock.millis();
+        HostId owner = state.mOwners.choose(members.candidates(shard), now);
+        QuotaBorrower<Consumer<QuotaDecision>> borrower = state.mBorrowers.get(shard);
+        boolean probe = state.mOwners.hasFailed(owner) && borrower.usesDeputies(now);
         return Optional.of(
                 new Report(
-                        state.mOwners.choose(members.candidates(shard), now),
-                        state.mBorrowers.get(shard).report(now)));
+                        owner,
+                        borrower.report(now),
+                        probe ? QuotaBorrower.PROBE_MILLIS : QuotaTiming.TIMEOUT_MILLIS));
     }
 
-    private CompletableFuture<Optional<QuotaResponse>> send(QuotaMembers members, Report report) {
+    private CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
+            QuotaMembers members, Report report) {
         if (report.owner().equals(members.self())) {
             return CompletableFuture.completedFuture(
-                    mLender.lend(members.self(), report.request()));
+                    mLender.lend(members.self(), report.request())
+                            .<Either<OwnerChoice.FailureKind, QuotaResponse>>map(Either::right)
+                            .orElse(Either.left(OwnerChoice.FailureKind.NO_RESPONSE)));
         }
         HostRecord owner = members.find(report.owner()).orElseThrow();
-        return mTransport.send(owner, report.request());
+        return mTransport.send(owner, report.request(), report.timeoutMillis());
     }
 
-    private void ended(int shard, Report report, Optional<QuotaResponse> response) {
+    private void ended(
+            int shard, Report report, Either<OwnerChoice.FailureKind, QuotaResponse> response) {
         long now = mClock.millis();
         List<QuotaBorrower.Settled<Consumer<QuotaDecision>>> settled = new ArrayList<>();
         boolean changed =
                 mTable.read(
                         state -> {
                             state.mInProgress[shard] = false;
-                            response.ifPresent(
+                            response.forEach(
                                     lent ->
                                             settled.addAll(
                                                     state.mBorrowers
                                                             .get(shard)
                                                             .apply(report.request(), lent, now)));
-                            return response.isPresent()
-                                    ? state.mOwners.recordSuccess(report.owner())
-                                    : state.mOwners.recordFailure(report.owner(), now);
+                            return response.fold(
+                                    kind -> state.mOwners.recordFailure(report.owner(), kind, now),
+                                    lent -> state.mOwners.recordSuccess(report.owner()));
                         });
         if (changed) {
             RelayEvent event =
-                    response.isPresent()
-                            ? RelayEvent.OWNER_REACHABLE
-                            : RelayEvent.OWNER_UNREACHABLE;
+                    response.isRight() ? RelayEvent.OWNER_REACHABLE : RelayEvent.OWNER_UNREACHABLE;
             mLog.log(event, report.owner(), shard);
         }
         settled.forEach(request -> request.request().accept(request.decision()));
         // After a failure the next owner gets the report even if nothing waits: a deputy can lend
         // a host's entitlement only after that host has reported to it.
-        if (response.isEmpty() || mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
+        if (response.isLeft()) {
+            report(shard);
+        } else if (response.get().primary()) {
+            reportIfWaiting(shard);
+        } else {
+            mDelayed.run(() -> reportIfWaiting(shard), QuotaBorrower.ASK_AGAIN_MILLIS);
+        }
+    }
+
+    private void reportIfWaiting(int shard) {
+        if (mTable.read(state -> state.mBorrowers.get(shard).hasWaiting())) {
             report(shard);
         }
     }
+
+    /** Decides about requests that have waited for an owner as long as they may. */
+    private void expire(int shard) {
+        List<QuotaBorrower.Settled<Consumer<QuotaDecision>>> settled =
+                mTable.read(state -> state.mBorrowers.get(shard).expire(mEntry, mClock.millis()));
+        if (settled.isEmpty()) {
+            return;
+        }
+        long admitted =
+                settled.stream()
+                        .filter(request -> request.decision() instanceof QuotaDecision.Admitted)
+                        .count();
+        mLog.log(RelayEvent.QUOTA_UNANSWERED, shard, admitted, settled.size() - admitted);
+        settled.forEach(request -> request.request().accept(request.decision()));
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -1,13 +1,18 @@
 package org.cyclamenpaddle.relay.quota;
 
 import com.linecorp.armeria.common.CommonPools;
+import io.vavr.control.Either;
 import io.vavr.control.Try;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
@@ -19,10 +24,12 @@
 import org.cyclamenpaddle.core.message.QuotaResponse;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.peer.net.PeerCounters;
+import org.cyclamenpaddle.peer.net.PeerError;
 import org.cyclamenpaddle.peer.net.PeerNetwork;
 import org.cyclamenpaddle.peer.net.PeerSettings;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.settings.Endpoint;
+import org.cyclamenpaddle.routing.limit.OwnerChoice;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 import org.cyclamenpaddle.routing.limit.QuotaLimit;
 
@@ -33,9 +40,13 @@
  */
 public final class QuotaController implements AutoCloseable {
 
-    /** Connections between hosts; frames wait no longer than their senders. */
+    /**
+     * Connections between hosts. Frames wait no longer than their senders. Failed attempts are
+     * repeated after at most 400 ms, which is the longest pause of an owner without a connection;
+     * with 2 s, an owner that had restarted stayed unreachable for that long.
+     */
     private static final PeerSettings PEERS =
-            new PeerSettings(1, 500, 50, 2_000, 2_000, 30_000, 64, 200, 2_048);
+            new PeerSettings(1, 500, 50, 400, 2_000, 30_000, 64, 200, 2_048);
 
     private final PeerAddress mConfigured;
     private final HostRecord mSelf;
@@ -44,6 +55,7 @@
     private final PermitClient mPermits;
     private final Clock mClock;
     private final ScheduledExecutorService mExecutor;
+    private final Supplier<Set<TeamName>> mLimited;
     private volatile QuotaMembers mMembers;
 
     /**
@@ -52,6 +64,8 @@
      * @param self this host, with the endpoint of its settings
      * @param bounds bounds of the deployment
      * @param limits limits in force; empty for a team without one
+     * @param limited teams that have a quota in the configuration in force; this host reports on
+     *     their shards only
      * @param counters counters of frames and connections
      * @param log event log
      * @param executor runs the regular reports
@@ -61,12 +75,14 @@
             PeerAddress self,
             QuotaBounds bounds,
             Function<TeamName, Optional<QuotaLimit>> limits,
+            Supplier<Set<TeamName>> limited,
             PeerCounters counters,
             RelayEventLog log,
             ScheduledExecutorService executor,
             Clock clock) {
         mConfigured = self;
         mExecutor = executor;
+        mLimited = limited;
         mClock = clock;
         mMembers = QuotaMembers.unknown(self);
         // Incarnations are compared for the same host only; none is compared here.
@@ -88,7 +104,15 @@
                         clock,
                         counters,
                         CommonPools.workerGroup());
-        mClient = new QuotaClient(() -> mMembers, lender, this::send, log, clock);
+        mClient =
+                new QuotaClient(
+                        () -> mMembers,
+                        lender,
+                        this::send,
+                        (team, cost) -> enters(bounds, limits.apply(team), cost),
+                        this::schedule,
+                        log,
+                        clock);
         mPermits = new PermitClient(() -> mMembers, permits, this::send, clock);
     }
 
@@ -124,7 +148,12 @@
     public void updateHosts(Collection<PeerAddress> listed) {
         QuotaMembers updated = mMembers.updated(mConfigured, listed, mClock.millis());
         updated.goneSince(mMembers).forEach(mNetwork::removeHost);
+        boolean first = !mMembers.counted();
         mMembers = updated;
+        if (first) {
+            // Owners reserve a part of each limit for hosts that have not reported yet.
+            reportDue();
+        }
     }
 
     @Override
@@ -134,33 +163,64 @@
 
     private void scheduleReports() {
         long millis = QuotaTiming.reportMillis(mMembers.hostCount());
-        mExecutor.schedule(
+        schedule(
                 () -> {
-                    mClient.reportDue();
+                    reportDue();
                     scheduleReports();
                 },
-                millis,
-                TimeUnit.MILLISECONDS);
+                millis);
+    }
+
+    private void reportDue() {
+        mClient.reportDue(mLimited.get());
+    }
+
+    private void schedule(Runnable task, long delayMillis) {
+        try {
+            mExecutor.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException stopping) {
+            // Requests that still wait end with their connections.
+        }
+    }
+
+    private boolean enters(QuotaBounds bounds, Optional<QuotaLimit> limit, long cost) {
+        int hosts = mMembers.hostCount();
+        return limit.filter(
+                        known ->
+                                ThreadLocalRandom.current().nextDouble()
+                                        < bounds.entryProbability(known, cost, hosts))
+                .isPresent();
     }
 
-    private CompletableFuture<Optional<QuotaResponse>> send(HostRecord to, QuotaRequest request) {
-        return request(to, request, QuotaResponse.class);
+    private CompletableFuture<Either<OwnerChoice.FailureKind, QuotaResponse>> send(
+            HostRecord to, QuotaRequest request, long timeoutMillis) {
+        return request(to, request, timeoutMillis, QuotaResponse.class);
     }
 
     private CompletableFuture<Optional<PermitResponse>> send(HostRecord to, PermitRequest request) {
-        return request(to, request, PermitResponse.class);
+        return request(to, request, QuotaTiming.TIMEOUT_MILLIS, PermitResponse.class)
+                .thenApply(Either::toJavaOptional);
     }
 
-    private <R extends PeerMessage> CompletableFuture<Optional<R>> request(
-            HostRecord to, PeerMessage request, Class<R> response) {
-        return mNetwork.request(to, request, QuotaTiming.TIMEOUT_MILLIS)
+    private <R extends PeerMessage> CompletableFuture<Either<OwnerChoice.FailureKind, R>> request(
+            HostRecord to, PeerMessage request, long timeoutMillis, Class<R> response) {
+        return mNetwork.request(to, request, timeoutMillis)
                 .thenApply(
                         result ->
-                                result.toJavaOptional()
-                                        .filter(response::isInstance)
+                                result.mapLeft(QuotaController::failureKind)
+                                        .filterOrElse(
+                                                response::isInstance,
+                                                other -> OwnerChoice.FailureKind.NO_RESPONSE)
                                         .map(response::cast));
     }
 
+    private static OwnerChoice.FailureKind failureKind(PeerError error) {
+        return switch (error) {
+            case UNREACHABLE, CONNECTION_LOST -> OwnerChoice.FailureKind.NO_CONNECTION;
+            case TIMED_OUT, QUEUE_FULL, TOO_LONG, CLOSED -> OwnerChoice.FailureKind.NO_RESPONSE;
+        };
+    }
+
     private static CompletableFuture<Optional<PeerMessage>> respond(
             QuotaLender lender, PermitLender permits, HostRecord from, PeerMessage message) {
         Optional<? extends PeerMessage> response = Optional.empty();
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,10 +15,11 @@
 /**
  * Lends the quotas of one shard to hosts, as its primary owner or as a deputy.
  *
- * <p>As primary owner it lends the whole limit less what silent hosts may use without it: their
- * last reported rate until {@link QuotaBorrower#ENTITLEMENT_MILLIS} have passed, and an equal part
- * of the limit from then on. As deputy it lends just that to the hosts that report to it. Both
- * sides of a partition together therefore lend no more than the limit. Not thread-safe.
+ * <p>As primary owner it lends the whole limit, and what {@link QuotaBounds#beyondPerSecond} states
+ * beyond it, less what silent hosts may use without it: their last reported rate until {@link
+ * QuotaBorrower#ENTITLEMENT_MILLIS} have passed, and an equal part of the limit from then on. As
+ * deputy it lends just that to the hosts that report to it. Both sides of a partition together
+ * therefore lend no more than the limit. Not thread-safe.
  */
 public final class QuotaShard {
 
@@ -66,10 +68,20 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * Time without a report after which the owner reserves what a host may use, in milliseconds. A
+     * host borrows from a deputy 200 ms after it was cut off. With a reserve only after 2.5 s, both
+     * sides of a cut exceeded a bound without slack at seven times the load.
+     */
+    private static final long RESERVE_MILLIS = 600;
+
     private final QuotaBounds mBounds;
     private final Map<HostId, HostState> mHosts = new HashMap<>();
     private final Map<TeamName, QuotaPool> mPools = new HashMap<>();
+    private final Map<TeamName, Double> mDebts = new HashMap<>();
     private boolean mPrimary;
+    private boolean mStartsFilled;
+    private long mWasPrimaryMillis = Long.MIN_VALUE / 2;
     private long mRoleSinceMillis;
 
     /**
@@ -112,33 +124,43 @@
     private void applyFleet(
             Fleet fleet, Function<TeamName, Optional<QuotaLimit>> limits, long nowMillis) {
         if (fleet.primary() != mPrimary) {
-            // What the previous owner has lent is unknown, so that the pools start empty.
+            // What the previous owner has lent is unknown, so that the pools start with the part
+            // of the excess that is left for this. A host that loses and regains its role within
+            // a window has used that part already.
             mPrimary = fleet.primary();
+            mStartsFilled =
+                    mPrimary
+                            && nowMillis - mWasPrimaryMillis
+                                    > mBounds.windowSeconds() * MILLIS_PER_SECOND;
             mRoleSinceMillis = nowMillis;
+            mPools.forEach((team, pool) -> mDebts.put(team, Math.min(0, pool.units())));
             mPools.clear();
         }
+        if (mPrimary) {
+            mWasPrimaryMillis = nowMillis;
+        }
         mPools.keySet().removeIf(team -> limits.apply(team).isEmpty());
         if (!fleet.hosts().isEmpty()) {
             mHosts.keySet().retainAll(fleet.hosts());
         }
     }
 
-    /** Records that a host is not silent, and releases what was reserved while it was. */
+    /** Records a host's report, and releases what was reserved since its last one. */
     private HostState recordReport(
             HostId from,
             Fleet fleet,
             Function<TeamName, Optional<QuotaLimit>> limits,
             long nowMillis) {
         HostState known = mHosts.get(from);
-        boolean wasSilent = known == null || isSilent(known, fleet, nowMillis);
-        if (wasSilent) {
+        boolean reserved = known == null || nowMillis - known.mLastReportMillis > RESERVE_MILLIS;
+        if (reserved) {
             mPools.forEach(
                     (team, pool) ->
                             limits.apply(team)
                                     .ifPresent(limit -> refill(team, limit, fleet, nowMillis)));
         }
         HostState host = mHosts.computeIfAbsent(from, any -> new HostState());
-        if (wasSilent) {
+        if (reserved) {
             host.mTeams.forEach(
                     (team, state) -> {
                         Optional.ofNullable(mPools.get(team))
@@ -173,38 +195,56 @@
         long retryMillis =
                 lent < use.neededUnits()
                         ? pool.retryMillis(
-                                limit.get().unitsPerSecond(), use.firstUnits(), nowMillis)
+                                limit.get().unitsPerSecond() + mBounds.beyondPerSecond(limit.get()),
+                                use.firstUnits(),
+                                nowMillis)
                         : 0;
         if (lent == use.neededUnits()) {
-            double most = mBounds.advanceUnits(limit.get()) - heldUnits(use.team());
-            long advance = pool.lendInAdvance(use.advanceUnits(), most);
+            long advance =
+                    pool.lendInAdvance(
+                            use.advanceUnits(), advanceUnits(use.team(), state, limit.get()));
             state.mHeld += advance;
             lent += advance;
         }
         return new QuotaResponse.Grant(use.team(), lent, retryMillis);
     }
 
-    private double heldUnits(TeamName team) {
-        return mHosts.values().stream()
-                .map(host -> host.mTeams.get(team))
-                .filter(state -> state != null)
-                .mapToLong(state -> state.mHeld)
-                .sum();
+    /**
+     * Returns the most units that a host may get in advance: its part among the hosts that use the
+     * quota, as far as all together do not hold the total.
+     */
+    private double advanceUnits(TeamName team, TeamState host, QuotaLimit limit) {
+        LongSummaryStatistics held =
+                mHosts.values().stream()
+                        .map(other -> other.mTeams.get(team))
+                        .filter(state -> state != null)
+                        .mapToLong(state -> state.mHeld)
+                        .summaryStatistics();
+        double total = mBounds.advanceUnits(limit);
+        return Math.min(total - held.getSum(), total / held.getCount() - host.mHeld);
     }
 
     private QuotaPool refill(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
-        double capacity = QuotaPool.capacity(limit) * (1 + mBounds.overage());
+        double capacity = mBounds.capacity(limit);
+        double beyond = mBounds.beyondPerSecond(limit);
         long fullMillis = (long) (capacity / limit.unitsPerSecond() * MILLIS_PER_SECOND);
         long filledSince =
                 fleet.primary() ? Math.max(mRoleSinceMillis, nowMillis - fullMillis) : nowMillis;
-        QuotaPool pool = mPools.computeIfAbsent(team, any -> new QuotaPool(filledSince));
+        double start = fleet.primary() && mStartsFilled ? mBounds.startUnits(limit) : 0;
+        QuotaPool pool =
+                mPools.computeIfAbsent(
+                        team,
+                        any ->
+                                new QuotaPool(
+                                        filledSince,
+                                        start
+                                                + Optional.ofNullable(mDebts.remove(team))
+                                                        .orElse(0.0)));
         double seconds = Math.max(0, nowMillis - pool.atMillis()) / MILLIS_PER_SECOND;
         if (fleet.primary()) {
-            double unreported =
-                    (fleet.hostCount() - mHosts.size())
-                            * limit.unitsPerSecond()
-                            / fleet.hostCount();
-            double units = (limit.unitsPerSecond() - Math.max(0, unreported)) * seconds;
+            // Hosts that have not reported may borrow from an owner in their own view.
+            double reported = Math.min(1, mHosts.size() / (double) fleet.hostCount());
+            double units = (limit.unitsPerSecond() + beyond) * reported * seconds;
             pool.refill(units - newReserves(team, limit, fleet, nowMillis), capacity, nowMillis);
         } else {
             double rate = entitledRate(team, limit, fleet, nowMillis);
@@ -214,11 +254,11 @@
         return pool;
     }
 
-    /** Returns what silent hosts may have used since the last call. */
+    /** Returns what hosts may have used without this owner since the last call. */
     private double newReserves(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
         double reserves = 0;
         for (HostState host : mHosts.values()) {
-            if (isSilent(host, fleet, nowMillis)) {
+            if (nowMillis - host.mLastReportMillis > RESERVE_MILLIS) {
                 TeamState state = host.team(team);
                 double reserved =
                         reserve(
