Release what a request holds in more cases, and never append a second response

With bounded bytes, the first part of a plain response was forwarded early, also of a failed one; a lookup whose response then broke off was sent again, and the second body was appended to the first (before only above 64 KiB). A generation that had not left the host kept its reservation until it expired. A request whose body did not fit at one server was treated as one that was sent before. A priority of a team was compared with priorities that no request has.

Change: a plain response that is being forwarded is never retried; failed responses are not forwarded early; unsent generations release reservation and prompt; the stage of a search depends on sends alone; the priorities of a service are those that its requests can have; servers are passed over only for a request of their service.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -140,10 +140,15 @@
         mExchange.subscribe();
     }
 
-    /** Cancels the attempt because the caller disconnected. */
-    void cancel() {
-        mExchange.cancel();
+    /**
+     * Cancels the attempt because the caller disconnected.
+     *
+     * @return how far the attempt had come
+     */
+    SendOutcome cancel() {
+        SendOutcome outcome = mExchange.cancel();
         close(SendOutcome.ABANDONED, "caller disconnected");
+        return outcome;
     }
 
     /**
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BytesRefusal.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BytesRefusal.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
@@ -27,6 +28,10 @@
     static Set<BackendId> serversToAvoid(
             RelayContext relay, RelayRequest request, Set<BackendId> tried) {
         Set<BackendId> avoid = relay.bytes().fullServers(request.body().length());
+        if (!avoid.isEmpty()) {
+            avoid.retainAll(
+                    relay.registry().usable(request.service()).stream().map(Backend::id).toList());
+        }
         avoid.removeAll(tried);
         avoid.forEach(server -> ofServer(relay, request, server));
         avoid.addAll(tried);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -234,7 +234,8 @@
             return bytes;
         }
         mBuffer.writeBytes(bytes);
-        if (mBuffer.size() < MAX_BUFFERED_BYTES && mBytes.mayWaitForMore()) {
+        boolean mayWait = mBytes.mayWaitForMore() || !mHead.success();
+        if (mBuffer.size() < MAX_BUFFERED_BYTES && mayWait) {
             return new byte[0];
         }
         byte[] buffered = mBuffer.toByteArray();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -54,9 +54,9 @@
                     backend, reservation, Optional.empty(), Optional.empty(), OptionalLong.empty());
         }
 
-        /** Releases the reservation and the prompt of a request that is not sent. */
+        /** Releases the reservation, the prompt and the place of a request that is not sent. */
         void release(RelayContext relay, RelayRequest request) {
-            reservation.ifPresent(name -> ReserveCall.cancel(relay, backend, name));
+            releaseMemory(relay);
             relay.registry()
                     .recordOutcome(
                             backend,
@@ -64,6 +64,11 @@
                             true,
                             SendOutcome.ABANDONED,
                             relay.clock().millis());
+        }
+
+        /** Releases the reservation and the prompt of a request that has not left this host. */
+        void releaseMemory(RelayContext relay) {
+            reservation.ifPresent(name -> ReserveCall.cancel(relay, backend, name));
             releasePrompt(relay);
         }
 
@@ -90,6 +95,7 @@
     private final RequestBytes mBytes;
     private final EventLoop mLoop;
     private final Set<BackendId> mAvoid;
+    private final boolean mSentBefore;
     private final BooleanSupplier mRetryBudget;
     private final Consumer<SearchInputs> mSearched;
     private final Listener mListener;
@@ -102,6 +108,7 @@
      *
      * @param bytes bytes held for the request
      * @param avoid servers that have already been tried or cannot take the body
+     * @param sentBefore whether the request was sent to a server before
      * @param retryBudget takes one retry from the shared budget; false if there is none left
      * @param searched gets the inputs of a search for engine memory when it has ended
      */
@@ -111,6 +118,7 @@
             RequestBytes bytes,
             EventLoop loop,
             Set<BackendId> avoid,
+            boolean sentBefore,
             BooleanSupplier retryBudget,
             Consumer<SearchInputs> searched,
             Listener listener) {
@@ -119,6 +127,7 @@
         mLoop = loop;
         mBytes = bytes;
         mAvoid = avoid;
+        mSentBefore = sentBefore;
         mRetryBudget = retryBudget;
         mSearched = searched;
         mListener = listener;
@@ -141,6 +150,7 @@
                                 mRequest,
                                 mLoop,
                                 mAvoid,
+                                mSentBefore,
                                 found -> reserved(found, timeoutMillis))
                         : new PlainSearch(mRelay, mRequest, mLoop, mAvoid, this::serverFound);
         mSearch = Optional.of(search);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -131,6 +131,11 @@
                                 // request was complete.
                                 writer.close(failure);
                             }
+                        })
+                .exceptionally(
+                        fault -> {
+                            writer.close(fault);
+                            return null;
                         });
         request.subscribe(body, context.eventLoop());
         return writer;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestBody.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestBody.java
@@ -84,7 +84,7 @@
             mWhole = ByteBuffer.allocate(mStatedBytes);
         }
         mLength += part.length();
-        if (part.length() <= mWhole.remaining()) {
+        if (mParts.isEmpty() && part.length() <= mWhole.remaining()) {
             mWhole.put(part.array());
         } else {
             mParts.add(part.array());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -82,7 +82,7 @@
         if (mEnded) {
             return;
         }
-        mAttempt.ifPresent(BackendAttempt::cancel);
+        mAttempt.map(BackendAttempt::cancel).ifPresent(this::releaseUnused);
         mRelay.metrics().recordDisconnect();
         mRequestLog.callerDisconnected(lastBackend());
         end();
@@ -97,6 +97,7 @@
                         mBytes,
                         mLoop,
                         BytesRefusal.serversToAvoid(mRelay, mRequest, mTried),
+                        !mTried.isEmpty(),
                         this::takeRetry,
                         mRequestLog::searched,
                         new PlacementPhase.Listener() {
@@ -205,7 +206,7 @@
     private void attemptEnded(SendOutcome outcome, String cause) {
         BackendAttempt attempt = mAttempt.orElseThrow();
         mAttempt = Optional.empty();
-        releaseUnusedPrompt(outcome);
+        releaseUnused(outcome);
         if (outcome == SendOutcome.REJECTED && attempt.prompt().isEmpty()) {
             rejectedDespiteReservation(attempt.target());
         }
@@ -310,7 +311,7 @@
 
     private void retryOrFail(BackendAttempt attempt, SendOutcome outcome, String cause) {
         RetryDecision decision =
-                mRetryPolicy.endSend(outcome, mRelay.clock().millis(), this::takeRetry);
+                mRetryPolicy.endSend(outcome, mRelay.clock().millis(), this::takeRetryOfSend);
         if (decision == RetryDecision.PASS_ON) {
             complete();
             return;
@@ -325,13 +326,24 @@
         }
     }
 
+    /**
+     * Takes a retry, unless part of a plain response was forwarded. Another response could only be
+     * appended to it; a stream continues after its last event instead.
+     */
+    private boolean takeRetryOfSend() {
+        boolean started = mRetryPolicy.isForwarding() && !mRequest.route().kind().streams();
+        return !started && takeRetry();
+    }
+
     private boolean takeRetry() {
         return mRelay.budget().tryTake(mRequest.service());
     }
 
-    /** Releases the prefilled prompt if the backend server did not fetch it. */
-    private void releaseUnusedPrompt(SendOutcome outcome) {
-        if (!outcome.mayHaveRun()) {
+    /** Releases the engine memory that the backend server did not use. */
+    private void releaseUnused(SendOutcome outcome) {
+        if (outcome.unsent()) {
+            mPlaced.ifPresent(placed -> placed.releaseMemory(mRelay));
+        } else if (!outcome.mayHaveRun()) {
             mPlaced.ifPresent(placed -> placed.releasePrompt(mRelay));
         }
     }
@@ -353,18 +365,24 @@
             return;
         }
         SendOutcome unsent = mReserving ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
-        SendOutcome outcome = mAttempt.map(BackendAttempt::timeOut).orElse(unsent);
+        Optional<SendOutcome> ended = mAttempt.map(BackendAttempt::timeOut);
+        ended.ifPresent(this::releaseUnused);
         mAttempt = Optional.empty();
-        fail(outcome, "request timed out");
+        fail(ended.orElse(unsent), "request timed out");
+        if (mRetryPolicy.isForwarding()) {
+            // The caller has stopped reading, and the abort is queued behind what it has not read.
+            deliveryTimedOut();
+        }
     }
 
     /**
-     * Aborts a complete response that its caller has not taken when it stops waiting. The route's
-     * timeout alone does not end it: a response that is ready is delivered, even if it is late.
+     * Aborts a response that its caller has not taken when it stops waiting, if the bytes held are
+     * bounded. The route's timeout alone does not end it: a response that is ready is delivered,
+     * even if it is late.
      */
     private void deliveryTimedOut() {
         OptionalLong callerMillis = mRequest.caller().callerTimeoutMillis();
-        if (callerMillis.isEmpty()) {
+        if (callerMillis.isEmpty() || mRelay.bytes().bounds().responseBytes() == 0) {
             return;
         }
         long remaining = mStartMillis + callerMillis.getAsLong() - mRelay.clock().millis();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -56,6 +56,7 @@
             RelayRequest request,
             EventLoop loop,
             Set<BackendId> avoid,
+            boolean sentBefore,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
@@ -64,7 +65,7 @@
         mListener = listener;
         mGrowthCapacity = new GrowthCapacity(relay, request, loop);
         long now = relay.clock().millis();
-        RetryStage stage = stage(relay, request, !avoid.isEmpty(), now);
+        RetryStage stage = stage(relay, request, sentBefore, now);
         mReservationWait =
                 ReservationWait.begin(now, request.route().terms(), stage, request.urgency());
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.route;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -43,7 +44,7 @@
                         .collect(Collectors.groupingBy(Route::host));
         mPriorities =
                 routes.stream()
-                        .flatMap(RelayConfiguration::priorities)
+                        .flatMap(route -> priorities(route, teams))
                         .collect(
                                 Collectors.groupingBy(
                                         Map.Entry::getKey,
@@ -88,10 +89,19 @@
         return Urgency.of(priority, mPriorities.getOrDefault(service, Set.of()));
     }
 
-    private static Stream<Map.Entry<ServiceName, Integer>> priorities(Route route) {
+    /** Returns the priorities that requests of a route can have, by service. */
+    private static Stream<Map.Entry<ServiceName, Integer>> priorities(
+            Route route, TeamDirectory teams) {
+        Set<Integer> priorities = new HashSet<>(teams.priorities());
+        if (route.publicAccess() || !teams.allHavePriorities()) {
+            priorities.add(route.priority());
+        }
         return route.services().stream()
                 .filter(candidate -> candidate.weight() > 0)
-                .map(candidate -> Map.entry(candidate.service(), route.priority()));
+                .flatMap(
+                        candidate ->
+                                priorities.stream()
+                                        .map(each -> Map.entry(candidate.service(), each)));
     }
 
     /** Returns the teams of this version. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/team/TeamDirectory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/team/TeamDirectory.java
@@ -92,6 +92,19 @@
         return mWithQuota;
     }
 
+    /** Returns the priorities of the teams that have one. */
+    public Set<Integer> priorities() {
+        return mByName.values().stream()
+                .flatMap(team -> team.priority().stream().boxed())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Returns whether each request with a key has the priority of a team. */
+    public boolean allHavePriorities() {
+        return mKeysRequired
+                && mByName.values().stream().allMatch(team -> team.priority().isPresent());
+    }
+
     /** Returns the number of teams. */
     public int size() {
         return mByName.size();
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/route/RelayConfigurationTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/route/RelayConfigurationTest.java
@@ -5,7 +5,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamDirectory;
 import org.cyclamenpaddle.routing.reservation.Urgency;
 import org.testng.annotations.Test;
@@ -72,6 +78,27 @@
         assertEquals(configuration.urgency(new ServiceName("u"), 1), new Urgency(1, 0, 0));
     }
 
+    /** All requests have the priority of a team, so that no request is less urgent than another. */
+    @Test
+    public void prioritiesOfTeamsReplaceThoseOfRoutes() {
+        Team team = new Team(new TeamName("t"), OptionalInt.of(4), Optional.empty());
+        Team without = new Team(new TeamName("u"), OptionalInt.empty(), Optional.empty());
+        assertEquals(urgencyOfFour(team), new Urgency(4, 0, 0));
+        assertEquals(urgencyOfFour(team, without), new Urgency(4, 1, 0));
+    }
+
+    private static Urgency urgencyOfFour(Team... teams) {
+        return new RelayConfiguration(
+                        3,
+                        List.of(route("a", "h", "/a/", 1, weighted("s", 1))),
+                        List.of(),
+                        TeamDirectory.of(
+                                Stream.of(teams)
+                                        .map(team -> new TeamDirectory.Entry(team, Set.of()))
+                                        .toList()))
+                .urgency(new ServiceName("s"), 4);
+    }
+
     @Test
     public void weightsDivideTheRequests() {
         Route split = route("r", "h", "/", weighted("a", 90), weighted("b", 10));
