--- /dev/null
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ResponseEnd.java
@@ -0,0 +1,56 @@
+package org.cyclamenpaddle.engine.http;
+
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.ResponseHeaders;
+
+/**
+ * How the response of a backend server ended.
+ *
+ * <p>The framing of a response does not suffice to call it complete: without a length and without
+ * chunks it ends with its connection, also where its server crashed and closed the connection in an
+ * orderly way.
+ */
+public enum ResponseEnd {
+    /** All bytes of the stated length arrived. */
+    LENGTH_REACHED(true, "length reached"),
+    /** The last chunk arrived, or the server closed the connection of a response without length. */
+    CLOSED(true, "closed"),
+    /** The connection of a response without a length was reset or failed otherwise. */
+    RESET(false, "connection reset"),
+    /** The response ended within an event of its stream, whatever its framing. */
+    INSIDE_EVENT(false, "ended inside an event"),
+    /** The response ended without the event that marks the end of its stream. */
+    NO_END_EVENT(false, "ended without its end event");
+
+    private final boolean mComplete;
+    private final String mText;
+
+    ResponseEnd(boolean complete, String text) {
+        mComplete = complete;
+        mText = text;
+    }
+
+    /**
+     * Classifies the end of a response by its framing and its connection.
+     *
+     * @param head head of the response
+     * @param context the call
+     */
+    public static ResponseEnd of(ResponseHeaders head, ClientRequestContext context) {
+        if (head.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            return LENGTH_REACHED;
+        }
+        return ResetWatch.broken(context) ? RESET : CLOSED;
+    }
+
+    /** Returns whether the response is complete. */
+    public boolean complete() {
+        return mComplete;
+    }
+
+    /** Returns a description for logs. */
+    public String text() {
+        return mText;
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
@@ -221,7 +222,8 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(ResponseEnd end) {
+        mResponse.ended(end);
         end(
                 mHead.success() ? SendOutcome.SUCCEEDED : SendOutcome.FAILED,
                 "status " + mHead.headers().status().code());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -6,7 +6,6 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.ClosedSessionException;
 import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -17,7 +16,7 @@
 import com.linecorp.armeria.common.logging.RequestLogProperty;
 import io.netty.channel.EventLoop;
 import org.cyclamenpaddle.engine.http.CallFailure;
-import org.cyclamenpaddle.engine.http.ResetWatch;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.reactivestreams.Subscriber;
@@ -37,8 +36,7 @@
     private final HttpResponse mResponse;
     private final EventLoop mLoop;
     private Subscription mSubscription;
-    private boolean mHeadReceived;
-    private boolean mEndsWithClose;
+    private ResponseHeaders mHead;
     private boolean mClosed;
 
     private BackendExchange(
@@ -140,9 +138,8 @@
         boolean interim =
                 object instanceof ResponseHeaders head
                         && head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (object instanceof ResponseHeaders head && !interim && !mHeadReceived) {
-            mHeadReceived = true;
-            mEndsWithClose = !head.contains(HttpHeaderNames.CONTENT_LENGTH);
+        if (object instanceof ResponseHeaders head && !interim && mHead == null) {
+            mHead = head;
             mListener.head(mMessages.response(head));
         }
         // Interim responses and trailers are not forwarded.
@@ -173,10 +170,11 @@
             return;
         }
         mClosed = true;
-        if (mEndsWithClose && ResetWatch.broken(mContext)) {
-            mListener.failed(SendOutcome.UNKNOWN, ClosedSessionException.get());
+        ResponseEnd end = ResponseEnd.of(mHead, mContext);
+        if (end.complete()) {
+            mListener.complete(end);
         } else {
-            mListener.complete();
+            mListener.failed(SendOutcome.UNKNOWN, ClosedSessionException.get());
         }
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.EventFramer;
@@ -54,6 +55,7 @@
     private long mLastMillis = -1;
     private long mMaxPauseMillis;
     private int mStatus;
+    private ResponseEnd mEnd = ResponseEnd.CLOSED;
 
     CallerResponse(
             RelayContext relay,
@@ -151,6 +153,17 @@
         }
     }
 
+    /**
+     * Records how the response of a backend server ended.
+     *
+     * @param framed how it ended according to its framing
+     */
+    void ended(ResponseEnd framed) {
+        boolean insideEvent = mStreams && mHead.success() && mTail.isInsideEvent();
+        mEnd = insideEvent ? ResponseEnd.INSIDE_EVENT : framed;
+        mRelay.metrics().recordResponseEnd(mEnd);
+    }
+
     /** Discards the incomplete part of a response that another one replaces. */
     void discardPartial() {
         mTail.discardPartialEvent();
@@ -213,6 +226,11 @@
         return mTail.events();
     }
 
+    /** Returns how the last complete response of a backend server ended. */
+    ResponseEnd end() {
+        return mEnd;
+    }
+
     boolean isForwarding() {
         return mRetryPolicy.isForwarding();
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ExchangeListener.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ExchangeListener.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.HttpData;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.BackendResponse;
 
@@ -13,8 +14,12 @@
     /** Called with a part of the body; the next one follows {@link BackendExchange#requestMore}. */
     void data(HttpData data);
 
-    /** Called once when the response is complete according to its framing. */
-    void complete();
+    /**
+     * Called once when the response is complete according to its framing.
+     *
+     * @param end how it ended
+     */
+    void complete(ResponseEnd end);
 
     /**
      * Called once when the response will not be completed.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -142,7 +143,7 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(ResponseEnd end) {
         if (mEnded) {
             return;
         }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -83,6 +83,7 @@
                 name(prefillEngine),
                 mResponse.events(),
                 mResponse.maxPauseMillis(),
+                mResponse.end().text(),
                 mPassedOver,
                 priority(),
                 mRequest.urgency().moreUrgent(),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -91,6 +91,7 @@
                     "reader",
                     "events",
                     "pauseMillis",
+                    "ended",
                     "passedOver",
                     "priority",
                     "moreUrgent",
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -98,6 +98,11 @@
         counter("bytes_refused", REASON, tag(reason)).increment();
     }
 
+    /** Records how the response of a backend server ended. */
+    public void recordResponseEnd(Enum<?> end) {
+        counter("response_ends", "end", tag(end)).increment();
+    }
+
     /** Records an event around the ends of backend servers. */
     public void recordCrashEvent(Enum<?> kind) {
         counter("crash_events", "kind", tag(kind)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventFramer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventFramer.java
@@ -64,6 +64,11 @@
         return partial;
     }
 
+    /** Returns whether a part of an event has been received, but not its end. */
+    public boolean isInsideEvent() {
+        return mPartialEvent.size() > 0;
+    }
+
     /** Returns the id of the last complete event. */
     public Optional<String> lastEventId() {
         return mLastEventId;
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.directive.Directives;
 import org.cyclamenpaddle.relay.wire.BackendCall;
@@ -66,7 +67,7 @@
         }
 
         @Override
-        public void complete() {
+        public void complete(ResponseEnd end) {
             mEvents.add("complete");
             mEnd.complete(null);
         }
