Treat a stream that ends inside an event as broken off

Cause: a response without a length and without chunks ends with its connection. The relay judged the end of a response by its framing alone, so that an engine that closed its connection in an orderly way within an event completed the stream, and CallerResponse.finish forwarded the half event. The same end counted as a run to its end, which cleared the strikes of a request that ends each server. Class of fault: completeness of a response decided by its framing, where its content says otherwise.

Change: ResponseEnd says for both fronts how a response ended. A stream on which an event or a line is left unfinished has the outcome UNKNOWN, whatever its framing: resumed or sent again where allowed, else aborted, or 502 where nothing was forwarded; it counts for health, retry budget and quarantine like a lost connection, and CP2205 and CP2203 name it. So does a stream without any event that only its connection ends. EventFramer follows the event stream format (LF, CRLF and CR, comments, byte order mark). Responses that are no event streams are judged as before, also failures on streaming routes. The first front names the end in EngineFailure.Truncated.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ResponseEnd.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ResponseEnd.java
@@ -20,6 +20,8 @@
     RESET(false, "connection reset"),
     /** The response ended within an event of its stream, whatever its framing. */
     INSIDE_EVENT(false, "ended inside an event"),
+    /** The stream has no event, and only the close of its connection marks its end. */
+    NO_EVENT(false, "ended without an event"),
     /** The response ended without the event that marks the end of its stream. */
     NO_END_EVENT(false, "ended without its end event");
 
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/DecodeStream.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/DecodeStream.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
@@ -84,7 +85,9 @@
             // An engine that crashes may close its connection cleanly within a stream, and the
             // caller would take a truncated response for a complete one. Only the engine's end
             // event completes a response, so a body that ends without it is a broken stream.
-            finish(() -> mListener.onBroken(new EngineFailure.Unreachable(true)));
+            ResponseEnd end =
+                    mLines.partial() ? ResponseEnd.INSIDE_EVENT : ResponseEnd.NO_END_EVENT;
+            finish(() -> mListener.onBroken(new EngineFailure.Truncated(end)));
         } else {
             EngineFailure failure = mJson.failure(mStatus, mErrorBody.toString(UTF_8));
             finish(() -> onErrorResponse(failure));
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineFailure.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/model/EngineFailure.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.engine.model;
 
+import org.cyclamenpaddle.engine.http.ResponseEnd;
+
 /** Why an engine call failed. */
 public sealed interface EngineFailure {
 
@@ -35,6 +37,13 @@
      */
     record Unreachable(boolean connected) implements EngineFailure {}
 
+    /**
+     * The response ended before it was complete; the engine may have crashed.
+     *
+     * @param end how it ended
+     */
+    record Truncated(ResponseEnd end) implements EngineFailure {}
+
     /** No complete response came in time; the engine may have executed the call. */
     record TimedOut() implements EngineFailure {}
 
--- a/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/model/DecodeStreamTest.java
+++ b/cyclamenpaddle-engine/src/test/java/org/cyclamenpaddle/engine/model/DecodeStreamTest.java
@@ -109,7 +109,19 @@
                     RawServer.writeChunk(socket, TOKEN_0);
                     RawServer.writeLastChunk(socket);
                 },
-                List.of("token 0 a", BROKEN));
+                List.of("token 0 a", "broken Truncated[end=NO_END_EVENT]"));
+    }
+
+    /** A line that is cut in a body that ends cleanly is dropped without a trace of the cut. */
+    @Test
+    public void cleanEndWithinLineIsReported() throws Exception {
+        assertEvents(
+                socket -> {
+                    RawServer.writeChunk(socket, TOKEN_0);
+                    RawServer.writeChunk(socket, TOKEN_1.substring(0, TOKEN_1.length() - 3));
+                    RawServer.writeLastChunk(socket);
+                },
+                List.of("token 0 a", "broken Truncated[end=INSIDE_EVENT]"));
     }
 
     @Test
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
+import org.cyclamenpaddle.engine.http.TruncatedResponseException;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
@@ -198,6 +199,9 @@
                             + head.headers().status().code()
                             + " for request id "
                             + head.requestId().orElse("none"));
+        } else if (!mResponse.mayContinueWith(head)) {
+            mExchange.cancel();
+            end(SendOutcome.UNKNOWN, "resumed stream is no event stream");
         } else {
             mRelay.crashes().responded(target(), mSentMillis);
             mResponse.head(head);
@@ -223,7 +227,11 @@
 
     @Override
     public void complete(ResponseEnd end) {
-        mResponse.ended(end);
+        ResponseEnd judged = mResponse.ended(end);
+        if (!judged.complete()) {
+            failed(SendOutcome.UNKNOWN, new TruncatedResponseException(judged));
+            return;
+        }
         end(
                 mHead.success() ? SendOutcome.SUCCEEDED : SendOutcome.FAILED,
                 "status " + mHead.headers().status().code());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -4,7 +4,6 @@
 import com.linecorp.armeria.client.ClientRequestContextCaptor;
 import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.WebClient;
-import com.linecorp.armeria.common.ClosedSessionException;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
@@ -17,6 +16,7 @@
 import io.netty.channel.EventLoop;
 import org.cyclamenpaddle.engine.http.CallFailure;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
+import org.cyclamenpaddle.engine.http.TruncatedResponseException;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.reactivestreams.Subscriber;
@@ -174,7 +174,7 @@
         if (end.complete()) {
             mListener.complete(end);
         } else {
-            mListener.failed(SendOutcome.UNKNOWN, ClosedSessionException.get());
+            mListener.failed(SendOutcome.UNKNOWN, new TruncatedResponseException(end));
         }
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.stream.AbortedStreamException;
 import java.io.ByteArrayOutputStream;
@@ -41,7 +42,6 @@
     private final HttpResponseWriter mWriter;
     private final RetryAfter mRetryAfter;
     private final RetryPolicy mRetryPolicy;
-    private final boolean mStreams;
     private final EventFramer mTail;
     private final ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
 
@@ -51,6 +51,7 @@
     private long mUnqueuedBytes;
     private boolean mReachedBound;
     private BackendResponse mHead;
+    private boolean mEventStream;
     private long mFirstMillis = -1;
     private long mLastMillis = -1;
     private long mMaxPauseMillis;
@@ -70,7 +71,6 @@
         mWriter = writer;
         mRetryAfter = retryAfter;
         mRetryPolicy = retryPolicy;
-        mStreams = request.route().kind().streams();
         mTail = new EventFramer(request.caller().resumeAfter());
     }
 
@@ -79,11 +79,26 @@
      * forwarded.
      */
     void head(BackendResponse head) {
+        mEventStream = isEventStream(head);
         if (!mRetryPolicy.isForwarding()) {
             mHead = head;
         }
     }
 
+    /** Returns whether a response can follow what has been forwarded. */
+    boolean mayContinueWith(BackendResponse head) {
+        return !mRetryPolicy.isForwarding() || !head.success() || isEventStream(head);
+    }
+
+    /** A response on a streaming route is an event stream, unless its type says otherwise. */
+    private boolean isEventStream(BackendResponse head) {
+        MediaType type = head.headers().contentType();
+        return head.success()
+                && (type == null
+                        ? mRequest.route().kind().streams()
+                        : type.is(MediaType.EVENT_STREAM));
+    }
+
     /**
      * Accepts body data.
      *
@@ -154,14 +169,24 @@
     }
 
     /**
-     * Records how the response of a backend server ended.
+     * Decides how the response of a backend server ended.
      *
      * @param framed how it ended according to its framing
      */
-    void ended(ResponseEnd framed) {
-        boolean insideEvent = mStreams && mHead.success() && mTail.isInsideEvent();
-        mEnd = insideEvent ? ResponseEnd.INSIDE_EVENT : framed;
+    ResponseEnd ended(ResponseEnd framed) {
+        mEnd = mEventStream ? endOfStream(framed) : framed;
         mRelay.metrics().recordResponseEnd(mEnd);
+        return mEnd;
+    }
+
+    private ResponseEnd endOfStream(ResponseEnd framed) {
+        if (mTail.isInsideEvent()) {
+            return ResponseEnd.INSIDE_EVENT;
+        }
+        boolean empty = mTail.events() == 0 && mTail.lastEventId().isEmpty();
+        return empty && framed == ResponseEnd.CLOSED && mRequest.route().kind().streams()
+                ? ResponseEnd.NO_EVENT
+                : framed;
     }
 
     /** Discards the incomplete part of a response that another one replaces. */
@@ -175,7 +200,7 @@
     /** Completes the response. */
     void finish() {
         writeHead();
-        byte[] rest = mStreams ? mTail.takePartialEvent() : mBuffer.toByteArray();
+        byte[] rest = mEventStream ? mTail.takePartialEvent() : mBuffer.toByteArray();
         if (rest.length > 0) {
             mWriter.tryWrite(HttpData.wrap(rest));
         }
@@ -245,7 +270,7 @@
     }
 
     private byte[] bytesToForward(byte[] bytes) {
-        if (mStreams) {
+        if (mEventStream) {
             return mTail.offer(bytes);
         }
         if (mRetryPolicy.isForwarding()) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventFramer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventFramer.java
@@ -9,17 +9,28 @@
  * <p>Safeguard: a backend server can break its connection within an event. If the first part had
  * been forwarded to the caller, the stream of the next server would be appended to an incomplete
  * event. Therefore only complete events are returned, and the stream can resume after the last of
- * them. Not thread-safe.
+ * them.
+ *
+ * <p>Follows the event stream format: a line ends with LF, CRLF or CR, an event with an empty line;
+ * a line that begins with a colon is a comment; a byte order mark may precede the first line. Not
+ * thread-safe.
  */
 public final class EventFramer {
 
     private static final String ID_FIELD = "id:";
+    private static final int[] BYTE_ORDER_MARK = {0xef, 0xbb, 0xbf};
 
     private final ByteArrayOutputStream mPartialEvent = new ByteArrayOutputStream();
     private final StringBuilder mLine = new StringBuilder();
     private Optional<String> mPendingEventId = Optional.empty();
     private Optional<String> mLastEventId;
     private long mEvents;
+    private boolean mInsideEvent;
+    private boolean mAfterCarriageReturn;
+    private boolean mContinues;
+
+    /** Number of bytes of a byte order mark received; -1 once another byte has been received. */
+    private int mMarkBytes;
 
     /**
      * Creates a framer for a stream.
@@ -39,22 +50,24 @@
     public byte[] offer(byte[] bytes) {
         ByteArrayOutputStream complete = new ByteArrayOutputStream();
         for (byte next : bytes) {
-            mPartialEvent.write(next);
-            if (next != '\n') {
-                mLine.append((char) (next & 0xff));
-            } else if (endLine()) {
-                complete.writeBytes(mPartialEvent.toByteArray());
-                mPartialEvent.reset();
+            if (!isPartOfMark(next)) {
+                add(next, complete);
             }
         }
         return complete.toByteArray();
     }
 
-    /** Discards the bytes of an incomplete event. */
+    /**
+     * Discards the bytes of an incomplete event; what follows is the beginning of another response,
+     * which continues this stream.
+     */
     public void discardPartialEvent() {
         mPartialEvent.reset();
         mLine.setLength(0);
         mPendingEventId = Optional.empty();
+        mInsideEvent = false;
+        mAfterCarriageReturn = false;
+        mMarkBytes = 0;
     }
 
     /** Returns the bytes after the last complete event and discards them. */
@@ -64,9 +77,13 @@
         return partial;
     }
 
-    /** Returns whether a part of an event has been received, but not its end. */
+    /**
+     * Returns whether the bytes received so far end within an event or a line. Complete comments
+     * alone are no event.
+     */
     public boolean isInsideEvent() {
-        return mPartialEvent.size() > 0;
+        boolean insideMark = mMarkBytes > 0 && mMarkBytes < BYTE_ORDER_MARK.length;
+        return mInsideEvent || insideMark || mLine.length() > 0;
     }
 
     /** Returns the id of the last complete event. */
@@ -79,23 +96,78 @@
         return mEvents;
     }
 
-    /** Ends a line and returns whether it ends an event. */
-    private boolean endLine() {
-        int length = mLine.length();
-        if (length > 0 && mLine.charAt(length - 1) == '\r') {
-            mLine.setLength(length - 1);
+    /** Returns whether a byte belongs to the byte order mark at the beginning of a response. */
+    private boolean isPartOfMark(byte next) {
+        if (mMarkBytes < 0 || mMarkBytes == BYTE_ORDER_MARK.length) {
+            mMarkBytes = -1;
+            return false;
+        }
+        if ((next & 0xff) == BYTE_ORDER_MARK[mMarkBytes]) {
+            mMarkBytes++;
+            if (mMarkBytes == BYTE_ORDER_MARK.length && !mContinues) {
+                writeMark(BYTE_ORDER_MARK.length);
+            }
+            return true;
+        }
+        writeMark(mMarkBytes);
+        for (int i = 0; i < mMarkBytes; i++) {
+            mLine.append((char) BYTE_ORDER_MARK[i]);
+        }
+        mMarkBytes = -1;
+        return false;
+    }
+
+    private void writeMark(int length) {
+        for (int i = 0; i < length; i++) {
+            mPartialEvent.write(BYTE_ORDER_MARK[i]);
         }
+    }
+
+    private void add(byte next, ByteArrayOutputStream complete) {
+        boolean endsPair = next == '\n' && mAfterCarriageReturn;
+        mAfterCarriageReturn = next == '\r';
+        if (endsPair && mPartialEvent.size() == 0) {
+            // The carriage return has ended the event already.
+            complete.write(next);
+            return;
+        }
+        mPartialEvent.write(next);
+        if (endsPair) {
+            return;
+        }
+        if (next != '\n' && next != '\r') {
+            mLine.append((char) (next & 0xff));
+        } else if (endLine()) {
+            complete.writeBytes(mPartialEvent.toByteArray());
+            mPartialEvent.reset();
+            mContinues = true;
+        }
+    }
+
+    /** Ends a line and returns whether it is the empty one after an event or after comments. */
+    private boolean endLine() {
         String line = mLine.toString();
         mLine.setLength(0);
-        if (line.startsWith(ID_FIELD)) {
-            mPendingEventId = Optional.of(line.substring(ID_FIELD.length()).strip());
+        if (line.isEmpty()) {
+            endEvent();
+            return true;
         }
-        if (!line.isEmpty()) {
-            return false;
+        int colon = line.indexOf(':');
+        if (colon != 0) {
+            mInsideEvent = true;
+            if (line.startsWith(ID_FIELD)) {
+                mPendingEventId = Optional.of(line.substring(colon + 1).strip());
+            }
+        }
+        return false;
+    }
+
+    private void endEvent() {
+        if (mInsideEvent) {
+            mEvents++;
         }
-        mEvents++;
         mLastEventId = mPendingEventId.or(() -> mLastEventId);
         mPendingEventId = Optional.empty();
-        return true;
+        mInsideEvent = false;
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/EventFramerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/EventFramerTest.java
@@ -1,11 +1,16 @@
 package org.cyclamenpaddle.relay.retry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests that {@link EventFramer} returns complete events only. */
@@ -54,14 +59,82 @@
         byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
         Random random = new Random(3);
         EventFramer framer = new EventFramer(Optional.empty());
-        java.io.ByteArrayOutputStream received = new java.io.ByteArrayOutputStream();
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
         for (int at = 0; at < bytes.length; ) {
             int end = Math.min(bytes.length, at + 1 + random.nextInt(20));
-            received.writeBytes(framer.offer(java.util.Arrays.copyOfRange(bytes, at, end)));
+            received.writeBytes(framer.offer(Arrays.copyOfRange(bytes, at, end)));
             at = end;
         }
         received.writeBytes(framer.takePartialEvent());
         assertEquals(received.toByteArray(), bytes);
         assertEquals(framer.lastEventId(), Optional.of("49"));
     }
+
+    @DataProvider
+    public Object[][] wholeStreams() {
+        return new Object[][] {
+            {"id: 1\ndata: a\n\n", "1", 1},
+            {"id: 1\r\ndata: a\r\n\r\n", "1", 1},
+            {"id: 1\rdata: a\r\r", "1", 1},
+            {"id: 1\rdata: a\r\rid: 2\rdata: b\r\r", "2", 2},
+            {"\u00ef\u00bb\u00bfid: 1\ndata: a\n\n", "1", 1},
+            {"\u00ef\u00bb\u00bf", "none", 0},
+            {"id: 1\n\n: the end\n", "1", 1},
+            {": begin\n\nid: 1\ndata: a\n\n: the end\n\n", "1", 1},
+            {"", "none", 0},
+        };
+    }
+
+    /** A whole stream in another of the forms of its format is taken for a truncated one. */
+    @Test(dataProvider = "wholeStreams")
+    public void wholeStreamIsNotInsideAnEvent(String stream, String lastId, int events) {
+        byte[] bytes = stream.getBytes(StandardCharsets.ISO_8859_1);
+        for (int length = 1; length <= Math.max(1, bytes.length); length++) {
+            EventFramer framer = new EventFramer(Optional.empty());
+            ByteArrayOutputStream received = new ByteArrayOutputStream();
+            for (int at = 0; at < bytes.length; at += length) {
+                int end = Math.min(bytes.length, at + length);
+                received.writeBytes(framer.offer(Arrays.copyOfRange(bytes, at, end)));
+            }
+            assertFalse(framer.isInsideEvent(), stream);
+            assertEquals(framer.lastEventId().orElse("none"), lastId);
+            assertEquals(framer.events(), events);
+            received.writeBytes(framer.takePartialEvent());
+            assertEquals(received.toByteArray(), bytes);
+        }
+    }
+
+    @DataProvider
+    public Object[][] truncatedStreams() {
+        return new Object[][] {
+            {"id: 1\ndata: a\n\nid"},
+            {"id: 1\ndata: a\n\ndata"},
+            {"id: 1\ndata: a\n"},
+            {"id: 1\r\ndata: a\r\n"},
+            {"id: 1\rdata: a\r"},
+            {"id: 1\n\n: half a comm"},
+            {"\u00ef\u00bb"},
+            {"\u00ef\u00bbid: 1\n"},
+        };
+    }
+
+    /** A stream that ends before the empty line after an event is taken for a whole one. */
+    @Test(dataProvider = "truncatedStreams")
+    public void truncatedStreamIsInsideAnEvent(String stream) {
+        EventFramer framer = new EventFramer(Optional.empty());
+        framer.offer(stream.getBytes(StandardCharsets.ISO_8859_1));
+        assertTrue(framer.isInsideEvent());
+        framer.discardPartialEvent();
+        assertFalse(framer.isInsideEvent());
+    }
+
+    /** The mark that begins the second server's response gets between two events. */
+    @Test
+    public void byteOrderMarkOfAContinuationIsDropped() {
+        EventFramer framer = new EventFramer(Optional.empty());
+        offer(framer, "\ufeffid: 1\ndata: a\n\nid: 2\nda");
+        framer.discardPartialEvent();
+        assertEquals(offer(framer, "\ufeffid: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+        assertEquals(framer.lastEventId(), Optional.of("2"));
+    }
 }
--- a/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/EngineFailures.java
+++ b/cyclamenpaddle-router/src/main/java/org/cyclamenpaddle/router/request/EngineFailures.java
@@ -36,6 +36,9 @@
         if (failure instanceof EngineFailure.Unreachable unreachable) {
             return unreachable.connected() ? StepFailure.BROKEN : StepFailure.UNREACHABLE;
         }
+        if (failure instanceof EngineFailure.Truncated) {
+            return StepFailure.BROKEN;
+        }
         return failure instanceof EngineFailure.TimedOut
                 ? StepFailure.TIMED_OUT
                 : StepFailure.PROTOCOL;
