Leave out the length of a stream that another server may resume

What callers saw: a resumed stream that is cut at the length of its first response, which then looks complete. Found by the tests of streams that end inside an event.

Cause: the head of the first server's response is forwarded with its Content-Length, although the stream is completed by another server with another length.

Change: the head of an event stream is forwarded without a length; such streams are sent in chunks.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -1,9 +1,10 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.common.stream.AbortedStreamException;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
@@ -291,8 +292,12 @@
             return;
         }
         mRetryPolicy.beginForwarding();
-        ResponseHeaders headers = HopByHopHeaders.strip(mHead.headers());
+        ResponseHeadersBuilder headers = HopByHopHeaders.strip(mHead.headers()).toBuilder();
+        if (mEventStream) {
+            // Another server may resume the stream and complete it with another length.
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
         mStatus = headers.status().code();
-        mWriter.tryWrite(mRetryAfter.closeIfStopping(headers.toBuilder()).build());
+        mWriter.tryWrite(mRetryAfter.closeIfStopping(headers).build());
     }
 }
