Detect and log that a host has lost its paths to the servers of a service

Cause of this change: CP2108 and CP2205 blame each server, and "no engine has room" hides that no engine was reached, so that a host that is cut off cannot be told from dead servers.

CP2119 and CP2120 log when a host loses a service and has it back. A generation for which no engine was reached is logged as such. What callers get is unchanged.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -20,5 +20,6 @@
     PERMIT_OWNERS,
     PERMITS,
     DEMAND,
-    CALLERS
+    CALLERS,
+    REACHABILITY
 }
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ConnectCheck.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ConnectCheck.java
@@ -29,6 +29,7 @@
         NO_RESPONSE
     }
 
+    /** Timeout of a check, in milliseconds, unless it sets one. */
     private static final int TIMEOUT_MILLIS = 300;
 
     private ConnectCheck() {}
@@ -42,11 +43,25 @@
      * @return completes on the event loop, never exceptionally
      */
     public static CompletableFuture<Result> start(EventLoop loop, String address, int port) {
+        return start(loop, address, port, TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Starts a check.
+     *
+     * @param loop event loop of the connection
+     * @param address IP address
+     * @param port TCP port
+     * @param timeoutMillis time after which there is no response
+     * @return completes on the event loop, never exceptionally
+     */
+    public static CompletableFuture<Result> start(
+            EventLoop loop, String address, int port, int timeoutMillis) {
         CompletableFuture<Result> result = new CompletableFuture<>();
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TIMEOUT_MILLIS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .handler(new ChannelInboundHandlerAdapter())
                 .connect(address, port)
                 .addListener(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -41,6 +41,7 @@
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
 import org.cyclamenpaddle.relay.front.StartupGate;
+import org.cyclamenpaddle.relay.handover.ReachabilityMonitor;
 import org.cyclamenpaddle.relay.host.HostEntry;
 import org.cyclamenpaddle.relay.host.HostRegistry;
 import org.cyclamenpaddle.relay.host.LiveHost;
@@ -113,6 +114,7 @@
     private final PlatformAdapter mAdapter;
     private final GracefulShutdown mShutdown;
     private volatile Optional<HostRegistry> mHosts = Optional.empty();
+    private final ReachabilityMonitor mReachability;
     private final Server mCallerServer;
     private final Server mCheckServer;
 
@@ -154,6 +156,8 @@
                         mClock,
                         mStartupGate,
                         this::logReady);
+        mReachability = reachabilityMonitor(settings.host());
+        mRegistry.onSendFailed(mReachability::requestFailed);
         RelaySettings.Retry retry = settings.retry();
         mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
         mCalls =
@@ -192,6 +196,17 @@
         registerGauges(bytes);
     }
 
+    private ReachabilityMonitor reachabilityMonitor(RelaySettings.Host host) {
+        return new ReachabilityMonitor(
+                mRegistry,
+                host.domain(),
+                ReachabilityMonitor.connecting(),
+                mLog,
+                mScheduler,
+                mClock,
+                mRandom);
+    }
+
     private QuotaController quotaController(RelaySettings settings) {
         return new QuotaController(
                 new PeerAddress(
@@ -220,6 +235,7 @@
         return Try.run(
                 () -> {
                     startFollowers(mQuotas.start().get());
+                    mReachability.start();
                     mCallerServer.start().join();
                     mCheckServer.start().join();
                     mScheduler.schedule(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
@@ -28,6 +30,7 @@
     private final CostSettings mCosts;
     private final DoubleSupplier mRandom;
     private final BackendDirectives mDirectives;
+    private volatile Consumer<Backend> mSendFailed = backend -> {};
     private final Table<RegistryState> mTable =
             new Table<>(TableOrder.BACKENDS, new RegistryState());
 
@@ -45,6 +48,11 @@
         mDirectives = new BackendDirectives(mTable, random);
     }
 
+    /** Sets what is notified of each send that did not reach its server or got no response. */
+    public void onSendFailed(Consumer<Backend> listener) {
+        mSendFailed = listener;
+    }
+
     /** Returns what the servers ask of their callers. */
     public BackendDirectives directives() {
         return mDirectives;
@@ -69,6 +77,17 @@
         return mTable.read(state -> state.staying(service).toList());
     }
 
+    /** Returns the servers of each service that are not about to shut down. */
+    public Map<ServiceName, List<Backend>> usableByService() {
+        return mTable.read(
+                state ->
+                        state.directory().services().stream()
+                                .collect(
+                                        Collectors.toMap(
+                                                service -> service,
+                                                service -> state.staying(service).toList())));
+    }
+
     /** Returns whether a server has announced its shutdown, in the store or in a response. */
     public boolean isLeaving(Backend backend) {
         return mTable.read(
@@ -259,6 +278,9 @@
             boolean prefillDone,
             SendOutcome outcome,
             long nowMillis) {
+        if (outcome.serverSuspect() || outcome == SendOutcome.SILENT) {
+            mSendFailed.accept(backend);
+        }
         return mTable.read(
                 state -> {
                     BackendState backendState = state.stateOf(backend);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -181,10 +181,13 @@
     }
 
     private void reserved(Optional<ReservationSearch.Placement> found, long timeoutMillis) {
-        mSearch.flatMap(BackendSearch::inputs).ifPresent(mSearched);
+        Optional<SearchInputs> inputs = mSearch.flatMap(BackendSearch::inputs);
+        inputs.ifPresent(mSearched);
         mSearch = Optional.empty();
         if (found.isEmpty()) {
-            mListener.notPlaced(reason("no engine has room"));
+            boolean reachedNone = inputs.map(SearchInputs::reachedNone).orElse(false);
+            mListener.notPlaced(
+                    reason(reachedNone ? "no engine was reached" : "no engine has room"));
             return;
         }
         long now = mRelay.clock().millis();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -48,6 +48,7 @@
     private final GrowthCapacity mGrowthCapacity;
     private Optional<Backend> mPending = Optional.empty();
     private int mRejects;
+    private int mUnreached;
     private boolean mPermitRequested;
     private boolean mClosed;
 
@@ -140,7 +141,10 @@
     public Optional<SearchInputs> inputs() {
         return Optional.of(
                 new SearchInputs(
-                        mReservationWait.waitMillis(), mRejects, mGrowthCapacity.urgentTokens()));
+                        mReservationWait.waitMillis(),
+                        mRejects,
+                        mGrowthCapacity.urgentTokens(),
+                        mUnreached));
     }
 
     private void findAgain() {
@@ -206,6 +210,7 @@
             mReservePacing.rejected();
             mRejects++;
         } else {
+            mUnreached++;
             mAvoid.add(engine.id());
             mRelay.log().log(
                     RelayEvent.RESERVATION_FAILED,
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/package-info.java
@@ -0,0 +1,2 @@
+/** Detection of lost paths to backend servers. */
+package org.cyclamenpaddle.relay.handover;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -64,6 +64,16 @@
             "request quarantined",
             List.of("fingerprint", "servers", "source", "millis")),
     QUARANTINE_ENDED(2118, Priority.STATE, "quarantine ended", List.of("fingerprint", "reason")),
+    HOST_CUT_OFF(
+            2119,
+            Priority.STATE,
+            "host cut off from a service",
+            List.of("service", "servers", "unreached", "cutOff")),
+    HOST_REACHES_SERVICE(
+            2120,
+            Priority.STATE,
+            "host reaches a service again",
+            List.of("service", "cutOffMillis")),
     LEASE_CHANGED(2109, Priority.STATE, "lease on orders changed", List.of("holder", "reason")),
     ORDER_ENDED(
             2110,
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about which backend servers a host has a network path to. */
+package org.cyclamenpaddle.routing.connectivity;
