Hand the requests of a host without paths to hosts that reach the servers

Cause: a request could only be served by a host with a path of its own. A host took its own cut for dead servers, sent to all of them again and refused. Class of fault: a failure of the host that is attributed to its peers.

Change: a host that has lost its paths to the servers of a service hands its requests, once and with what is left of their time and attempts, over HTTP to a host that reaches the service (HandoverPhase, HandoverService, HelperDirectory). The other host refuses at once if it does not reach the service either, is busy, stopping or outdated, or does not find the sender in the store. The API key stays on its host. The setting listen.requests names the address; without it a host takes none. The ejections of servers end when their host reaches the service again.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -21,5 +21,6 @@
     PERMITS,
     DEMAND,
     CALLERS,
-    REACHABILITY
+    REACHABILITY,
+    HELPERS
 }
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -32,6 +32,10 @@
 public final class BackendConnections implements AutoCloseable {
 
     private static final long CONNECT_TIMEOUT_MILLIS = 300;
+
+    /** Hosts are asked one after the other while a caller waits. */
+    private static final long HOST_CONNECT_TIMEOUT_MILLIS = 150;
+
     private static final long KEEP_ALIVE_IDLE_MILLIS = 10_000;
     private static final long MAX_RESPONSE_BYTES = 16L << 20;
 
@@ -54,6 +58,9 @@
                     .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ResetWatch::watch)
                     .build();
 
+    /** Created when a request is handed over first, since it costs processor time. */
+    private ClientFactory mHosts;
+
     // Building a client costs more processor time than sending a call with it.
     private final Map<Target, WebClient> mClients = new ConcurrentHashMap<>();
 
@@ -111,8 +118,35 @@
                 target -> build(target, keepAlive ? mKeepAlive : mSingleUse));
     }
 
+    /**
+     * Returns a client that opens a new connection to another host for each call.
+     *
+     * @param address IP address of the host; calls have no timeout unless they set one
+     * @param port its TCP port
+     */
+    public WebClient hostClient(String address, int port) {
+        return build(new Target(address, port, false), hosts());
+    }
+
+    private synchronized ClientFactory hosts() {
+        if (mHosts == null) {
+            mHosts =
+                    CleartextClients.factory()
+                            .connectTimeoutMillis(HOST_CONNECT_TIMEOUT_MILLIS)
+                            .maxNumRequestsPerConnection(1)
+                            .option(
+                                    ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                                    ResetWatch::watch)
+                            .build();
+        }
+        return mHosts;
+    }
+
     @Override
-    public void close() {
+    public synchronized void close() {
+        if (mHosts != null) {
+            mHosts.close();
+        }
         mSingleUse.close();
         mKeepAlive.close();
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
+import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
@@ -37,10 +38,13 @@
 import org.cyclamenpaddle.relay.front.BackendCalls;
 import org.cyclamenpaddle.relay.front.BackendPermits;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
+import org.cyclamenpaddle.relay.front.HandoverService;
 import org.cyclamenpaddle.relay.front.RelayContext;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
 import org.cyclamenpaddle.relay.front.StartupGate;
+import org.cyclamenpaddle.relay.handover.Helper;
+import org.cyclamenpaddle.relay.handover.HelperDirectory;
 import org.cyclamenpaddle.relay.handover.ReachabilityMonitor;
 import org.cyclamenpaddle.relay.host.HostEntry;
 import org.cyclamenpaddle.relay.host.HostRegistry;
@@ -114,8 +118,10 @@
     private final PlatformAdapter mAdapter;
     private final GracefulShutdown mShutdown;
     private volatile Optional<HostRegistry> mHosts = Optional.empty();
+    private final HelperDirectory mHelpers;
     private final ReachabilityMonitor mReachability;
     private final Server mCallerServer;
+    private final Optional<Server> mHandoverServer;
     private final Server mCheckServer;
 
     /**
@@ -156,14 +162,15 @@
                         mClock,
                         mStartupGate,
                         this::logReady);
-        mReachability = reachabilityMonitor(settings.host());
-        mRegistry.onSendFailed(mReachability::requestFailed);
         RelaySettings.Retry retry = settings.retry();
         mBudget = new SharedRetryBudget(retry.share(), retry.slack(), retry.windowMillis(), mClock);
         mCalls =
                 new BackendCalls(
                         mConnections, mRegistry, adapter.backendMessages(), mLog, mMetrics, mClock);
         ByteAccount bytes = new ByteAccount(settings.bytes());
+        mHelpers = helperDirectory(settings.host());
+        mReachability = reachabilityMonitor(settings.host());
+        mRegistry.onSendFailed(mReachability::requestFailed);
         RelayContext relay =
                 new RelayContext(
                         mRegistry,
@@ -175,6 +182,8 @@
                         bytes,
                         mCrashes,
                         mQuarantine,
+                        mReachability,
+                        mHelpers,
                         mCalls,
                         adapter.backendMessages(),
                         adapter.engineMessages(),
@@ -192,10 +201,16 @@
                         mStartupGate,
                         mQuotas.quotas());
         mCallerServer = callerServer();
+        mHandoverServer = handoverServer(relay);
         mCheckServer = checkServer();
         registerGauges(bytes);
     }
 
+    private HelperDirectory helperDirectory(RelaySettings.Host host) {
+        return new HelperDirectory(
+                new HostId(host.name()), new FailureDomain(host.domain()), mClock, mRandom);
+    }
+
     private ReachabilityMonitor reachabilityMonitor(RelaySettings.Host host) {
         return new ReachabilityMonitor(
                 mRegistry,
@@ -234,7 +249,9 @@
     public Try<Void> start() {
         return Try.run(
                 () -> {
-                    startFollowers(mQuotas.start().get());
+                    PeerAddress self = mQuotas.start().get();
+                    mHandoverServer.ifPresent(server -> server.start().join());
+                    startFollowers(self);
                     mReachability.start();
                     mCallerServer.start().join();
                     mCheckServer.start().join();
@@ -295,6 +312,7 @@
     @Override
     public void close() {
         CompletableFuture.allOf(mCheckServer.stop(), mCallerServer.stop()).join();
+        mHandoverServer.ifPresent(server -> server.stop().join());
         mScheduler.shutdownNow();
         mQuotas.close();
         mConnections.close();
@@ -331,6 +349,7 @@
                                 heartbeat,
                                 Optional.of(self.domain()),
                                 Optional.of(self.endpoint()),
+                                requestEndpoint(),
                                 mQuarantine.record()),
                 mAdapter.hosts(),
                 earlier -> mQuarantine.recordRead(earlier.quarantined()),
@@ -349,6 +368,37 @@
         hosts.forEach(host -> mQuarantine.recordRead(host.entry().quarantined()));
         mBudget.updateHostCount(hosts.size());
         mQuotas.updateHosts(hosts.stream().flatMap(RelayProcess::peer).toList());
+        mHelpers.update(hosts.stream().flatMap(RelayProcess::helper).toList());
+    }
+
+    /** Returns where other hosts reach this one to hand over requests. */
+    private Optional<Endpoint> requestEndpoint() {
+        return mHandoverServer.flatMap(
+                server ->
+                        mSettings
+                                .listen()
+                                .requests()
+                                .map(
+                                        listen ->
+                                                new Endpoint(
+                                                        listen.address(),
+                                                        BoundPorts.of(server, listen))));
+    }
+
+    private static Stream<Helper> helper(LiveHost host) {
+        HostEntry entry = host.entry();
+        return entry
+                .domain()
+                .flatMap(
+                        domain ->
+                                entry.requests()
+                                        .map(
+                                                requests ->
+                                                        new Helper(
+                                                                new HostId(host.name()),
+                                                                domain,
+                                                                requests)))
+                .stream();
     }
 
     /** Hosts of an older build have no address for messages; they share no quotas. */
@@ -398,9 +448,18 @@
                 mRandom);
     }
 
+    private Optional<Server> handoverServer(RelayContext relay) {
+        HandoverService service = new HandoverService(relay, mService);
+        return mSettings.listen().requests().map(listen -> requestServer(listen, service));
+    }
+
     private Server callerServer() {
+        return requestServer(mSettings.listen().callers(), mService);
+    }
+
+    private static Server requestServer(Endpoint listen, HttpService service) {
         return Server.builder()
-                .http(address(mSettings.listen().callers()))
+                .http(address(listen))
                 .requestTimeout(Duration.ZERO)
                 .idleTimeoutMillis(CALLER_IDLE_MILLIS)
                 .maxRequestLength(MAX_BODY_BYTES)
@@ -411,7 +470,7 @@
                 .defaultHostname(LOCAL_NAME)
                 .disableServerHeader()
                 .disableDateHeader()
-                .serviceUnder("/", mService)
+                .serviceUnder("/", service)
                 .build();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
@@ -65,16 +64,14 @@
         }
     }
 
-    /** Returns the services that have servers. */
-    public Set<ServiceName> services() {
-        return mEntries.values().stream().map(Backend::service).collect(Collectors.toSet());
+    /** Returns the servers that accept new requests. */
+    public Stream<Backend> usable() {
+        return mEntries.values().stream().filter(backend -> !backend.draining());
     }
 
     /** Returns the servers of a service that accept new requests. */
     public Stream<Backend> usable(ServiceName service) {
-        return mEntries.values().stream()
-                .filter(backend -> backend.service().equals(service))
-                .filter(backend -> !backend.draining());
+        return usable().filter(backend -> backend.service().equals(service));
     }
 
     /**
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -80,12 +80,19 @@
     /** Returns the servers of each service that are not about to shut down. */
     public Map<ServiceName, List<Backend>> usableByService() {
         return mTable.read(
+                state -> state.staying().collect(Collectors.groupingBy(Backend::service)));
+    }
+
+    /** Ends the ejections of the servers of a service to which this host had lost its paths. */
+    public void recordReachable(ServiceName service) {
+        mTable.write(
                 state ->
-                        state.directory().services().stream()
-                                .collect(
-                                        Collectors.toMap(
-                                                service -> service,
-                                                service -> state.staying(service).toList())));
+                        state.staying(service)
+                                .forEach(
+                                        backend -> {
+                                            state.stateOf(backend).health().recordAlive();
+                                            state.connectivity(backend).recordResponse();
+                                        }));
     }
 
     /** Returns whether a server has announced its shutdown, in the store or in a response. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
@@ -32,10 +32,12 @@
         return stateOf(backend).directives().acceptsWork(nowMillis);
     }
 
+    Stream<Backend> staying() {
+        return mDirectory.usable().filter(backend -> !stateOf(backend).directives().leaving());
+    }
+
     Stream<Backend> staying(ServiceName service) {
-        return mDirectory
-                .usable(service)
-                .filter(backend -> !stateOf(backend).directives().leaving());
+        return staying().filter(backend -> backend.service().equals(service));
     }
 
     /** Returns whether what the server asks of its callers leaves room for a request. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -228,6 +228,7 @@
     @Override
     public void complete(ResponseEnd end) {
         ResponseEnd judged = mResponse.ended(end);
+        mRelay.metrics().recordResponseEnd(judged);
         if (!judged.complete()) {
             failed(SendOutcome.UNKNOWN, new TruncatedResponseException(judged));
             return;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.common.stream.AbortedStreamException;
 import java.io.ByteArrayOutputStream;
@@ -176,7 +177,6 @@
      */
     ResponseEnd ended(ResponseEnd framed) {
         mEnd = mEventStream ? endOfStream(framed) : framed;
-        mRelay.metrics().recordResponseEnd(mEnd);
         return mEnd;
     }
 
@@ -237,6 +237,14 @@
         mWriter.close();
     }
 
+    /** Passes on the refusal of a host to which the request was handed. */
+    void passRefusal(ResponseHeaders head) {
+        mStatus = head.status().code();
+        mWriter.tryWrite(
+                mRetryAfter.closeIfStopping(HopByHopHeaders.strip(head).toBuilder()).build());
+        mWriter.close();
+    }
+
     /** Returns the id of the last complete event that the caller was sent or already had. */
     Optional<String> lastEventId() {
         return mTail.lastEventId();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CrashGuard.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CrashGuard.java
@@ -7,6 +7,7 @@
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.crash.LostConnection;
 import org.cyclamenpaddle.relay.crash.RequestFingerprint;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
 
 /**
  * Connects one request with what is known of the servers that ended under it.
@@ -88,10 +89,29 @@
         }
     }
 
+    private long computeFingerprint() {
+        return RequestFingerprint.of(mRequest.caller(), mRequest.body());
+    }
+
+    /**
+     * Returns the fingerprint for a host that the request is handed to; empty without an API key,
+     * when that host computes the same one.
+     */
+    OptionalLong fingerprintToHandOver() {
+        return mRequest.caller().key().isPresent()
+                ? OptionalLong.of(fingerprint())
+                : OptionalLong.empty();
+    }
+
     private long fingerprint() {
         if (mFingerprint.isEmpty()) {
             mFingerprint =
-                    OptionalLong.of(RequestFingerprint.of(mRequest.caller(), mRequest.body()));
+                    OptionalLong.of(
+                            mRequest.handover()
+                                    .map(HandoverTerms::fingerprint)
+                                    .filter(OptionalLong::isPresent)
+                                    .map(OptionalLong::getAsLong)
+                                    .orElseGet(this::computeFingerprint));
         }
         return mFingerprint.getAsLong();
     }
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -0,0 +1,152 @@
+package org.cyclamenpaddle.relay.front;
+
+import com.linecorp.armeria.common.ResponseHeaders;
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.handover.HandoverEvent;
+import org.cyclamenpaddle.relay.handover.HandoverHeaders;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
+import org.cyclamenpaddle.relay.handover.Helper;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.routing.handover.HandoverRefusal;
+
+/**
+ * Hands one request to other hosts, one at a time, while this host has no path to the servers of
+ * its service.
+ *
+ * <p>A request that another host has handed over is never handed on. Runs on the event loop of the
+ * caller's connection.
+ */
+final class HandoverPhase {
+
+    /** Notified of the end of each attempt, unless it was cancelled. */
+    interface Listener {
+
+        /** Called when a server has responded, or the connection to the host failed. */
+        void ended(SendOutcome outcome, String cause);
+
+        /** Called when a host has ended the request without a server's response. */
+        void replied(Helper helper, ResponseHeaders head);
+    }
+
+    private final RelayContext mRelay;
+    private final RelayRequest mRequest;
+    private final EventLoop mLoop;
+    private final CallerResponse mResponse;
+    private final Listener mListener;
+    private final Set<HostId> mAsked = new HashSet<>();
+    private Optional<HandoverAttempt> mAttempt = Optional.empty();
+    private boolean mRun;
+
+    HandoverPhase(
+            RelayContext relay,
+            RelayRequest request,
+            EventLoop loop,
+            CallerResponse response,
+            Listener listener) {
+        mRelay = relay;
+        mRequest = request;
+        mLoop = loop;
+        mResponse = response;
+        mListener = listener;
+    }
+
+    /** Returns whether only another host can run the request now. */
+    boolean isRequired() {
+        return mRequest.handover().isEmpty()
+                && mRelay.reachability().isCutOff(mRequest.service())
+                && mRelay.helpers().hasHelpers();
+    }
+
+    /** Returns the host that the request is to be sent to; empty if none is left. */
+    Optional<Helper> choose() {
+        Optional<Helper> helper = mRelay.helpers().choose(mRequest.service(), mAsked);
+        if (helper.isEmpty()) {
+            mRelay.metrics().recordHandover(HandoverEvent.NO_HOST);
+        }
+        return helper;
+    }
+
+    /** Sends the request to a host, which may use all attempts that are left. */
+    void send(Helper helper, HandoverTerms terms) {
+        mAsked.add(helper.host());
+        mRelay.metrics().recordHandover(HandoverEvent.HANDED_OVER);
+        mRelay.log().log(
+                RelayEvent.REQUEST_HANDED_OVER,
+                mRequest.caller().id(),
+                mRequest.route().name(),
+                mRequest.service(),
+                helper.host(),
+                mAsked.size());
+        HandoverAttempt attempt =
+                new HandoverAttempt(
+                        mRelay,
+                        mRequest,
+                        helper,
+                        terms,
+                        mResponse,
+                        new HandoverAttempt.EndListener() {
+                            @Override
+                            public void ended(SendOutcome outcome, String cause) {
+                                mAttempt = Optional.empty();
+                                mRun = outcome == SendOutcome.SUCCEEDED;
+                                mListener.ended(outcome, cause);
+                            }
+
+                            @Override
+                            public void declined(
+                                    HandoverRefusal refusal, Optional<ResponseHeaders> head) {
+                                mAttempt = Optional.empty();
+                                recordRefusal(helper, refusal, head);
+                                mListener.ended(
+                                        SendOutcome.WITHHELD,
+                                        "host " + helper.host() + " refused: " + refusal);
+                            }
+
+                            @Override
+                            public void replied(ResponseHeaders head) {
+                                mAttempt = Optional.empty();
+                                mListener.replied(helper, head);
+                            }
+                        });
+        mAttempt = Optional.of(attempt);
+        attempt.start(mLoop);
+    }
+
+    private void recordRefusal(
+            Helper helper, HandoverRefusal refusal, Optional<ResponseHeaders> head) {
+        mRelay.metrics().recordHandover(HandoverEvent.REFUSED);
+        mRelay.log().log(
+                RelayEvent.HANDOVER_REFUSED,
+                mRequest.caller().id(),
+                mRequest.service(),
+                helper.host(),
+                refusal);
+        mRelay.helpers()
+                .refused(
+                        helper,
+                        mRequest.service(),
+                        refusal,
+                        head.flatMap(HandoverHeaders::reaches));
+    }
+
+    /** Returns whether another host has run the request, which then measures its demand. */
+    boolean hasRun() {
+        return mRun;
+    }
+
+    /**
+     * Cancels the attempt in progress.
+     *
+     * @return how far it had come; empty if there is none
+     */
+    Optional<SendOutcome> cancel() {
+        Optional<SendOutcome> outcome = mAttempt.map(HandoverAttempt::cancel);
+        mAttempt = Optional.empty();
+        return outcome;
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -7,6 +7,8 @@
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
 import org.cyclamenpaddle.relay.crash.CrashDetector;
 import org.cyclamenpaddle.relay.crash.RequestQuarantine;
+import org.cyclamenpaddle.relay.handover.HelperDirectory;
+import org.cyclamenpaddle.relay.handover.ReachabilityMonitor;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
 import org.cyclamenpaddle.relay.role.DemandMeter;
@@ -27,6 +29,8 @@
  * @param bytes account of the bytes held for callers and backend servers
  * @param crashes detects backend servers that have ended
  * @param quarantine requests that end each server that runs them
+ * @param reachability whether this host reaches the servers of a service
+ * @param helpers other hosts that take over requests
  * @param calls calls to backend servers beside the requests of callers
  * @param backendMessages codec of requests to backend servers
  * @param engineMessages codec of calls about engine memory
@@ -45,6 +49,8 @@
         ByteAccount bytes,
         CrashDetector crashes,
         RequestQuarantine quarantine,
+        ReachabilityMonitor reachability,
+        HelperDirectory helpers,
         BackendCalls calls,
         BackendMessages backendMessages,
         EngineMessages engineMessages,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -5,8 +5,10 @@
 import java.util.OptionalInt;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
 import org.cyclamenpaddle.relay.retry.CallerReply;
+import org.cyclamenpaddle.relay.retry.RetryLimits;
 import org.cyclamenpaddle.relay.role.Demand;
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.route.EngineProfile;
@@ -29,6 +31,8 @@
  * @param urgency urgency among the routes of that service; no class is more urgent than another at
  *     a plain service
  * @param version version of the configuration used
+ * @param handover terms of the host that has handed the request over; empty for a caller of this
+ *     host
  */
 record RelayRequest(
         CallerRequest caller,
@@ -38,7 +42,8 @@
         Optional<Team> team,
         Optional<EngineProfile> engine,
         Urgency urgency,
-        long version) {
+        long version,
+        Optional<HandoverTerms> handover) {
 
     /**
      * Share of a plain route's target latency that is its retry delay: about the time until a call
@@ -59,7 +64,20 @@
                 admitted.team(),
                 engine,
                 engine.isPresent() ? configuration.urgency(service, priority) : Urgency.EQUAL,
-                configuration.version());
+                configuration.version(),
+                admitted.handover());
+    }
+
+    /** Returns whether a caller of this host has sent the request. */
+    boolean ofOwnCaller() {
+        return handover.isEmpty();
+    }
+
+    /** Returns the limits of its retries. */
+    RetryLimits retryLimits() {
+        RetryLimits limits =
+                RetryLimits.of(route, caller.callerTimeoutMillis().orElse(Long.MAX_VALUE));
+        return handover.map(terms -> limits.withAttempts(terms.attempts())).orElse(limits);
     }
 
     private static int priority(Optional<Team> team, Route route) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.quota.TeamQuotas;
 import org.cyclamenpaddle.relay.retry.CallerReply;
@@ -88,7 +89,23 @@
                         .thenApplyAsync(opened -> dispatch(context, request), context.eventLoop()));
     }
 
+    /** Returns whether the data to route requests is known. */
+    boolean isOpen() {
+        return mStartupGate.isOpen();
+    }
+
+    /** Returns the decision about requests by the configuration in force. */
+    RequestAdmission admission() {
+        return mAdmission;
+    }
+
+    /** Returns the id of a request; empty if it has none. */
+    Optional<String> requestId(RequestHeaders headers) {
+        return mMessages.request(headers).map(CallerRequest::id).toJavaOptional();
+    }
+
     private HttpResponse dispatch(ServiceRequestContext context, HttpRequest request) {
+        mRelay.helpers().recordOwn();
         RequestHeaders headers = HopByHopHeaders.strip(request.headers());
         return mAdmission
                 .admit(headers)
@@ -97,7 +114,8 @@
                         admitted -> run(context, request, admitted));
     }
 
-    private HttpResponse run(
+    /** Runs a request that was admitted, and returns the response to it. */
+    HttpResponse run(
             ServiceRequestContext context,
             HttpRequest request,
             RequestAdmission.Admitted admitted) {
@@ -174,7 +192,8 @@
             RequestBytes bytes,
             HttpResponseWriter writer) {
         Optional<TeamQuota> quota = admitted.team().flatMap(Team::quota);
-        if (quota.isEmpty()) {
+        // The host that the caller has sent the request to has taken its cost.
+        if (quota.isEmpty() || admitted.handover().isPresent()) {
             forward(context, body, admitted, bytes, writer, mayHaveRun -> {});
             return;
         }
@@ -233,7 +252,11 @@
             RequestBytes bytes,
             HttpResponseWriter writer,
             RequestEndListener endListener) {
-        ServiceName service = admitted.route().serviceFor(mRelay.random().getAsDouble());
+        ServiceName service =
+                admitted.handover()
+                        .map(HandoverTerms::service)
+                        .orElseGet(
+                                () -> admitted.route().serviceFor(mRelay.random().getAsDouble()));
         RelayRequest relayed = RelayRequest.of(admitted, body, service);
         RequestExchange exchange =
                 new RequestExchange(
@@ -276,7 +299,7 @@
         HttpStatus status = rejected.status();
         logRefusal(
                 headers,
-                mMessages.request(headers).map(CallerRequest::id).getOrElse(NONE),
+                requestId(headers).orElse(NONE),
                 rejected.team(),
                 status.code(),
                 rejected.reason());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
@@ -5,11 +5,13 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
+import org.cyclamenpaddle.routing.handover.HandoverRefusal;
 
 /** Matches a request to its route and its caller's team, or determines why it is refused. */
 final class RequestAdmission {
@@ -22,12 +24,15 @@
      * @param caller decoded request
      * @param team team of the caller; empty on a public route without a known key, and in a
      *     configuration without teams
+     * @param handover terms of another host that has handed the request over; empty for a request
+     *     of a caller of this host
      */
     record Admitted(
             RelayConfiguration configuration,
             Route route,
             CallerRequest caller,
-            Optional<Team> team) {}
+            Optional<Team> team,
+            Optional<HandoverTerms> handover) {}
 
     /**
      * A request that is refused.
@@ -87,7 +92,49 @@
                             "host is stopping",
                             team.map(Team::name)));
         }
-        return Either.right(new Admitted(configuration, route.get(), caller, team));
+        return Either.right(
+                new Admitted(configuration, route.get(), caller, team, Optional.empty()));
+    }
+
+    /**
+     * Decides about a request that another host has admitted.
+     *
+     * <p>This host applies its own configuration, which must not be older: a request must not be
+     * treated as only an older version allows. A newer one may have moved the route, and the
+     * request then goes back.
+     *
+     * @param headers request headers as forwarded to backend servers
+     */
+    Either<HandoverRefusal, Admitted> admitHandedOver(RequestHeaders headers, HandoverTerms terms) {
+        Optional<RelayConfiguration> inForce = mConfiguration.inForce();
+        Optional<Route> route =
+                inForce.flatMap(
+                        configuration -> configuration.find(authority(headers), headers.path()));
+        Optional<CallerRequest> caller = mMessages.request(headers).toJavaOptional();
+        Optional<Team> team =
+                terms.team()
+                        .flatMap(
+                                name ->
+                                        inForce.flatMap(
+                                                configuration -> configuration.teams().find(name)));
+        boolean fits =
+                route.map(known -> known.hasService(terms.service())).orElse(false)
+                        && caller.isPresent()
+                        && inForce.get().version() >= terms.version()
+                        && team.isPresent() == terms.team().isPresent();
+        if (!fits) {
+            return Either.left(HandoverRefusal.OUTDATED);
+        }
+        if (!mDrainState.accepts(route.get().kind().streams())) {
+            return Either.left(HandoverRefusal.STOPPING);
+        }
+        return Either.right(
+                new Admitted(
+                        inForce.get(),
+                        route.get(),
+                        caller.get().with(terms.timeoutMillis(), terms.resumeAfter()),
+                        team,
+                        Optional.of(terms)));
     }
 
     static String authority(RequestHeaders headers) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
@@ -8,13 +9,16 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
+import org.cyclamenpaddle.relay.handover.Helper;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
-import org.cyclamenpaddle.relay.retry.RetryLimits;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.wire.BackendCall;
@@ -37,6 +41,7 @@
     private final RetryPolicy mRetryPolicy;
     private final RequestLog mRequestLog;
     private final CrashGuard mCrashGuard;
+    private final HandoverPhase mHandover;
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mTimeout;
@@ -46,6 +51,7 @@
     private Optional<Backend> mFailedPrefillEngine = Optional.empty();
     private OptionalLong mReservedMillis = OptionalLong.empty();
     private boolean mReserving;
+    private boolean mCounted;
     private boolean mEnded;
 
     RequestExchange(
@@ -63,19 +69,46 @@
         mEndListener = endListener;
         mCrashGuard = new CrashGuard(relay, request, loop);
         mStartMillis = relay.clock().millis();
-        long callerTimeoutMillis = request.caller().callerTimeoutMillis().orElse(Long.MAX_VALUE);
-        mRetryPolicy =
-                new RetryPolicy(RetryLimits.of(request.route(), callerTimeoutMillis), mStartMillis);
+        mRetryPolicy = new RetryPolicy(request.retryLimits(), mStartMillis);
         mResponse = new CallerResponse(relay, writer, request, bytes, retryAfter, mRetryPolicy);
         mRequestLog = new RequestLog(relay, request, mRetryPolicy, mResponse, mStartMillis);
+        mHandover = new HandoverPhase(relay, request, loop, mResponse, new HandoverListener());
+    }
+
+    private final class HandoverListener implements HandoverPhase.Listener {
+
+        @Override
+        public void ended(SendOutcome outcome, String cause) {
+            // A host that has refused has sent nothing to a server. Any other may have used all
+            // attempts of the request.
+            retryOrFail(
+                    outcome,
+                    cause,
+                    outcome::unsent,
+                    decision -> mRequestLog.handoverEnded(outcome, cause, decision));
+        }
+
+        @Override
+        public void replied(Helper helper, ResponseHeaders head) {
+            boolean notRun = CallerReply.isNotRun(head.status().code());
+            SendOutcome outcome = notRun ? SendOutcome.REJECTED : SendOutcome.UNKNOWN;
+            mRetryPolicy.endSend(outcome, mRelay.clock().millis(), () -> false);
+            fail(outcome, "refused by host " + helper.host(), Optional.of(head));
+        }
     }
 
     void start() {
-        mRelay.budget().recordRequest(mRequest.service());
+        boolean handOver = mHandover.isRequired();
+        boolean counted = mRequest.handover().map(HandoverTerms::counted).orElse(false);
+        // The host that sends a request to servers counts it.
+        if (!handOver && !counted) {
+            mRelay.budget().recordRequest(mRequest.service());
+            mCounted = true;
+        }
         long remainingMillis = mRetryPolicy.remainingMillis(mStartMillis);
         mTimeout = mLoop.schedule(this::timeOut, remainingMillis, TimeUnit.MILLISECONDS);
         // A request that is refused in any case is no demand for engines.
-        if (mRequest.engine().isPresent() && mCrashGuard.mayRun()) {
+        if (mRequest.engine().isPresent() && !handOver && mCrashGuard.mayRun()) {
             mRelay.demand().recordStart(mRequest.service(), mRequest.caller().size());
         }
         selectBackend();
@@ -87,7 +120,10 @@
             return;
         }
         mAttempt.map(BackendAttempt::cancel).ifPresent(this::releaseUnused);
-        mRelay.metrics().recordDisconnect();
+        mHandover.cancel();
+        if (mRequest.ofOwnCaller()) {
+            mRelay.metrics().recordDisconnect();
+        }
         mRequestLog.callerDisconnected(lastBackend());
         end();
     }
@@ -98,6 +134,10 @@
             refuseQuarantined();
             return;
         }
+        if (mHandover.isRequired()) {
+            handOver();
+            return;
+        }
         PlacementPhase placement =
                 new PlacementPhase(
                         mRelay,
@@ -119,7 +159,11 @@
                             @Override
                             public void notPlaced(String reason) {
                                 mPlacement = Optional.empty();
-                                fail(SendOutcome.NOT_SENT, reason);
+                                if (mHandover.isRequired()) {
+                                    handOver();
+                                } else {
+                                    fail(SendOutcome.NOT_SENT, reason);
+                                }
                             }
                         });
         mPlacement = Optional.of(placement);
@@ -131,6 +175,29 @@
         placement.start(now + mRetryPolicy.remainingMillis(now));
     }
 
+    /** Hands the request to another host, or refuses it at once if none is left. */
+    private void handOver() {
+        Optional<Helper> helper = mHandover.choose();
+        if (helper.isEmpty()) {
+            fail(SendOutcome.NOT_SENT, "no host reaches the service");
+            return;
+        }
+        int attempts = mRetryPolicy.attemptsLeft();
+        mRetryPolicy.beginSend();
+        mHandover.send(
+                helper.get(),
+                new HandoverTerms(
+                        mRelay.helpers().self(),
+                        mRequest.service(),
+                        mRequest.version(),
+                        mRequest.teamName(),
+                        mRetryPolicy.remainingMillis(mRelay.clock().millis()),
+                        attempts,
+                        mCounted,
+                        mResponse.lastEventId(),
+                        mCrashGuard.fingerprintToHandOver()));
+    }
+
     private OptionalLong directiveWait() {
         return mRelay.registry()
                 .directives()
@@ -328,13 +395,24 @@
     }
 
     private void retryOrFail(BackendAttempt attempt, SendOutcome outcome, String cause) {
-        RetryDecision decision =
-                mRetryPolicy.endSend(outcome, mRelay.clock().millis(), this::takeRetryOfSend);
+        retryOrFail(
+                outcome,
+                cause,
+                this::takeRetryOfSend,
+                decision -> mRequestLog.attemptEnded(attempt, outcome, cause, decision));
+    }
+
+    private void retryOrFail(
+            SendOutcome outcome,
+            String cause,
+            BooleanSupplier budget,
+            Consumer<RetryDecision> logger) {
+        RetryDecision decision = mRetryPolicy.endSend(outcome, mRelay.clock().millis(), budget);
         if (decision == RetryDecision.PASS_ON) {
             complete();
             return;
         }
-        mRequestLog.attemptEnded(attempt, outcome, cause, decision);
+        logger.accept(decision);
         if (decision == RetryDecision.SEND_AGAIN) {
             mRelay.metrics().recordRetry(outcome);
             mResponse.discardPartial();
@@ -369,8 +447,12 @@
     private void complete() {
         mCrashGuard.ranToItsEnd();
         mResponse.finish();
-        mRequestLog.recordDemand();
-        mRelay.metrics().recordResponse(mRequest.route().kind(), mRequestLog.elapsedMillis());
+        if (!mHandover.hasRun()) {
+            mRequestLog.recordDemand();
+        }
+        if (mRequest.ofOwnCaller()) {
+            mRelay.metrics().recordResponse(mRequest.route().kind(), mRequestLog.elapsedMillis());
+        }
         mRequestLog.completed(
                 lastBackend(),
                 prefillEngine(),
@@ -387,7 +469,7 @@
         Optional<SendOutcome> ended = mAttempt.map(BackendAttempt::timeOut);
         ended.ifPresent(this::releaseUnused);
         mAttempt = Optional.empty();
-        fail(ended.orElse(unsent), "request timed out");
+        fail(ended.or(mHandover::cancel).orElse(unsent), "request timed out");
         if (mRetryPolicy.isForwarding()) {
             // The caller has stopped reading, and the abort is queued behind what it has not read.
             deliveryTimedOut();
@@ -420,16 +502,30 @@
 
     /** Ends the request without a complete response of a backend server. */
     private void fail(SendOutcome outcome, String reason) {
+        fail(outcome, reason, Optional.empty());
+    }
+
+    /**
+     * Ends the request without a complete response of a backend server.
+     *
+     * @param refusal refusal of a host to which the request was handed; empty for none
+     */
+    private void fail(SendOutcome outcome, String reason, Optional<ResponseHeaders> refusal) {
         CallerReply reply = mRetryPolicy.reply(outcome, mRelay.clock().millis());
         if (mRetryPolicy.isForwarding()) {
             mResponse.abort();
             mRequestLog.truncated(lastBackend(), reason);
         } else {
-            mResponse.refuse(reply, retryDelayMillis());
+            refusal.filter(head -> head.status().code() == reply.status())
+                    .ifPresentOrElse(
+                            mResponse::passRefusal,
+                            () -> mResponse.refuse(reply, retryDelayMillis()));
             mRequestLog.failed(reply, reason);
         }
-        mRelay.metrics().recordRefusal(reply);
-        mRequest.recordRefusal(mRelay.metrics(), reply);
+        if (mRequest.ofOwnCaller()) {
+            mRelay.metrics().recordRefusal(reply);
+            mRequest.recordRefusal(mRelay.metrics(), reply);
+        }
         end();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -139,6 +139,18 @@
                 next);
     }
 
+    /** Logs an attempt by another host that ended without a response for the caller. */
+    void handoverEnded(SendOutcome outcome, String cause, RetryDecision next) {
+        mRelay.log().log(
+                RelayEvent.ATTEMPT_ENDED,
+                mRequest.caller().id(),
+                NONE,
+                outcome,
+                cause,
+                elapsedMillis(),
+                next);
+    }
+
     /** Returns the time since the request started, in milliseconds. */
     long elapsedMillis() {
         return mRelay.clock().millis() - mStartMillis;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -98,6 +98,11 @@
      */
     @Override
     public void find() {
+        if (mRelay.reachability().isCutOff(mRequest.service()) && mUnreached > 0) {
+            mClosed = true;
+            mListener.found(Optional.empty());
+            return;
+        }
         long now = mRelay.clock().millis();
         Optional<Backend> selected =
                 mReservePacing.pauseIsDue()
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
@@ -213,6 +213,7 @@
         } else {
             long since = mCutOffSince.getOrDefault(service, nowMillis);
             mCutOffSince.remove(service);
+            mRegistry.recordReachable(service);
             mLog.log(RelayEvent.HOST_REACHES_SERVICE, service, nowMillis - since);
         }
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostCount.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostCount.java
@@ -28,7 +28,7 @@
 
     /** Stands for an entry that cannot be read; its host counts until it is stale. */
     private static final HostEntry UNREADABLE =
-            new HostEntry(0, Optional.empty(), Optional.empty(), "");
+            new HostEntry(0, Optional.empty(), Optional.empty(), Optional.empty(), "");
 
     private record Observation(HostEntry entry, long sinceMillis) {}
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -179,6 +179,26 @@
             Priority.DIAGNOSTIC,
             "quarantined request refused",
             List.of("request", "route", "fingerprint", "millis")),
+    REQUEST_HANDED_OVER(
+            2218,
+            Priority.DIAGNOSTIC,
+            "request handed over to another host",
+            List.of("request", "route", "service", "host", "tries")),
+    REQUEST_TAKEN_OVER(
+            2219,
+            Priority.DIAGNOSTIC,
+            "request taken over from another host",
+            List.of("request", "route", "service", "host", "remainingMillis")),
+    HANDOVER_REFUSED(
+            2220,
+            Priority.DIAGNOSTIC,
+            "request not taken over by another host",
+            List.of("request", "service", "host", "reason")),
+    TAKEOVER_REFUSED(
+            2221,
+            Priority.DIAGNOSTIC,
+            "request of another host refused",
+            List.of("request", "host", "reason")),
     REQUEST_REFUSED(
             2207,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -103,6 +103,11 @@
         counter("response_ends", "end", tag(end)).increment();
     }
 
+    /** Records an event around requests that are handed over. */
+    public void recordHandover(Enum<?> kind) {
+        counter("handovers", "kind", tag(kind)).increment();
+    }
+
     /** Records an event around the ends of backend servers. */
     public void recordCrashEvent(Enum<?> kind) {
         counter("crash_events", "kind", tag(kind)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/CallerReply.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/CallerReply.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.relay.retry;
 
+import java.util.Arrays;
+
 /** Reply to a caller whose request ends without a backend server's response. */
 public enum CallerReply {
     /** The request has not run and never will; a later retry by the caller is useful. */
@@ -19,6 +21,12 @@
         mHasRetryAfter = hasRetryAfter;
     }
 
+    /** Returns whether a status promises that the request has not run and never will. */
+    public static boolean isNotRun(int status) {
+        return Arrays.stream(values())
+                .anyMatch(reply -> reply.mHasRetryAfter && reply.mStatus == status);
+    }
+
     /** Returns the HTTP status. */
     public int status() {
         return mStatus;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryLimits.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryLimits.java
@@ -30,4 +30,9 @@
                 route.maxAttempts(),
                 Math.max(0, Math.min(route.timeoutMillis(), callerMillis)));
     }
+
+    /** Returns these limits with no more than the given number of attempts. */
+    public RetryLimits withAttempts(int attempts) {
+        return new RetryLimits(repeatable, Math.min(maxAttempts, attempts), timeoutMillis);
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -140,6 +140,11 @@
         return mSends < mLimits.maxAttempts();
     }
 
+    /** Returns the number of further sends that the attempts allow. */
+    public int attemptsLeft() {
+        return mLimits.maxAttempts() - mSends;
+    }
+
     /** Returns whether a backend server may have run the request, or may be running it. */
     public boolean mayHaveRun() {
         return mMayHaveRun || mSendInFlight;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/Route.java
@@ -61,6 +61,12 @@
         return new CallerLimits(targetMillis, silenceMillis);
     }
 
+    /** Returns whether requests may go to a service. */
+    public boolean hasService(ServiceName service) {
+        return services.stream()
+                .anyMatch(each -> each.weight() > 0 && each.service().equals(service));
+    }
+
     /** Returns whether a request may be sent again after it may have run. */
     public boolean repeatable() {
         return kind.repeatable(resumable);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettings.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.settings;
 
+import java.util.Optional;
 import org.cyclamenpaddle.routing.buffer.ByteBounds;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 
@@ -54,12 +55,15 @@
      * @param callers address for callers
      * @param checks address for the load balancer's readiness check and for metrics
      * @param peers address for the messages between hosts
+     * @param requests address for requests that other hosts hand over; empty to take none
      */
-    public record Listen(Endpoint callers, Endpoint checks, Endpoint peers) {
+    public record Listen(
+            Endpoint callers, Endpoint checks, Endpoint peers, Optional<Endpoint> requests) {
         public Listen {
             required("listen.callers", callers);
             required("listen.checks", checks);
             required("listen.peers", peers);
+            required("listen.requests", requests);
         }
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/RelaySettingsReader.java
@@ -69,7 +69,8 @@
                 new RelaySettings.Listen(
                         table.endpoint("callers"),
                         table.endpoint("checks"),
-                        table.endpoint("peers"));
+                        table.endpoint("peers"),
+                        table.optionalEndpoint("requests"));
         table.rejectUnknownKeys();
         return listen;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/SettingsTable.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/settings/SettingsTable.java
@@ -84,6 +84,11 @@
         }
     }
 
+    /** Returns an IP number with a port; empty if there is none. */
+    Optional<Endpoint> optionalEndpoint(String key) {
+        return mValues.path(key).isMissingNode() ? Optional.empty() : Optional.of(endpoint(key));
+    }
+
     /**
      * Rejects keys that have not been read.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
@@ -34,4 +34,16 @@
                     "request needs an id, headers, an optional key and a size");
         }
     }
+
+    /** Returns this request with another timeout and another event to resume after. */
+    public CallerRequest with(long timeoutMillis, Optional<String> resumeAfterId) {
+        return new CallerRequest(
+                id,
+                headers,
+                key,
+                OptionalLong.of(timeoutMillis),
+                size,
+                declaredTokens,
+                resumeAfterId);
+    }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/host/HostCountTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/host/HostCountTest.java
@@ -14,7 +14,13 @@
     private static StoreEntry<HostEntry> entry(String host, long heartbeat) {
         return new StoreEntry<>(
                 host,
-                Either.right(new HostEntry(heartbeat, Optional.empty(), Optional.empty(), "")));
+                Either.right(
+                        new HostEntry(
+                                heartbeat,
+                                Optional.empty(),
+                                Optional.empty(),
+                                Optional.empty(),
+                                "")));
     }
 
     @Test
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
@@ -42,6 +42,7 @@
         private boolean mSuspected;
         private boolean mCutOff;
         private long mNextCheckMillis;
+        private Set<BackendId> mListed = Set.of();
     }
 
     private final ReachabilitySettings mSettings;
@@ -117,11 +118,17 @@
                 .values()
                 .removeIf(failed -> nowMillis - failed >= mSettings.evidenceMillis());
         if (evidence.mCutOff) {
-            if (nowMillis < evidence.mNextCheckMillis) {
+            // A server that has just been listed may replace those that are gone.
+            List<CheckTarget> added =
+                    targets.stream()
+                            .filter(target -> !evidence.mListed.contains(target.server()))
+                            .toList();
+            evidence.mListed = ids(targets);
+            if (added.isEmpty() && nowMillis < evidence.mNextCheckMillis) {
                 return List.of();
             }
             evidence.mNextCheckMillis = nowMillis + mSettings.recheckMillis();
-            return pick(targets, mSettings.minServers());
+            return pick(added.isEmpty() ? targets : added, mSettings.minServers());
         }
         if (!evidence.mSuspected) {
             return List.of();
@@ -231,6 +238,7 @@
         }
         if (!evidence.mCutOff) {
             evidence.mCutOff = true;
+            evidence.mListed = ids(mListed.get(service));
             evidence.mNextCheckMillis = nowMillis + mSettings.recheckMillis();
         }
         mHostSuspected = true;
@@ -254,6 +262,10 @@
         }
     }
 
+    private static Set<BackendId> ids(List<CheckTarget> targets) {
+        return targets.stream().map(CheckTarget::server).collect(Collectors.toSet());
+    }
+
     private int required(int servers) {
         return Math.max(1, Math.min(mSettings.minServers(), servers));
     }
