Open fewer connections to check paths

This lowers what the detection costs.

A request none of whose sends has left the host is handed over if the host has learned of its cut meanwhile. The terms of a request are built where they are sent (HandoverPhase).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -171,6 +171,7 @@
         mHelpers = helperDirectory(settings.host());
         mReachability = reachabilityMonitor(settings.host());
         mRegistry.onSendFailed(mReachability::requestFailed);
+        mCalls.onResponse(mReachability::requestResponded);
         RelayContext relay =
                 new RelayContext(
                         mRegistry,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -180,6 +180,9 @@
     @Override
     public void head(BackendResponse head) {
         mHead = head;
+        if (mExchange.openedConnection()) {
+            mRelay.reachability().requestConnected(target(), mSentMillis);
+        }
         if (head.notRun() || isResponseToThisRequest(head)) {
             mRelay.calls()
                     .recordHead(target(), mRequest.caller().id(), head.headers(), mSentMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.logging.RequestLogProperty;
 import com.linecorp.armeria.common.util.SafeCloseable;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -34,6 +35,7 @@
     private final RelayEventLog mLog;
     private final RelayMetrics mMetrics;
     private final Clock mClock;
+    private volatile LongConsumer mResponded = sentMillis -> {};
 
     public BackendCalls(
             BackendConnections connections,
@@ -50,6 +52,11 @@
         mClock = clock;
     }
 
+    /** Sets what is notified of the time at which a request was sent when its response arrives. */
+    public void onResponse(LongConsumer listener) {
+        mResponded = listener;
+    }
+
     @Override
     public CompletableFuture<AggregatedHttpResponse> call(
             Backend target, Options options, HttpRequest request) {
@@ -116,6 +123,7 @@
      * @param sentMillis time at which the request was sent
      */
     void recordHead(Backend target, String cause, ResponseHeaders head, long sentMillis) {
+        mResponded.accept(sentMillis);
         if (head.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
             // Another process responded from this address.
             return;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -12,6 +12,7 @@
 import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.handover.Helper;
 import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.routing.handover.HandoverRefusal;
 
 /**
@@ -36,6 +37,8 @@
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
+    private final RetryPolicy mRetryPolicy;
+    private final CrashGuard mCrashGuard;
     private final CallerResponse mResponse;
     private final Listener mListener;
     private final Set<HostId> mAsked = new HashSet<>();
@@ -46,11 +49,15 @@
             RelayContext relay,
             RelayRequest request,
             EventLoop loop,
+            RetryPolicy retryPolicy,
+            CrashGuard crashGuard,
             CallerResponse response,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
+        mRetryPolicy = retryPolicy;
+        mCrashGuard = crashGuard;
         mResponse = response;
         mListener = listener;
     }
@@ -71,8 +78,14 @@
         return helper;
     }
 
-    /** Sends the request to a host, which may use all attempts that are left. */
-    void send(Helper helper, HandoverTerms terms) {
+    /**
+     * Sends the request to a host, which may use all attempts that are left.
+     *
+     * @param counted whether this host has counted it for the retry budget
+     */
+    void send(Helper helper, boolean counted) {
+        HandoverTerms terms = terms(counted);
+        mRetryPolicy.beginSend();
         mAsked.add(helper.host());
         mRelay.metrics().recordHandover(HandoverEvent.HANDED_OVER);
         mRelay.log().log(
@@ -117,6 +130,19 @@
         attempt.start(mLoop);
     }
 
+    private HandoverTerms terms(boolean counted) {
+        return new HandoverTerms(
+                mRelay.helpers().self(),
+                mRequest.service(),
+                mRequest.version(),
+                mRequest.teamName(),
+                mRetryPolicy.remainingMillis(mRelay.clock().millis()),
+                mRetryPolicy.attemptsLeft(),
+                counted,
+                mResponse.lastEventId(),
+                mCrashGuard.fingerprintToHandOver());
+    }
+
     private void recordRefusal(
             Helper helper, HandoverRefusal refusal, Optional<ResponseHeaders> head) {
         mRelay.metrics().recordHandover(HandoverEvent.REFUSED);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -72,7 +72,15 @@
         mRetryPolicy = new RetryPolicy(request.retryLimits(), mStartMillis);
         mResponse = new CallerResponse(relay, writer, request, bytes, retryAfter, mRetryPolicy);
         mRequestLog = new RequestLog(relay, request, mRetryPolicy, mResponse, mStartMillis);
-        mHandover = new HandoverPhase(relay, request, loop, mResponse, new HandoverListener());
+        mHandover =
+                new HandoverPhase(
+                        relay,
+                        request,
+                        loop,
+                        mRetryPolicy,
+                        mCrashGuard,
+                        mResponse,
+                        new HandoverListener());
     }
 
     private final class HandoverListener implements HandoverPhase.Listener {
@@ -182,20 +190,7 @@
             fail(SendOutcome.NOT_SENT, "no host reaches the service");
             return;
         }
-        int attempts = mRetryPolicy.attemptsLeft();
-        mRetryPolicy.beginSend();
-        mHandover.send(
-                helper.get(),
-                new HandoverTerms(
-                        mRelay.helpers().self(),
-                        mRequest.service(),
-                        mRequest.version(),
-                        mRequest.teamName(),
-                        mRetryPolicy.remainingMillis(mRelay.clock().millis()),
-                        attempts,
-                        mCounted,
-                        mResponse.lastEventId(),
-                        mCrashGuard.fingerprintToHandOver()));
+        mHandover.send(helper.get(), mCounted);
     }
 
     private OptionalLong directiveWait() {
@@ -413,7 +408,9 @@
             return;
         }
         logger.accept(decision);
-        if (decision == RetryDecision.SEND_AGAIN) {
+        // Nothing has left this host, and it may know by now that it has no path.
+        boolean handOver = outcome.unsent() && mRetryPolicy.sends() == 0 && mHandover.isRequired();
+        if (decision == RetryDecision.SEND_AGAIN || handOver) {
             mRelay.metrics().recordRetry(outcome);
             mResponse.discardPartial();
             selectBackend();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
@@ -124,6 +124,24 @@
         scheduleRound();
     }
 
+    /**
+     * Records that a request has opened a connection to a server.
+     *
+     * @param sentMillis time at which the connection was requested
+     */
+    public void requestConnected(Backend backend, long sentMillis) {
+        mReachability.write(state -> state.requestConnected(backend.service(), sentMillis));
+    }
+
+    /**
+     * Records that a server has responded to a request, over any connection.
+     *
+     * @param sentMillis time at which the request was sent
+     */
+    public void requestResponded(long sentMillis) {
+        mReachability.write(state -> state.requestResponded(sentMillis));
+    }
+
     private void scheduleRound() {
         if (mRoundScheduled.compareAndSet(false, true)) {
             try {
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
@@ -34,8 +34,11 @@
         REACHED
     }
 
-    /** Servers that are checked first; the others follow if none of these is reached. */
-    private static final int FIRST_CHECKS = 2;
+    /** Servers that are checked first; the others follow if this one is not reached. */
+    private static final int FIRST_CHECKS = 1;
+
+    /** Servers that are checked together while a service is cut off. */
+    private static final int RECHECKS = 2;
 
     private static final class Evidence {
         private final Map<BackendId, Long> mFailedMillis = new HashMap<>();
@@ -55,6 +58,7 @@
     private boolean mHostCutOff;
     private long mNextHostCheckMillis;
     private long mLastContactMillis;
+    private long mLastResponseMillis;
 
     /**
      * Creates a state without evidence.
@@ -67,6 +71,7 @@
         mSettings = settings;
         mRandom = random;
         mLastContactMillis = nowMillis;
+        mLastResponseMillis = nowMillis;
     }
 
     /** Returns whether this host has lost its paths to the servers of a service. */
@@ -81,11 +86,31 @@
      */
     public void requestFailed(ServiceName service, long nowMillis) {
         long verified = mVerifiedMillis.getOrDefault(service, Long.MIN_VALUE / 2);
-        if (nowMillis - verified >= mSettings.recheckMillis()) {
+        if (nowMillis - verified >= mSettings.quietMillis()) {
             evidence(service).mSuspected = true;
         }
     }
 
+    /**
+     * Records that a request has opened a connection to a server of a service, which makes checks
+     * needless for a time.
+     *
+     * @param sentMillis time at which the connection was requested
+     */
+    public void requestConnected(ServiceName service, long sentMillis) {
+        mVerifiedMillis.merge(service, sentMillis, Math::max);
+        mLastContactMillis = Math.max(mLastContactMillis, sentMillis);
+    }
+
+    /**
+     * Records that a server has responded to a request, over any connection.
+     *
+     * @param sentMillis time at which the request was sent
+     */
+    public void requestResponded(long sentMillis) {
+        mLastResponseMillis = Math.max(mLastResponseMillis, sentMillis);
+    }
+
     /**
      * Returns the servers to which a connection is to be opened now; each one is expected to be
      * {@link #checked}.
@@ -128,7 +153,7 @@
                 return List.of();
             }
             evidence.mNextCheckMillis = nowMillis + mSettings.recheckMillis();
-            return pick(added.isEmpty() ? targets : added, mSettings.minServers());
+            return pick(added.isEmpty() ? targets : added, RECHECKS);
         }
         if (!evidence.mSuspected) {
             return List.of();
@@ -155,16 +180,18 @@
                 return List.of();
             }
             mNextHostCheckMillis = nowMillis + mSettings.recheckMillis();
-            List<CheckTarget> targets = mHostCutOff ? targets(true) : targets(false);
-            return pick(targets, mSettings.minServers());
+            return mHostCutOff
+                    ? pick(targets(true), RECHECKS)
+                    : pick(targets(false), mSettings.minServers());
         }
         boolean quiet =
-                mPendingMillis.isEmpty()
-                        && nowMillis - mLastContactMillis >= mSettings.quietMillis();
-        if (!quiet) {
+                nowMillis - mLastResponseMillis >= mSettings.quietMillis()
+                        || nowMillis - mLastContactMillis >= mSettings.oldConnectionsMillis();
+        if (!quiet || !mPendingMillis.isEmpty()) {
             return List.of();
         }
         mLastContactMillis = nowMillis;
+        mLastResponseMillis = nowMillis;
         return pick(targets(true), 1);
     }
 
@@ -216,6 +243,7 @@
 
     private void connected(List<ServiceName> services, long nowMillis) {
         mLastContactMillis = nowMillis;
+        mLastResponseMillis = nowMillis;
         if (mHostCutOff) {
             // All paths were lost together.
             mServices.clear();
