Check other services once when a service is cut off

This lowers what the detection costs.

Cause: each failed check of a service that was cut off already caused four more connections to servers of other services every 0.7 s, to see whether the whole host is cut off.

Change: only the moment at which a service is found cut off causes these checks, and they go on while they are inconclusive.

Result: BackendReachabilityTest.endOfOneServiceCausesFewChecks passes; the bound, 50 checks in 14 s, follows from two checks in 0.7 s and the checks of a quiet host.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
@@ -258,19 +258,16 @@
         Evidence evidence = evidence(service);
         evidence.mFailedMillis.put(server, nowMillis);
         evidence.mSuspected = true;
-        if (evidence.mFailedMillis.size() < required(mListed.get(service).size())) {
-            if (mHostSuspected) {
-                decideAboutHost();
-            }
-            return;
-        }
-        if (!evidence.mCutOff) {
+        boolean enough = evidence.mFailedMillis.size() >= required(mListed.get(service).size());
+        if (enough && !evidence.mCutOff) {
             evidence.mCutOff = true;
             evidence.mListed = ids(mListed.get(service));
             evidence.mNextCheckMillis = nowMillis + mSettings.recheckMillis();
+            mHostSuspected = true;
+        }
+        if (mHostSuspected) {
+            decideAboutHost();
         }
-        mHostSuspected = true;
-        decideAboutHost();
     }
 
     private void decideAboutHost() {
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/connectivity/BackendReachabilityTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/connectivity/BackendReachabilityTest.java
@@ -167,6 +167,18 @@
         assertFalse(mState.isCutOff(BOOK));
     }
 
+    /** A service whose servers are gone keeps causing checks of all others. */
+    @Test
+    public void endOfOneServiceCausesFewChecks() {
+        mState.requestFailed(BOOK, mNow);
+        run(2_000, server -> server.value().startsWith("e"));
+        mChecks = 0;
+        run(14_000, server -> server.value().startsWith("e"));
+        // Two of the service in 0.7 s, each round delayed by a check that fails, and one of others.
+        assertTrue(mChecks <= 2 * 20 + 10, mChecks + " checks in 14 s");
+        assertFalse(mState.isCutOff(READ));
+    }
+
     @Test
     public void onlyHostOfItsKindIsCutOffWithItsOnlyService() {
         mListed = Map.of(BOOK, targets("b", 1));
