Keep asking a host whose response its server has broken off

Found by reading.

Cause: a connection that breaks was held against the host at its other end, which passes on what its server does.

Change: a host is avoided only if it has passed on no response.

Result: RelayPartitionTest.hostIsNotAvoidedForAServerThatBreaksItsResponseOff got 503 for the next request before this change.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverAttempt.java
@@ -182,7 +182,8 @@
             return;
         }
         mEnded = true;
-        if (outcome == SendOutcome.UNKNOWN) {
+        // Once the host has passed on a response, its server may have broken it off.
+        if (outcome == SendOutcome.UNKNOWN && mHead == null) {
             avoidHost();
         }
         mEndListener.ended(outcome, cause);
