Show the cuts that concern a request when its log is explained

An operator who asks why a request was handed over sees CP2218, but not the cut before it.

Cause: log explain shows state changes of the five seconds before a request; a cut lasts longer.

Change: the lines of cuts (CP2119) that lasted at the end of a request on its hosts are shown as well, as directives are.

Result: LogExplainCommandTest.cutsInForceAreShown passes.

--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
@@ -23,7 +23,9 @@
  *
  * <p>Lines with the id of the request contain the decisions. Lines of the same host that record a
  * state change of the backend servers involved, or of the store, shortly before or during the
- * request contain the reasons, and so do the directives of backend servers that were in force then.
+ * request contain the reasons, and so do the directives of backend servers that were in force then,
+ * and the services from which a host was cut off. A request that was handed over has lines of both
+ * hosts.
  */
 final class LogExplainCommand {
 
@@ -40,6 +42,12 @@
     /** Event of a directive that was set, changed or lifted. */
     private static final String DIRECTIVE_EVENT = "CP2114";
 
+    /** Event of a host that has lost its paths to the servers of a service. */
+    private static final String CUT_OFF_EVENT = "CP2119";
+
+    /** Event of a host that reaches a service again. */
+    private static final String REACHED_EVENT = "CP2120";
+
     /** Directive with a duration in milliseconds as its value. */
     private static final String PAUSE = "PAUSE";
 
@@ -70,12 +78,14 @@
         }
         ArrayNode rows = Json.array();
         Set<LogLine> directives = directivesInForce(lines, requestLines);
+        Set<LogLine> cuts = cutsInForce(lines, requestLines);
         lines.stream()
                 .filter(
                         line ->
                                 isAbout(line, arguments.name())
                                         || isContext(line, requestLines)
-                                        || directives.contains(line))
+                                        || directives.contains(line)
+                                        || cuts.contains(line))
                 .forEach(line -> rows.add(row(line)));
         return Either.right(
                 Report.of(rows, ReportTable.of(rows, "time", "node", "code", "event", "detail")));
@@ -120,6 +130,21 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns the lines of the cuts that lasted on the hosts of a request at its end. */
+    private static Set<LogLine> cutsInForce(List<LogLine> lines, List<LogLine> requestLines) {
+        Set<String> nodes = nodes(requestLines);
+        Instant to = lastTime(requestLines);
+        Map<List<String>, LogLine> latest = new HashMap<>();
+        lines.stream()
+                .filter(line -> nodes.contains(line.text("node")) && !line.time().isAfter(to))
+                .filter(line -> Set.of(CUT_OFF_EVENT, REACHED_EVENT).contains(line.text("code")))
+                .forEach(
+                        line -> latest.put(List.of(line.text("node"), line.text("service")), line));
+        return latest.values().stream()
+                .filter(line -> line.text("code").equals(CUT_OFF_EVENT))
+                .collect(Collectors.toSet());
+    }
+
     private static boolean isInForce(LogLine line, Instant time) {
         if (line.text("directive").equals(PAUSE)) {
             long millis = line.fields().path("value").asLong();
--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
@@ -119,6 +119,24 @@
         assertEquals(backends, List.of("backend=i-3", "backend=i-6"));
     }
 
+    /** A request was handed over for a cut that had begun long before it. */
+    @Test
+    public void cutsInForceAreShown() throws IOException {
+        String cuts =
+                line("01", "h1", "CP2119", "'service':'book'")
+                        + line("02", "h1", "CP2119", "'service':'read'")
+                        + line("03", "h1", "CP2120", "'service':'read'")
+                        + line("03", "h2", "CP2119", "'service':'book'")
+                        + line("11", "h1", "CP2119", "'service':'read'");
+        Files.writeString(mFile, LOG + cuts);
+        List<String> services =
+                explain("r7").get().tables().get(0).rows().stream()
+                        .filter(row -> row.get(2).equals("CP2119"))
+                        .map(row -> row.get(4).split(" ")[0])
+                        .toList();
+        assertEquals(services, List.of("service=book"));
+    }
+
     @Test
     public void unknownRequestIsNotFound() {
         assertEquals(explain("r9").getLeft().code(), ExitCode.NOT_FOUND);
