Log the software versions of backend servers and the streams that callers take up

Resuming within one answer, resuming over a caller's attempts, and outdated entries cannot be told apart.

Change: the version of a server is read from its entry and logged with each end of a send and each change of an entry. CP2222 marks a request that takes up a stream. Its attempts share a hash, by which "log explain" shows them together. The attempt that a caller names is read as a text and logged as that hash only. Requests are routed as before.

--- a/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
+++ b/cyclamenpaddle-ctl/src/main/java/org/cyclamenpaddle/ctl/command/LogExplainCommand.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cyclamenpaddle.ctl.log.LogFile;
 import org.cyclamenpaddle.ctl.log.LogLine;
 import org.cyclamenpaddle.ctl.report.CommandError;
@@ -25,7 +26,7 @@
  * state change of the backend servers involved, or of the store, shortly before or during the
  * request contain the reasons, and so do the directives of backend servers that were in force then,
  * and the services from which a host was cut off. A request that was handed over has lines of both
- * hosts.
+ * hosts. The attempts of a caller to get one stream are shown together.
  */
 final class LogExplainCommand {
 
@@ -57,19 +58,38 @@
     private static final Set<String> COLUMN_FIELDS = Set.of("time", "node", "code", "event");
     private static final String NO_BACKEND = "none";
 
+    /** Key of the stream of a plain call, or of one whose beginning is not known. */
+    private static final String NO_STREAM = "none";
+
     private LogExplainCommand() {}
 
     static Either<CommandError, Report> run(Arguments arguments, Session session) {
         return LogFile.read(arguments.file()).flatMap(log -> explain(log.lines(), arguments));
     }
 
-    private static boolean isAbout(LogLine line, String request) {
-        return line.text("request").equals(request);
+    /**
+     * Returns the attempts of a caller to get one stream; they share a key, which not every line
+     * has.
+     */
+    private static Set<String> attempts(List<LogLine> lines, String request) {
+        Set<String> streams =
+                lines.stream()
+                        .filter(line -> line.text("request").equals(request))
+                        .map(line -> line.text("stream"))
+                        .filter(stream -> !stream.isEmpty() && !stream.equals(NO_STREAM))
+                        .collect(Collectors.toSet());
+        return Stream.concat(
+                        Stream.of(request),
+                        lines.stream()
+                                .filter(line -> streams.contains(line.text("stream")))
+                                .map(line -> line.text("request")))
+                .collect(Collectors.toSet());
     }
 
     private static Either<CommandError, Report> explain(List<LogLine> lines, Arguments arguments) {
+        Set<String> attempts = attempts(lines, arguments.name());
         List<LogLine> requestLines =
-                lines.stream().filter(line -> isAbout(line, arguments.name())).toList();
+                lines.stream().filter(line -> attempts.contains(line.text("request"))).toList();
         if (requestLines.isEmpty()) {
             return Either.left(
                     CommandError.of(
@@ -82,7 +102,7 @@
         lines.stream()
                 .filter(
                         line ->
-                                isAbout(line, arguments.name())
+                                attempts.contains(line.text("request"))
                                         || isContext(line, requestLines)
                                         || directives.contains(line)
                                         || cuts.contains(line))
--- a/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
+++ b/cyclamenpaddle-ctl/src/test/java/org/cyclamenpaddle/ctl/command/LogExplainCommandTest.java
@@ -75,6 +75,21 @@
         assertTrue(report.tables().get(0).rows().get(3).get(4).contains("told=502 reason=reset"));
     }
 
+    /** The attempt that began a stream is missing beside the one that took it up elsewhere. */
+    @Test
+    public void attemptsToGetOneStreamAreShownTogether() throws IOException {
+        Files.writeString(
+                mFile,
+                line("01", "h1", "CP2203", "'request':'r1','stream':'ab'")
+                        + line("02", "h2", "CP2222", "'request':'r2','stream':'ab'")
+                        + line("03", "h2", "CP2201", "'request':'r2'")
+                        + line("04", "h2", "CP2204", "'request':'r3','stream':'none'")
+                        + line("05", "h2", "CP2204", "'request':'r4','stream':'none'"));
+        assertEquals(explain("r1").get().tables().get(0).rows().size(), 3);
+        assertEquals(explain("r2").get().tables().get(0).rows().size(), 3);
+        assertEquals(explain("r3").get().tables().get(0).rows().size(), 1);
+    }
+
     /** A server was passed over for a directive that it had sent long before the request. */
     @Test
     public void directivesInForceAreShown() throws IOException {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -153,6 +153,7 @@
                         RelayEvent.BACKEND_CHANGED,
                         now.id(),
                         now.endpoint(),
+                        now.version(),
                         now.stage(),
                         now.draining());
             } else {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/Backend.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/Backend.java
@@ -3,6 +3,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 
 /**
  * Describes a backend server according to its entry in the store.
@@ -14,6 +15,7 @@
  * @param address IP address
  * @param port TCP port
  * @param domain its failure domain
+ * @param version version of its software
  * @param stage stage that the server performs
  * @param slots maximum number of concurrent requests
  * @param draining whether the server has announced its shutdown
@@ -25,6 +27,7 @@
         String address,
         int port,
         FailureDomain domain,
+        SoftwareVersion version,
         BackendStage stage,
         int slots,
         boolean draining) {
@@ -32,9 +35,12 @@
     private static final int MAX_PORT = 65_535;
 
     public Backend {
-        if (id == null || service == null || address == null || domain == null || stage == null) {
+        if (id == null || service == null || address == null || domain == null) {
             throw new IllegalArgumentException(
-                    "backend server needs an id, service, address, domain and stage");
+                    "backend server needs an id, service, address and domain");
+        }
+        if (version == null || stage == null) {
+            throw new IllegalArgumentException("backend server needs a version and a stage");
         }
         if (port < 1 || port > MAX_PORT || slots < 1) {
             throw new IllegalArgumentException(
@@ -50,7 +56,7 @@
     /** Returns a copy of this entry with another stage. */
     public Backend withStage(BackendStage other) {
         return new Backend(
-                id, startedMillis, service, address, port, domain, other, slots, draining);
+                id, startedMillis, service, address, port, domain, version, other, slots, draining);
     }
 
     /** Returns the address and port, separated by a colon. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
@@ -73,6 +74,20 @@
         return handover.isEmpty();
     }
 
+    /** Returns whether the request takes up a stream that another attempt has begun. */
+    boolean takesUpStream() {
+        return route.kind().streams() && caller.resumeAfter().isPresent();
+    }
+
+    /** Returns the key of its stream; empty for a plain call, or if its beginning is not named. */
+    Optional<StreamKey> streamKey() {
+        Optional<String> firstAttempt =
+                takesUpStream() ? caller.firstAttempt() : Optional.of(caller.id());
+        return firstAttempt
+                .filter(id -> route.kind().streams())
+                .map(id -> StreamKey.of(service, id));
+    }
+
     /** Returns the limits of its retries. */
     RetryLimits retryLimits() {
         RetryLimits limits =
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -119,6 +119,9 @@
         if (mRequest.engine().isPresent() && !handOver && mCrashGuard.mayRun()) {
             mRelay.demand().recordStart(mRequest.service(), mRequest.caller().size());
         }
+        if (mRequest.ofOwnCaller() && mRequest.takesUpStream()) {
+            mRequestLog.streamTakenUp();
+        }
         selectBackend();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 import java.util.Optional;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -45,6 +46,16 @@
         mSearch = inputs;
     }
 
+    /** Logs a request that takes up a stream which another attempt of its caller has begun. */
+    void streamTakenUp() {
+        mRelay.log().log(
+                RelayEvent.STREAM_TAKEN_UP,
+                mRequest.caller().id(),
+                mRequest.route().name(),
+                mRequest.service(),
+                stream());
+    }
+
     /** Logs that the caller disconnected before the response was complete. */
     void callerDisconnected(Optional<Backend> backend) {
         mRelay.log().log(
@@ -52,6 +63,7 @@
                 mRequest.caller().id(),
                 mRequest.route().name(),
                 team(),
+                stream(),
                 name(backend),
                 mRetryPolicy.sends(),
                 elapsedMillis());
@@ -75,6 +87,7 @@
                 mRequest.caller().size().promptTokens(),
                 mRequest.caller().size().outputTokens(),
                 name(backend),
+                version(backend),
                 mResponse.status(),
                 mRetryPolicy.sends(),
                 elapsedMillis(),
@@ -99,7 +112,9 @@
                 mRequest.caller().id(),
                 mRequest.route().name(),
                 team(),
+                stream(),
                 name(backend),
+                version(backend),
                 reason,
                 mResponse.lastEventId().orElse(NONE),
                 mRetryPolicy.sends(),
@@ -133,6 +148,7 @@
                 RelayEvent.ATTEMPT_ENDED,
                 mRequest.caller().id(),
                 attempt.target().id().value(),
+                attempt.target().version(),
                 outcome,
                 cause,
                 attempt.elapsedMillis(),
@@ -145,6 +161,7 @@
                 RelayEvent.ATTEMPT_ENDED,
                 mRequest.caller().id(),
                 NONE,
+                NONE,
                 outcome,
                 cause,
                 elapsedMillis(),
@@ -168,6 +185,14 @@
         return backend.map(known -> known.id().value()).orElse(NONE);
     }
 
+    private static String version(Optional<Backend> backend) {
+        return backend.map(known -> known.version().toString()).orElse(NONE);
+    }
+
+    private String stream() {
+        return mRequest.streamKey().map(StreamKey::toString).orElse(NONE);
+    }
+
     /** Records what a completed generation has shown of the demand of its service. */
     void recordDemand() {
         long first = mResponse.firstMillis(mStartMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -30,7 +30,7 @@
             2106,
             Priority.STATE,
             "backend server changed",
-            List.of("backend", "endpoint", "stage", "leaving")),
+            List.of("backend", "endpoint", "version", "stage", "leaving")),
     BACKEND_REMOVED(
             2107,
             Priority.STATE,
@@ -93,6 +93,7 @@
                     "prompt",
                     "output",
                     "backend",
+                    "backendVersion",
                     "status",
                     "sends",
                     "millis",
@@ -135,7 +136,9 @@
                     "request",
                     "route",
                     "team",
+                    "stream",
                     "backend",
+                    "backendVersion",
                     "reason",
                     "lastEvent",
                     "sends",
@@ -144,12 +147,12 @@
             2204,
             Priority.DIAGNOSTIC,
             "caller disconnected before the end of the response",
-            List.of("request", "route", "team", "backend", "sends", "millis")),
+            List.of("request", "route", "team", "stream", "backend", "sends", "millis")),
     ATTEMPT_ENDED(
             2205,
             Priority.DIAGNOSTIC,
             "attempt without a response for the caller",
-            List.of("request", "backend", "outcome", "cause", "millis", "next")),
+            List.of("request", "backend", "backendVersion", "outcome", "cause", "millis", "next")),
     PREFILL_FAILED(
             2206,
             Priority.DIAGNOSTIC,
@@ -199,6 +202,11 @@
             Priority.DIAGNOSTIC,
             "request of another host refused",
             List.of("request", "host", "reason")),
+    STREAM_TAKEN_UP(
+            2222,
+            Priority.DIAGNOSTIC,
+            "stream taken up by its caller",
+            List.of("request", "route", "service", "stream")),
     REQUEST_REFUSED(
             2207,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/CallerRequest.java
@@ -18,6 +18,8 @@
  * @param declaredTokens prompt tokens and maximum output tokens that the caller declares; empty
  *     without a declaration
  * @param resumeAfter id of the last event that the caller has received; empty at the beginning
+ * @param firstAttempt id of the attempt that brought the first event of a stream that the caller
+ *     takes up; empty if it names none
  */
 public record CallerRequest(
         String id,
@@ -26,7 +28,8 @@
         OptionalLong callerTimeoutMillis,
         WorkSize size,
         OptionalLong declaredTokens,
-        Optional<String> resumeAfter) {
+        Optional<String> resumeAfter,
+        Optional<String> firstAttempt) {
 
     public CallerRequest {
         if (id == null || headers == null || key == null || size == null) {
@@ -44,6 +47,7 @@
                 OptionalLong.of(timeoutMillis),
                 size,
                 declaredTokens,
-                resumeAfterId);
+                resumeAfterId,
+                firstAttempt);
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/Backends.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/Backends.java
@@ -3,6 +3,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 
 /** Creates backend servers for tests. */
 final class Backends {
@@ -24,6 +25,7 @@
                 "10.0.0.1",
                 80,
                 new FailureDomain(domain),
+                SoftwareVersion.UNSPECIFIED,
                 stage,
                 64,
                 draining);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/crash/CrashDetectorTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/crash/CrashDetectorTest.java
@@ -17,6 +17,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 import org.cyclamenpaddle.engine.http.ConnectCheck;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -87,6 +88,7 @@
                 "127.0.0.1",
                 port,
                 new FailureDomain("d"),
+                SoftwareVersion.UNSPECIFIED,
                 BackendStage.WHOLE,
                 4,
                 false);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/crash/CrashModel.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/crash/CrashModel.java
@@ -15,6 +15,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendStage;
@@ -123,6 +124,7 @@
                     "127.0.0.1",
                     1,
                     new FailureDomain("d"),
+                    SoftwareVersion.UNSPECIFIED,
                     BackendStage.WHOLE,
                     64,
                     false);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/crash/RequestFingerprintTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/crash/RequestFingerprintTest.java
@@ -32,7 +32,8 @@
                         OptionalLong.empty(),
                         WorkSize.PLAIN,
                         OptionalLong.empty(),
-                        Optional.of(id));
+                        Optional.of(id),
+                        Optional.empty());
         return RequestFingerprint.of(caller, HttpData.ofUtf8(body));
     }
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -23,6 +23,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.engine.http.CallFailure;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -104,6 +105,7 @@
                         "127.0.0.1",
                         mServer.activeLocalPort(),
                         new FailureDomain("d"),
+                        SoftwareVersion.UNSPECIFIED,
                         BackendStage.WHOLE,
                         4,
                         false);
@@ -224,6 +226,7 @@
                         mBackend.address(),
                         mBackend.port(),
                         mBackend.domain(),
+                        mBackend.version(),
                         mBackend.stage(),
                         mBackend.slots(),
                         false);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/RoleAllocationTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/RoleAllocationTest.java
@@ -10,6 +10,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendStage;
 import org.cyclamenpaddle.relay.route.EngineProfile;
@@ -50,6 +51,7 @@
                             "10.0.0.1",
                             80,
                             new FailureDomain("d" + i % 4),
+                            SoftwareVersion.UNSPECIFIED,
                             i < prefill ? BackendStage.PREFILL : BackendStage.DECODE,
                             64,
                             false));
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/StableEnginesTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/StableEnginesTest.java
@@ -7,6 +7,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendStage;
 import org.testng.annotations.Test;
@@ -27,6 +28,7 @@
                 "10.0.0.1",
                 80,
                 new FailureDomain("a"),
+                SoftwareVersion.UNSPECIFIED,
                 BackendStage.DECODE,
                 64,
                 false);
