Resume a stream within one answer only at the version that began it

Cause: the search for a server took any server of the service, and nothing carried the version of the one whose events the caller had.

Change: the first event that is forwarded binds the response to the version of its server (StreamBinding). The searches, limits, permits and waits judge servers by a BackendQuery, which has the binding, so that ejections and full servers count within the version. Where no other server of it is left, the response is aborted at once, and the caller can take it up.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
@@ -5,10 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.DoubleSupplier;
-import org.cyclamenpaddle.core.id.BackendId;
-import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.relay.directive.DirectiveChange;
 import org.cyclamenpaddle.relay.directive.Directives;
@@ -59,25 +56,22 @@
      * Returns the servers of a service that limit their calls and for which this host holds too few
      * permits for a request, in random order.
      *
-     * @param service service of the request
-     * @param size size of its work
-     * @param avoid servers to leave out
+     * @param query what the request needs
      * @param nowMillis current time of the steady clock
      */
-    public List<LimitedBackend> limited(
-            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+    public List<LimitedBackend> limited(BackendQuery query, long nowMillis) {
         if (!mDirectivesSeen) {
             return List.of();
         }
         return mTable.read(
                 state ->
                         state.directory()
-                                .usable(service)
-                                .filter(backend -> !avoid.contains(backend.id()))
+                                .usable(query.service())
+                                .filter(query::matches)
                                 .filter(backend -> state.acceptsWork(backend, nowMillis))
-                                .filter(backend -> !state.permits(backend, size, nowMillis))
+                                .filter(backend -> !state.permits(backend, query.size(), nowMillis))
                                 .sorted(Comparator.comparing(backend -> mRandom.getAsDouble()))
-                                .flatMap(backend -> limited(state, backend, size).stream())
+                                .flatMap(backend -> limited(state, backend, query.size()).stream())
                                 .toList());
     }
 
@@ -85,25 +79,24 @@
      * Returns the time until a server of a service may be called again, in milliseconds; empty if
      * the directives of its servers are not what prevents it.
      *
-     * @param service service of the request
-     * @param size size of its work
-     * @param avoid servers that cannot take the request for another reason
+     * @param query what the request needs
      * @param nowMillis current time of the steady clock
      */
-    public OptionalLong waitMillis(
-            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+    public OptionalLong waitMillis(BackendQuery query, long nowMillis) {
         if (!mDirectivesSeen) {
             return OptionalLong.empty();
         }
         return mTable.read(
                 state -> {
                     List<Backend> usable =
-                            state.staying(service)
+                            state.staying(query.service())
                                     .filter(backend -> backend.stage().completesRequests())
-                                    .filter(backend -> !avoid.contains(backend.id()))
+                                    .filter(query::matches)
                                     .toList();
                     return usable.stream()
-                                    .anyMatch(backend -> state.permits(backend, size, nowMillis))
+                                    .anyMatch(
+                                            backend ->
+                                                    state.permits(backend, query.size(), nowMillis))
                             ? OptionalLong.empty()
                             : usable.stream()
                                     .mapToLong(
@@ -119,15 +112,16 @@
      * Returns the number of servers of a service that a selection now passes over because of their
      * directives.
      */
-    public long passedOver(ServiceName service, WorkSize size, long nowMillis) {
+    public long passedOver(BackendQuery query, long nowMillis) {
         if (!mDirectivesSeen) {
             return 0;
         }
         return mTable.read(
                 state ->
                         state.directory()
-                                .usable(service)
-                                .filter(backend -> !state.permits(backend, size, nowMillis))
+                                .usable(query.service())
+                                .filter(query::matches)
+                                .filter(backend -> !state.permits(backend, query.size(), nowMillis))
                                 .count());
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
@@ -83,6 +82,17 @@
                 state -> state.staying().collect(Collectors.groupingBy(Backend::service)));
     }
 
+    /** Returns whether a server of a service may run a request once it can take one. */
+    public boolean mayServe(BackendQuery query, long nowMillis) {
+        return mTable.read(
+                state ->
+                        Stream.concat(
+                                        state.staying(query.service()),
+                                        state.directory().lapsed(query.service(), nowMillis))
+                                .filter(query::matches)
+                                .anyMatch(backend -> backend.stage().completesRequests()));
+    }
+
     /** Ends the ejections of the servers of a service to which this host had lost its paths. */
     public void recordReachable(ServiceName service) {
         mTable.write(
@@ -120,18 +130,15 @@
     /**
      * Selects the server that runs a request and records its work there.
      *
-     * @param service service of the request
-     * @param size size of its work
-     * @param avoid servers that have already been tried
+     * @param query what the request needs
      * @param nowMillis current time of the steady clock
      * @return the server; empty if no server of the service can accept the request now
      */
-    public Optional<Backend> select(
-            ServiceName service, WorkSize size, Set<BackendId> avoid, long nowMillis) {
+    public Optional<Backend> select(BackendQuery query, long nowMillis) {
         return mTable.read(
                 state -> {
                     List<Backend> engines =
-                            candidates(state, service, size, avoid, nowMillis)
+                            candidates(state, query, nowMillis)
                                     .filter(backend -> backend.stage().completesRequests())
                                     .filter(backend -> !state.stateOf(backend).isFull(nowMillis))
                                     .filter(
@@ -141,7 +148,8 @@
                                     .toList();
                     Optional<Backend> chosen =
                             cheapest(engines, backend -> requestCost(state, backend, nowMillis));
-                    chosen.ifPresent(backend -> state.recordStart(backend, size, nowMillis));
+                    chosen.ifPresent(
+                            backend -> state.recordStart(backend, query.size(), nowMillis));
                     return chosen;
                 });
     }
@@ -300,14 +308,9 @@
                 });
     }
 
-    private Stream<Backend> candidates(
-            RegistryState state,
-            ServiceName service,
-            WorkSize size,
-            Set<BackendId> avoid,
-            long nowMillis) {
+    private Stream<Backend> candidates(RegistryState state, BackendQuery query, long nowMillis) {
         List<Backend> usable =
-                permitted(state, state.directory().usable(service), size, avoid, nowMillis);
+                permitted(state, state.directory().usable(query.service()), query, nowMillis);
         List<Backend> admitted =
                 usable.stream().filter(backend -> state.admits(backend, nowMillis)).toList();
         boolean canServe =
@@ -320,18 +323,17 @@
         return usable.stream().anyMatch(backend -> backend.stage().completesRequests())
                 ? usable.stream()
                 : permitted(
-                        state, state.directory().lapsed(service, nowMillis), size, avoid, nowMillis)
+                        state,
+                        state.directory().lapsed(query.service(), nowMillis),
+                        query,
+                        nowMillis)
                         .stream();
     }
 
     private static List<Backend> permitted(
-            RegistryState state,
-            Stream<Backend> backends,
-            WorkSize size,
-            Set<BackendId> avoid,
-            long nowMillis) {
-        return backends.filter(backend -> !avoid.contains(backend.id()))
-                .filter(backend -> state.permits(backend, size, nowMillis))
+            RegistryState state, Stream<Backend> backends, BackendQuery query, long nowMillis) {
+        return backends.filter(query::matches)
+                .filter(backend -> state.permits(backend, query.size(), nowMillis))
                 .toList();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -207,7 +207,7 @@
             end(SendOutcome.UNKNOWN, "resumed stream is no event stream");
         } else {
             mRelay.crashes().responded(target(), mSentMillis);
-            mResponse.head(head);
+            mResponse.head(head, Optional.of(target().version()));
             if (!mRequest.route().kind().streams()) {
                 responseStarted();
             }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendPermits.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendPermits.java
@@ -2,13 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.message.PermitRequest;
 import org.cyclamenpaddle.core.message.PermitResponse;
 import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
 import org.cyclamenpaddle.relay.backend.LimitedBackend;
 import org.cyclamenpaddle.relay.backend.WorkSize;
@@ -37,7 +36,7 @@
     void requestInAdvance(ServiceName service, WorkSize size) {
         mRegistry
                 .directives()
-                .limited(service, size, Set.of(), mClock.millis())
+                .limited(BackendQuery.of(service, size), mClock.millis())
                 .forEach(this::request);
     }
 
@@ -45,19 +44,14 @@
      * Requests permits for a request that no server can take without one, from one limited server
      * after the other until one is granted.
      *
-     * @param avoid servers that cannot take the request
+     * @param query what the request needs
      * @param loop event loop on which {@code done} is called
      * @param done called with whether permits were granted
      */
-    void request(
-            ServiceName service,
-            WorkSize size,
-            Set<BackendId> avoid,
-            EventLoop loop,
-            Listener done) {
+    void request(BackendQuery query, EventLoop loop, Listener done) {
         // A permit for a prefill engine alone would not let the request begin.
         List<LimitedBackend> limited =
-                mRegistry.directives().limited(service, size, avoid, mClock.millis()).stream()
+                mRegistry.directives().limited(query, mClock.millis()).stream()
                         .filter(server -> server.backend().stage().completesRequests())
                         .toList();
         requestNext(limited, 0).thenAcceptAsync(done::ended, loop);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -11,7 +11,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
+import org.cyclamenpaddle.relay.handover.HandoverHeaders;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.EventFramer;
@@ -19,6 +21,7 @@
 import org.cyclamenpaddle.relay.wire.BackendResponse;
 import org.cyclamenpaddle.routing.buffer.ByteBounds;
 import org.cyclamenpaddle.routing.buffer.RequestBytes;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /**
  * Assembles the single response to a caller from the responses of one or more backend servers.
@@ -54,6 +57,8 @@
     private boolean mReachedBound;
     private BackendResponse mHead;
     private boolean mEventStream;
+    private Optional<SoftwareVersion> mServing = Optional.empty();
+    private StreamBinding mBinding;
     private long mFirstMillis = -1;
     private long mLastMillis = -1;
     private long mMaxPauseMillis;
@@ -66,27 +71,37 @@
             RelayRequest request,
             RequestBytes bytes,
             RetryAfter retryAfter,
-            RetryPolicy retryPolicy) {
+            RetryPolicy retryPolicy,
+            StreamBinding binding) {
         mRelay = relay;
         mRequest = request;
         mBytes = bytes;
         mWriter = writer;
         mRetryAfter = retryAfter;
         mRetryPolicy = retryPolicy;
+        mBinding = binding;
         mTail = new EventFramer(request.caller().resumeAfter());
     }
 
     /**
      * Accepts the head of a backend server's response, unless a response is already being
      * forwarded.
+     *
+     * @param version software version of the server; empty if it is not known
      */
-    void head(BackendResponse head) {
+    void head(BackendResponse head, Optional<SoftwareVersion> version) {
         mEventStream = isEventStream(head);
+        mServing = version;
         if (!mRetryPolicy.isForwarding()) {
             mHead = head;
         }
     }
 
+    /** Returns the versions at which the response may go on. */
+    StreamBinding binding() {
+        return mBinding;
+    }
+
     /** Returns whether a response can follow what has been forwarded. */
     boolean mayContinueWith(BackendResponse head) {
         return !mRetryPolicy.isForwarding() || !head.success() || isEventStream(head);
@@ -300,7 +315,16 @@
             return;
         }
         mRetryPolicy.beginForwarding();
-        ResponseHeadersBuilder headers = HopByHopHeaders.strip(mHead.headers()).toBuilder();
+        if (mEventStream) {
+            mBinding = StreamBinding.to(mServing);
+        }
+        ResponseHeaders stripped =
+                HandoverHeaders.stripServed(HopByHopHeaders.strip(mHead.headers()));
+        ResponseHeadersBuilder headers =
+                (mRequest.ofOwnCaller()
+                                ? stripped
+                                : HandoverHeaders.withServedVersion(stripped, mServing))
+                        .toBuilder();
         if (mEventStream) {
             // Another server may resume the stream and complete it with another length.
             headers.remove(HttpHeaderNames.CONTENT_LENGTH);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverAttempt.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.engine.http.TruncatedResponseException;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -112,8 +113,15 @@
             end(SendOutcome.UNKNOWN, "response of host " + mHelper.host() + " does not fit");
             return;
         }
+        Optional<SoftwareVersion> served = HandoverHeaders.servedVersion(head.headers());
+        if (!served.map(mTerms.binding()::permits).orElse(!mTerms.binding().binds())) {
+            // A host of an older build does not know the terms.
+            mExchange.cancel();
+            end(SendOutcome.UNKNOWN, "host " + mHelper.host() + " resumed at another version");
+            return;
+        }
         mRelay.helpers().taken(mHelper, mRequest.service());
-        mResponse.head(head);
+        mResponse.head(head, served);
         mExchange.requestMore();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -140,6 +140,7 @@
                 mRetryPolicy.attemptsLeft(),
                 counted,
                 mResponse.lastEventId(),
+                mResponse.binding(),
                 mCrashGuard.fingerprintToHandOver());
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -3,11 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 import org.cyclamenpaddle.routing.buffer.RequestBytes;
@@ -94,7 +93,7 @@
     private final RelayRequest mRequest;
     private final RequestBytes mBytes;
     private final EventLoop mLoop;
-    private final Set<BackendId> mAvoid;
+    private final BackendQuery mQuery;
     private final boolean mSentBefore;
     private final BooleanSupplier mRetryBudget;
     private final CrashGuard mCrashGuard;
@@ -108,7 +107,7 @@
      * Creates the phase; {@link #start} starts it.
      *
      * @param bytes bytes held for the request
-     * @param avoid servers that have already been tried or cannot take the body
+     * @param query what the request needs of a server
      * @param sentBefore whether the request was sent to a server before
      * @param retryBudget takes one retry from the shared budget; false if there is none left
      * @param crashGuard decides whether the request may be sent
@@ -119,7 +118,7 @@
             RelayRequest request,
             RequestBytes bytes,
             EventLoop loop,
-            Set<BackendId> avoid,
+            BackendQuery query,
             boolean sentBefore,
             BooleanSupplier retryBudget,
             CrashGuard crashGuard,
@@ -129,7 +128,7 @@
         mRequest = request;
         mLoop = loop;
         mBytes = bytes;
-        mAvoid = avoid;
+        mQuery = query;
         mSentBefore = sentBefore;
         mRetryBudget = retryBudget;
         mCrashGuard = crashGuard;
@@ -153,10 +152,10 @@
                                 mRelay,
                                 mRequest,
                                 mLoop,
-                                mAvoid,
+                                mQuery,
                                 mSentBefore,
                                 found -> reserved(found, timeoutMillis))
-                        : new PlainSearch(mRelay, mRequest, mLoop, mAvoid, this::serverFound);
+                        : new PlainSearch(mRelay, mLoop, mQuery, this::serverFound);
         mSearch = Optional.of(search);
         search.find();
     }
@@ -259,11 +258,7 @@
         boolean limited =
                 mRelay.registry()
                         .directives()
-                        .waitMillis(
-                                mRequest.service(),
-                                mRequest.caller().size(),
-                                mAvoid,
-                                mRelay.clock().millis())
+                        .waitMillis(mQuery, mRelay.clock().millis())
                         .isPresent();
         return limited ? "all backend servers ask for fewer requests" : otherwise;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlainSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlainSearch.java
@@ -3,10 +3,8 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
-import org.cyclamenpaddle.relay.backend.WorkSize;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
 
 /**
  * Finds a server of a plain service for one request.
@@ -22,23 +20,16 @@
     }
 
     private final RelayContext mRelay;
-    private final RelayRequest mRequest;
     private final EventLoop mLoop;
-    private final Set<BackendId> mAvoid;
+    private final BackendQuery mQuery;
     private final Listener mListener;
     private boolean mPermitRequested;
     private boolean mClosed;
 
-    PlainSearch(
-            RelayContext relay,
-            RelayRequest request,
-            EventLoop loop,
-            Set<BackendId> avoid,
-            Listener listener) {
+    PlainSearch(RelayContext relay, EventLoop loop, BackendQuery query, Listener listener) {
         mRelay = relay;
-        mRequest = request;
         mLoop = loop;
-        mAvoid = Set.copyOf(avoid);
+        mQuery = query;
         mListener = listener;
     }
 
@@ -48,16 +39,15 @@
             return;
         }
         long now = mRelay.clock().millis();
-        Optional<Backend> backend =
-                mRelay.registry().select(mRequest.service(), size(), mAvoid, now);
+        Optional<Backend> backend = mRelay.registry().select(mQuery, now);
         if (backend.isEmpty() && mayObtainPermit(now)) {
             mPermitRequested = true;
-            mRelay.permits().request(mRequest.service(), size(), mAvoid, mLoop, granted -> find());
+            mRelay.permits().request(mQuery, mLoop, granted -> find());
             return;
         }
         mClosed = true;
         if (backend.isPresent()) {
-            mRelay.permits().requestInAdvance(mRequest.service(), size());
+            mRelay.permits().requestInAdvance(mQuery.service(), mQuery.size());
         }
         mListener.found(backend);
     }
@@ -68,14 +58,7 @@
     }
 
     private boolean mayObtainPermit(long nowMillis) {
-        OptionalLong wait =
-                mRelay.registry()
-                        .directives()
-                        .waitMillis(mRequest.service(), size(), mAvoid, nowMillis);
+        OptionalLong wait = mRelay.registry().directives().waitMillis(mQuery, nowMillis);
         return !mPermitRequested && wait.isPresent() && wait.getAsLong() <= 0;
     }
-
-    private WorkSize size() {
-        return mRequest.caller().size();
-    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -19,6 +19,7 @@
 import org.cyclamenpaddle.relay.wire.CallerRequest;
 import org.cyclamenpaddle.routing.reservation.CallerRetryDelay;
 import org.cyclamenpaddle.routing.reservation.Urgency;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /**
  * A request with the configuration that applies to it.
@@ -79,6 +80,11 @@
         return route.kind().streams() && caller.resumeAfter().isPresent();
     }
 
+    /** Returns the software versions at which the request may run when it arrives. */
+    StreamBinding binding() {
+        return handover.map(HandoverTerms::binding).orElse(StreamBinding.ANY);
+    }
+
     /** Returns the key of its stream; empty for a plain call, or if its beginning is not named. */
     Optional<StreamKey> streamKey() {
         Optional<String> firstAttempt =
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -14,6 +14,7 @@
 import java.util.stream.LongStream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.handover.Helper;
@@ -70,7 +71,9 @@
         mCrashGuard = new CrashGuard(relay, request, loop);
         mStartMillis = relay.clock().millis();
         mRetryPolicy = new RetryPolicy(request.retryLimits(), mStartMillis);
-        mResponse = new CallerResponse(relay, writer, request, bytes, retryAfter, mRetryPolicy);
+        mResponse =
+                new CallerResponse(
+                        relay, writer, request, bytes, retryAfter, mRetryPolicy, request.binding());
         mRequestLog = new RequestLog(relay, request, mRetryPolicy, mResponse, mStartMillis);
         mHandover =
                 new HandoverPhase(
@@ -149,13 +152,19 @@
             handOver();
             return;
         }
+        long now = mRelay.clock().millis();
+        BackendQuery query = query(BytesRefusal.serversToAvoid(mRelay, mRequest, mTried));
+        if (query.binding().binds() && !mRelay.registry().mayServe(query, now)) {
+            fail(SendOutcome.NOT_SENT, "no other server of the software version of the stream");
+            return;
+        }
         PlacementPhase placement =
                 new PlacementPhase(
                         mRelay,
                         mRequest,
                         mBytes,
                         mLoop,
-                        BytesRefusal.serversToAvoid(mRelay, mRequest, mTried),
+                        query,
                         !mTried.isEmpty(),
                         this::takeRetry,
                         mCrashGuard,
@@ -178,11 +187,8 @@
                             }
                         });
         mPlacement = Optional.of(placement);
-        long now = mRelay.clock().millis();
         mRequestLog.serversPassedOver(
-                mRelay.registry()
-                        .directives()
-                        .passedOver(mRequest.service(), mRequest.caller().size(), now));
+                mRelay.registry().directives().passedOver(query(Set.of()), now));
         placement.start(now + mRetryPolicy.remainingMillis(now));
     }
 
@@ -197,13 +203,12 @@
     }
 
     private OptionalLong directiveWait() {
-        return mRelay.registry()
-                .directives()
-                .waitMillis(
-                        mRequest.service(),
-                        mRequest.caller().size(),
-                        Set.of(),
-                        mRelay.clock().millis());
+        return mRelay.registry().directives().waitMillis(query(Set.of()), mRelay.clock().millis());
+    }
+
+    private BackendQuery query(Set<BackendId> avoid) {
+        return new BackendQuery(
+                mRequest.service(), mRequest.caller().size(), avoid, mResponse.binding());
     }
 
     private void send(PlacementPhase.Placed placed) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -42,6 +43,7 @@
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
     private final Set<BackendId> mAvoid;
+    private final BackendQuery mQuery;
     private final Listener mListener;
     private final ReservationWait mReservationWait;
     private final ReservePacing mReservePacing = new ReservePacing();
@@ -56,13 +58,14 @@
             RelayContext relay,
             RelayRequest request,
             EventLoop loop,
-            Set<BackendId> avoid,
+            BackendQuery query,
             boolean sentBefore,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
-        mAvoid = new HashSet<>(avoid);
+        mAvoid = new HashSet<>(query.avoid());
+        mQuery = query.avoiding(mAvoid);
         mListener = listener;
         mGrowthCapacity = new GrowthCapacity(relay, request, loop);
         long now = relay.clock().millis();
@@ -107,17 +110,15 @@
         Optional<Backend> selected =
                 mReservePacing.pauseIsDue()
                         ? Optional.empty()
-                        : mRelay.registry().select(mRequest.service(), size(), mAvoid, now);
+                        : mRelay.registry().select(mQuery, now);
         if (selected.isPresent()) {
             mRelay.permits().requestInAdvance(mRequest.service(), size());
             reserve(selected.get());
             return;
         }
-        OptionalLong directiveWait =
-                mRelay.registry().directives().waitMillis(mRequest.service(), size(), mAvoid, now);
+        OptionalLong directiveWait = mRelay.registry().directives().waitMillis(mQuery, now);
         if (mayObtainPermit(directiveWait)) {
-            mRelay.permits()
-                    .request(mRequest.service(), size(), mAvoid, mLoop, granted -> findAgain());
+            mRelay.permits().request(mQuery, mLoop, granted -> findAgain());
         } else if (!mReservationWait.mayRetry(now + directiveWait.orElse(0))) {
             mClosed = true;
             mListener.found(Optional.empty());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverHeaders.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverHeaders.java
@@ -10,14 +10,19 @@
 import io.netty.util.AsciiString;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.routing.handover.HandoverRefusal;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /**
  * Headers between two hosts for a request that is handed over.
@@ -36,6 +41,8 @@
     private static final AsciiString COUNTED = HttpHeaderNames.of("x-handover-counted");
     private static final AsciiString RESUME_AFTER = HttpHeaderNames.of("x-handover-resume-after");
     private static final AsciiString FINGERPRINT = HttpHeaderNames.of("x-handover-fingerprint");
+    private static final AsciiString BINDING = HttpHeaderNames.of("x-handover-binding");
+    private static final AsciiString SERVED = HttpHeaderNames.of("x-handover-served-version");
     private static final AsciiString REFUSED = HttpHeaderNames.of("x-handover-refused");
     private static final AsciiString REACHES = HttpHeaderNames.of("x-handover-reaches");
 
@@ -49,8 +56,11 @@
                     ATTEMPTS,
                     COUNTED,
                     RESUME_AFTER,
+                    BINDING,
                     FINGERPRINT);
 
+    private static final String MARK = "=";
+
     private HandoverHeaders() {}
 
     /** Returns the headers of a request with the terms of handing it over. */
@@ -64,6 +74,7 @@
         builder.setInt(ATTEMPTS, terms.attempts());
         builder.set(COUNTED, String.valueOf(terms.counted()));
         terms.resumeAfter().ifPresent(id -> builder.set(RESUME_AFTER, id));
+        terms.binding().version().ifPresent(version -> builder.set(BINDING, text(version)));
         terms.fingerprint().ifPresent(value -> builder.set(FINGERPRINT, Long.toHexString(value)));
         return builder.build();
     }
@@ -81,11 +92,61 @@
                                         headers.getInt(ATTEMPTS, 0),
                                         Boolean.parseBoolean(headers.get(COUNTED)),
                                         Optional.ofNullable(headers.get(RESUME_AFTER)),
+                                        binding(headers),
                                         fingerprint(headers)))
                 .toEither()
                 .mapLeft(String::valueOf);
     }
 
+    /** A stream that its caller has begun is bound in any case; of what version may be missing. */
+    private static StreamBinding binding(HttpHeaders headers) {
+        return headers.contains(RESUME_AFTER)
+                ? StreamBinding.to(version(headers.get(BINDING)))
+                : StreamBinding.ANY;
+    }
+
+    /** Returns the head of a response with the version of the server that sent it. */
+    public static ResponseHeaders withServedVersion(
+            ResponseHeaders headers, Optional<SoftwareVersion> version) {
+        return version.map(known -> headers.toBuilder().set(SERVED, text(known)).build())
+                .orElse(headers);
+    }
+
+    /** Returns the version of the server whose response a host has passed on. */
+    public static Optional<SoftwareVersion> servedVersion(ResponseHeaders headers) {
+        return version(headers.get(SERVED));
+    }
+
+    /** Removes the headers of a response that concern only two hosts. */
+    public static ResponseHeaders stripServed(ResponseHeaders headers) {
+        if (!headers.contains(SERVED)) {
+            return headers;
+        }
+        ResponseHeadersBuilder builder = headers.toBuilder();
+        builder.remove(SERVED);
+        return builder.build();
+    }
+
+    /** Encodes a version; a mark precedes it, since a version may be empty. */
+    private static String text(SoftwareVersion version) {
+        return MARK + URLEncoder.encode(version.value(), StandardCharsets.UTF_8);
+    }
+
+    private static Optional<SoftwareVersion> version(String text) {
+        return Optional.ofNullable(text)
+                .filter(marked -> marked.startsWith(MARK))
+                .flatMap(
+                        marked ->
+                                Try.of(
+                                                () ->
+                                                        new SoftwareVersion(
+                                                                URLDecoder.decode(
+                                                                        marked.substring(
+                                                                                MARK.length()),
+                                                                        StandardCharsets.UTF_8)))
+                                        .toJavaOptional());
+    }
+
     private static OptionalLong fingerprint(HttpHeaders headers) {
         String text = headers.get(FINGERPRINT);
         return text == null
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverTerms.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverTerms.java
@@ -5,6 +5,7 @@
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /**
  * What a host has decided about a request that it hands over.
@@ -17,6 +18,7 @@
  * @param attempts number of backend servers that it may still be sent to
  * @param counted whether it is counted for the retry budget already
  * @param resumeAfter id of the last event that its caller has; empty at the beginning
+ * @param binding software versions at which it may run
  * @param fingerprint fingerprint of a request with an API key, which is not handed over; empty for
  *     one without
  */
@@ -29,12 +31,17 @@
         int attempts,
         boolean counted,
         Optional<String> resumeAfter,
+        StreamBinding binding,
         OptionalLong fingerprint) {
 
     public HandoverTerms {
-        if (from == null || service == null || timeoutMillis < 0 || attempts < 1) {
+        if (from == null
+                || service == null
+                || binding == null
+                || timeoutMillis < 0
+                || attempts < 1) {
             throw new IllegalArgumentException(
-                    "terms need a host, a service, a timeout and at least one attempt");
+                    "terms need a host, a service, a binding, a timeout and at least one attempt");
         }
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -35,7 +34,7 @@
     }
 
     private Optional<Backend> select(long nowMillis) {
-        return mRegistry.select(Backends.SERVICE, SIZE, Set.of(), nowMillis);
+        return mRegistry.select(BackendQuery.of(Backends.SERVICE, SIZE), nowMillis);
     }
 
     private void recordOutcome(Backend backend, SendOutcome outcome, long nowMillis) {
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,6 +26,7 @@
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.engine.http.CallFailure;
 import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
 import org.cyclamenpaddle.relay.backend.BackendStage;
 import org.cyclamenpaddle.relay.backend.CostSettings;
@@ -176,7 +176,9 @@
         mRegistry.directives().record(mBackend, Directives.NONE, 2_000, 2_000);
         mRegistry.applyListing(Map.of(mBackend.id(), mBackend), 2_100);
         assertTrue(
-                mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 9_000).isEmpty(),
+                mRegistry
+                        .select(BackendQuery.of(mBackend.service(), WorkSize.PLAIN), 9_000)
+                        .isEmpty(),
                 "a later response or listing takes the announcement back");
     }
 
@@ -194,14 +196,17 @@
     public void directivesOfAnyResponseAreRecorded() {
         mDirectives = PAUSE;
         call(false);
-        assertTrue(mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 3_999).isEmpty());
+        assertTrue(
+                mRegistry
+                        .select(BackendQuery.of(mBackend.service(), WorkSize.PLAIN), 3_999)
+                        .isEmpty());
         assertEquals(
                 mRegistry
                         .directives()
-                        .waitMillis(mBackend.service(), WorkSize.PLAIN, Set.of(), 1_500),
+                        .waitMillis(BackendQuery.of(mBackend.service(), WorkSize.PLAIN), 1_500),
                 OptionalLong.of(2_500));
         assertEquals(
-                mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 4_000),
+                mRegistry.select(BackendQuery.of(mBackend.service(), WorkSize.PLAIN), 4_000),
                 Optional.of(mBackend));
     }
 
@@ -211,7 +216,10 @@
         mRegistry.directives().record(mBackend, PAUSE, 1_000, 1_000);
         mRegistry.applyListing(Map.of(), 1_100);
         mRegistry.applyListing(Map.of(mBackend.id(), mBackend), 1_200);
-        assertTrue(mRegistry.select(mBackend.service(), WorkSize.PLAIN, Set.of(), 3_999).isEmpty());
+        assertTrue(
+                mRegistry
+                        .select(BackendQuery.of(mBackend.service(), WorkSize.PLAIN), 3_999)
+                        .isEmpty());
     }
 
     /** A restarted server is left out because the process before it had asked for no calls. */
@@ -232,14 +240,16 @@
                         false);
         mRegistry.applyListing(Map.of(restarted.id(), restarted), 1_100);
         assertEquals(
-                mRegistry.select(restarted.service(), WorkSize.PLAIN, Set.of(), 1_200),
+                mRegistry.select(BackendQuery.of(restarted.service(), WorkSize.PLAIN), 1_200),
                 Optional.of(restarted));
         mRegistry.directives().record(restarted, PAUSE, 1_200, 1_300);
         // A response of the previous process arrives late.
         mRegistry.directives().record(mBackend, Directives.NONE, 1_000, 1_400);
         mRegistry.directives().recordPermits(mBackend, 1, 0, 1_400);
         assertTrue(
-                mRegistry.select(restarted.service(), WorkSize.PLAIN, Set.of(), 1_500).isEmpty(),
+                mRegistry
+                        .select(BackendQuery.of(restarted.service(), WorkSize.PLAIN), 1_500)
+                        .isEmpty(),
                 "a late response of the previous incarnation ends the pause");
     }
 }
