Take a stream up only at the version that began it, at whatever host

Cause: only the host that ran an attempt could know where its stream began, and it kept nothing; nothing read the attempt that the caller names.

Change: the host that forwards the first event of a stream remembers its version and tells two hosts in two failure domains and one in its own. A beginning that nobody knows is unknown and refused at once, and so is a version without a server; the caller may begin anew. A host that stops hands on what it knows. The servers of the process move into a class of their own.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
@@ -18,4 +18,7 @@
                 ProbeRequest,
                 QuotaRequest,
                 QuotaResponse,
-                StrikeNotice {}
+                StrikeNotice,
+                StreamNotice,
+                StreamRequest,
+                StreamResponse {}
--- /dev/null
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/StreamNotice.java
@@ -0,0 +1,15 @@
+package org.cyclamenpaddle.core.message;
+
+import java.util.List;
+
+/**
+ * Reports at which software versions streams have begun.
+ *
+ * @param beginnings the streams
+ */
+public record StreamNotice(List<StreamBeginning> beginnings) implements PeerMessage {
+
+    public StreamNotice {
+        beginnings = List.copyOf(beginnings);
+    }
+}
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -22,5 +22,6 @@
     DEMAND,
     CALLERS,
     REACHABILITY,
-    HELPERS
+    HELPERS,
+    STREAMS
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
@@ -6,6 +6,8 @@
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.message.ClaimRequest;
 import org.cyclamenpaddle.core.message.ClaimResponse;
 import org.cyclamenpaddle.core.message.ConfigurationRequest;
@@ -24,6 +26,9 @@
 import org.cyclamenpaddle.core.message.ProbeResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StreamNotice;
+import org.cyclamenpaddle.core.message.StreamRequest;
+import org.cyclamenpaddle.core.message.StreamResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 
 /** Message types of the peer protocol, each with its type number and the encoding of its fields. */
@@ -136,7 +141,22 @@
                 out.flag(m.granted());
                 out.number(m.retryMillis());
             },
-            in -> new PermitResponse(in.flag(), in.number()));
+            in -> new PermitResponse(in.flag(), in.number())),
+    STREAM_NOTICE(
+            18,
+            StreamNotice.class,
+            (out, m) -> out.list(m.beginnings(), begun -> NestedFields.writeBeginning(out, begun)),
+            in -> new StreamNotice(in.list(() -> NestedFields.readBeginning(in)))),
+    STREAM_REQUEST(
+            19,
+            StreamRequest.class,
+            (out, m) -> out.number(m.stream().hash()),
+            in -> new StreamRequest(new StreamKey(in.number()))),
+    STREAM_RESPONSE(
+            20,
+            StreamResponse.class,
+            (out, m) -> out.optional(m.version(), version -> out.text(version.value())),
+            in -> new StreamResponse(in.optional(() -> new SoftwareVersion(in.text()))));
 
     private final int mCode;
     private final Class<? extends PeerMessage> mType;
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
@@ -7,12 +7,15 @@
 import org.cyclamenpaddle.core.config.ObjectKey;
 import org.cyclamenpaddle.core.id.AttemptId;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.ClaimResponse;
 import org.cyclamenpaddle.core.message.GrantRequest;
 import org.cyclamenpaddle.core.message.LedgerSummary;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StreamBeginning;
 
 /** Reads and writes the records that are nested in messages. */
 final class NestedFields {
@@ -128,4 +131,15 @@
     static QuotaResponse.Grant readQuotaGrant(FieldReader in) throws IOException {
         return new QuotaResponse.Grant(new TeamName(in.text()), in.number(), in.number());
     }
+
+    static void writeBeginning(FieldWriter out, StreamBeginning begun) throws IOException {
+        out.number(begun.stream().hash());
+        out.text(begun.version().value());
+        out.number(begun.remainingMillis());
+    }
+
+    static StreamBeginning readBeginning(FieldReader in) throws IOException {
+        return new StreamBeginning(
+                new StreamKey(in.number()), new SoftwareVersion(in.text()), in.number());
+    }
 }
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
@@ -13,6 +13,8 @@
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.ClaimRequest;
 import org.cyclamenpaddle.core.message.ClaimResponse;
@@ -35,6 +37,10 @@
 import org.cyclamenpaddle.core.message.ProbeResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StreamBeginning;
+import org.cyclamenpaddle.core.message.StreamNotice;
+import org.cyclamenpaddle.core.message.StreamRequest;
+import org.cyclamenpaddle.core.message.StreamResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 
 /** Sample messages, at least one of each type. */
@@ -96,7 +102,18 @@
                                             TEAM, 5_400, 2_700, 800, 40, 0, 90, 4_000, 3_900))),
                     new QuotaResponse(true, List.of(new QuotaResponse.Grant(TEAM, 6_200, 0))),
                     new PermitRequest(new BackendId("engine-1"), 1_700_000_000_000L, 1_400, 2),
-                    new PermitResponse(false, 700));
+                    new PermitResponse(false, 700),
+                    new StreamNotice(
+                            List.of(
+                                    new StreamBeginning(
+                                            new StreamKey(-3), new SoftwareVersion("v1.1"), 9),
+                                    new StreamBeginning(
+                                            new StreamKey(Long.MAX_VALUE),
+                                            SoftwareVersion.UNSPECIFIED,
+                                            28_000))),
+                    new StreamRequest(new StreamKey(Long.MIN_VALUE)),
+                    new StreamResponse(Optional.of(new SoftwareVersion("v1"))),
+                    new StreamResponse(Optional.empty()));
 
     private Samples() {}
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -3,13 +3,10 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.metric.NoopMeterRegistry;
-import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
-import java.net.InetSocketAddress;
-import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,7 +22,10 @@
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
+import org.cyclamenpaddle.core.message.StreamBeginning;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.core.table.TableOrder;
 import org.cyclamenpaddle.core.time.Clock;
@@ -55,6 +55,8 @@
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
 import org.cyclamenpaddle.relay.quota.PeerAddress;
 import org.cyclamenpaddle.relay.quota.QuotaController;
+import org.cyclamenpaddle.relay.resume.StreamMemory;
+import org.cyclamenpaddle.relay.resume.StreamPeers;
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.role.RoleAllocation;
 import org.cyclamenpaddle.relay.role.RoleController;
@@ -71,26 +73,6 @@
 /** Composes a relay process from its parts, starts it and runs its planned stop. */
 public final class RelayProcess implements AutoCloseable {
 
-    /**
-     * Idle timeout of a caller's connection, in milliseconds.
-     *
-     * <p>Longer than any configuration allows, so that a caller never sends a request on a
-     * connection that has just been closed by the relay.
-     */
-    private static final long CALLER_IDLE_MILLIS = 120_000;
-
-    /** Maximum body size, in bytes; configurations allow 4 MiB. */
-    private static final long MAX_BODY_BYTES = 8L << 20;
-
-    /** Maximum size of the header block, in bytes; configurations allow 16 KiB. */
-    private static final int MAX_HEADER_BYTES = 32 << 10;
-
-    /** Name of the servers in the library's own log; by default it asks the operating system. */
-    private static final String LOCAL_NAME = "localhost";
-
-    private static final String READY_PATH = "/v1/ready";
-    private static final String METRICS_PATH = "/metrics";
-
     /** Interval at which the settings file is read without a signal, in milliseconds. */
     private static final long RELOAD_MILLIS = 5_000;
 
@@ -109,6 +91,7 @@
     private final SharedRetryBudget mBudget;
     private final BackendRegistry mRegistry;
     private final RequestQuarantine mQuarantine;
+    private final StreamMemory mStreams;
     private final CrashDetector mCrashes;
     private final BackendCalls mCalls;
     private final StartupGate mStartupGate = new StartupGate();
@@ -152,6 +135,7 @@
         mQuarantine =
                 new RequestQuarantine(
                         mQuotas.strikePeers(), this::renewHostEntry, mLog, mMetrics, mClock);
+        mStreams = new StreamMemory(mQuotas.streamPeers(), mMetrics, mClock);
         mCrashes = new CrashDetector(mRegistry::isReplaced, mQuarantine, mMetrics, mClock);
         mUpdater =
                 new StateUpdater(
@@ -172,26 +156,7 @@
         mReachability = reachabilityMonitor(settings.host());
         mRegistry.onSendFailed(mReachability::requestFailed);
         mCalls.onResponse(mReachability::requestResponded);
-        RelayContext relay =
-                new RelayContext(
-                        mRegistry,
-                        mBudget,
-                        mDemand,
-                        new Table<>(TableOrder.CALLERS, new ReturningCallers()),
-                        mConnections,
-                        new BackendPermits(mRegistry, mQuotas.permits(), mClock),
-                        bytes,
-                        mCrashes,
-                        mQuarantine,
-                        mReachability,
-                        mHelpers,
-                        mCalls,
-                        adapter.backendMessages(),
-                        adapter.engineMessages(),
-                        mLog,
-                        mMetrics,
-                        mClock,
-                        mRandom);
+        RelayContext relay = context(bytes);
         mShutdown = new GracefulShutdown(settings.stop().graceMillis(), mClock);
         mService =
                 new RelayService(
@@ -201,12 +166,40 @@
                         mShutdown,
                         mStartupGate,
                         mQuotas.quotas());
-        mCallerServer = callerServer();
-        mHandoverServer = handoverServer(relay);
-        mCheckServer = checkServer();
+        mCallerServer = RelayServers.requests(settings.listen().callers(), mService);
+        HandoverService handovers = new HandoverService(relay, mService);
+        mHandoverServer =
+                settings.listen()
+                        .requests()
+                        .map(listen -> RelayServers.requests(listen, handovers));
+        mCheckServer =
+                RelayServers.checks(settings.listen().checks(), this::readiness, this::metrics);
         registerGauges(bytes);
     }
 
+    private RelayContext context(ByteAccount bytes) {
+        return new RelayContext(
+                mRegistry,
+                mBudget,
+                mDemand,
+                new Table<>(TableOrder.CALLERS, new ReturningCallers()),
+                mConnections,
+                new BackendPermits(mRegistry, mQuotas.permits(), mClock),
+                bytes,
+                mCrashes,
+                mQuarantine,
+                mStreams,
+                mReachability,
+                mHelpers,
+                mCalls,
+                mAdapter.backendMessages(),
+                mAdapter.engineMessages(),
+                mLog,
+                mMetrics,
+                mClock,
+                mRandom);
+    }
+
     private HelperDirectory helperDirectory(RelaySettings.Host host) {
         return new HelperDirectory(
                 new HostId(host.name()), new FailureDomain(host.domain()), mClock, mRandom);
@@ -233,16 +226,33 @@
                 this::quotaLimit,
                 this::teamsWithQuota,
                 notice -> mQuarantine.noticeReceived(notice),
+                new ReportedStreams(),
                 new LostFrames(mMetrics),
                 mLog,
                 mScheduler,
                 mClock);
     }
 
+    /** The connections between hosts are created before what receives their messages. */
+    private final class ReportedStreams implements StreamPeers.Listener {
+
+        @Override
+        public void reported(Collection<StreamBeginning> beginnings) {
+            mStreams.reported(beginnings);
+        }
+
+        @Override
+        public Optional<SoftwareVersion> known(StreamKey stream) {
+            return mStreams.known(stream);
+        }
+    }
+
     private void registerGauges(ByteAccount bytes) {
         mMetrics.gauge("requests_in_flight", mService::inFlight);
         mMetrics.gauge("bytes_held", bytes::held);
         mMetrics.gauge("backends_named", mRegistry::size);
+        mMetrics.gauge("streams_remembered", mStreams::size);
+        mMetrics.gauge("streams_forgotten", mStreams::dropped);
         mMetrics.gauge("configuration_version", mConfiguration::version);
     }
 
@@ -305,7 +315,10 @@
      */
     public void stop() {
         mLog.log(RelayEvent.STOPPING, mService.inFlight(), mCurrentSettings.stop().graceMillis());
+        mStreams.handOn();
         long tookMillis = mShutdown.run(mService::inFlight);
+        // Streams that have begun meanwhile.
+        mStreams.handOn();
         mLog.log(RelayEvent.STOPPED, mService.inFlight(), tookMillis);
         mLog.flush();
     }
@@ -340,6 +353,7 @@
     private void reloadAndExpire() {
         reload();
         mQuarantine.expire();
+        mStreams.expire();
     }
 
     private HostRegistry hostRegistry(PeerAddress self) {
@@ -449,47 +463,6 @@
                 mRandom);
     }
 
-    private Optional<Server> handoverServer(RelayContext relay) {
-        HandoverService service = new HandoverService(relay, mService);
-        return mSettings.listen().requests().map(listen -> requestServer(listen, service));
-    }
-
-    private Server callerServer() {
-        return requestServer(mSettings.listen().callers(), mService);
-    }
-
-    private static Server requestServer(Endpoint listen, HttpService service) {
-        return Server.builder()
-                .http(address(listen))
-                .requestTimeout(Duration.ZERO)
-                .idleTimeoutMillis(CALLER_IDLE_MILLIS)
-                .maxRequestLength(MAX_BODY_BYTES)
-                .http1MaxHeaderSize(MAX_HEADER_BYTES)
-                .http1MaxInitialLineLength(MAX_HEADER_BYTES)
-                .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
-                .meterRegistry(NoopMeterRegistry.get())
-                .defaultHostname(LOCAL_NAME)
-                .disableServerHeader()
-                .disableDateHeader()
-                .serviceUnder("/", service)
-                .build();
-    }
-
-    private Server checkServer() {
-        return Server.builder()
-                .http(address(mSettings.listen().checks()))
-                .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO)
-                .meterRegistry(NoopMeterRegistry.get())
-                .defaultHostname(LOCAL_NAME)
-                .service(READY_PATH, (context, request) -> readiness())
-                .service(METRICS_PATH, (context, request) -> metrics())
-                .build();
-    }
-
-    private static InetSocketAddress address(Endpoint endpoint) {
-        return new InetSocketAddress(endpoint.address(), endpoint.port());
-    }
-
     private HttpResponse readiness() {
         return HttpResponse.of(ready() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
@@ -8,6 +8,7 @@
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 
 /**
  * Holds the backend server entries in the store, and those that have recently disappeared from it.
@@ -30,6 +31,7 @@
     private record LapsedEntry(Backend backend, long untilMillis) {}
 
     private final Map<BackendId, Backend> mEntries = new HashMap<>();
+    private final Set<ServiceName> mVersioned = new HashSet<>();
     private final Map<BackendId, LapsedEntry> mLapsed = new HashMap<>();
 
     /**
@@ -55,6 +57,9 @@
     public void applyChange(BackendId id, Optional<Backend> entry, long nowMillis) {
         if (entry.isPresent()) {
             mEntries.put(id, entry.get());
+            if (!entry.get().version().equals(SoftwareVersion.UNSPECIFIED)) {
+                mVersioned.add(entry.get().service());
+            }
             mLapsed.remove(id);
             return;
         }
@@ -84,6 +89,11 @@
                 .filter(backend -> backend.service().equals(service));
     }
 
+    /** Returns whether any server of a service has ever reported its software version. */
+    public boolean reportsVersions(ServiceName service) {
+        return mVersioned.contains(service);
+    }
+
     /** Returns the number of current entries, including draining servers. */
     public int size() {
         return mEntries.size();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -82,6 +82,11 @@
                 state -> state.staying().collect(Collectors.groupingBy(Backend::service)));
     }
 
+    /** Returns whether any server of a service has ever reported its software version. */
+    public boolean reportsVersions(ServiceName service) {
+        return mTable.read(state -> state.directory().reportsVersions(service));
+    }
+
     /** Returns whether a server of a service may run a request once it can take one. */
     public boolean mayServe(BackendQuery query, long nowMillis) {
         return mTable.read(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.handover.HandoverHeaders;
@@ -59,6 +60,7 @@
     private boolean mEventStream;
     private Optional<SoftwareVersion> mServing = Optional.empty();
     private StreamBinding mBinding;
+    private final Consumer<StreamBinding> mBegan;
     private long mFirstMillis = -1;
     private long mLastMillis = -1;
     private long mMaxPauseMillis;
@@ -72,7 +74,9 @@
             RequestBytes bytes,
             RetryAfter retryAfter,
             RetryPolicy retryPolicy,
-            StreamBinding binding) {
+            StreamBinding binding,
+            Consumer<StreamBinding> began) {
+        mBegan = began;
         mRelay = relay;
         mRequest = request;
         mBytes = bytes;
@@ -102,6 +106,11 @@
         return mBinding;
     }
 
+    /** Sets the versions at which a response that has not begun may run. */
+    void bind(StreamBinding binding) {
+        mBinding = binding;
+    }
+
     /** Returns whether a response can follow what has been forwarded. */
     boolean mayContinueWith(BackendResponse head) {
         return !mRetryPolicy.isForwarding() || !head.success() || isEventStream(head);
@@ -317,6 +326,7 @@
         mRetryPolicy.beginForwarding();
         if (mEventStream) {
             mBinding = StreamBinding.to(mServing);
+            mBegan.accept(mBinding);
         }
         ResponseHeaders stripped =
                 HandoverHeaders.stripServed(HopByHopHeaders.strip(mHead.headers()));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -11,6 +11,7 @@
 import org.cyclamenpaddle.relay.handover.ReachabilityMonitor;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
+import org.cyclamenpaddle.relay.resume.StreamMemory;
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.EngineMessages;
@@ -29,6 +30,7 @@
  * @param bytes account of the bytes held for callers and backend servers
  * @param crashes detects backend servers that have ended
  * @param quarantine requests that end each server that runs them
+ * @param streams where the streams began that callers may take up
  * @param reachability whether this host reaches the servers of a service
  * @param helpers other hosts that take over requests
  * @param calls calls to backend servers beside the requests of callers
@@ -49,6 +51,7 @@
         ByteAccount bytes,
         CrashDetector crashes,
         RequestQuarantine quarantine,
+        StreamMemory streams,
         ReachabilityMonitor reachability,
         HelperDirectory helpers,
         BackendCalls calls,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -24,6 +24,7 @@
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.wire.BackendCall;
 import org.cyclamenpaddle.routing.buffer.RequestBytes;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /**
  * Manages one request from its arrival to its end: places it, forwards it, retries it and completes
@@ -43,6 +44,7 @@
     private final RequestLog mRequestLog;
     private final CrashGuard mCrashGuard;
     private final HandoverPhase mHandover;
+    private final StreamPhase mStream;
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mTimeout;
@@ -71,9 +73,17 @@
         mCrashGuard = new CrashGuard(relay, request, loop);
         mStartMillis = relay.clock().millis();
         mRetryPolicy = new RetryPolicy(request.retryLimits(), mStartMillis);
+        mStream = new StreamPhase(relay, request, loop);
         mResponse =
                 new CallerResponse(
-                        relay, writer, request, bytes, retryAfter, mRetryPolicy, request.binding());
+                        relay,
+                        writer,
+                        request,
+                        bytes,
+                        retryAfter,
+                        mRetryPolicy,
+                        request.binding(),
+                        mStream::began);
         mRequestLog = new RequestLog(relay, request, mRetryPolicy, mResponse, mStartMillis);
         mHandover =
                 new HandoverPhase(
@@ -122,10 +132,16 @@
         if (mRequest.engine().isPresent() && !handOver && mCrashGuard.mayRun()) {
             mRelay.demand().recordStart(mRequest.service(), mRequest.caller().size());
         }
-        if (mRequest.ofOwnCaller() && mRequest.takesUpStream()) {
-            mRequestLog.streamTakenUp();
+        if (mStream.isRequired()) {
+            mStream.find(
+                    (binding, millis) -> {
+                        mRequestLog.streamTakenUp(binding, millis);
+                        mResponse.bind(binding);
+                        selectBackend();
+                    });
+        } else {
+            selectBackend();
         }
-        selectBackend();
     }
 
     /** Handles a closed caller connection or a cancelled response stream. */
@@ -148,6 +164,10 @@
             refuseQuarantined();
             return;
         }
+        if (mResponse.binding().kind() == StreamBinding.Kind.UNKNOWN) {
+            fail(StreamPhase.Refusal.VERSION_UNKNOWN);
+            return;
+        }
         if (mHandover.isRequired()) {
             handOver();
             return;
@@ -155,7 +175,7 @@
         long now = mRelay.clock().millis();
         BackendQuery query = query(BytesRefusal.serversToAvoid(mRelay, mRequest, mTried));
         if (query.binding().binds() && !mRelay.registry().mayServe(query, now)) {
-            fail(SendOutcome.NOT_SENT, "no other server of the software version of the stream");
+            fail(StreamPhase.Refusal.VERSION_GONE);
             return;
         }
         PlacementPhase placement =
@@ -500,6 +520,10 @@
         }
     }
 
+    private void fail(StreamPhase.Refusal refusal) {
+        fail(SendOutcome.NOT_SENT, mStream.refused(refusal));
+    }
+
     private void refuseQuarantined() {
         mCrashGuard.logRefusal();
         fail(SendOutcome.NOT_SENT, CrashGuard.REASON);
@@ -518,6 +542,7 @@
     private void fail(SendOutcome outcome, String reason, Optional<ResponseHeaders> refusal) {
         CallerReply reply = mRetryPolicy.reply(outcome, mRelay.clock().millis());
         if (mRetryPolicy.isForwarding()) {
+            mStream.brokenOff();
             mResponse.abort();
             mRequestLog.truncated(lastBackend(), reason);
         } else {
@@ -536,6 +561,9 @@
 
     /** Returns the time after which a refused caller may return, in milliseconds. */
     private long retryDelayMillis() {
+        if (mStream.retryMillis().isPresent()) {
+            return mStream.retryMillis().getAsLong();
+        }
         return LongStream.of(
                         mRequest.minRetryDelayMillis(mRelay.demand()),
                         directiveWait().orElse(0),
@@ -554,6 +582,7 @@
 
     private void end() {
         mEnded = true;
+        mStream.cancel();
         mBytes.sendEnded();
         mResponse.whenDelivered(() -> mTimeout.cancel(false));
         mPlacement.ifPresent(PlacementPhase::cancel);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
 import java.util.Optional;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -9,6 +10,7 @@
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /** Writes the log lines of one request: decisions, outcomes and durations. */
 final class RequestLog {
@@ -46,14 +48,21 @@
         mSearch = inputs;
     }
 
-    /** Logs a request that takes up a stream which another attempt of its caller has begun. */
-    void streamTakenUp() {
+    /**
+     * Logs a request that takes up a stream which another attempt of its caller has begun.
+     *
+     * @param binding software version that began it, if it is known
+     * @param millis how long it took to find out
+     */
+    void streamTakenUp(StreamBinding binding, long millis) {
         mRelay.log().log(
                 RelayEvent.STREAM_TAKEN_UP,
                 mRequest.caller().id(),
                 mRequest.route().name(),
                 mRequest.service(),
-                stream());
+                stream(),
+                binding.version().map(SoftwareVersion::toString).orElse("unknown"),
+                millis);
     }
 
     /** Logs that the caller disconnected before the response was complete. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -69,7 +69,8 @@
         mListener = listener;
         mGrowthCapacity = new GrowthCapacity(relay, request, loop);
         long now = relay.clock().millis();
-        RetryStage stage = stage(relay, request, sentBefore, now);
+        // A caller that has events of a stream waits for it as for one that was sent before.
+        RetryStage stage = stage(relay, request, sentBefore || query.binding().binds(), now);
         mReservationWait =
                 ReservationWait.begin(now, request.route().terms(), stage, request.urgency());
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -206,7 +206,7 @@
             2222,
             Priority.DIAGNOSTIC,
             "stream taken up by its caller",
-            List.of("request", "route", "service", "stream")),
+            List.of("request", "route", "service", "stream", "began", "millis")),
     REQUEST_REFUSED(
             2207,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -108,6 +108,11 @@
         counter("handovers", "kind", tag(kind)).increment();
     }
 
+    /** Records an event around streams that callers may take up. */
+    public void recordStream(Enum<?> kind) {
+        counter("stream_events", "kind", tag(kind)).increment();
+    }
+
     /** Records an event around the ends of backend servers. */
     public void recordCrashEvent(Enum<?> kind) {
         counter("crash_events", "kind", tag(kind)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -3,7 +3,11 @@
 import com.linecorp.armeria.common.CommonPools;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -13,9 +17,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntFunction;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
@@ -24,6 +33,10 @@
 import org.cyclamenpaddle.core.message.PermitResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StreamBeginning;
+import org.cyclamenpaddle.core.message.StreamNotice;
+import org.cyclamenpaddle.core.message.StreamRequest;
+import org.cyclamenpaddle.core.message.StreamResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.peer.net.PeerCounters;
@@ -32,6 +45,7 @@
 import org.cyclamenpaddle.peer.net.PeerSettings;
 import org.cyclamenpaddle.relay.crash.StrikePeers;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
+import org.cyclamenpaddle.relay.resume.StreamPeers;
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.routing.limit.OwnerChoice;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
@@ -40,7 +54,8 @@
 /**
  * Controller that shares limits among the hosts, the quotas of teams and the limits of backend
  * servers: connects the hosts, reports this host's use of quotas at regular intervals, and lends
- * from what this host owns. The strikes of requests use the same connections.
+ * from what this host owns. The strikes of requests and the beginnings of streams use the same
+ * connections.
  */
 public final class QuotaController implements AutoCloseable {
 
@@ -52,6 +67,9 @@
     private static final PeerSettings PEERS =
             new PeerSettings(1, 500, 50, 400, 2_000, 30_000, 64, 200, 2_048);
 
+    /** Maximum number of streams in one message. */
+    private static final int MAX_BEGINNINGS = 256;
+
     private final PeerAddress mConfigured;
     private final HostRecord mSelf;
     private final PeerNetwork mNetwork;
@@ -69,6 +87,7 @@
      * @param bounds bounds of the deployment
      * @param limits limits in force; empty for a team without one
      * @param strikes receives the strikes that other hosts send
+     * @param streams receives what other hosts send about streams
      * @param limited teams that have a quota in the configuration in force; this host reports on
      *     their shards only
      * @param counters counters of frames and connections
@@ -82,6 +101,7 @@
             Function<TeamName, Optional<QuotaLimit>> limits,
             Supplier<Set<TeamName>> limited,
             Consumer<StrikeNotice> strikes,
+            StreamPeers.Listener streams,
             PeerCounters counters,
             RelayEventLog log,
             ScheduledExecutorService executor,
@@ -105,7 +125,8 @@
         mNetwork =
                 PeerNetwork.onSharedLoops(
                         () -> mSelf,
-                        (from, message) -> respond(lender, permits, strikes, from, message),
+                        (from, message) ->
+                                respond(lender, permits, strikes, streams, from, message),
                         PEERS,
                         clock,
                         counters,
@@ -172,6 +193,72 @@
         };
     }
 
+    /** Returns the way to exchange the beginnings of streams with other hosts. */
+    public StreamPeers streamPeers() {
+        return new StreamPeers() {
+            @Override
+            public void report(Collection<StreamBeginning> beginnings) {
+                QuotaMembers members = mMembers;
+                send(members, beginnings, members::streamOwners);
+            }
+
+            @Override
+            public void handOn(Collection<StreamBeginning> beginnings) {
+                QuotaMembers members = mMembers;
+                send(members, beginnings, members::nextStreamOwners);
+            }
+
+            @Override
+            public List<CompletableFuture<Optional<SoftwareVersion>>> ask(StreamKey stream) {
+                QuotaMembers members = mMembers;
+                return members.streamOwners(QuotaMembers.shard(stream)).stream()
+                        .filter(host -> !host.equals(members.self()))
+                        .flatMap(host -> members.find(host).stream())
+                        .map(host -> QuotaController.this.ask(host, stream))
+                        .toList();
+            }
+        };
+    }
+
+    /** Sends beginnings to the owners of their shards, all that a host is to get at once. */
+    private void send(
+            QuotaMembers members,
+            Collection<StreamBeginning> beginnings,
+            IntFunction<List<HostId>> owners) {
+        Map<HostId, List<StreamBeginning>> byHost = new HashMap<>();
+        beginnings.stream()
+                .collect(Collectors.groupingBy(begun -> QuotaMembers.shard(begun.stream())))
+                .forEach(
+                        (shard, begun) ->
+                                owners.apply(shard).stream()
+                                        .filter(host -> !host.equals(members.self()))
+                                        .forEach(
+                                                host ->
+                                                        byHost.computeIfAbsent(
+                                                                        host,
+                                                                        key -> new ArrayList<>())
+                                                                .addAll(begun)));
+        byHost.forEach((host, begun) -> members.find(host).ifPresent(to -> sendInParts(to, begun)));
+    }
+
+    private void sendInParts(HostRecord to, List<StreamBeginning> beginnings) {
+        Stream.iterate(0, from -> from < beginnings.size(), from -> from + MAX_BEGINNINGS)
+                .map(
+                        from ->
+                                beginnings.subList(
+                                        from, Math.min(beginnings.size(), from + MAX_BEGINNINGS)))
+                .forEach(part -> mNetwork.send(to, new StreamNotice(part)));
+    }
+
+    private CompletableFuture<Optional<SoftwareVersion>> ask(HostRecord to, StreamKey stream) {
+        return request(
+                        to,
+                        new StreamRequest(stream),
+                        QuotaTiming.TIMEOUT_MILLIS,
+                        StreamResponse.class)
+                .thenApply(response -> response.toJavaOptional().flatMap(StreamResponse::version));
+    }
+
     private static String subject(long fingerprint) {
         return "request-" + fingerprint;
     }
@@ -264,6 +351,7 @@
             QuotaLender lender,
             PermitLender permits,
             Consumer<StrikeNotice> strikes,
+            StreamPeers.Listener streams,
             HostRecord from,
             PeerMessage message) {
         Optional<? extends PeerMessage> response = Optional.empty();
@@ -273,6 +361,10 @@
             response = Optional.of(permits.lend(request));
         } else if (message instanceof StrikeNotice notice) {
             strikes.accept(notice);
+        } else if (message instanceof StreamNotice notice) {
+            streams.reported(notice.beginnings());
+        } else if (message instanceof StreamRequest request) {
+            response = Optional.of(new StreamResponse(streams.known(request.stream())));
         }
         return CompletableFuture.completedFuture(response.map(PeerMessage.class::cast));
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
@@ -7,10 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.HostState;
@@ -29,6 +32,9 @@
     /** Number of hosts assumed before the first listing, as for the retry budget. */
     static final int ASSUMED_HOSTS = 100;
 
+    /** Number of groups of streams with the same owners. */
+    static final int STREAM_SHARDS = 64;
+
     /** Owners of a shard among all hosts: the primary owner and a deputy for all of them. */
     private static final int GLOBAL_OWNERS = 2;
 
@@ -45,13 +51,16 @@
     private final long mChangedMillis;
     private final List<HostRecord> mOwnDomain;
     private final List<List<HostId>> mCandidates;
+    private final AtomicReferenceArray<List<HostId>> mStreamOwners;
 
     private QuotaMembers(
             PeerAddress self,
             Map<HostId, HostRecord> hosts,
             int hostCount,
             boolean counted,
-            long changedMillis) {
+            long changedMillis,
+            AtomicReferenceArray<List<HostId>> streamOwners) {
+        mStreamOwners = streamOwners;
         mSelf = self.host();
         mHosts = hosts;
         mHostCount = hostCount;
@@ -70,7 +79,8 @@
 
     /** Returns the view of a host that knows no other one yet. */
     static QuotaMembers unknown(PeerAddress self) {
-        return new QuotaMembers(self, Map.of(self.host(), record(self)), ASSUMED_HOSTS, false, 0);
+        return new QuotaMembers(
+                self, Map.of(self.host(), record(self)), ASSUMED_HOSTS, false, 0, noOwners());
     }
 
     /** Returns the view of a host after its first listing. */
@@ -85,7 +95,12 @@
         hosts.put(self.host(), record(self));
         boolean unchanged = mCounted && hosts.keySet().equals(mHosts.keySet());
         return new QuotaMembers(
-                self, hosts, hosts.size(), true, unchanged ? mChangedMillis : nowMillis);
+                self,
+                hosts,
+                hosts.size(),
+                true,
+                unchanged ? mChangedMillis : nowMillis,
+                unchanged ? mStreamOwners : noOwners());
     }
 
     /** Returns the shard of a team. */
@@ -116,6 +131,51 @@
                         Rendezvous.top(subject, mOwnDomain, 1).stream()));
     }
 
+    private static AtomicReferenceArray<List<HostId>> noOwners() {
+        return new AtomicReferenceArray<>(STREAM_SHARDS);
+    }
+
+    /** Returns the shard of a stream. */
+    static int shard(StreamKey stream) {
+        return (int) Math.floorMod(stream.hash(), (long) STREAM_SHARDS);
+    }
+
+    /**
+     * Returns the hosts that remember the streams of a shard: two of all hosts, in two failure
+     * domains if there are several, and one in this host's own.
+     *
+     * <p>Computed once for each shard while the hosts stay the same.
+     */
+    List<HostId> streamOwners(int shard) {
+        return mStreamOwners.updateAndGet(
+                shard, known -> known == null ? computeStreamOwners(shard, host -> true) : known);
+    }
+
+    /** Returns the hosts that remember the streams of a shard once this host has left. */
+    List<HostId> nextStreamOwners(int shard) {
+        return computeStreamOwners(shard, host -> !host.equals(mSelf));
+    }
+
+    private List<HostId> computeStreamOwners(int shard, Predicate<HostId> eligible) {
+        List<HostRecord> ranked =
+                Rendezvous.top("stream-" + shard, mHosts.values(), mHosts.size()).stream()
+                        .filter(host -> eligible.test(host.incarnation().host()))
+                        .toList();
+        Stream<HostRecord> first = ranked.stream().limit(1);
+        Stream<HostRecord> elsewhere =
+                ranked.stream()
+                        .filter(host -> !host.domain().equals(ranked.get(0).domain()))
+                        .limit(1);
+        Stream<HostRecord> second = ranked.stream().skip(1).limit(1);
+        Stream<HostRecord> own = ranked.stream().filter(mOwnDomain::contains).limit(1);
+        return names(
+                Stream.concat(
+                        Stream.of(first, elsewhere, second)
+                                .flatMap(hosts -> hosts)
+                                .limit(GLOBAL_OWNERS),
+                        own));
+    }
+
     /** Returns whether this host is the owner of the limit of a subject in its own view. */
     boolean isOwner(String subject) {
         return owners(subject).get(0).equals(mSelf);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -16,11 +17,15 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.PermitRequest;
+import org.cyclamenpaddle.core.message.StreamBeginning;
 import org.cyclamenpaddle.core.time.MonotonicClock;
 import org.cyclamenpaddle.peer.net.PeerCounters;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
+import org.cyclamenpaddle.relay.resume.StreamPeers;
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.relay.team.QuotaUnit;
 import org.cyclamenpaddle.relay.team.Team;
@@ -44,6 +49,17 @@
     private static final int RUN_SECONDS = 4;
     private static final QuotaBounds BOUNDS = new QuotaBounds(8, 0.1, 0);
 
+    private static final StreamPeers.Listener NO_STREAMS =
+            new StreamPeers.Listener() {
+                @Override
+                public void reported(Collection<StreamBeginning> beginnings) {}
+
+                @Override
+                public Optional<SoftwareVersion> known(StreamKey stream) {
+                    return Optional.empty();
+                }
+            };
+
     private final List<QuotaController> mHosts = new ArrayList<>();
     private final List<PeerAddress> mAddresses = new ArrayList<>();
     private ScheduledExecutorService mExecutor;
@@ -62,6 +78,7 @@
                             team -> Optional.of(LIMIT),
                             () -> Set.of(TEAM.name()),
                             notice -> {},
+                            NO_STREAMS,
                             PeerCounters.NONE,
                             new RelayEventLog(OutputStream.nullOutputStream(), "h", Instant::now),
                             mExecutor,
