Leave out engines that have started again under their ids

Cause: an engine may start again under its id at another version. Until the store shows it, its entry names the earlier version, and a request that expects its id is run.

Evidence: RelayVersionTest. streamDoesNotGoOnAtAnEngineWithAnOutdatedEntry failed before this change: the stream of v1 went on at v1.1 (expected [v1] but got [v1.1]).

Change: where the response to a reservation says when the engine started, it must be the start of the entry; else the reservation is cancelled and the entry is left out until it changes. A search for a bound stream ends when no server of its version is left to ask.

A plain server is not asked for a reservation, so that this does not protect streams of plain services.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -102,12 +102,13 @@
      */
     @Override
     public void find() {
-        if (mRelay.reachability().isCutOff(mRequest.service()) && mUnreached > 0) {
+        long now = mRelay.clock().millis();
+        boolean noneLeft = mQuery.binding().binds() && !mRelay.registry().mayServe(mQuery, now);
+        if (noneLeft || mUnreached > 0 && mRelay.reachability().isCutOff(mRequest.service())) {
             mClosed = true;
             mListener.found(Optional.empty());
             return;
         }
-        long now = mRelay.clock().millis();
         Optional<Backend> selected =
                 mReservePacing.pauseIsDue()
                         ? Optional.empty()
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -5,7 +5,6 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.netty.channel.EventLoop;
-import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -15,6 +14,7 @@
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendCaller;
+import org.cyclamenpaddle.relay.wire.Reservation;
 
 /**
  * Reserves memory for one request on one engine.
@@ -163,9 +163,19 @@
             return new Result(
                     Optional.empty(), SendOutcome.MISDIRECTED, "response of another engine");
         }
-        Either<String, Optional<String>> decoded = mRelay.engineMessages().reservation(response);
-        return decoded.fold(
-                problem -> new Result(Optional.empty(), SendOutcome.NOT_SENT, problem),
-                name -> new Result(name, SendOutcome.ABANDONED, "none"));
+        return mRelay.engineMessages()
+                .reservation(response)
+                .fold(
+                        problem -> new Result(Optional.empty(), SendOutcome.NOT_SENT, problem),
+                        this::granted);
+    }
+
+    /** An engine that has started again under its id may run another software version. */
+    private Result granted(Reservation reservation) {
+        if (reservation.isFrom(mEngine)) {
+            return new Result(reservation.name(), SendOutcome.ABANDONED, "none");
+        }
+        reservation.name().ifPresent(name -> cancel(mRelay, mEngine, name));
+        return new Result(Optional.empty(), SendOutcome.MISDIRECTED, "engine has started again");
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/EngineMessages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/EngineMessages.java
@@ -4,7 +4,6 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import io.vavr.control.Either;
-import java.util.Optional;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.EngineReport;
 
@@ -30,9 +29,9 @@
     /**
      * Decodes the response to {@link #reserve}.
      *
-     * @return the name of the reservation; empty if the engine has too little free memory
+     * @return the reservation, or that the engine has denied it
      */
-    Either<String, Optional<String>> reservation(AggregatedHttpResponse response);
+    Either<String, Reservation> reservation(AggregatedHttpResponse response);
 
     /** Returns the call that cancels a reservation that no request will use. */
     RequestHeaders cancel(Backend engine, String reservation);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/JsonBody.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/JsonBody.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.OptionalLong;
 
 /** Reads JSON bodies; a left value is the reason why one cannot be read. */
 public final class JsonBody {
@@ -21,6 +22,12 @@
         }
     }
 
+    /** Returns a whole number; empty if the field is missing or something else. */
+    public static OptionalLong integer(JsonNode node, String name) {
+        JsonNode value = node.path(name);
+        return value.isIntegralNumber() ? OptionalLong.of(value.longValue()) : OptionalLong.empty();
+    }
+
     /** Returns a field that must be a text of at least one character. */
     public static Either<String, String> text(JsonNode node, String name) {
         JsonNode value = node.path(name);
