Keep an engine that decodes for each software version

Evidence: RoleAllocationTest.eachVersionKeepsAnEngineThatDecodes and versionWithoutAnEngineThatDecodesGetsOne fail without the change.

Change: among the engines that could change, the last one that decodes of its version is taken last, and an engine of a version without one first. How many engines prefill is decided as before; a version whose engines all prefill waits for the next change.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleAllocation.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/RoleAllocation.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendStage;
 
@@ -101,13 +102,26 @@
                 engines.stream()
                         .filter(engine -> engine.stage() == from)
                         .collect(Collectors.groupingBy(Backend::domain, Collectors.counting()));
+        Map<SoftwareVersion, Long> decodeEngines =
+                engines.stream()
+                        .filter(engine -> engine.stage() == BackendStage.DECODE)
+                        .collect(Collectors.groupingBy(Backend::version, Collectors.counting()));
+        // Streams go on at engines of their version only, so each version needs one that decodes.
+        Function<Backend, Boolean> keepsVersionsServed =
+                engine ->
+                        from == BackendStage.DECODE
+                                ? decodeEngines.get(engine.version()) > 1
+                                : !decodeEngines.containsKey(engine.version());
         // Prefer the domain with most engines of this stage, so that each domain keeps both stages
         // as long
         // as possible.
         Function<Backend, Long> enginesInDomain = engine -> perDomain.get(engine.domain());
         return engines.stream()
                 .filter(engine -> engine.stage() == from)
-                .max(Comparator.comparing(enginesInDomain).thenComparing(Backend::id))
+                .max(
+                        Comparator.comparing(keepsVersionsServed)
+                                .thenComparing(enginesInDomain)
+                                .thenComparing(Backend::id))
                 .map(engine -> new StageChange(engine, to));
     }
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/RoleAllocationTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/RoleAllocationTest.java
@@ -59,6 +59,49 @@
         return engines;
     }
 
+    private static Backend engine(String id, String version, BackendStage stage) {
+        return new Backend(
+                new BackendId(id),
+                1,
+                new ServiceName("reader"),
+                "10.0.0.1",
+                80,
+                new FailureDomain("d"),
+                new SoftwareVersion(version),
+                stage,
+                64,
+                false);
+    }
+
+    /** Streams of a version cannot go on, as all of its engines prefill. */
+    @Test
+    public void eachVersionKeepsAnEngineThatDecodes() {
+        List<Backend> engines = new ArrayList<>();
+        engines.add(engine("e9", "v1", BackendStage.DECODE));
+        engines.add(engine("e8", "v1", BackendStage.PREFILL));
+        for (int i = 0; i < 4; i++) {
+            engines.add(engine("e" + i, "v2", BackendStage.DECODE));
+        }
+        StageChange change = mAllocation.nextChange(engines, Optional.empty()).orElseThrow();
+        assertEquals(change.stage(), BackendStage.PREFILL);
+        assertEquals(change.engine().version().value(), "v2");
+    }
+
+    /**
+     * An engine of another version decodes, while streams of a version without any cannot go on.
+     */
+    @Test
+    public void versionWithoutAnEngineThatDecodesGetsOne() {
+        List<Backend> engines = new ArrayList<>();
+        engines.add(engine("e1", "v1", BackendStage.PREFILL));
+        engines.add(engine("e8", "v2", BackendStage.PREFILL));
+        engines.add(engine("e9", "v2", BackendStage.PREFILL));
+        engines.add(engine("e7", "v2", BackendStage.DECODE));
+        StageChange change = mAllocation.nextChange(engines, Optional.empty()).orElseThrow();
+        assertEquals(change.stage(), BackendStage.DECODE);
+        assertEquals(change.engine().version().value(), "v1");
+    }
+
     /** Applies changes until none is needed, and returns the number of prefill engines. */
     private int converge(List<Backend> engines, Optional<GenerationCost> load) {
         List<Backend> now = new ArrayList<>(engines);
