Leave servers of a version to the streams that wait for them

Change: while a search for a bound stream waits, other requests of this host are placed on servers of other versions, if one can take them. The wait of a bound stream is that of a request that was sent before.

Result: BackendRegistryTest. newStreamsLeaveAServerToAStreamThatWaitsForItsVersion; new streams do not starve. Hosts do not tell each other about waiting streams.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -87,6 +87,19 @@
         return mTable.read(state -> state.directory().reportsVersions(service));
     }
 
+    /**
+     * Records that a stream waits for a server of its version. Requests that other servers can take
+     * leave those to it, until {@link #recordWaitEnded}.
+     */
+    public void recordWaiting(BackendQuery query) {
+        mTable.write(state -> state.waitingStreams().add(query));
+    }
+
+    /** Records that a stream waits no longer. */
+    public void recordWaitEnded(BackendQuery query) {
+        mTable.write(state -> state.waitingStreams().remove(query));
+    }
+
     /** Returns whether a server of a service may run a request once it can take one. */
     public boolean mayServe(BackendQuery query, long nowMillis) {
         return mTable.read(
@@ -152,7 +165,9 @@
                                                             .isOutdated(backend, nowMillis))
                                     .toList();
                     Optional<Backend> chosen =
-                            cheapest(engines, backend -> requestCost(state, backend, nowMillis));
+                            cheapest(
+                                    state.waitingStreams().yielding(query, engines),
+                                    backend -> requestCost(state, backend, nowMillis));
                     chosen.ifPresent(
                             backend -> state.recordStart(backend, query.size(), nowMillis));
                     return chosen;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
@@ -12,9 +12,14 @@
     private final BackendDirectory mDirectory = new BackendDirectory();
     private final Map<BackendId, BackendState> mStates = new HashMap<>();
 
+    private final WaitingStreams mWaitingStreams = new WaitingStreams();
     private final Map<FailureDomain, DomainConnectivity> mConnectivity = new HashMap<>();
     private final Map<ServiceName, PrefillThroughput> mThroughputs = new HashMap<>();
 
+    WaitingStreams waitingStreams() {
+        return mWaitingStreams;
+    }
+
     PrefillThroughput throughput(ServiceName service) {
         return mThroughputs.computeIfAbsent(service, key -> new PrefillThroughput());
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -52,6 +52,7 @@
     private int mRejects;
     private int mUnreached;
     private boolean mPermitRequested;
+    private boolean mWaiting;
     private boolean mClosed;
 
     ReservationSearch(
@@ -105,7 +106,7 @@
         long now = mRelay.clock().millis();
         boolean noneLeft = mQuery.binding().binds() && !mRelay.registry().mayServe(mQuery, now);
         if (noneLeft || mUnreached > 0 && mRelay.reachability().isCutOff(mRequest.service())) {
-            mClosed = true;
+            close();
             mListener.found(Optional.empty());
             return;
         }
@@ -122,9 +123,10 @@
         if (mayObtainPermit(directiveWait)) {
             mRelay.permits().request(mQuery, mLoop, granted -> findAgain());
         } else if (!mReservationWait.mayRetry(now + directiveWait.orElse(0))) {
-            mClosed = true;
+            close();
             mListener.found(Optional.empty());
         } else {
+            waitForVersion();
             long pause = mReservePacing.pauseMillis(mReservationWait, now);
             mLoop.schedule(this::findAgain, pause, TimeUnit.MILLISECONDS);
         }
@@ -140,7 +142,7 @@
 
     @Override
     public void cancel() {
-        mClosed = true;
+        close();
         mPending.ifPresent(engine -> release(engine, SendOutcome.ABANDONED));
         mPending = Optional.empty();
     }
@@ -155,6 +157,21 @@
                         mUnreached));
     }
 
+    private void close() {
+        mClosed = true;
+        if (mWaiting) {
+            mWaiting = false;
+            mRelay.registry().recordWaitEnded(mQuery);
+        }
+    }
+
+    private void waitForVersion() {
+        if (!mWaiting && mQuery.binding().binds()) {
+            mWaiting = true;
+            mRelay.registry().recordWaiting(mQuery);
+        }
+    }
+
     private void findAgain() {
         if (!mClosed) {
             find();
@@ -205,7 +222,7 @@
             rejected(engine, growth);
             return;
         }
-        mClosed = true;
+        close();
         mPending = Optional.empty();
         mListener.found(Optional.of(new Placement(engine, granted.reservation())));
     }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
@@ -8,10 +8,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.routing.stream.StreamBinding;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -50,6 +53,45 @@
         assertEquals(select(0), Optional.of(far));
     }
 
+    private Optional<Backend> select(String version, long nowMillis) {
+        return mRegistry.select(bound(version), nowMillis);
+    }
+
+    private static BackendQuery bound(String version) {
+        return new BackendQuery(
+                Backends.SERVICE, SIZE, Set.of(), StreamBinding.to(new SoftwareVersion(version)));
+    }
+
+    /** All servers of a version are ejected, and a stream goes to one of another version. */
+    @Test
+    public void ejectedServersOfAVersionAreNotReplacedByThoseOfAnother() {
+        Backend bound = Backends.ofVersion("i-1", "v1");
+        list(bound, Backends.ofVersion("i-2", "v2"));
+        recordOutcome(bound, SendOutcome.UNKNOWN, 10);
+        recordOutcome(bound, SendOutcome.UNKNOWN, 11);
+        assertEquals(select("v1", 12), Optional.of(bound));
+        assertEquals(select("v3", 12), Optional.empty());
+        assertFalse(mRegistry.mayServe(bound("v3"), 12));
+        assertTrue(mRegistry.mayServe(bound("v1"), 12));
+    }
+
+    /** New streams fill the only server of a version while a stream that needs it waits. */
+    @Test
+    public void newStreamsLeaveAServerToAStreamThatWaitsForItsVersion() {
+        Backend awaited = Backends.ofVersion("i-1", "v1");
+        Backend other = Backends.ofVersion("i-2", "v2");
+        list(awaited, other);
+        mRegistry.recordWaiting(bound("v1"));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(select(i), Optional.of(other));
+        }
+        assertEquals(select("v1", 20), Optional.of(awaited));
+        mRegistry.recordFull(other, 21);
+        assertEquals(select(22), Optional.of(awaited), "new streams starve");
+        mRegistry.recordWaitEnded(bound("v1"));
+        assertEquals(select(100), Optional.of(awaited));
+    }
+
     /**
      * A server becomes unreachable. Later requests must not each wait for it again: it is ejected,
      * then receives one probe request, and further requests only after the probe has succeeded.
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/Backends.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/Backends.java
@@ -16,6 +16,21 @@
         return of(id, domain, BackendStage.DECODE, 1, false);
     }
 
+    static Backend ofVersion(String id, String version) {
+        Backend server = decode(id, "a");
+        return new Backend(
+                server.id(),
+                server.startedMillis(),
+                server.service(),
+                server.address(),
+                server.port(),
+                server.domain(),
+                new SoftwareVersion(version),
+                server.stage(),
+                server.slots(),
+                server.draining());
+    }
+
     static Backend of(
             String id, String domain, BackendStage stage, long startedMillis, boolean draining) {
         return new Backend(
