Regain a service only with as many servers as carry the load of the host

Cause: one check that succeeded ended the state in which the host hands its requests over, whatever share of the servers it reached.

Change: a service that is cut off is regained when as many servers are reached as this host's part of the load needs, servers by hosts, at most half of them; each of them must not have failed since. Until the hosts are counted one is enough, as before. Where no other host takes a request, the few servers that are reached get it.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
@@ -117,6 +117,16 @@
         return mCutOff.contains(service);
     }
 
+    /** Returns whether this host has lately reached a server of a service that is cut off. */
+    public boolean reachesAny(ServiceName service) {
+        return mReachability.read(state -> state.reachesAny(service));
+    }
+
+    /** Sets the number of hosts that share the load. */
+    public void updateHostCount(int hosts) {
+        mReachability.write(state -> state.hostCount(hosts));
+    }
+
     /** Records that a request could not be sent to a server, or got no response. */
     public void requestFailed(Backend backend) {
         long now = mClock.millis();
@@ -212,7 +222,7 @@
                             return changed;
                         });
         changes.forEach((service, change) -> changed(service, change, nowMillis));
-        if (result != CheckResult.CONNECTED) {
+        if (result != CheckResult.CONNECTED || !mCutOff.isEmpty()) {
             scheduleRound();
         }
     }
