--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamMemory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamMemory.java
@@ -27,7 +27,7 @@
     private static final int MAX_STREAMS = 16_384;
 
     /** Pauses before the owners are asked again: a caller may be faster than a notice. */
-    private static final List<Long> RETRY_MILLIS = List.of(40L, 80L, 160L);
+    private static final List<Long> RETRY_MILLIS = List.of(40L, 120L);
 
     private final Table<StreamBeginnings> mBeginnings =
             new Table<>(TableOrder.STREAMS, new StreamBeginnings(MAX_STREAMS));
