Move what sends a request again to the same server out of RequestExchange

SameServerPhase has the resumption on the engine that broke a connection, and the resend after a prefill result was lost. No decision is changed.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -45,15 +45,14 @@
     private final CrashGuard mCrashGuard;
     private final HandoverPhase mHandover;
     private final StreamPhase mStream;
+    private final SameServerPhase mSameServer;
     private final long mStartMillis;
     private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mTimeout;
     private Optional<PlacementPhase> mPlacement = Optional.empty();
     private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
     private Optional<BackendAttempt> mAttempt = Optional.empty();
-    private Optional<Backend> mFailedPrefillEngine = Optional.empty();
     private OptionalLong mReservedMillis = OptionalLong.empty();
-    private boolean mReserving;
     private boolean mCounted;
     private boolean mEnded;
 
@@ -85,6 +84,15 @@
                         request.binding(),
                         mStream::began);
         mRequestLog = new RequestLog(relay, request, mRetryPolicy, mResponse, mStartMillis);
+        mSameServer =
+                new SameServerPhase(
+                        relay,
+                        request,
+                        loop,
+                        mRetryPolicy,
+                        mCrashGuard,
+                        mRequestLog,
+                        new SameServerListener());
         mHandover =
                 new HandoverPhase(
                         relay,
@@ -96,6 +104,34 @@
                         new HandoverListener());
     }
 
+    private final class SameServerListener implements SameServerPhase.Listener {
+
+        @Override
+        public boolean ended() {
+            return mEnded;
+        }
+
+        @Override
+        public boolean takeRetry() {
+            return RequestExchange.this.takeRetry();
+        }
+
+        @Override
+        public void resumes() {
+            mResponse.discardPartial();
+        }
+
+        @Override
+        public void sendAgain(PlacementPhase.Placed placed) {
+            open(placed);
+        }
+
+        @Override
+        public void sendElsewhere(BackendAttempt attempt, SendOutcome outcome, String cause) {
+            retryOrFail(attempt, outcome, cause);
+        }
+    }
+
     private final class HandoverListener implements HandoverPhase.Listener {
 
         @Override
@@ -317,109 +353,7 @@
         BackendAttempt attempt = mAttempt.orElseThrow();
         mAttempt = Optional.empty();
         releaseUnused(outcome);
-        if (outcome == SendOutcome.REJECTED && attempt.prompt().isEmpty()) {
-            rejectedDespiteReservation(attempt.target());
-        }
-        if (outcome == SendOutcome.REJECTED && attempt.prompt().isPresent()) {
-            prefillResultLost(attempt, cause);
-        } else if (outcome == SendOutcome.UNKNOWN && mayResumeOnSameEngine(attempt.target())) {
-            resumeOnSameEngine(attempt, cause);
-        } else {
-            retryOrFail(attempt, outcome, cause);
-        }
-    }
-
-    /**
-     * Handles an engine that rejected a request despite granting a reservation for it.
-     *
-     * <p>If the engine rejected it twice, the prefill result was not the cause, so the prefill
-     * engine is marked as available again.
-     */
-    private void rejectedDespiteReservation(Backend target) {
-        if (mRequest.engine().isPresent()) {
-            mRelay.registry().recordOutdated(target, mRelay.clock().millis());
-            mFailedPrefillEngine.ifPresent(mRelay.registry()::recordAlive);
-        }
-    }
-
-    private boolean mayResumeOnSameEngine(Backend engine) {
-        return mRequest.engine().isPresent()
-                && mRetryPolicy.mayResumeOnSameBackend(mRelay.clock().millis())
-                && mCrashGuard.mayRunAgainOn(engine)
-                && mRelay.registry()
-                        .directives()
-                        .tryCall(engine, mRequest.caller().size().calls(), mRelay.clock().millis());
-    }
-
-    /**
-     * Resumes a stream whose connection broke on the engine that ran it, if that engine grants a
-     * reservation.
-     *
-     * <p>An engine whose response was lost in transit still holds the prompt's KV cache. Any other
-     * engine would have to prefill the prompt again, which takes longer than callers accept. An
-     * engine that has crashed refuses the call at once, and the stream then resumes on another one.
-     */
-    private void resumeOnSameEngine(BackendAttempt attempt, String cause) {
-        mReserving = true;
-        ReserveCall.reserve(
-                mRelay,
-                mRequest,
-                mLoop,
-                attempt.target(),
-                result -> {
-                    mReserving = false;
-                    if (mEnded) {
-                        result.reservation()
-                                .ifPresent(
-                                        name -> ReserveCall.cancel(mRelay, attempt.target(), name));
-                    } else if (result.granted()
-                            && mCrashGuard.mayRun()
-                            && mRetryPolicy.resumeOnSameBackend(this::takeRetry)) {
-                        mRequestLog.attemptEnded(
-                                attempt, SendOutcome.UNKNOWN, cause, RetryDecision.SEND_AGAIN);
-                        openOnSameEngine(attempt, result.reservation());
-                    } else {
-                        result.reservation()
-                                .ifPresent(
-                                        name -> ReserveCall.cancel(mRelay, attempt.target(), name));
-                        retryOrFail(attempt, SendOutcome.UNKNOWN, cause);
-                    }
-                });
-    }
-
-    private void openOnSameEngine(BackendAttempt attempt, Optional<String> reservation) {
-        mRelay.metrics().recordRetry(SendOutcome.UNKNOWN);
-        mResponse.discardPartial();
-        mRelay.registry().recordAlive(attempt.target());
-        mRelay.registry().recordResend(attempt.target(), mRequest.caller().size());
-        open(PlacementPhase.Placed.on(attempt.target(), reservation));
-    }
-
-    /**
-     * Handles a decode engine that has memory for the request but could not fetch the prefilled
-     * prompt.
-     *
-     * <p>Safeguard: a prefill engine whose results expire at once would fail every request that it
-     * prefills for. The decode engine therefore runs the prefill itself, and the prefill engine is
-     * ejected for a time.
-     */
-    private void prefillResultLost(BackendAttempt attempt, String cause) {
-        long now = mRelay.clock().millis();
-        mFailedPrefillEngine = prefillEngine();
-        mFailedPrefillEngine.ifPresent(
-                prefillEngine -> mRelay.registry().recordPrefillResultLost(prefillEngine, now));
-        boolean again =
-                mCrashGuard.mayRun()
-                        && mRelay.registry().directives().tryCall(attempt.target(), 1, now)
-                        && mRetryPolicy.resendToSameBackend(now, this::takeRetry);
-        if (!again) {
-            retryOrFail(attempt, SendOutcome.REJECTED, cause);
-            return;
-        }
-        mRequestLog.attemptEnded(attempt, SendOutcome.REJECTED, cause, RetryDecision.SEND_AGAIN);
-        mRelay.metrics().recordRetry(SendOutcome.REJECTED);
-        mRelay.registry().recordResend(attempt.target(), mRequest.caller().size());
-        open(PlacementPhase.Placed.on(attempt.target(), Optional.empty()));
+        mSameServer.attemptEnded(attempt, outcome, cause, prefillEngine());
     }
 
     private void retryOrFail(BackendAttempt attempt, SendOutcome outcome, String cause) {
@@ -495,7 +429,7 @@
             deliveryTimedOut();
             return;
         }
-        SendOutcome unsent = mReserving ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
+        SendOutcome unsent = mSameServer.isReserving() ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
         Optional<SendOutcome> ended = mAttempt.map(BackendAttempt::timeOut);
         ended.ifPresent(this::releaseUnused);
         mAttempt = Optional.empty();
