--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -382,7 +382,6 @@
     private void updateHosts(List<LiveHost> hosts) {
         hosts.forEach(host -> mQuarantine.recordRead(host.entry().quarantined()));
         mBudget.updateHostCount(hosts.size());
-        mReachability.updateHostCount(hosts.size());
         mQuotas.updateHosts(hosts.stream().flatMap(RelayProcess::peer).toList());
         mHelpers.update(hosts.stream().flatMap(RelayProcess::helper).toList());
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -43,7 +43,6 @@
     private final Listener mListener;
     private final Set<HostId> mAsked = new HashSet<>();
     private Optional<HandoverAttempt> mAttempt = Optional.empty();
-    private boolean mNoHost;
     private boolean mRun;
 
     HandoverPhase(
@@ -67,15 +66,13 @@
     boolean isRequired() {
         return mRequest.handover().isEmpty()
                 && mRelay.reachability().isCutOff(mRequest.service())
-                && mRelay.helpers().hasHelpers()
-                && !(mNoHost && mRelay.reachability().reachesAny(mRequest.service()));
+                && mRelay.helpers().hasHelpers();
     }
 
     /** Returns the host that the request is to be sent to; empty if none is left. */
     Optional<Helper> choose() {
         Optional<Helper> helper = mRelay.helpers().choose(mRequest.service(), mAsked);
         if (helper.isEmpty()) {
-            mNoHost = true;
             mRelay.metrics().recordHandover(HandoverEvent.NO_HOST);
         }
         return helper;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -251,13 +251,8 @@
     /** Hands the request to another host, or refuses it at once if none is left. */
     private void handOver() {
         Optional<Helper> helper = mHandover.choose();
-        if (helper.isEmpty() && mHandover.isRequired()) {
-            fail(SendOutcome.NOT_SENT, "no host reaches the service");
-            return;
-        }
         if (helper.isEmpty()) {
-            // A few servers that are reached are better than none.
-            selectBackend();
+            fail(SendOutcome.NOT_SENT, "no host reaches the service");
             return;
         }
         mHandover.send(helper.get(), mCounted);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
@@ -117,16 +117,6 @@
         return mCutOff.contains(service);
     }
 
-    /** Returns whether this host has lately reached a server of a service that is cut off. */
-    public boolean reachesAny(ServiceName service) {
-        return mReachability.read(state -> state.reachesAny(service));
-    }
-
-    /** Sets the number of hosts that share the load. */
-    public void updateHostCount(int hosts) {
-        mReachability.write(state -> state.hostCount(hosts));
-    }
-
     /** Records that a request could not be sent to a server, or got no response. */
     public void requestFailed(Backend backend) {
         long now = mClock.millis();
@@ -222,7 +212,7 @@
                             return changed;
                         });
         changes.forEach((service, change) -> changed(service, change, nowMillis));
-        if (result != CheckResult.CONNECTED || !mCutOff.isEmpty()) {
+        if (result != CheckResult.CONNECTED) {
             scheduleRound();
         }
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
@@ -21,8 +21,7 @@
  * open connection can live on while new ones fail, and a late response may be the fault of its
  * server. A request that fails only causes checks. A service is cut off when checks of several of
  * its servers have failed and none has succeeded since. The host is cut off, from all services,
- * when checks of the other services have failed as well. It reaches a service again when it reaches
- * as many of its servers as carry its part of the load. Dead servers look the same to one host;
+ * when checks of the other services have failed as well. Dead servers look the same to one host;
  * only other hosts can tell the difference. Not thread-safe.
  */
 public final class BackendReachability {
@@ -43,7 +42,6 @@
 
     private static final class Evidence {
         private final Map<BackendId, Long> mFailedMillis = new HashMap<>();
-        private final Map<BackendId, Long> mReachedMillis = new HashMap<>();
         private boolean mSuspected;
         private boolean mCutOff;
         private long mNextCheckMillis;
@@ -59,7 +57,6 @@
     private boolean mHostSuspected;
     private boolean mHostCutOff;
     private long mNextHostCheckMillis;
-    private int mHostCount = Integer.MAX_VALUE;
     private long mLastContactMillis;
     private long mLastResponseMillis;
 
@@ -83,17 +80,6 @@
         return evidence != null && evidence.mCutOff || mHostCutOff;
     }
 
-    /** Sets the number of hosts that share the load; until it is known, one server is enough. */
-    public void hostCount(int hosts) {
-        mHostCount = Math.max(1, hosts);
-    }
-
-    /** Returns whether this host has lately reached a server of a service that is cut off. */
-    public boolean reachesAny(ServiceName service) {
-        Evidence evidence = mServices.get(service);
-        return evidence != null && !evidence.mReachedMillis.isEmpty();
-    }
-
     /**
      * Records that a request could not be sent to a server of a service, or got no response. It
      * causes no checks shortly after a successful one, since single servers fail all the time.
@@ -167,7 +153,7 @@
                 return List.of();
             }
             evidence.mNextCheckMillis = nowMillis + mSettings.recheckMillis();
-            return recheck(evidence, added.isEmpty() ? targets : added, targets.size());
+            return pick(added.isEmpty() ? targets : added, RECHECKS);
         }
         if (!evidence.mSuspected) {
             return List.of();
@@ -187,20 +173,6 @@
         return pick(unchecked, Math.max(0, missing));
     }
 
-    private List<BackendId> recheck(Evidence evidence, List<CheckTarget> targets, int servers) {
-        // Those that were reached are checked once more, and not only others until one is found.
-        List<CheckTarget> reached =
-                targets.stream()
-                        .filter(target -> evidence.mReachedMillis.containsKey(target.server()))
-                        .toList();
-        int missing = requiredToRegain(servers) - reached.size();
-        List<BackendId> others =
-                pick(
-                        targets.stream().filter(target -> !reached.contains(target)).toList(),
-                        Math.max(RECHECKS, missing));
-        return Stream.concat(pick(reached, RECHECKS).stream(), others.stream()).toList();
-    }
-
     /** Returns checks that concern no particular service. */
     private List<BackendId> dueHostChecks(long nowMillis) {
         if (mHostCutOff || mHostSuspected) {
@@ -262,43 +234,29 @@
         Set<ServiceName> before = cutOff();
         List<ServiceName> services = servicesOf(server);
         if (result == CheckResult.CONNECTED) {
-            connected(services, server, nowMillis);
+            connected(services, nowMillis);
         } else if (result == CheckResult.FAILED) {
             services.forEach(service -> failed(service, server, nowMillis));
         }
         return changes(before, cutOff());
     }
 
-    private void connected(List<ServiceName> services, BackendId server, long nowMillis) {
+    private void connected(List<ServiceName> services, long nowMillis) {
         mLastContactMillis = nowMillis;
         mLastResponseMillis = nowMillis;
+        if (mHostCutOff) {
+            // All paths were lost together.
+            mServices.clear();
+        }
         mHostCutOff = false;
+        services.forEach(mServices::remove);
+        services.forEach(service -> mVerifiedMillis.put(service, nowMillis));
         mHostSuspected = false;
-        services.forEach(service -> connected(service, server, nowMillis));
-    }
-
-    /**
-     * Records that a server of a service was reached. A service that is cut off stays so until as
-     * many servers are reached as this host's part of the load needs: fewer would be overloaded,
-     * and the next checks would find the service cut off again.
-     */
-    private void connected(ServiceName service, BackendId server, long nowMillis) {
-        Evidence evidence = evidence(service);
-        evidence.mFailedMillis.remove(server);
-        evidence.mReachedMillis.put(server, nowMillis);
-        int required = requiredToRegain(mListed.get(service).size());
-        if (evidence.mCutOff && evidence.mReachedMillis.size() < required) {
-            evidence.mNextCheckMillis = nowMillis;
-            return;
-        }
-        mServices.remove(service);
-        mVerifiedMillis.put(service, nowMillis);
     }
 
     private void failed(ServiceName service, BackendId server, long nowMillis) {
         Evidence evidence = evidence(service);
         evidence.mFailedMillis.put(server, nowMillis);
-        evidence.mReachedMillis.remove(server);
         evidence.mSuspected = true;
         boolean enough = evidence.mFailedMillis.size() >= required(mListed.get(service).size());
         if (enough && !evidence.mCutOff) {
@@ -329,12 +287,6 @@
         }
     }
 
-    /** Returns how many servers carry this host's part of the load, at most half of them. */
-    private int requiredToRegain(int servers) {
-        int own = (int) Math.ceil(servers / (double) mHostCount);
-        return Math.max(1, Math.min(own, (servers + 1) / 2));
-    }
-
     private static Set<BackendId> ids(List<CheckTarget> targets) {
         return targets.stream().map(CheckTarget::server).collect(Collectors.toSet());
     }
