Count what a host may use of a quota at one owner at a time

Cause: an owner inferred from its own memory for which time a host counted with it. A second primary owner that knew a host from a single report added its part of the limit, and released what it had reserved once the host arrived, although the first one had lent to it meanwhile. A deputy added up to 2.5 s of entitlement to a host that came for one report. The class of fault: a share that two holders count, because its end depends on a message.

Change: a report says for how long the host has not reported to any other owner, as the host itself measures it. The primary owner removes its part for the rest of the time and reserves it for hosts that missed a report, deputies add no more than that time, reserves do not outlast a role, and units in advance are for the share of the hosts that report.

Hosts of an older build cannot read the new report.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/QuotaRequest.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/QuotaRequest.java
@@ -9,12 +9,24 @@
  * @param shard number of the shard, from 0
  * @param entitledMillis time for which the host may still use the rates that the shard's primary
  *     owner has acknowledged, in milliseconds; 0 if they have expired
+ * @param sinceOtherOwnerMillis time since the host sent the last report that another owner has
+ *     answered, in milliseconds; {@link #NEVER_MILLIS} at most
+ * @param sinceOtherPrimaryMillis time since the host sent the last report that another owner may
+ *     have received as the primary one, in milliseconds; {@link #NEVER_MILLIS} at most
  * @param teams teams with recent use; a host without any sends an empty list to show that it is
  *     alive
  */
-public record QuotaRequest(int shard, long entitledMillis, List<TeamUse> teams)
+public record QuotaRequest(
+        int shard,
+        long entitledMillis,
+        long sinceOtherOwnerMillis,
+        long sinceOtherPrimaryMillis,
+        List<TeamUse> teams)
         implements PeerMessage {
 
+    /** Stands for a time that no owner remembers, in milliseconds. */
+    public static final long NEVER_MILLIS = 3_600_000;
+
     public QuotaRequest {
         teams = List.copyOf(teams);
         if (shard < 0 || entitledMillis < 0) {
@@ -25,6 +37,13 @@
                             + entitledMillis
                             + " must be 0 or more");
         }
+        if (Math.min(sinceOtherOwnerMillis, sinceOtherPrimaryMillis) < 0) {
+            throw new IllegalArgumentException(
+                    "times since reports to other owners must be 0 or more, got "
+                            + sinceOtherOwnerMillis
+                            + " and "
+                            + sinceOtherPrimaryMillis);
+        }
     }
 
     /**
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/NestedFields.java
@@ -90,11 +90,18 @@
     static void writeQuotaRequest(FieldWriter out, QuotaRequest m) throws IOException {
         out.number(m.shard());
         out.number(m.entitledMillis());
+        out.number(m.sinceOtherOwnerMillis());
+        out.number(m.sinceOtherPrimaryMillis());
         out.list(m.teams(), use -> writeTeamUse(out, use));
     }
 
     static QuotaRequest readQuotaRequest(FieldReader in) throws IOException {
-        return new QuotaRequest(in.integer(), in.number(), in.list(() -> readTeamUse(in)));
+        return new QuotaRequest(
+                in.integer(),
+                in.number(),
+                in.number(),
+                in.number(),
+                in.list(() -> readTeamUse(in)));
     }
 
     private static void writeTeamUse(FieldWriter out, QuotaRequest.TeamUse m) throws IOException {
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
@@ -97,6 +97,8 @@
                     new QuotaRequest(
                             3,
                             9_000,
+                            400,
+                            QuotaRequest.NEVER_MILLIS,
                             List.of(
                                     new QuotaRequest.TeamUse(
                                             TEAM, 5_400, 2_700, 800, 40, 0, 90, 4_000, 3_900))),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaClient.java
@@ -154,7 +154,7 @@
         return Optional.of(
                 new Report(
                         owner,
-                        borrower.report(now),
+                        borrower.report(owner, now),
                         probe ? QuotaBorrower.PROBE_MILLIS : QuotaTiming.TIMEOUT_MILLIS));
     }
 
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaBorrower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
@@ -71,6 +72,7 @@
     private final int mShard;
     private final Map<TeamName, QuotaAccount<W>> mAccounts = new HashMap<>();
     private final Set<TeamName> mEntered = new HashSet<>();
+    private final ReportHistory mReports = new ReportHistory();
     private boolean mPrimaryResponded;
     private long mFirstReportMillis = Long.MAX_VALUE;
     private long mReportMillis = Long.MIN_VALUE / 2;
@@ -163,14 +165,19 @@
                 .toList();
     }
 
-    /** Returns the message to send to the owner. */
-    public QuotaRequest report(long nowMillis) {
+    /** Returns the message to send to an owner. */
+    public QuotaRequest report(HostId owner, long nowMillis) {
         mReportMillis = nowMillis;
         mFirstReportMillis = Math.min(mFirstReportMillis, nowMillis);
         mAccounts.values().removeIf(account -> account.isClosed(nowMillis));
+        long sinceOtherOwnerMillis = mReports.sinceOtherOwnerMillis(owner, nowMillis);
+        long sinceOtherPrimaryMillis = mReports.sinceOtherPrimaryMillis(owner, nowMillis);
+        mReports.sent(owner, nowMillis);
         return new QuotaRequest(
                 mShard,
                 Math.max(0, mEntitledUntilMillis - nowMillis),
+                sinceOtherOwnerMillis,
+                sinceOtherPrimaryMillis,
                 mAccounts.entrySet().stream()
                         .map(entry -> entry.getValue().report(entry.getKey(), nowMillis))
                         .toList());
@@ -183,6 +190,7 @@
      * @param response the response to it
      */
     public List<Settled<W>> apply(QuotaRequest sent, QuotaResponse response, long nowMillis) {
+        mReports.answered(response.primary());
         if (response.primary()) {
             mPrimaryResponded = true;
             mEntitledUntilMillis = nowMillis + ENTITLEMENT_MILLIS;
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/QuotaShard.java
@@ -65,6 +65,10 @@
         private TeamState team(TeamName team) {
             return mTeams.computeIfAbsent(team, any -> new TeamState());
         }
+
+        private void dropReserves() {
+            mTeams.values().forEach(state -> state.mReserved = 0);
+        }
     }
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -111,7 +115,7 @@
             Function<TeamName, Optional<QuotaLimit>> limits,
             long nowMillis) {
         applyFleet(fleet, limits, nowMillis);
-        HostState host = recordReport(from, fleet, limits, nowMillis);
+        HostState host = recordReport(from, request, fleet, limits, nowMillis);
         host.mEntitledUntilMillis = nowMillis + request.entitledMillis();
         host.mIdle = request.teams().isEmpty();
         if (!fleet.primary()) {
@@ -146,6 +150,7 @@
             mRoleSinceMillis = nowMillis;
             mPools.forEach((team, pool) -> mDebts.put(team, Math.min(0, pool.units())));
             mPools.clear();
+            mHosts.values().forEach(HostState::dropReserves);
         }
         if (mPrimary) {
             mWasPrimaryMillis = nowMillis;
@@ -156,15 +161,21 @@
         }
     }
 
-    /** Records a host's report, and releases what was reserved since its last one. */
+    /**
+     * Records a host's report, releases what was reserved since its last one, and removes its part
+     * of the limit for the time in which it may have counted at another primary owner.
+     */
     private HostState recordReport(
             HostId from,
+            QuotaRequest request,
             Fleet fleet,
             Function<TeamName, Optional<QuotaLimit>> limits,
             long nowMillis) {
         HostState known = mHosts.get(from);
-        boolean reserved = known == null || nowMillis - known.mLastReportMillis > RESERVE_MILLIS;
-        if (reserved) {
+        long silentMillis = known == null ? 0 : silentMillis(known, nowMillis);
+        long elsewhereMillis = Math.max(0, silentMillis - request.sinceOtherPrimaryMillis());
+        boolean reserved = known == null || silentMillis > RESERVE_MILLIS;
+        if (reserved || elsewhereMillis > 0) {
             mPools.forEach(
                     (team, pool) ->
                             limits.apply(team)
@@ -173,17 +184,37 @@
         HostState host = mHosts.computeIfAbsent(from, any -> new HostState());
         if (reserved) {
             host.mTeams.forEach(
-                    (team, state) -> {
-                        Optional.ofNullable(mPools.get(team))
-                                .ifPresent(pool -> pool.correct(state.mReserved));
-                        state.mReserved = 0;
-                    });
+                    (team, state) ->
+                            Optional.ofNullable(mPools.get(team))
+                                    .ifPresent(pool -> pool.correct(state.mReserved)));
+            host.dropReserves();
         }
-        host.mSinceReportMillis = known == null ? 0 : nowMillis - known.mLastReportMillis;
+        if (fleet.primary() && elsewhereMillis > 0) {
+            mPools.forEach(
+                    (team, pool) ->
+                            limits.apply(team)
+                                    .ifPresent(
+                                            limit ->
+                                                    pool.correct(
+                                                            -lentPart(limit, fleet)
+                                                                    * elsewhereMillis
+                                                                    / MILLIS_PER_SECOND)));
+        }
+        host.mSinceReportMillis =
+                known == null
+                        ? 0
+                        : Math.min(
+                                nowMillis - known.mLastReportMillis,
+                                request.sinceOtherOwnerMillis());
         host.mLastReportMillis = nowMillis;
         return host;
     }
 
+    /** Returns the time without a report of a host in this owner's present role. */
+    private long silentMillis(HostState host, long nowMillis) {
+        return nowMillis - Math.max(host.mLastReportMillis, mRoleSinceMillis);
+    }
+
     private QuotaResponse.Grant grant(
             HostState host,
             QuotaRequest.TeamUse use,
@@ -214,7 +245,8 @@
         if (lent == use.neededUnits()) {
             long advance =
                     pool.lendInAdvance(
-                            use.advanceUnits(), advanceUnits(use.team(), state, limit.get()));
+                            use.advanceUnits(),
+                            advanceUnits(use.team(), state, limit.get(), fleet, nowMillis));
             state.mHeld += advance;
             lent += advance;
         }
@@ -223,16 +255,23 @@
 
     /**
      * Returns the most units that a host may get in advance: its part among the hosts that use the
-     * quota, as far as all together do not hold the total.
+     * quota, as far as all together do not hold the total. The total is for all hosts; others than
+     * those that report here may have units in advance from another owner.
      */
-    private double advanceUnits(TeamName team, TeamState host, QuotaLimit limit) {
+    private double advanceUnits(
+            TeamName team, TeamState host, QuotaLimit limit, Fleet fleet, long nowMillis) {
         LongSummaryStatistics held =
                 mHosts.values().stream()
                         .map(other -> other.mTeams.get(team))
                         .filter(state -> state != null)
                         .mapToLong(state -> state.mHeld)
                         .summaryStatistics();
-        double total = mBounds.advanceUnits(limit);
+        long reporting =
+                mHosts.values().stream()
+                        .filter(other -> !isSilent(other, fleet, nowMillis))
+                        .count();
+        double total =
+                mBounds.advanceUnits(limit) * Math.min(1, reporting / (double) fleet.hostCount());
         return Math.min(total - held.getSum(), total / held.getCount() - host.mHeld);
     }
 
@@ -294,14 +333,10 @@
     private double newReserves(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
         double reserves = 0;
         for (HostState host : mHosts.values()) {
-            if (nowMillis - host.mLastReportMillis > RESERVE_MILLIS) {
+            long silentMillis = silentMillis(host, nowMillis);
+            if (silentMillis > RESERVE_MILLIS) {
                 TeamState state = host.team(team);
-                double reserved =
-                        reserve(
-                                nowMillis - host.mLastReportMillis,
-                                state.mUsePerSecond,
-                                limit,
-                                fleet);
+                double reserved = reserve(host, state.mUsePerSecond, silentMillis, limit, fleet);
                 reserves += reserved - state.mReserved;
                 state.mReserved = reserved;
             }
@@ -309,14 +344,28 @@
         return reserves;
     }
 
-    private static double reserve(
-            long silentMillis, double usePerSecond, QuotaLimit limit, Fleet fleet) {
-        long entitledMillis = Math.min(silentMillis, QuotaBorrower.ENTITLEMENT_MILLIS);
-        return (usePerSecond * entitledMillis
-                        + equalPart(limit, fleet) * (silentMillis - entitledMillis))
+    /**
+     * Returns what a host may have used since its last report: its reported rate while it is
+     * entitled to it, and at least its part of the limit once it has missed a report, since it may
+     * then count at another primary owner.
+     */
+    private double reserve(
+            HostState host, double usePerSecond, long silentMillis, QuotaLimit limit, Fleet fleet) {
+        long reportingMillis = Math.min(silentMillis, silentMillis(host, fleet));
+        long entitledMillis =
+                Math.max(reportingMillis, Math.min(silentMillis, QuotaBorrower.ENTITLEMENT_MILLIS));
+        double part = lentPart(limit, fleet);
+        return (usePerSecond * reportingMillis
+                        + Math.max(usePerSecond, part) * (entitledMillis - reportingMillis)
+                        + part * (silentMillis - entitledMillis))
                 / MILLIS_PER_SECOND;
     }
 
+    /** Returns one host's part of what the primary owner lends, in units a second. */
+    private double lentPart(QuotaLimit limit, Fleet fleet) {
+        return (limit.unitsPerSecond() + mBounds.beyondPerSecond(limit)) / fleet.hostCount();
+    }
+
     /** Returns the sum of the entitlements of the hosts that report to this deputy. */
     private double entitledRate(TeamName team, QuotaLimit limit, Fleet fleet, long nowMillis) {
         return mHosts.values().stream()
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaBorrowerTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaBorrowerTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
@@ -18,6 +19,8 @@
 
     private static final long WAIT = QuotaBorrower.WAIT_MILLIS;
 
+    private static final HostId OWNER = new HostId("owner");
+
     private QuotaBorrower<String> mBorrower;
 
     @BeforeMethod
@@ -26,7 +29,7 @@
     }
 
     private List<QuotaBorrower.Settled<String>> exchange(long units, boolean primary, long now) {
-        QuotaRequest request = mBorrower.report(now);
+        QuotaRequest request = mBorrower.report(OWNER, now);
         return mBorrower.apply(
                 request,
                 new QuotaResponse(primary, List.of(new QuotaResponse.Grant(TEAM, units, 700))),
@@ -56,7 +59,7 @@
     @Test
     public void requestThatArrivesAfterTheReportIsNotDeniedByItsResponse() {
         mBorrower.take(TEAM, 100, "a", 0);
-        QuotaRequest request = mBorrower.report(0);
+        QuotaRequest request = mBorrower.report(OWNER, 0);
         mBorrower.take(TEAM, 100, "b", 1);
         List<QuotaBorrower.Settled<String>> settled =
                 mBorrower.apply(
@@ -83,7 +86,7 @@
         exchange(4_000, true, 3);
         exchange(0, true, 10);
         assertEquals(mBorrower.take(TEAM, 100, "b", 20), QuotaDecision.ADMITTED);
-        QuotaRequest.TeamUse owing = mBorrower.report(21).teams().get(0);
+        QuotaRequest.TeamUse owing = mBorrower.report(OWNER, 21).teams().get(0);
         assertEquals(owing.heldUnits(), 0);
         assertEquals(owing.firstUnits(), 100);
         assertTrue(owing.neededUnits() >= 100);
@@ -94,9 +97,9 @@
     public void idleTeamGivesItsUnitsBack() {
         mBorrower.take(TEAM, 100, "a", 0);
         exchange(200, true, 3);
-        assertEquals(mBorrower.report(1_000).teams().get(0).returnedUnits(), 0);
-        assertEquals(mBorrower.report(3_000).teams().get(0).returnedUnits(), 100);
-        assertEquals(mBorrower.report(3_001).teams().get(0).heldUnits(), 0);
+        assertEquals(mBorrower.report(OWNER, 1_000).teams().get(0).returnedUnits(), 0);
+        assertEquals(mBorrower.report(OWNER, 3_000).teams().get(0).returnedUnits(), 100);
+        assertEquals(mBorrower.report(OWNER, 3_001).teams().get(0).heldUnits(), 0);
     }
 
     /** A faulty owner must not make a host exceed the quota by more than it asked for. */
@@ -104,7 +107,7 @@
     public void noMoreIsTakenThanWasAskedFor() {
         mBorrower.take(TEAM, 100, "a", 0);
         exchange(Long.MAX_VALUE, true, 3);
-        assertTrue(mBorrower.report(4).teams().get(0).heldUnits() <= 100);
+        assertTrue(mBorrower.report(OWNER, 4).teams().get(0).heldUnits() <= 100);
     }
 
     /** Failure: after a restart, a deputy that knows nothing yet denies requests. */
@@ -123,7 +126,7 @@
     @Test
     public void unitsForAnExpiredRequestStayWithTheHost() {
         mBorrower.take(TEAM, 100, "a", 0);
-        QuotaRequest request = mBorrower.report(0);
+        QuotaRequest request = mBorrower.report(OWNER, 0);
         assertEquals(mBorrower.expire((team, cost) -> false, WAIT).size(), 1);
         List<QuotaBorrower.Settled<String>> settled =
                 mBorrower.apply(
@@ -140,11 +143,11 @@
     public void oneRequestOfATeamEntersAndIsReported() {
         mBorrower.take(TEAM, 100, "a", 0);
         mBorrower.take(TEAM, 100, "b", 0);
-        mBorrower.report(0);
+        mBorrower.report(OWNER, 0);
         List<QuotaBorrower.Settled<String>> settled = mBorrower.expire((team, cost) -> true, WAIT);
         assertEquals(settled.get(0).decision(), QuotaDecision.ADMITTED);
         assertTrue(settled.get(1).decision() instanceof QuotaDecision.Denied, settled.toString());
-        assertEquals(mBorrower.report(WAIT + 1).teams().get(0).elsewhereUnits(), 100);
+        assertEquals(mBorrower.report(OWNER, WAIT + 1).teams().get(0).elsewhereUnits(), 100);
     }
 
     /** Failure: a host that is cut off later admits requests as if it had just started. */
@@ -160,7 +163,7 @@
 
     @Test
     public void nothingEntersLongAfterTheStart() {
-        mBorrower.report(0);
+        mBorrower.report(OWNER, 0);
         mBorrower.take(TEAM, 100, "a", 5_000);
         List<QuotaBorrower.Settled<String>> settled =
                 mBorrower.expire((team, cost) -> true, 5_000 + WAIT);
@@ -171,11 +174,11 @@
     public void onlyThePrimaryOwnerAcknowledgesARate() {
         mBorrower.take(TEAM, 4_000, "a", 0);
         exchange(4_000, false, 3);
-        QuotaRequest afterDeputy = mBorrower.report(4);
+        QuotaRequest afterDeputy = mBorrower.report(OWNER, 4);
         assertEquals(afterDeputy.entitledMillis(), 0);
         assertEquals(afterDeputy.teams().get(0).elsewhereUnits(), 4_000);
         exchange(0, true, 10);
-        QuotaRequest afterPrimary = mBorrower.report(11);
+        QuotaRequest afterPrimary = mBorrower.report(OWNER, 11);
         assertTrue(afterPrimary.entitledMillis() > 10_000);
         assertTrue(afterPrimary.teams().get(0).entitledPerSecond() > 900);
         assertEquals(afterPrimary.teams().get(0).elsewhereUnits(), 0);
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaModel.java
@@ -277,12 +277,16 @@
         }
     }
 
+    private boolean changed(Host host) {
+        return mScenario.views().changed(host.mIndex, mNow - host.mChangedAt);
+    }
+
     private void exchange(Host host) {
         if (host.mInProgress) {
             return;
         }
         List<HostId> candidates = new ArrayList<>();
-        boolean changed = mNow >= host.mChangedAt;
+        boolean changed = changed(host);
         candidates.add(name(changed ? mSecond : mPrimary));
         candidates.add(name(changed ? mPrimary : mSecond));
         IntStream.range(0, mScenario.hosts())
@@ -298,7 +302,7 @@
         candidates.add(name(host.mIndex));
         HostId target = host.mChoice.choose(candidates, now());
         Host owner = mHosts.get(Integer.parseInt(target.value().substring(1)));
-        QuotaRequest request = host.mBorrower.report(now());
+        QuotaRequest request = host.mBorrower.report(target, now());
         long epoch = host.mEpoch;
         boolean[] answered = {false};
         host.mInProgress = true;
@@ -344,7 +348,7 @@
     private QuotaResponse lend(Host owner, int from, QuotaRequest request) {
         QuotaShard.Fleet fleet =
                 new QuotaShard.Fleet(
-                        owner.mIndex == (mNow >= owner.mChangedAt ? mSecond : mPrimary),
+                        owner.mIndex == (changed(owner) ? mSecond : mPrimary),
                         mNames,
                         mScenario.hosts(),
                         SILENT_MILLIS,
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaScenario.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaScenario.java
@@ -23,6 +23,7 @@
  * @param changeMillis time at which hosts begin to take the deputy for the primary owner, each
  *     within {@link QuotaModel#CHANGE_MILLIS}; 0 for never
  * @param loss share of messages lost
+ * @param views how the views of the hosts change
  */
 record QuotaScenario(
         int hosts,
@@ -35,7 +36,64 @@
         long returnMillis,
         long slowMillis,
         long changeMillis,
-        double loss) {
+        double loss,
+        Views views) {
+
+    /** How the hosts' views of the owner change, from the time at which each first does. */
+    enum Views {
+        /** For good. */
+        CHANGE {
+            @Override
+            boolean changed(int host, double sinceMillis) {
+                return sinceMillis >= 0;
+            }
+        },
+        /** To the other owner and back every {@link #TURN_MILLIS}. */
+        GO_BACK_AND_FORTH {
+            @Override
+            boolean changed(int host, double sinceMillis) {
+                return sinceMillis >= 0 && (long) (sinceMillis / TURN_MILLIS) % 2 == 0;
+            }
+        },
+        /** At every other host only, so that the hosts disagree to the end. */
+        STAY_DIVIDED {
+            @Override
+            boolean changed(int host, double sinceMillis) {
+                return sinceMillis >= 0 && host % 2 == 0;
+            }
+        };
+
+        private static final double TURN_MILLIS = 3_000;
+
+        abstract boolean changed(int host, double sinceMillis);
+    }
+
+    QuotaScenario(
+            int hosts,
+            Traffic traffic,
+            LongFunction<QuotaLimit> limit,
+            DoubleUnaryOperator load,
+            BiPredicate<Integer, Long> cut,
+            long killMillis,
+            Set<Integer> killed,
+            long returnMillis,
+            long slowMillis,
+            long changeMillis,
+            double loss) {
+        this(
+                hosts,
+                traffic,
+                limit,
+                load,
+                cut,
+                killMillis,
+                killed,
+                returnMillis,
+                slowMillis,
+                changeMillis,
+                loss,
+                Views.CHANGE);
+    }
 
     private static final int SMALL_COST = 200;
 
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/limit/QuotaShardTest.java
@@ -39,6 +39,8 @@
         return new QuotaRequest(
                 0,
                 entitledPerSecond > 0 ? 5_000 : 0,
+                QuotaRequest.NEVER_MILLIS,
+                QuotaRequest.NEVER_MILLIS,
                 List.of(
                         new QuotaRequest.TeamUse(
                                 TEAM,
