Log the start of a process and each end of it that no planned stop brings about

A process wrote nothing before it served, and nothing when a signal, a failed start or an error ended it.

Lines that are flushed after a failure's text on standard error had hidden it.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -260,6 +260,7 @@
     public Try<Void> start() {
         return Try.run(
                 () -> {
+                    mLog.log(RelayEvent.STARTING, ProcessHandle.current().pid());
                     PeerAddress self = mQuotas.start().get();
                     mHandoverServer.ifPresent(server -> server.start().join());
                     startFollowers(self);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -17,6 +17,11 @@
     LINES_DROPPED(2006, Priority.STATE, "log lines dropped", List.of("lines")),
     LIBRARY_WARNING(
             2007, Priority.DIAGNOSTIC, "library warning", List.of("logger", "text", "failure")),
+    STARTING(2008, Priority.STATE, "relay starting", List.of("pid")),
+    START_FAILED(2009, Priority.STATE, "relay cannot start", List.of("cause")),
+    ENDED_UNPLANNED(2010, Priority.STATE, "process ends without a planned stop", List.of("pid")),
+    UNCAUGHT_ERROR(
+            2011, Priority.STATE, "error that no code has handled", List.of("thread", "error")),
 
     STORE_UNAVAILABLE(2101, Priority.STATE, "store calls fail", List.of("kind", "failure")),
     STORE_AVAILABLE(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEventLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEventLog.java
@@ -72,9 +72,12 @@
         mWallClock = wallClock;
     }
 
-    /** Starts the writer thread; lines that are queued when the process ends are written, too. */
+    /**
+     * Starts the writer thread; lines that are queued when the process ends are written, too. A
+     * planned stop halts the process, so that any other end passes through the shutdown hook.
+     */
     public void start() {
-        Runtime.getRuntime().addShutdownHook(new Thread(this::flush, "log-flush"));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::logUnplannedEnd, "log-flush"));
         Thread writer = new Thread(this::writeAll, "log-writer");
         writer.setDaemon(true);
         writer.start();
@@ -118,6 +121,11 @@
         }
     }
 
+    private void logUnplannedEnd() {
+        log(RelayEvent.ENDED_UNPLANNED, ProcessHandle.current().pid());
+        flush();
+    }
+
     /** Objects are converted at once: they may change before the line is formatted. */
     private static Object[] copy(Object[] values) {
         Object[] copy = new Object[values.length];
