Bind the port for checks before callers are served

What callers saw: a relay whose port for readiness checks was taken accepted their requests for up to two seconds, and ended with them, since it bound that port last.

RelayProcessEndTest .relayWhoseCheckPortIsTakenServesNobody failed before: callers were accepted.

Change: the ports of checks and of other hosts are bound first, then the store is followed and callers are served. A host is ready only once it listens for callers; until then the check responds 503.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -100,6 +100,7 @@
     private final QuotaController mQuotas;
     private final PlatformAdapter mAdapter;
     private final GracefulShutdown mShutdown;
+    private volatile boolean mListening;
     private volatile Optional<HostRegistry> mHosts = Optional.empty();
     private final HelperDirectory mHelpers;
     private final ReachabilityMonitor mReachability;
@@ -256,19 +257,25 @@
         mMetrics.gauge("configuration_version", mConfiguration::version);
     }
 
-    /** Starts to listen and to follow the store. */
+    /**
+     * Starts to listen and to follow the store.
+     *
+     * <p>The ports for checks and for other hosts are bound before that for callers: a process that
+     * cannot bind them must not have accepted requests that end with it.
+     */
     public Try<Void> start() {
         return Try.run(
                 () -> {
                     mLog.log(RelayEvent.STARTING, ProcessHandle.current().pid());
                     PeerAddress self = mQuotas.start().get();
+                    mCheckServer.start().join();
                     mHandoverServer.ifPresent(server -> server.start().join());
                     startFollowers(self);
                     mReachability.start();
                     mCallerServer.start().join();
-                    mCheckServer.start().join();
                     mScheduler.schedule(
                             mStartupGate::open, StartupGate.MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+                    mListening = true;
                     mLog.log(
                             RelayEvent.STARTED,
                             mSettings.host().name(),
@@ -290,7 +297,7 @@
 
     /** Returns whether the host is ready for new requests. */
     public boolean ready() {
-        return mUpdater.complete() && !mShutdown.isStopping();
+        return mListening && mUpdater.complete() && !mShutdown.isStopping();
     }
 
     /**
