Run a planned stop also where it meets a relay that has just begun to serve

What callers saw: a relay listened for callers before it handled SIGTERM. A stop in between ended the process at once and reset their connections, although planned stops cut nothing.

RelayProcessEndTest .stopOfARelayThatHasJustBegunToServeCutsNothing failed before: connection reset, booking lost.

Until a process begins to serve, it ends at once; from then on the signal begins a planned stop. Lifecycle decides which, so that a start which has been stopped opens no port for requests.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -100,6 +100,7 @@
     private final QuotaController mQuotas;
     private final PlatformAdapter mAdapter;
     private final GracefulShutdown mShutdown;
+    private final Lifecycle mLifecycle = new Lifecycle();
     private volatile boolean mListening;
     private volatile Optional<HostRegistry> mHosts = Optional.empty();
     private final HelperDirectory mHelpers;
@@ -269,6 +270,9 @@
                     mLog.log(RelayEvent.STARTING, ProcessHandle.current().pid());
                     PeerAddress self = mQuotas.start().get();
                     mCheckServer.start().join();
+                    if (!mLifecycle.beginService()) {
+                        return;
+                    }
                     mHandoverServer.ifPresent(server -> server.start().join());
                     startFollowers(self);
                     mReachability.start();
@@ -319,9 +323,15 @@
     }
 
     /**
-     * Runs the planned stop: takes the host out of service and waits for the requests in flight.
+     * Runs the planned stop: takes the host out of service and waits for the requests in flight. A
+     * process that has not begun to serve stops at once.
      */
     public void stop() {
+        if (mLifecycle.endUnused()) {
+            mLog.log(RelayEvent.STOPPED, 0, 0);
+            mLog.flush();
+            return;
+        }
         mLog.log(RelayEvent.STOPPING, mService.inFlight(), mCurrentSettings.stop().graceMillis());
         mStreams.handOn();
         long tookMillis = mShutdown.run(mService::inFlight);
