Lift a server's limit only by a successful response to a request

The responses to reservations, prompts and failures do not name the limit there; each of them lifted it, and calls went out without permits until the next response.

Change: responses to other calls and failures set a limit, but do not lift it. A limit that has ended is noticed by the next successful request, which needs a permit as before.

RelayDirectivesTest.failureWithoutALimitDoesNotLiftIt failed before and passes.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -16,6 +16,7 @@
 import org.cyclamenpaddle.engine.http.BackendConnections;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
+import org.cyclamenpaddle.relay.directive.Directives;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
@@ -65,7 +66,13 @@
                 .aggregate()
                 .thenApply(
                         response -> {
-                            recordHead(target, options.cause(), response.headers(), sentMillis);
+                            ResponseHeaders head = response.headers();
+                            record(
+                                    target,
+                                    options.cause(),
+                                    head,
+                                    mMessages.directives(head).withoutLiftingLimits(),
+                                    sentMillis);
                             return response;
                         });
     }
@@ -115,7 +122,7 @@
     }
 
     /**
-     * Records what a server asks for in the head of a response.
+     * Records what a server asks for in the head of a response to a request.
      *
      * @param target server that the request was addressed to
      * @param cause id of the caller's request, or what else the call was made for
@@ -123,6 +130,17 @@
      * @param sentMillis time at which the request was sent
      */
     void recordHead(Backend target, String cause, ResponseHeaders head, long sentMillis) {
+        Directives asked = mMessages.directives(head);
+        record(
+                target,
+                cause,
+                head,
+                head.status().isSuccess() ? asked : asked.withoutLiftingLimits(),
+                sentMillis);
+    }
+
+    private void record(
+            Backend target, String cause, ResponseHeaders head, Directives asked, long sentMillis) {
         mResponded.accept(sentMillis);
         if (head.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
             // Another process responded from this address.
@@ -130,7 +148,7 @@
         }
         mRegistry
                 .directives()
-                .record(target, mMessages.directives(head), sentMillis, mClock.millis())
+                .record(target, asked, sentMillis, mClock.millis())
                 .forEach(
                         change -> {
                             mMetrics.recordDirective(change.kind());
