--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -135,6 +136,7 @@
                 mRelay.helpers().self(),
                 mRequest.service(),
                 mRequest.version(),
+                OptionalLong.of(mRequest.treatment()),
                 mRequest.teamName(),
                 mRetryPolicy.remainingMillis(mRelay.clock().millis()),
                 mRetryPolicy.attemptsLeft(),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayRequest.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.relay.role.DemandMeter;
 import org.cyclamenpaddle.relay.route.EngineProfile;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.route.RequestTreatment;
 import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.wire.CallerRequest;
@@ -70,6 +71,11 @@
                 admitted.handover());
     }
 
+    /** Returns a fingerprint of what its configuration says about the request. */
+    long treatment() {
+        return RequestTreatment.fingerprint(route, service, engine, team);
+    }
+
     /** Returns whether a caller of this host has sent the request. */
     boolean ofOwnCaller() {
         return handover.isEmpty();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
@@ -4,9 +4,11 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.relay.handover.HandoverTerms;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
+import org.cyclamenpaddle.relay.route.RequestTreatment;
 import org.cyclamenpaddle.relay.route.Route;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.wire.CallerMessages;
@@ -99,9 +101,9 @@
     /**
      * Decides about a request that another host has admitted.
      *
-     * <p>This host applies its own configuration, which must not be older: a request must not be
-     * treated as only an older version allows. A newer one may have moved the route, and the
-     * request then goes back.
+     * <p>This host applies its own configuration. An older one must treat the request as the newer
+     * one does, since a request must not be treated as only an older version allows. A newer one
+     * may have moved the route, and the request then goes back.
      *
      * @param headers request headers as forwarded to backend servers
      */
@@ -120,7 +122,7 @@
         boolean fits =
                 route.map(known -> known.hasService(terms.service())).orElse(false)
                         && caller.isPresent()
-                        && inForce.get().version() >= terms.version()
+                        && appliesTo(inForce.get(), route.get(), team, terms)
                         && team.isPresent() == terms.team().isPresent();
         if (!fits) {
             return Either.left(HandoverRefusal.OUTDATED);
@@ -137,6 +139,19 @@
                         Optional.of(terms)));
     }
 
+    private static boolean appliesTo(
+            RelayConfiguration inForce, Route route, Optional<Team> team, HandoverTerms terms) {
+        return inForce.version() >= terms.version()
+                || terms.treatment()
+                        .equals(
+                                OptionalLong.of(
+                                        RequestTreatment.fingerprint(
+                                                route,
+                                                terms.service(),
+                                                inForce.engineProfile(terms.service()),
+                                                team)));
+    }
+
     static String authority(RequestHeaders headers) {
         return headers.authority() == null ? "" : headers.authority();
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverHeaders.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverHeaders.java
@@ -35,6 +35,7 @@
     private static final AsciiString FROM = HttpHeaderNames.of("x-handover-from");
     private static final AsciiString SERVICE = HttpHeaderNames.of("x-handover-service");
     private static final AsciiString VERSION = HttpHeaderNames.of("x-handover-version");
+    private static final AsciiString TREATMENT = HttpHeaderNames.of("x-handover-treatment");
     private static final AsciiString TEAM = HttpHeaderNames.of("x-handover-team");
     private static final AsciiString TIMEOUT = HttpHeaderNames.of("x-handover-timeout-ms");
     private static final AsciiString ATTEMPTS = HttpHeaderNames.of("x-handover-attempts");
@@ -51,6 +52,7 @@
                     FROM,
                     SERVICE,
                     VERSION,
+                    TREATMENT,
                     TEAM,
                     TIMEOUT,
                     ATTEMPTS,
@@ -69,6 +71,7 @@
         builder.set(FROM, terms.from().value());
         builder.set(SERVICE, terms.service().value());
         builder.setLong(VERSION, terms.version());
+        terms.treatment().ifPresent(value -> builder.set(TREATMENT, Long.toHexString(value)));
         terms.team().ifPresent(team -> builder.set(TEAM, team.value()));
         builder.setLong(TIMEOUT, terms.timeoutMillis());
         builder.setInt(ATTEMPTS, terms.attempts());
@@ -87,13 +90,14 @@
                                         new HostId(headers.get(FROM)),
                                         new ServiceName(headers.get(SERVICE)),
                                         headers.getLong(VERSION, -1),
+                                        hash(headers, TREATMENT),
                                         Optional.ofNullable(headers.get(TEAM)).map(TeamName::new),
                                         headers.getLong(TIMEOUT, -1),
                                         headers.getInt(ATTEMPTS, 0),
                                         Boolean.parseBoolean(headers.get(COUNTED)),
                                         Optional.ofNullable(headers.get(RESUME_AFTER)),
                                         binding(headers),
-                                        fingerprint(headers)))
+                                        hash(headers, FINGERPRINT)))
                 .toEither()
                 .mapLeft(String::valueOf);
     }
@@ -147,8 +151,8 @@
                                         .toJavaOptional());
     }
 
-    private static OptionalLong fingerprint(HttpHeaders headers) {
-        String text = headers.get(FINGERPRINT);
+    private static OptionalLong hash(HttpHeaders headers, AsciiString name) {
+        String text = headers.get(name);
         return text == null
                 ? OptionalLong.empty()
                 : OptionalLong.of(Long.parseUnsignedLong(text, 16));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverTerms.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/HandoverTerms.java
@@ -13,6 +13,7 @@
  * @param from host that the caller has sent it to
  * @param service service that was selected for it
  * @param version version of the configuration by which it was admitted
+ * @param treatment how that version treats the request; empty if the host is of an older build
  * @param team team of the caller; empty if it has none
  * @param timeoutMillis time left until its final response, in milliseconds
  * @param attempts number of backend servers that it may still be sent to
@@ -26,6 +27,7 @@
         HostId from,
         ServiceName service,
         long version,
+        OptionalLong treatment,
         Optional<TeamName> team,
         long timeoutMillis,
         int attempts,
