Tell the owners of streams also about those that began before they were known

What callers saw: streams that begin while the relays of a fleet start went on nowhere once their relay had ended: 0 of 40, refused with 503.

Hypothesis, from reading: a host that knows no other one yet tells nobody about a stream, and does not make up for it.

Change: when the listed hosts change, the streams that are known are reported to the owners that are new. A host lists the others when a planned stop begins, and 1 s after its first round, not only after 5 s. That costs two more calls of the store for each start of a host, and one for each stop.

What remains: streams of a host that is killed before its second round.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -247,6 +247,11 @@
         public Optional<SoftwareVersion> known(StreamKey stream) {
             return mStreams.known(stream);
         }
+
+        @Override
+        public Collection<StreamBeginning> all() {
+            return mStreams.all();
+        }
     }
 
     private void registerGauges(ByteAccount bytes) {
@@ -333,6 +338,8 @@
             return;
         }
         mLog.log(RelayEvent.STOPPING, mService.inFlight(), mCurrentSettings.stop().graceMillis());
+        // Hosts that have started lately are needed to remember the streams of this one.
+        mHosts.ifPresent(HostRegistry::listNow);
         mStreams.handOn();
         long tookMillis = mShutdown.run(mService::inFlight);
         // Streams that have begun meanwhile.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.host;
 
 import io.vavr.control.Either;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -27,12 +28,13 @@
     static final long ROUND_INTERVAL_MILLIS = 20_000;
 
     /**
-     * Delay of the second round, in milliseconds.
+     * Delays of the rounds that follow the first one, in milliseconds.
      *
-     * <p>Hosts that start together find only some of the others in their first round, and the slack
-     * of the retry budget would be divided among too few hosts.
+     * <p>Hosts that start together find only some of the others in their first round. The slack of
+     * the retry budget would be divided among too few hosts, and the streams that begin are told to
+     * none that could resume them.
      */
-    static final long SECOND_ROUND_DELAY_MILLIS = 5_000;
+    static final List<Long> EARLY_ROUND_DELAYS_MILLIS = List.of(1_000L, 4_000L);
 
     /**
      * Delay before a failed round is retried, in milliseconds; jitter of the same size is added.
@@ -51,7 +53,7 @@
     private final HostCount mCount = new HostCount();
     private long mHeartbeat;
     private int mAlive;
-    private boolean mFirstRound = true;
+    private final Iterator<Long> mEarlyRounds = EARLY_ROUND_DELAYS_MILLIS.iterator();
     private boolean mBegun;
 
     /**
@@ -116,6 +118,11 @@
                 });
     }
 
+    /** Lists the hosts at once, without waiting for the next round. */
+    public void listNow() {
+        mStore.entries().thenAcceptAsync(entries -> entries.forEach(this::applyListing), mExecutor);
+    }
+
     private CompletableFuture<Boolean> announce() {
         mHeartbeat++;
         return mStore.announce(mHost, mSelf.apply(mHeartbeat));
@@ -137,16 +144,19 @@
             scheduleRound(RETRY_DELAY_MILLIS);
             return;
         }
+        applyListing(entries.get());
+        scheduleRound(mEarlyRounds.hasNext() ? mEarlyRounds.next() : ROUND_INTERVAL_MILLIS);
+    }
+
+    private void applyListing(List<StoreEntry<HostEntry>> entries) {
         long now = mClock.millis();
-        mCount.applyListing(entries.get(), now).forEach(mStore::remove);
+        mCount.applyListing(entries, now).forEach(mStore::remove);
         List<LiveHost> liveHosts = mCount.liveHosts(now);
         if (liveHosts.size() != mAlive) {
             mLog.log(RelayEvent.HOSTS_COUNTED, liveHosts.size(), mAlive);
             mAlive = liveHosts.size();
         }
         mListener.accept(liveHosts);
-        scheduleRound(mFirstRound ? SECOND_ROUND_DELAY_MILLIS : ROUND_INTERVAL_MILLIS);
-        mFirstRound = false;
     }
 
     private void scheduleRound(long millis) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -78,6 +78,7 @@
     private final Clock mClock;
     private final ScheduledExecutorService mExecutor;
     private final Supplier<Set<TeamName>> mLimited;
+    private final StreamPeers.Listener mStreams;
     private volatile QuotaMembers mMembers;
 
     /**
@@ -109,6 +110,7 @@
         mConfigured = self;
         mExecutor = executor;
         mLimited = limited;
+        mStreams = streams;
         mClock = clock;
         mMembers = QuotaMembers.unknown(self);
         // Incarnations are compared for the same host only; none is compared here.
@@ -272,14 +274,18 @@
 
     /** Replaces the hosts that share limits. */
     public void updateHosts(Collection<PeerAddress> listed) {
-        QuotaMembers updated = mMembers.updated(mConfigured, listed, mClock.millis());
-        updated.goneSince(mMembers).forEach(mNetwork::removeHost);
-        boolean first = !mMembers.counted();
+        QuotaMembers earlier = mMembers;
+        QuotaMembers updated = earlier.updated(mConfigured, listed, mClock.millis());
+        updated.goneSince(earlier).forEach(mNetwork::removeHost);
         mMembers = updated;
-        if (first) {
+        if (!earlier.counted()) {
             // Owners reserve a part of each limit for hosts that have not reported yet.
             reportDue();
         }
+        if (!updated.hosts().equals(earlier.hosts())) {
+            // Streams that began before have been told to the earlier owners only.
+            send(updated, mStreams.all(), shard -> updated.newStreamOwners(shard, earlier));
+        }
     }
 
     @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
@@ -151,6 +151,12 @@
                 shard, known -> known == null ? computeStreamOwners(shard, host -> true) : known);
     }
 
+    /** Returns the hosts that remember the streams of a shard and did not in an earlier view. */
+    List<HostId> newStreamOwners(int shard, QuotaMembers earlier) {
+        List<HostId> known = earlier.streamOwners(shard);
+        return streamOwners(shard).stream().filter(host -> !known.contains(host)).toList();
+    }
+
     /** Returns the hosts that remember the streams of a shard once this host has left. */
     List<HostId> nextStreamOwners(int shard) {
         return computeStreamOwners(shard, host -> !host.equals(mSelf));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamMemory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamMemory.java
@@ -120,10 +120,15 @@
         return first;
     }
 
+    @Override
+    public Collection<StreamBeginning> all() {
+        long now = mClock.millis();
+        return mBeginnings.read(memory -> memory.all(now));
+    }
+
     /** Tells other hosts all that this host knows, before it leaves. */
     public void handOn() {
-        long now = mClock.millis();
-        mPeers.handOn(mBeginnings.read(memory -> memory.all(now)));
+        mPeers.handOn(all());
     }
 
     /** Removes what has expired; called at intervals. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamPeers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamPeers.java
@@ -24,6 +24,9 @@
 
         /** Returns the version that began a stream; empty if this host does not know it. */
         Optional<SoftwareVersion> known(StreamKey stream);
+
+        /** Returns all beginnings that this host knows. */
+        Collection<StreamBeginning> all();
     }
 
     /** Sends beginnings to the owners of their streams, without confirmation. */
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
@@ -58,6 +58,11 @@
                 public Optional<SoftwareVersion> known(StreamKey stream) {
                     return Optional.empty();
                 }
+
+                @Override
+                public Collection<StreamBeginning> all() {
+                    return List.of();
+                }
             };
 
     private final List<QuotaController> mHosts = new ArrayList<>();
