Ignore SIGHUP earlier in the start of a process

A signal for changed settings that meets a process while its Java machine starts ends it, without a line of its own (exit code 129, or signal 1 in the first 30 ms).

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Signals.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Signals.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.assembly;
 
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Handles the signals of a service manager. */
 public final class Signals {
@@ -36,7 +37,16 @@
      * missed: the settings are read after this call, and again every few seconds.
      */
     public static void ignoreReload() {
-        Signal.handle(new Signal("HUP"), signal -> {});
+        Signal.handle(new Signal("HUP"), new Ignored());
+    }
+
+    /** Not a lambda: the Java machine needs tens of milliseconds at its start to create one. */
+    private static final class Ignored implements SignalHandler {
+
+        @Override
+        public void handle(Signal signal) {
+            // The settings are read after the start.
+        }
     }
 
     /** Reloads the settings on SIGHUP, which would otherwise end the process. */
