--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -270,28 +270,28 @@
      * cannot bind them must not have accepted requests that end with it.
      */
     public Try<Void> start() {
-        return Try.run(
-                () -> {
-                    mLog.log(RelayEvent.STARTING, ProcessHandle.current().pid());
-                    PeerAddress self = mQuotas.start().get();
-                    mCheckServer.start().join();
-                    if (!mLifecycle.beginService()) {
-                        return;
-                    }
-                    mHandoverServer.ifPresent(server -> server.start().join());
-                    startFollowers(self);
-                    mReachability.start();
-                    mCallerServer.start().join();
-                    mScheduler.schedule(
-                            mStartupGate::open, StartupGate.MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-                    mListening = true;
-                    mLog.log(
-                            RelayEvent.STARTED,
-                            mSettings.host().name(),
-                            mSettings.host().domain(),
-                            mSettings.listen().callers(),
-                            ProcessHandle.current().pid());
-                });
+        return Try.run(this::open).onFailure(cause -> mLog.log(RelayEvent.START_FAILED, cause));
+    }
+
+    private void open() {
+        mLog.log(RelayEvent.STARTING, ProcessHandle.current().pid());
+        PeerAddress self = mQuotas.start().get();
+        mCheckServer.start().join();
+        if (!mLifecycle.beginService()) {
+            return;
+        }
+        mHandoverServer.ifPresent(server -> server.start().join());
+        startFollowers(self);
+        mReachability.start();
+        mCallerServer.start().join();
+        mScheduler.schedule(mStartupGate::open, StartupGate.MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        mListening = true;
+        mLog.log(
+                RelayEvent.STARTED,
+                mSettings.host().name(),
+                mSettings.host().domain(),
+                mSettings.listen().callers(),
+                ProcessHandle.current().pid());
     }
 
     /** Returns the port for callers. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Signals.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/Signals.java
@@ -11,7 +11,8 @@
     private Signals() {}
 
     /**
-     * Runs a planned stop on SIGTERM and SIGINT, then halts the process.
+     * Runs a planned stop on SIGTERM and SIGINT, then halts the process. To be called before
+     * anything is served, since the signal may come while the process still starts.
      *
      * <p>A shutdown hook is not used: hooks of libraries run concurrently with it and close
      * resources that requests in flight still need. The process is halted at the end, since nothing
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEventLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEventLog.java
@@ -73,10 +73,13 @@
     }
 
     /**
-     * Starts the writer thread; lines that are queued when the process ends are written, too. A
-     * planned stop halts the process, so that any other end passes through the shutdown hook.
+     * Starts the writer thread; lines that are queued when the process ends are written, too, and
+     * so are errors that end a thread. A planned stop halts the process, so that any other end
+     * passes through the shutdown hook.
      */
     public void start() {
+        Thread.setDefaultUncaughtExceptionHandler(
+                (thread, error) -> log(RelayEvent.UNCAUGHT_ERROR, thread.getName(), error));
         Runtime.getRuntime().addShutdownHook(new Thread(this::logUnplannedEnd, "log-flush"));
         Thread writer = new Thread(this::writeAll, "log-writer");
         writer.setDaemon(true);
