Let the bucket of a host that has started fill within four seconds

Since its bucket begins empty and fills at the deputy's rate.

Change: it gets the two calls that a bucket holds at least within four seconds besides, the window in which servers judge a limit. Restarts in series add no more to a window than one start.

--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/CallPermits.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/CallPermits.java
@@ -39,6 +39,15 @@
     /** Time whose calls accumulate besides, in milliseconds. */
     private static final double BURST_MILLIS = 200;
 
+    /**
+     * Time in which the bucket of a host that has started gets the calls that accumulate at least,
+     * in milliseconds: the window in which servers judge their limits.
+     */
+    private static final long START_MILLIS = 4_000;
+
+    /** Calls that the bucket of a host that has started gets besides, per millisecond. */
+    private static final double START_PER_MILLI = BURST_CALLS / START_MILLIS;
+
     /** Time without a request that names the lower limit after which a higher one applies. */
     private static final long RAISE_MILLIS = 5_000;
 
@@ -59,6 +68,9 @@
     private long mRequestMillis;
     private int mDenied;
 
+    /** Time until which the bucket gets the calls that accumulate at least. */
+    private long mStartUntilMillis = Long.MIN_VALUE / 2;
+
     /** Creates a bucket with the calls that may accumulate at the lowest limit. */
     public CallPermits(long nowMillis) {
         mTokens = BURST_CALLS;
@@ -70,10 +82,12 @@
     /**
      * Returns the bucket of a host that has started at the given time. Its predecessor may have
      * permitted all calls that were possible until then, so that the bucket fills from that time.
+     * Restarts in series add no more calls to a window than one start.
      */
     public static CallPermits ofHostStartedAt(long startMillis) {
         CallPermits permits = new CallPermits(startMillis);
         permits.mTokens = 0;
+        permits.mStartUntilMillis = startMillis + START_MILLIS;
         return permits;
     }
 
@@ -89,7 +103,9 @@
         adoptLimit(Math.max(MIN_PER_SECOND, perSecond), nowMillis);
         double perMilli = mPerSecond * (soleOwner ? OWNER_SHARE : DEPUTY_SHARE) / MILLIS_PER_SECOND;
         double capacity = Math.max(calls, BURST_CALLS) + BURST_MILLIS * perMilli;
-        mTokens = Math.min(capacity, mTokens + (nowMillis - mTokensMillis) * perMilli);
+        double started = Math.max(0, Math.min(nowMillis, mStartUntilMillis) - mTokensMillis);
+        double accrued = (nowMillis - mTokensMillis) * perMilli + started * START_PER_MILLI;
+        mTokens = Math.min(capacity, mTokens + accrued);
         mTokensMillis = nowMillis;
         if (nowMillis - mRequestMillis > MAX_RETRY_MILLIS) {
             mDenied = 0;
@@ -101,7 +117,8 @@
             return new Result(true, 0);
         }
         // Hosts that are denied return one after the other, as tokens become available.
-        long retryMillis = (long) Math.ceil((calls * (1 + mDenied) - mTokens) / perMilli);
+        double rate = perMilli + (nowMillis < mStartUntilMillis ? START_PER_MILLI : 0);
+        long retryMillis = (long) Math.ceil((calls * (1 + mDenied) - mTokens) / rate);
         mDenied++;
         return new Result(false, Math.min(MAX_RETRY_MILLIS, retryMillis));
     }
