--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/ReportHistory.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/limit/ReportHistory.java
@@ -8,9 +8,9 @@
 /**
  * Times of the reports that a host has sent to the owners of one shard.
  *
- * <p>They tell an owner for which time this host may have counted elsewhere, measured at the host
- * itself, so that no message has to arrive for an owner to stop counting it. At most one report is
- * in progress at a time. Not thread-safe.
+ * <p>From them an owner knows for which time this host may have counted with another owner. The
+ * host itself measures that time, so that no message has to arrive for an owner to stop counting
+ * it. At most one report is in progress at a time. Not thread-safe.
  */
 final class ReportHistory {
 
