Log why an attempt is not followed by another one

CP2205 said END for a stream at a silent server, but not whether the retry budget, the attempts or the time had run out, so that the hypotheses of the incident of silent servers could not be told apart. RetryPolicy names the barrier, and CP2205 has it as a field. No decision changes; the cases of RetryPolicyTest pass as before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -161,7 +161,8 @@
                 outcome,
                 cause,
                 attempt.elapsedMillis(),
-                next);
+                next,
+                barrier(next));
     }
 
     /** Logs an attempt by another host that ended without a response for the caller. */
@@ -174,7 +175,12 @@
                 outcome,
                 cause,
                 elapsedMillis(),
-                next);
+                next,
+                barrier(next));
+    }
+
+    private String barrier(RetryDecision next) {
+        return next == RetryDecision.SEND_AGAIN ? NONE : mRetryPolicy.barrier().text();
     }
 
     /** Returns the time since the request started, in milliseconds. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -157,7 +157,15 @@
             2205,
             Priority.DIAGNOSTIC,
             "attempt without a response for the caller",
-            List.of("request", "backend", "backendVersion", "outcome", "cause", "millis", "next")),
+            List.of(
+                    "request",
+                    "backend",
+                    "backendVersion",
+                    "outcome",
+                    "cause",
+                    "millis",
+                    "next",
+                    "barrier")),
     PREFILL_FAILED(
             2206,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -37,6 +37,7 @@
     private boolean mMayHaveRun;
     private boolean mForwarding;
     private boolean mEnded;
+    private RetryBarrier mBarrier = RetryBarrier.NONE;
 
     /**
      * Creates the policy of a request that has just arrived.
@@ -171,10 +172,12 @@
             mUnsent++;
         }
         mMayHaveRun |= outcome.mayHaveRun();
+        mBarrier = RetryBarrier.NONE;
         if (outcome == SendOutcome.SUCCEEDED) {
             return RetryDecision.PASS_ON;
         }
-        if (mayRetry(outcome, nowMillis) && (mSends == 0 || budget.getAsBoolean())) {
+        mBarrier = barrier(outcome, nowMillis, budget);
+        if (mBarrier == RetryBarrier.NONE) {
             return RetryDecision.SEND_AGAIN;
         }
         return outcome == SendOutcome.FAILED && !mForwarding
@@ -182,6 +185,11 @@
                 : RetryDecision.END;
     }
 
+    /** Returns what prevented another send after the last completed one. */
+    public RetryBarrier barrier() {
+        return mBarrier;
+    }
+
     /**
      * Ends the request without a backend server's response and returns the reply to its caller.
      *
@@ -197,12 +205,22 @@
         return remainingMillis(nowMillis) == 0 ? CallerReply.TIMED_OUT : CallerReply.FAILED;
     }
 
-    private boolean mayRetry(SendOutcome outcome, long nowMillis) {
-        boolean safe = !mMayHaveRun || mLimits.repeatable();
-        return safe
-                && outcome != SendOutcome.ABANDONED
-                && mSends < mLimits.maxAttempts()
-                && mUnsent < MAX_UNSENT_SENDS
-                && remainingMillis(nowMillis) >= MIN_REMAINING_MILLIS;
+    private RetryBarrier barrier(SendOutcome outcome, long nowMillis, BooleanSupplier budget) {
+        if (mMayHaveRun && !mLimits.repeatable()) {
+            return RetryBarrier.NOT_REPEATABLE;
+        }
+        if (outcome == SendOutcome.ABANDONED) {
+            return RetryBarrier.CALLER_LEFT;
+        }
+        if (!hasAttemptsLeft()) {
+            return RetryBarrier.ATTEMPTS;
+        }
+        if (mUnsent >= MAX_UNSENT_SENDS) {
+            return RetryBarrier.UNSENT;
+        }
+        if (remainingMillis(nowMillis) < MIN_REMAINING_MILLIS) {
+            return RetryBarrier.TIME;
+        }
+        return mSends == 0 || budget.getAsBoolean() ? RetryBarrier.NONE : RetryBarrier.BUDGET;
     }
 }
