--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendHealth.java
@@ -59,8 +59,7 @@
             return false;
         }
         if (outcome == SendOutcome.SILENT) {
-            mConsecutiveTimeouts++;
-            return mConsecutiveTimeouts >= CONSECUTIVE_TIMEOUTS_TO_EJECT && eject(nowMillis);
+            return recordSilence(nowMillis);
         }
         mConsecutiveTimeouts = 0;
         mFailureRate.add(outcome == SendOutcome.SUCCEEDED ? 0 : 1, nowMillis);
@@ -84,6 +83,17 @@
         eject(nowMillis);
     }
 
+    /**
+     * Records that the server has sent nothing for one request in time, whether that goes on or
+     * not.
+     *
+     * @return whether that ejected the server
+     */
+    boolean recordSilence(long nowMillis) {
+        mConsecutiveTimeouts++;
+        return mConsecutiveTimeouts >= CONSECUTIVE_TIMEOUTS_TO_EJECT && eject(nowMillis);
+    }
+
     /** Ends the ejection of a server that has just responded. */
     void recordAlive() {
         mConsecutiveEjections = 0;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
@@ -15,6 +16,7 @@
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.core.table.TableOrder;
+import org.cyclamenpaddle.routing.silence.OtherServers;
 
 /**
  * Registry of the backend servers: their entries, this host's in-flight work and results per
@@ -47,7 +49,7 @@
         mDirectives = new BackendDirectives(mTable, random);
     }
 
-    /** Sets what is notified of each send that did not reach its server or got no response. */
+    /** Sets what is notified of each send that did not reach its server or gets no response. */
     public void onSendFailed(Consumer<Backend> listener) {
         mSendFailed = listener;
     }
@@ -205,8 +207,8 @@
     }
 
     /** Records the work of a request again on a server to which it is sent once more. */
-    public void recordResend(Backend backend, WorkSize size) {
-        mTable.write(state -> state.stateOf(backend).recordStart(size));
+    public void recordResend(Backend backend, WorkSize size, long nowMillis) {
+        mTable.write(state -> state.stateOf(backend).recordStart(size, nowMillis));
     }
 
     /** Records that a prefill engine lost the result of a prefill. */
@@ -292,9 +294,67 @@
                 });
     }
 
-    /** Returns whether a server has responded to any request of this host since the given time. */
-    public boolean respondedSince(Backend backend, long millis) {
-        return mTable.read(state -> state.stateOf(backend).respondedSince(millis));
+    /** Returns when this host last received anything from a server. */
+    public ServerVoice voice(Backend backend) {
+        return mTable.read(state -> state.stateOf(backend).voice());
+    }
+
+    /** Records that something was received from a server. */
+    public void recordHeard(Backend backend, long nowMillis) {
+        if (voice(backend).heard(nowMillis)) {
+            recordAlive(backend);
+        }
+    }
+
+    /**
+     * Records that a server has sent nothing for a request in time, and that the request goes on
+     * there. It has no effect if the server has sent something for another one meanwhile.
+     *
+     * @param limitMillis time without anything from the server from which it counts as silent
+     * @return whether that ejected the server
+     */
+    public boolean recordSilence(Backend backend, long limitMillis, long nowMillis) {
+        mSendFailed.accept(backend);
+        return mTable.read(
+                state -> {
+                    BackendState server = state.stateOf(backend);
+                    if (!server.activity(nowMillis).isSilent(limitMillis)) {
+                        return false;
+                    }
+                    server.voice().suspect();
+                    return server.health().recordSilence(nowMillis);
+                });
+    }
+
+    /** Returns the state of the servers that could run a request. */
+    public OtherServers otherServers(BackendQuery query, long limitMillis, long nowMillis) {
+        return mTable.read(
+                state ->
+                        OtherServers.of(
+                                matching(state, query)
+                                        .map(server -> state.stateOf(server).activity(nowMillis))
+                                        .toList(),
+                                limitMillis));
+    }
+
+    /** Returns the servers of a service that have left work unanswered for a time. */
+    public Set<BackendId> silentServers(ServiceName service, long limitMillis, long nowMillis) {
+        return mTable.read(
+                state ->
+                        state.staying(service)
+                                .filter(
+                                        server ->
+                                                state.stateOf(server)
+                                                        .activity(nowMillis)
+                                                        .isSilent(limitMillis))
+                                .map(Backend::id)
+                                .collect(Collectors.toSet()));
+    }
+
+    private static Stream<Backend> matching(RegistryState state, BackendQuery query) {
+        return state.staying(query.service())
+                .filter(query::matches)
+                .filter(server -> server.stage().completesRequests());
     }
 
     /**
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.cyclamenpaddle.relay.directive.DirectiveState;
+import org.cyclamenpaddle.routing.silence.ServerActivity;
 
 /**
  * Tracks the state of one incarnation of a backend server, apart from its entry in the store.
@@ -55,7 +56,8 @@
     private final DirectiveState mDirectives = new DirectiveState();
     private final MovingAverage mExcessWait = new MovingAverage(NEWEST_WEIGHT, HALF_LIFE_MILLIS);
     private long mFullUntilMillis = Long.MIN_VALUE / 2;
-    private long mLastResponseMillis = Long.MIN_VALUE;
+    private final ServerVoice mVoice = new ServerVoice();
+    private long mWorkSinceMillis = Long.MIN_VALUE / 2;
     private Optional<Backend> mOutdated = Optional.empty();
     private long mOutdatedUntilMillis;
 
@@ -83,7 +85,20 @@
         return mDirectives;
     }
 
-    void recordStart(WorkSize size) {
+    /** Returns when this host last received anything from the server. */
+    ServerVoice voice() {
+        return mVoice;
+    }
+
+    /** Returns what this host knows of the activity of the server. */
+    ServerActivity activity(long nowMillis) {
+        return mVoice.activity(mInFlightWork.requests() > 0, mWorkSinceMillis, nowMillis);
+    }
+
+    void recordStart(WorkSize size, long nowMillis) {
+        if (mInFlightWork.requests() == 0) {
+            mWorkSinceMillis = nowMillis;
+        }
         mInFlightWork.recordStart(size);
         mHealth.recordSend();
     }
@@ -142,15 +157,10 @@
 
     /** Records by how much a first response byte came later than this host's own work explains. */
     void recordExcessWait(double excessMillis, long nowMillis) {
-        mLastResponseMillis = nowMillis;
+        mVoice.heard(nowMillis);
         mExcessWait.add(Math.max(0, excessMillis), nowMillis);
     }
 
-    /** Returns whether a first response byte has arrived since the given time. */
-    boolean respondedSince(long millis) {
-        return mLastResponseMillis >= millis;
-    }
-
     /** Returns the recent wait caused by the load of other hosts or by slowness of the server. */
     double excessWaitMillis(long nowMillis) {
         return mExcessWait.value(nowMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
@@ -52,7 +52,7 @@
 
     void recordStart(Backend backend, WorkSize size, long nowMillis) {
         stateOf(backend).directives().tryUse(backend.stage().calls(size), nowMillis);
-        stateOf(backend).recordStart(size);
+        stateOf(backend).recordStart(size, nowMillis);
         connectivity(backend).recordSend(nowMillis);
     }
 
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
@@ -0,0 +1,47 @@
+package org.cyclamenpaddle.relay.backend;
+
+import org.cyclamenpaddle.routing.silence.ServerActivity;
+
+/**
+ * When this host last received anything from one incarnation of a backend server, over all its
+ * requests and calls there. Thread-safe.
+ */
+public final class ServerVoice {
+
+    private volatile long mHeardMillis = Long.MIN_VALUE / 2;
+    private volatile boolean mSuspected;
+
+    ServerVoice() {}
+
+    /**
+     * Records that something was received from the server.
+     *
+     * @return whether the server had counted as silent
+     */
+    public boolean heard(long nowMillis) {
+        mHeardMillis = nowMillis;
+        boolean suspected = mSuspected;
+        mSuspected = false;
+        return suspected;
+    }
+
+    /** Returns whether anything was received from the server since the given time. */
+    public boolean heardSince(long millis) {
+        return mHeardMillis >= millis;
+    }
+
+    /** Records that the server counts as silent until it is heard. */
+    void suspect() {
+        mSuspected = true;
+    }
+
+    /**
+     * Returns the activity of the server.
+     *
+     * @param workSinceMillis time at which this host's oldest uninterrupted work there began
+     */
+    ServerActivity activity(boolean busy, long workSinceMillis, long nowMillis) {
+        long sinceMillis = Math.max(mHeardMillis, workSinceMillis);
+        return new ServerActivity(busy, busy ? Math.max(0, nowMillis - sinceMillis) : 0);
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -4,14 +4,13 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.util.SafeCloseable;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.engine.http.TruncatedResponseException;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.backend.ServerVoice;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendCall;
@@ -31,17 +30,17 @@
      * Conditions of an attempt.
      *
      * @param prefilledElsewhere whether another engine has prefilled the prompt
-     * @param retriableElsewhere whether the request may be sent to another server after a silence
      * @param connection kind of connection to use
      * @param crashGuard decides whether the request may be sent
      * @param beforeResend run before the request is sent to the server a second time
+     * @param heard run when the server has sent something and it has been handled
      */
     record Terms(
             boolean prefilledElsewhere,
-            boolean retriableElsewhere,
             Connection connection,
             CrashGuard crashGuard,
-            Runnable beforeResend) {}
+            Runnable beforeResend,
+            Runnable heard) {}
 
     /** Kind of connection that an attempt uses. */
     enum Connection {
@@ -67,37 +66,21 @@
                     HttpStatus.TOO_MANY_REQUESTS,
                     HttpStatus.SERVICE_UNAVAILABLE);
 
-    /**
-     * Multiple of the route's target latency after which a silent server is replaced by another
-     * one.
-     */
-    private static final double SILENCE_TIMEOUT_TARGETS = 2.5;
-
-    /**
-     * Share of the remaining time that may be spent on one server while others can still be tried.
-     */
-    private static final double SILENCE_TIMEOUT_SHARE = 0.45;
-
-    /**
-     * Share of the route's silence limit after which a resumable stream moves to another server:
-     * late, but while its caller still waits.
-     */
-    private static final double STREAM_SILENCE_SHARE = 0.4;
-
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final BackendCall mCall;
-    private final CallerResponse mResponse;
+    private final ResponseSink mResponse;
     private final EndListener mEndListener;
     private final long mStartMillis;
     private EventLoop mLoop;
     private BackendExchange mExchange;
-    private Optional<ScheduledFuture<?>> mSilenceTimeout = Optional.empty();
     private BackendResponse mHead;
     private long mSentMillis;
-    private final boolean mRetriableElsewhere;
     private final CrashGuard mCrashGuard;
     private final Runnable mBeforeResend;
+    private final Runnable mHeard;
+    private final ServerVoice mVoice;
+    private long mHeardMillis;
     private Connection mConnection;
     private boolean mPrefilled;
     private boolean mResponseStarted;
@@ -107,7 +90,7 @@
             RelayContext relay,
             RelayRequest request,
             BackendCall call,
-            CallerResponse response,
+            ResponseSink response,
             Terms terms,
             EndListener endListener) {
         mRelay = relay;
@@ -115,17 +98,18 @@
         mCall = call;
         mResponse = response;
         mPrefilled = terms.prefilledElsewhere();
-        mRetriableElsewhere = terms.retriableElsewhere();
         mConnection = terms.connection();
         mCrashGuard = terms.crashGuard();
         mBeforeResend = terms.beforeResend();
+        mHeard = terms.heard();
         mEndListener = endListener;
+        mVoice = relay.registry().voice(call.target());
         mStartMillis = relay.clock().millis();
+        mHeardMillis = mStartMillis;
     }
 
     void start(EventLoop loop) {
         mLoop = loop;
-        restartSilenceTimeout(silenceTimeoutMillis());
         open();
     }
 
@@ -177,9 +161,24 @@
         return mRelay.clock().millis() - mStartMillis;
     }
 
+    long startMillis() {
+        return mStartMillis;
+    }
+
+    /** Returns the time since the server last sent something, or since the start. */
+    long quietMillis() {
+        return mRelay.clock().millis() - mHeardMillis;
+    }
+
+    /** Returns whether the first event or a plain response has begun to arrive. */
+    boolean begun() {
+        return mResponseStarted;
+    }
+
     @Override
     public void head(BackendResponse head) {
         mHead = head;
+        heard();
         if (mExchange.openedConnection()) {
             mRelay.reachability().requestConnected(target(), mSentMillis);
         }
@@ -215,17 +214,25 @@
         }
     }
 
+    private void heard() {
+        mHeardMillis = mRelay.clock().millis();
+        if (mVoice.heard(mHeardMillis)) {
+            mRelay.registry().recordAlive(target());
+        }
+    }
+
     @Override
     public void data(HttpData data) {
+        heard();
         if (mRequest.route().kind().streams() && mHead.success()) {
             responseStarted();
-            restartSilenceTimeout((long) (mRequest.route().silenceMillis() * STREAM_SILENCE_SHARE));
         }
         if (mHead.success() || !mResponse.isForwarding()) {
             mResponse.data(data, mRelay.clock().millis(), this::requestMore);
         } else {
             mExchange.requestMore();
         }
+        mHeard.run();
     }
 
     @Override
@@ -296,7 +303,6 @@
         }
         mResponseStarted = true;
         long now = mRelay.clock().millis();
-        mSilenceTimeout.ifPresent(timer -> timer.cancel(false));
         mRelay.registry().recordFirstByte(target(), latencySize(), now - mStartMillis, now);
         if (!mPrefilled) {
             mPrefilled = true;
@@ -308,34 +314,6 @@
         return mPrefilled ? WorkSize.PLAIN : mRequest.caller().size();
     }
 
-    private long silenceTimeoutMillis() {
-        double targets = mRequest.route().targetMillis() * SILENCE_TIMEOUT_TARGETS;
-        return (long) Math.min(targets, mCall.remainingMillis() * SILENCE_TIMEOUT_SHARE);
-    }
-
-    /**
-     * Restarts the timer after which a silent server is abandoned, if another one may run the
-     * request.
-     */
-    private void restartSilenceTimeout(long millis) {
-        mSilenceTimeout.ifPresent(timer -> timer.cancel(false));
-        mSilenceTimeout =
-                mRetriableElsewhere
-                        ? Optional.of(
-                                mLoop.schedule(
-                                        () -> silenceTimedOut(millis),
-                                        millis,
-                                        TimeUnit.MILLISECONDS))
-                        : Optional.empty();
-    }
-
-    private void silenceTimedOut(long millis) {
-        if (!mEnded) {
-            SendOutcome outcome = silentIfConnected(mExchange.cancel());
-            end(outcome, "silent for " + millis + " ms");
-        }
-    }
-
     /**
      * Returns {@link SendOutcome#SILENT} for an open connection without data, which is not a broken
      * one.
@@ -354,7 +332,6 @@
 
     private void close(SendOutcome outcome, String cause) {
         mEnded = true;
-        mSilenceTimeout.ifPresent(timer -> timer.cancel(false));
         boolean ejected =
                 mRelay.registry()
                         .recordOutcome(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -34,7 +34,7 @@
  * <p>Data is accepted ahead of a slow caller as far as the account of bytes allows. Beyond that, it
  * is accepted no faster than the caller takes it.
  */
-final class CallerResponse {
+final class CallerResponse implements ResponseSink {
 
     /**
      * Maximum number of bytes of a plain response that are buffered; longer ones are forwarded as
@@ -93,7 +93,8 @@
      *
      * @param version software version of the server; empty if it is not known
      */
-    void head(BackendResponse head, Optional<SoftwareVersion> version) {
+    @Override
+    public void head(BackendResponse head, Optional<SoftwareVersion> version) {
         mEventStream = isEventStream(head);
         mServing = version;
         if (!mRetryPolicy.isForwarding()) {
@@ -111,13 +112,13 @@
         mBinding = binding;
     }
 
-    /** Returns whether a response can follow what has been forwarded. */
-    boolean mayContinueWith(BackendResponse head) {
+    @Override
+    public boolean mayContinueWith(BackendResponse head) {
         return !mRetryPolicy.isForwarding() || !head.success() || isEventStream(head);
     }
 
     /** A response on a streaming route is an event stream, unless its type says otherwise. */
-    private boolean isEventStream(BackendResponse head) {
+    boolean isEventStream(BackendResponse head) {
         MediaType type = head.headers().contentType();
         return head.success()
                 && (type == null
@@ -125,12 +126,8 @@
                         : type.is(MediaType.EVENT_STREAM));
     }
 
-    /**
-     * Accepts body data.
-     *
-     * @param next run when more data can be accepted
-     */
-    void data(HttpData data, long nowMillis, Runnable next) {
+    @Override
+    public void data(HttpData data, long nowMillis, Runnable next) {
         mBytes.received(data.length());
         mUnqueuedBytes += data.length();
         byte[] forwarded = bytesToForward(data.array());
@@ -194,21 +191,26 @@
         }
     }
 
+    @Override
+    public ResponseEnd ended(ResponseEnd framed) {
+        mEnd = mEventStream ? endOfStream(mTail, framed) : framed;
+        return mEnd;
+    }
+
     /**
-     * Decides how the response of a backend server ended.
+     * Decides how a response ended that is not forwarded yet.
      *
-     * @param framed how it ended according to its framing
+     * @param framer framer that has got all of its body
      */
-    ResponseEnd ended(ResponseEnd framed) {
-        mEnd = mEventStream ? endOfStream(framed) : framed;
-        return mEnd;
+    ResponseEnd endOf(EventFramer framer, BackendResponse head, ResponseEnd framed) {
+        return isEventStream(head) ? endOfStream(framer, framed) : framed;
     }
 
-    private ResponseEnd endOfStream(ResponseEnd framed) {
-        if (mTail.isInsideEvent()) {
+    private ResponseEnd endOfStream(EventFramer framer, ResponseEnd framed) {
+        if (framer.isInsideEvent()) {
             return ResponseEnd.INSIDE_EVENT;
         }
-        boolean empty = mTail.events() == 0 && mTail.lastEventId().isEmpty();
+        boolean empty = framer.events() == 0 && framer.lastEventId().isEmpty();
         return empty && framed == ResponseEnd.CLOSED && mRequest.route().kind().streams()
                 ? ResponseEnd.NO_EVENT
                 : framed;
@@ -289,7 +291,8 @@
         return mEnd;
     }
 
-    boolean isForwarding() {
+    @Override
+    public boolean isForwarding() {
         return mRetryPolicy.isForwarding();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -5,11 +5,12 @@
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
-import org.cyclamenpaddle.routing.buffer.RequestBytes;
 
 /**
  * Finds a server for one send of a request and prefills its prompt, if it is a generation.
@@ -71,6 +72,15 @@
             releasePrompt(relay);
         }
 
+        /** Releases the engine memory that the server has not used in an attempt. */
+        void releaseUnused(RelayContext relay, SendOutcome outcome) {
+            if (outcome.unsent()) {
+                releaseMemory(relay);
+            } else if (!outcome.mayHaveRun()) {
+                releasePrompt(relay);
+            }
+        }
+
         /** Releases the prefilled prompt, which no server will fetch. */
         void releasePrompt(RelayContext relay) {
             prefillEngine.ifPresent(
@@ -91,7 +101,7 @@
 
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
-    private final RequestBytes mBytes;
+    private final Predicate<BackendId> mFitsAt;
     private final EventLoop mLoop;
     private final BackendQuery mQuery;
     private final boolean mSentBefore;
@@ -116,7 +126,7 @@
     PlacementPhase(
             RelayContext relay,
             RelayRequest request,
-            RequestBytes bytes,
+            Predicate<BackendId> fitsAt,
             EventLoop loop,
             BackendQuery query,
             boolean sentBefore,
@@ -127,7 +137,7 @@
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
-        mBytes = bytes;
+        mFitsAt = fitsAt;
         mQuery = query;
         mSentBefore = sentBefore;
         mRetryBudget = retryBudget;
@@ -223,7 +233,7 @@
      * the prompt itself.
      */
     private boolean prefillFits(Backend engine) {
-        boolean fits = mBytes.trySend(engine.id());
+        boolean fits = mFitsAt.test(engine.id());
         if (!fits) {
             BytesRefusal.ofServer(mRelay, mRequest, engine.id());
             releasePrefillEngine(engine);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -214,7 +214,7 @@
         long timeoutMillis = silenceTimeoutMillis();
         long maxMillis = (long) (mRequest.route().silenceMillis() * QUEUE_TIMEOUT_SHARE);
         long remainingMillis = mStartMillis + maxMillis - now;
-        boolean engineResponds = mRelay.registry().respondedSince(mEngine, mStartMillis);
+        boolean engineResponds = mRelay.registry().voice(mEngine).heardSince(mStartMillis);
         if (engineResponds && remainingMillis > 0) {
             mSilenceTimeout =
                     mLoop.schedule(
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -0,0 +1,315 @@
+package org.cyclamenpaddle.relay.front;
+
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.relay.backend.Backend;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.retry.RetryPolicy;
+import org.cyclamenpaddle.relay.route.RouteKind;
+import org.cyclamenpaddle.relay.wire.BackendCall;
+import org.cyclamenpaddle.routing.buffer.RequestBytes;
+
+/**
+ * The attempts of one request that are in progress: one at a server, and at most one beside it
+ * while that server is silent.
+ *
+ * <p>Of two attempts the one that sends the next event, or the whole of a plain response, is kept;
+ * only then is the other one cancelled. If one of them fails, the other goes on. Runs on the event
+ * loop of the caller's connection.
+ */
+final class RequestAttempts {
+
+    /** Notified of the end of the only attempt, unless it was cancelled or timed out. */
+    interface Listener {
+        void ended(BackendAttempt attempt, SendOutcome outcome, String cause);
+    }
+
+    /** One send; its attempt is set when it is opened. */
+    private static final class Send {
+        private final PlacementPhase.Placed mPlaced;
+        private final Optional<StagedResponse> mStaged;
+        private BackendAttempt mAttempt;
+
+        Send(PlacementPhase.Placed placed, Optional<StagedResponse> staged) {
+            mPlaced = placed;
+            mStaged = staged;
+        }
+    }
+
+    private final RelayContext mRelay;
+    private final RelayRequest mRequest;
+    private final EventLoop mLoop;
+    private final RequestBytes mBytes;
+    private final RetryPolicy mRetryPolicy;
+    private final CrashGuard mCrashGuard;
+    private final CallerResponse mResponse;
+    private final RequestLog mLog;
+    private final Listener mListener;
+    private final SilenceWatch mWatch;
+    private final Set<BackendId> mTried = new HashSet<>();
+    private Optional<Send> mFirst = Optional.empty();
+    private Optional<Send> mSecond = Optional.empty();
+    private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
+    private long mEventsBeforeSecond;
+
+    RequestAttempts(
+            RelayContext relay,
+            RelayRequest request,
+            EventLoop loop,
+            RequestBytes bytes,
+            RetryPolicy retryPolicy,
+            CrashGuard crashGuard,
+            CallerResponse response,
+            RequestLog log,
+            Listener listener) {
+        mRelay = relay;
+        mRequest = request;
+        mLoop = loop;
+        mBytes = bytes;
+        mRetryPolicy = retryPolicy;
+        mCrashGuard = crashGuard;
+        mResponse = response;
+        mLog = log;
+        mListener = listener;
+        mWatch =
+                new SilenceWatch(
+                        relay,
+                        request,
+                        loop,
+                        bytes,
+                        retryPolicy,
+                        crashGuard,
+                        log,
+                        new SilenceWatch.Listener() {
+                            @Override
+                            public BackendQuery query(Set<BackendId> avoid) {
+                                return RequestAttempts.this.query(avoid);
+                            }
+
+                            @Override
+                            public Set<BackendId> tried() {
+                                return BytesRefusal.serversToAvoid(mRelay, mRequest, mTried);
+                            }
+
+                            @Override
+                            public void placed(PlacementPhase.Placed placed) {
+                                openSecond(placed);
+                            }
+                        });
+    }
+
+    /** Returns the servers to which the request was sent. */
+    Set<BackendId> tried() {
+        return mTried;
+    }
+
+    /** Returns the query for a server that is none of the given ones. */
+    BackendQuery query(Set<BackendId> avoid) {
+        return new BackendQuery(
+                mRequest.service(), mRequest.caller().size(), avoid, mResponse.binding());
+    }
+
+    /** Returns the server of the attempt that was kept or opened last. */
+    Optional<Backend> backend() {
+        return mPlaced.map(PlacementPhase.Placed::backend);
+    }
+
+    /** Returns the engine that was to prefill the prompt for that attempt. */
+    Optional<Backend> prefillEngine() {
+        return mPlaced.flatMap(PlacementPhase.Placed::prefillEngine);
+    }
+
+    /** Sends the request to a server, while it is in progress at none. */
+    void open(PlacementPhase.Placed placed) {
+        Send send = new Send(placed, Optional.empty());
+        mFirst = Optional.of(send);
+        mPlaced = Optional.of(placed);
+        open(send, mResponse);
+        if (mFirst.filter(send::equals).isPresent()) {
+            mWatch.watch(send.mAttempt);
+        }
+    }
+
+    private void openSecond(PlacementPhase.Placed placed) {
+        Backend backend = placed.backend();
+        boolean accepted =
+                !mBytes.isClosed()
+                        && mFirst.isPresent()
+                        && mCrashGuard.mayRun()
+                        && mRelay.registry()
+                                .directives()
+                                .acceptsWork(backend, mRelay.clock().millis())
+                        && mBytes.trySendBeside(backend.id());
+        if (!accepted) {
+            placed.release(mRelay, mRequest);
+            mRelay.budget().putBack(mRequest.service());
+            return;
+        }
+        mWatch.stop();
+        mTried.add(backend.id());
+        mRetryPolicy.beginSecondSend();
+        mEventsBeforeSecond = mResponse.events();
+        StagedResponse staged = new StagedResponse(mResponse, mBytes, this::keepSecond);
+        Send send = new Send(placed, Optional.of(staged));
+        mSecond = Optional.of(send);
+        open(send, staged);
+    }
+
+    private void open(Send send, ResponseSink sink) {
+        PlacementPhase.Placed placed = send.mPlaced;
+        BackendCall call =
+                new BackendCall(
+                        placed.backend(),
+                        mRetryPolicy.remainingMillis(mRelay.clock().millis()),
+                        false,
+                        placed.prompt(),
+                        placed.reservation(),
+                        mRequest.teamName(),
+                        mRequest.enginePriority(),
+                        mResponse.lastEventId());
+        send.mAttempt =
+                new BackendAttempt(
+                        mRelay,
+                        mRequest,
+                        call,
+                        sink,
+                        new BackendAttempt.Terms(
+                                placed.prefillEngine().isPresent(),
+                                connection(placed),
+                                mCrashGuard,
+                                mRetryPolicy::recordDuplicateSend,
+                                () -> heard(send)),
+                        (outcome, cause) -> ended(send, outcome, cause));
+        send.mAttempt.start(mLoop);
+    }
+
+    private BackendAttempt.Connection connection(PlacementPhase.Placed placed) {
+        if (placed.reservation().isPresent()) {
+            return BackendAttempt.Connection.RECENTLY_USED;
+        }
+        return mRequest.route().kind() == RouteKind.IDEMPOTENT
+                ? BackendAttempt.Connection.POOLED
+                : BackendAttempt.Connection.NEW;
+    }
+
+    /** Cancels the second attempt if the first one has sent the next event. */
+    private void heard(Send send) {
+        boolean firstGoesOn =
+                mFirst.filter(send::equals).isPresent()
+                        && mSecond.isPresent()
+                        && mResponse.events() > mEventsBeforeSecond;
+        if (firstGoesOn) {
+            dropSecond();
+        }
+    }
+
+    private void dropSecond() {
+        Send dropped = mSecond.orElseThrow();
+        mSecond = Optional.empty();
+        dropped.mStaged.ifPresent(StagedResponse::discard);
+        drop(dropped, mFirst.orElseThrow());
+        mWatch.watch(mFirst.orElseThrow().mAttempt);
+    }
+
+    /** Continues with the second attempt, which has sent the next event, and cancels the first. */
+    private void keepSecond() {
+        Send dropped = mFirst.orElseThrow();
+        takeOver();
+        drop(dropped, mFirst.orElseThrow());
+    }
+
+    /** Makes the second attempt the only one. */
+    private void takeOver() {
+        Send kept = mSecond.orElseThrow();
+        mSecond = Optional.empty();
+        mFirst = Optional.of(kept);
+        mPlaced = Optional.of(kept.mPlaced);
+        kept.mStaged.ifPresent(StagedResponse::keep);
+        mWatch.watch(kept.mAttempt);
+    }
+
+    private void drop(Send dropped, Send kept) {
+        SendOutcome outcome = dropped.mAttempt.cancel();
+        mRetryPolicy.endOneOfTwo(outcome);
+        release(dropped, outcome);
+        mLog.oneOfTwoEnded(dropped.mAttempt, outcome, "other server responded", kept.mAttempt);
+    }
+
+    private void ended(Send send, SendOutcome outcome, String cause) {
+        boolean second = mSecond.filter(send::equals).isPresent();
+        if (outcome == SendOutcome.SUCCEEDED) {
+            if (second) {
+                keepSecond();
+                send.mStaged.ifPresent(staged -> staged.forwardStaged(mRelay.clock().millis()));
+            } else if (mSecond.isPresent()) {
+                dropSecond();
+            }
+        } else if (mSecond.isPresent()) {
+            oneOfTwoFailed(send, second, outcome, cause);
+            return;
+        }
+        mWatch.stop();
+        mFirst = Optional.empty();
+        send.mPlaced.releaseUnused(mRelay, outcome);
+        mListener.ended(send.mAttempt, outcome, cause);
+    }
+
+    private void oneOfTwoFailed(Send failed, boolean second, SendOutcome outcome, String cause) {
+        mRetryPolicy.endOneOfTwo(outcome);
+        release(failed, outcome);
+        if (second) {
+            mSecond = Optional.empty();
+            failed.mStaged.ifPresent(StagedResponse::discard);
+            mWatch.watch(mFirst.orElseThrow().mAttempt);
+        } else {
+            Send kept = mSecond.orElseThrow();
+            takeOver();
+            kept.mStaged.ifPresent(staged -> staged.forwardStaged(mRelay.clock().millis()));
+        }
+        mLog.oneOfTwoEnded(failed.mAttempt, outcome, cause, mFirst.orElseThrow().mAttempt);
+    }
+
+    /** Cancels all attempts because the caller disconnected. */
+    void cancel() {
+        mWatch.stop();
+        mSecond.ifPresent(send -> release(send, send.mAttempt.cancel()));
+        mFirst.ifPresent(send -> release(send, send.mAttempt.cancel()));
+        mSecond = Optional.empty();
+        mFirst = Optional.empty();
+    }
+
+    /**
+     * Cancels all attempts at the request's timeout.
+     *
+     * @return how far the first one had come; empty if there is none
+     */
+    Optional<SendOutcome> timeOut() {
+        mWatch.stop();
+        mSecond.ifPresent(
+                send -> {
+                    SendOutcome outcome = send.mAttempt.timeOut();
+                    mRetryPolicy.endOneOfTwo(outcome);
+                    release(send, outcome);
+                });
+        mSecond = Optional.empty();
+        Optional<SendOutcome> ended =
+                mFirst.map(
+                        send -> {
+                            SendOutcome outcome = send.mAttempt.timeOut();
+                            release(send, outcome);
+                            return outcome;
+                        });
+        mFirst = Optional.empty();
+        return ended;
+    }
+
+    /** Releases what is held for a send while the request goes on elsewhere, or ends. */
+    private void release(Send send, SendOutcome outcome) {
+        mBytes.sendEnded(send.mPlaced.backend().id());
+        send.mPlaced.releaseUnused(mRelay, outcome);
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -4,7 +4,6 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -12,7 +11,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
-import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -21,8 +19,6 @@
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
-import org.cyclamenpaddle.relay.route.RouteKind;
-import org.cyclamenpaddle.relay.wire.BackendCall;
 import org.cyclamenpaddle.routing.buffer.RequestBytes;
 import org.cyclamenpaddle.routing.stream.StreamBinding;
 
@@ -46,12 +42,10 @@
     private final HandoverPhase mHandover;
     private final StreamPhase mStream;
     private final SameServerPhase mSameServer;
+    private final RequestAttempts mAttempts;
     private final long mStartMillis;
-    private final Set<BackendId> mTried = new HashSet<>();
     private ScheduledFuture<?> mTimeout;
     private Optional<PlacementPhase> mPlacement = Optional.empty();
-    private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
-    private Optional<BackendAttempt> mAttempt = Optional.empty();
     private OptionalLong mReservedMillis = OptionalLong.empty();
     private boolean mCounted;
     private boolean mEnded;
@@ -93,6 +87,17 @@
                         mCrashGuard,
                         mRequestLog,
                         new SameServerListener());
+        mAttempts =
+                new RequestAttempts(
+                        relay,
+                        request,
+                        loop,
+                        bytes,
+                        mRetryPolicy,
+                        mCrashGuard,
+                        mResponse,
+                        mRequestLog,
+                        this::attemptEnded);
         mHandover =
                 new HandoverPhase(
                         relay,
@@ -123,7 +128,7 @@
 
         @Override
         public void sendAgain(PlacementPhase.Placed placed) {
-            open(placed);
+            mAttempts.open(placed);
         }
 
         @Override
@@ -185,12 +190,12 @@
         if (mEnded) {
             return;
         }
-        mAttempt.map(BackendAttempt::cancel).ifPresent(this::releaseUnused);
+        mAttempts.cancel();
         mHandover.cancel();
         if (mRequest.ofOwnCaller()) {
             mRelay.metrics().recordDisconnect();
         }
-        mRequestLog.callerDisconnected(lastBackend());
+        mRequestLog.callerDisconnected(mAttempts.backend());
         end();
     }
 
@@ -209,7 +214,8 @@
             return;
         }
         long now = mRelay.clock().millis();
-        BackendQuery query = query(BytesRefusal.serversToAvoid(mRelay, mRequest, mTried));
+        BackendQuery query =
+                mAttempts.query(BytesRefusal.serversToAvoid(mRelay, mRequest, mAttempts.tried()));
         if (query.binding().binds() && !mRelay.registry().mayServe(query, now)) {
             fail(StreamPhase.Refusal.VERSION_GONE);
             return;
@@ -218,10 +224,10 @@
                 new PlacementPhase(
                         mRelay,
                         mRequest,
-                        mBytes,
+                        mBytes::trySend,
                         mLoop,
                         query,
-                        !mTried.isEmpty(),
+                        !mAttempts.tried().isEmpty(),
                         this::takeRetry,
                         mCrashGuard,
                         mRequestLog::searched,
@@ -244,7 +250,7 @@
                         });
         mPlacement = Optional.of(placement);
         mRequestLog.serversPassedOver(
-                mRelay.registry().directives().passedOver(query(Set.of()), now));
+                mRelay.registry().directives().passedOver(mAttempts.query(Set.of()), now));
         placement.start(now + mRetryPolicy.remainingMillis(now));
     }
 
@@ -259,12 +265,9 @@
     }
 
     private OptionalLong directiveWait() {
-        return mRelay.registry().directives().waitMillis(query(Set.of()), mRelay.clock().millis());
-    }
-
-    private BackendQuery query(Set<BackendId> avoid) {
-        return new BackendQuery(
-                mRequest.service(), mRequest.caller().size(), avoid, mResponse.binding());
+        return mRelay.registry()
+                .directives()
+                .waitMillis(mAttempts.query(Set.of()), mRelay.clock().millis());
     }
 
     private void send(PlacementPhase.Placed placed) {
@@ -288,9 +291,9 @@
             placeAgain(placed);
             return;
         }
-        mTried.add(backend.id());
+        mAttempts.tried().add(backend.id());
         mRetryPolicy.beginSend();
-        open(placed);
+        mAttempts.open(placed);
     }
 
     /** Looks for another server after the chosen one has asked for no further work. */
@@ -304,51 +307,8 @@
         }
     }
 
-    private void open(PlacementPhase.Placed placed) {
-        mPlaced = Optional.of(placed);
-        BackendCall call =
-                new BackendCall(
-                        placed.backend(),
-                        mRetryPolicy.remainingMillis(mRelay.clock().millis()),
-                        false,
-                        placed.prompt(),
-                        placed.reservation(),
-                        mRequest.teamName(),
-                        mRequest.enginePriority(),
-                        mResponse.lastEventId());
-        boolean retriableElsewhere =
-                mRequest.route().repeatable() && mRetryPolicy.hasAttemptsLeft();
-        BackendAttempt attempt =
-                new BackendAttempt(
-                        mRelay,
-                        mRequest,
-                        call,
-                        mResponse,
-                        new BackendAttempt.Terms(
-                                placed.prefillEngine().isPresent(),
-                                retriableElsewhere,
-                                connection(placed),
-                                mCrashGuard,
-                                mRetryPolicy::recordDuplicateSend),
-                        this::attemptEnded);
-        mAttempt = Optional.of(attempt);
-        attempt.start(mLoop);
-    }
-
-    private BackendAttempt.Connection connection(PlacementPhase.Placed placed) {
-        if (placed.reservation().isPresent()) {
-            return BackendAttempt.Connection.RECENTLY_USED;
-        }
-        return mRequest.route().kind() == RouteKind.IDEMPOTENT
-                ? BackendAttempt.Connection.POOLED
-                : BackendAttempt.Connection.NEW;
-    }
-
-    private void attemptEnded(SendOutcome outcome, String cause) {
-        BackendAttempt attempt = mAttempt.orElseThrow();
-        mAttempt = Optional.empty();
-        releaseUnused(outcome);
-        mSameServer.attemptEnded(attempt, outcome, cause, prefillEngine());
+    private void attemptEnded(BackendAttempt attempt, SendOutcome outcome, String cause) {
+        mSameServer.attemptEnded(attempt, outcome, cause, mAttempts.prefillEngine());
     }
 
     private void retryOrFail(BackendAttempt attempt, SendOutcome outcome, String cause) {
@@ -394,15 +354,6 @@
         return mRelay.budget().tryTake(mRequest.service());
     }
 
-    /** Releases the engine memory that the backend server did not use. */
-    private void releaseUnused(SendOutcome outcome) {
-        if (outcome.unsent()) {
-            mPlaced.ifPresent(placed -> placed.releaseMemory(mRelay));
-        } else if (!outcome.mayHaveRun()) {
-            mPlaced.ifPresent(placed -> placed.releasePrompt(mRelay));
-        }
-    }
-
     private void complete() {
         mCrashGuard.ranToItsEnd();
         mResponse.finish();
@@ -413,8 +364,8 @@
             mRelay.metrics().recordResponse(mRequest.route().kind(), mRequestLog.elapsedMillis());
         }
         mRequestLog.completed(
-                lastBackend(),
-                prefillEngine(),
+                mAttempts.backend(),
+                mAttempts.prefillEngine(),
                 mReservedMillis.isPresent() ? mReservedMillis.getAsLong() - mStartMillis : -1);
         end();
     }
@@ -425,9 +376,7 @@
             return;
         }
         SendOutcome unsent = mSameServer.isReserving() ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
-        Optional<SendOutcome> ended = mAttempt.map(BackendAttempt::timeOut);
-        ended.ifPresent(this::releaseUnused);
-        mAttempt = Optional.empty();
+        Optional<SendOutcome> ended = mAttempts.timeOut();
         fail(ended.or(mHandover::cancel).orElse(unsent), "request timed out");
         if (mRetryPolicy.isForwarding()) {
             // The caller has stopped reading, and the abort is queued behind what it has not read.
@@ -450,7 +399,7 @@
             mTimeout = mLoop.schedule(this::timeOut, remaining, TimeUnit.MILLISECONDS);
         } else {
             mResponse.abortDelivery();
-            mRequestLog.truncated(lastBackend(), "caller did not take the response in time");
+            mRequestLog.truncated(mAttempts.backend(), "caller did not take the response in time");
         }
     }
 
@@ -478,7 +427,7 @@
         if (mRetryPolicy.isForwarding()) {
             mStream.brokenOff();
             mResponse.abort();
-            mRequestLog.truncated(lastBackend(), reason);
+            mRequestLog.truncated(mAttempts.backend(), reason);
         } else {
             refusal.filter(head -> head.status().code() == reply.status())
                     .ifPresentOrElse(
@@ -506,14 +455,6 @@
                 .getAsLong();
     }
 
-    private Optional<Backend> lastBackend() {
-        return mPlaced.map(PlacementPhase.Placed::backend);
-    }
-
-    private Optional<Backend> prefillEngine() {
-        return mPlaced.flatMap(PlacementPhase.Placed::prefillEngine);
-    }
-
     private void end() {
         mEnded = true;
         mStream.cancel();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -10,6 +10,7 @@
 import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryDecision;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
+import org.cyclamenpaddle.routing.silence.SecondSend;
 import org.cyclamenpaddle.routing.stream.StreamBinding;
 
 /** Writes the log lines of one request: decisions, outcomes and durations. */
@@ -165,6 +166,31 @@
                 barrier(next));
     }
 
+    /** Logs that the server of an attempt has sent nothing for a time, and what follows. */
+    void serverSilent(BackendAttempt attempt, long quietMillis, SecondSend decision) {
+        mRelay.metrics().recordSilence(decision);
+        mRelay.log().log(
+                RelayEvent.SERVER_SILENT,
+                mRequest.caller().id(),
+                attempt.target().id().value(),
+                quietMillis,
+                mResponse.lastEventId().orElse(NONE),
+                decision.text());
+    }
+
+    /** Logs the end of one of two attempts in progress. */
+    void oneOfTwoEnded(
+            BackendAttempt attempt, SendOutcome outcome, String cause, BackendAttempt kept) {
+        mRelay.log().log(
+                RelayEvent.ONE_OF_TWO_ENDED,
+                mRequest.caller().id(),
+                attempt.target().id().value(),
+                outcome,
+                cause,
+                attempt.elapsedMillis(),
+                kept.target().id().value());
+    }
+
     /** Logs an attempt by another host that ended without a response for the caller. */
     void handoverEnded(SendOutcome outcome, String cause, RetryDecision next) {
         mRelay.log().log(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SameServerPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SameServerPhase.java
@@ -142,7 +142,9 @@
             mRelay.metrics().recordRetry(SendOutcome.UNKNOWN);
             mListener.resumes();
             mRelay.registry().recordAlive(attempt.target());
-            mRelay.registry().recordResend(attempt.target(), mRequest.caller().size());
+            mRelay.registry()
+                    .recordResend(
+                            attempt.target(), mRequest.caller().size(), mRelay.clock().millis());
             mListener.sendAgain(PlacementPhase.Placed.on(attempt.target(), result.reservation()));
             return;
         }
@@ -175,7 +177,7 @@
         }
         mLog.attemptEnded(attempt, SendOutcome.REJECTED, cause, RetryDecision.SEND_AGAIN);
         mRelay.metrics().recordRetry(SendOutcome.REJECTED);
-        mRelay.registry().recordResend(attempt.target(), mRequest.caller().size());
+        mRelay.registry().recordResend(attempt.target(), mRequest.caller().size(), now);
         mListener.sendAgain(PlacementPhase.Placed.on(attempt.target(), Optional.empty()));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SharedRetryBudget.java
@@ -68,6 +68,11 @@
         return mBudget.read(budget -> budget.tryAcquire(service, mClock.millis()));
     }
 
+    /** Returns a retry that was taken and not used. */
+    public void putBack(ServiceName service) {
+        mBudget.write(budget -> budget.putBack(service, mClock.millis()));
+    }
+
     private RetryBudget.Settings settings(int hosts) {
         double hostSlack = mSlack / hosts;
         double accrual = hostSlack * (1 - BURST_SHARE) / mWindowSeconds;
--- /dev/null
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -0,0 +1,208 @@
+package org.cyclamenpaddle.relay.front;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.relay.backend.BackendQuery;
+import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.log.RelayEvent;
+import org.cyclamenpaddle.relay.retry.RetryPolicy;
+import org.cyclamenpaddle.routing.buffer.RequestBytes;
+import org.cyclamenpaddle.routing.silence.SecondSend;
+import org.cyclamenpaddle.routing.silence.SilenceLimits;
+
+/**
+ * Watches whether the server of a request sends anything, and looks for a second one that may run
+ * the request beside it. Never ends a send.
+ *
+ * <p>Runs on the event loop of the caller's connection.
+ */
+final class SilenceWatch {
+
+    /** Provides what a second send needs, and begins it. */
+    interface Listener {
+
+        /** Returns the query for another server. */
+        BackendQuery query(Set<BackendId> avoid);
+
+        /** Returns the servers that cannot take the request. */
+        Set<BackendId> tried();
+
+        /** Called when a second server can run the request. */
+        void placed(PlacementPhase.Placed placed);
+    }
+
+    private final RelayContext mRelay;
+    private final RelayRequest mRequest;
+    private final EventLoop mLoop;
+    private final RequestBytes mBytes;
+    private final RetryPolicy mRetryPolicy;
+    private final CrashGuard mCrashGuard;
+    private final RequestLog mLog;
+    private final Listener mListener;
+    private SilenceLimits mLimits;
+    private Optional<BackendAttempt> mAttempt = Optional.empty();
+    private Optional<ScheduledFuture<?>> mTimer = Optional.empty();
+    private Optional<PlacementPhase> mPlacement = Optional.empty();
+    private Optional<SecondSend> mDecision = Optional.empty();
+
+    SilenceWatch(
+            RelayContext relay,
+            RelayRequest request,
+            EventLoop loop,
+            RequestBytes bytes,
+            RetryPolicy retryPolicy,
+            CrashGuard crashGuard,
+            RequestLog log,
+            Listener listener) {
+        mRelay = relay;
+        mRequest = request;
+        mLoop = loop;
+        mBytes = bytes;
+        mRetryPolicy = retryPolicy;
+        mCrashGuard = crashGuard;
+        mLog = log;
+        mListener = listener;
+    }
+
+    /** Watches an attempt instead of any other. */
+    void watch(BackendAttempt attempt) {
+        stop();
+        mAttempt = Optional.of(attempt);
+        mLimits =
+                SilenceLimits.of(
+                        mRequest.route().targetMillis(),
+                        mRequest.route().silenceMillis(),
+                        mRetryPolicy.remainingMillis(attempt.startMillis()));
+        schedule(mLimits.millis(attempt.begun()) - attempt.quietMillis());
+    }
+
+    /** Ends the watch, and the search for a second server. */
+    void stop() {
+        mTimer.ifPresent(timer -> timer.cancel(false));
+        mTimer = Optional.empty();
+        mAttempt = Optional.empty();
+        endSearch();
+        mDecision = Optional.empty();
+    }
+
+    private void schedule(long millis) {
+        mTimer =
+                Optional.of(
+                        mLoop.schedule(this::check, Math.max(1, millis), TimeUnit.MILLISECONDS));
+    }
+
+    private void check() {
+        mAttempt.ifPresent(this::checkAttempt);
+    }
+
+    private void checkAttempt(BackendAttempt attempt) {
+        if (attempt.begun() && !mRequest.route().kind().streams()) {
+            endSearch();
+            return;
+        }
+        long limitMillis = mLimits.millis(attempt.begun());
+        long quietMillis = attempt.quietMillis();
+        if (quietMillis < limitMillis) {
+            endSearch();
+            mDecision = Optional.empty();
+            schedule(limitMillis - quietMillis);
+            return;
+        }
+        silent(attempt, limitMillis, quietMillis);
+        if (mDecision.map(SecondSend::mayChange).orElse(false)) {
+            schedule(SilenceLimits.recheckMillis(limitMillis));
+        }
+    }
+
+    private void silent(BackendAttempt attempt, long limitMillis, long quietMillis) {
+        long now = mRelay.clock().millis();
+        long otherMillis = SilenceLimits.otherMillis(limitMillis);
+        if (mDecision.isEmpty()
+                && mRelay.registry().recordSilence(attempt.target(), otherMillis, now)) {
+            mRelay.log().log(
+                    RelayEvent.BACKEND_EJECTED,
+                    attempt.target().id(),
+                    SendOutcome.SILENT,
+                    "silent for " + quietMillis + " ms");
+        }
+        if (mPlacement.isPresent()) {
+            return;
+        }
+        Set<BackendId> avoid = new HashSet<>(mListener.tried());
+        SecondSend decision =
+                SecondSend.decide(
+                        request(now),
+                        mRelay.registry().otherServers(mListener.query(avoid), otherMillis, now));
+        if (decision == SecondSend.ALLOWED && !mCrashGuard.mayRun()) {
+            decision = SecondSend.QUARANTINED;
+        }
+        if (decision == SecondSend.ALLOWED && !mRelay.budget().tryTake(mRequest.service())) {
+            decision = SecondSend.NO_BUDGET;
+        }
+        decided(attempt, quietMillis, decision);
+        if (decision == SecondSend.ALLOWED) {
+            avoid.addAll(mRelay.registry().silentServers(mRequest.service(), otherMillis, now));
+            search(attempt, mListener.query(avoid), now);
+        }
+    }
+
+    private SecondSend.Request request(long nowMillis) {
+        return new SecondSend.Request(
+                mRequest.route().repeatable(),
+                mRetryPolicy.hasAttemptsLeft(),
+                mRetryPolicy.isForwarding() && !mRequest.route().kind().streams(),
+                mRetryPolicy.remainingMillis(nowMillis),
+                mRequest.route().targetMillis());
+    }
+
+    private void decided(BackendAttempt attempt, long quietMillis, SecondSend decision) {
+        if (mDecision.filter(decision::equals).isEmpty()) {
+            mDecision = Optional.of(decision);
+            mLog.serverSilent(attempt, quietMillis, decision);
+        }
+    }
+
+    private void search(BackendAttempt attempt, BackendQuery query, long nowMillis) {
+        PlacementPhase placement =
+                new PlacementPhase(
+                        mRelay,
+                        mRequest,
+                        mBytes::trySendBeside,
+                        mLoop,
+                        query,
+                        true,
+                        () -> mRelay.budget().tryTake(mRequest.service()),
+                        mCrashGuard,
+                        mLog::searched,
+                        new PlacementPhase.Listener() {
+                            @Override
+                            public void placed(PlacementPhase.Placed placed) {
+                                mPlacement = Optional.empty();
+                                mListener.placed(placed);
+                            }
+
+                            @Override
+                            public void notPlaced(String reason) {
+                                mPlacement = Optional.empty();
+                                mRelay.budget().putBack(mRequest.service());
+                                decided(attempt, attempt.quietMillis(), SecondSend.NO_ROOM);
+                            }
+                        });
+        mPlacement = Optional.of(placement);
+        placement.start(nowMillis + mRetryPolicy.remainingMillis(nowMillis));
+    }
+
+    private void endSearch() {
+        mPlacement.ifPresent(
+                placement -> {
+                    placement.cancel();
+                    mRelay.budget().putBack(mRequest.service());
+                });
+        mPlacement = Optional.empty();
+    }
+}
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -220,6 +220,16 @@
             Priority.DIAGNOSTIC,
             "stream taken up by its caller",
             List.of("request", "route", "service", "stream", "began", "millis")),
+    SERVER_SILENT(
+            2223,
+            Priority.DIAGNOSTIC,
+            "no data from a backend server for a time",
+            List.of("request", "backend", "quietMillis", "lastEvent", "second")),
+    ONE_OF_TWO_ENDED(
+            2224,
+            Priority.DIAGNOSTIC,
+            "one of two attempts ended",
+            List.of("request", "backend", "outcome", "cause", "millis", "kept")),
     REQUEST_REFUSED(
             2207,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -103,6 +103,11 @@
         counter("response_ends", "end", tag(end)).increment();
     }
 
+    /** Records a decision on a request whose server is silent. */
+    public void recordSilence(Enum<?> decision) {
+        counter("silences", "decision", tag(decision)).increment();
+    }
+
     /** Records an event around requests that are handed over. */
     public void recordHandover(Enum<?> kind) {
         counter("handovers", "kind", tag(kind)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -33,7 +33,7 @@
     private int mSends;
     private int mUnsent;
     private int mResumes;
-    private boolean mSendInFlight;
+    private int mSendsInFlight;
     private boolean mMayHaveRun;
     private boolean mForwarding;
     private boolean mEnded;
@@ -58,7 +58,7 @@
     /** Records that the request is being sent to a backend server. */
     public void beginSend() {
         Invariants.require(
-                !mSendInFlight && !mEnded,
+                mSendsInFlight == 0 && !mEnded,
                 () -> "request sent while another send is in progress, or after its end");
         Invariants.require(
                 mSends < mLimits.maxAttempts(),
@@ -66,10 +66,32 @@
         Invariants.require(
                 !mMayHaveRun || mLimits.repeatable(),
                 () -> "request sent again although it may have run and is not repeatable");
-        mSendInFlight = true;
+        mSendsInFlight++;
         mSends++;
     }
 
+    /** Records that the request is being sent to a second server beside the first one. */
+    public void beginSecondSend() {
+        Invariants.require(
+                mSendsInFlight == 1 && !mEnded,
+                () -> "second send without a first one in progress, or after the end");
+        Invariants.require(
+                hasAttemptsLeft() && mLimits.repeatable(),
+                () -> "second send of a request that its route does not allow");
+        mSendsInFlight++;
+        mSends++;
+    }
+
+    /** Records the end of one of two sends in progress; the other one goes on. */
+    public void endOneOfTwo(SendOutcome outcome) {
+        Invariants.require(mSendsInFlight == 2, () -> "no second send in progress");
+        mSendsInFlight--;
+        if (outcome.unsent()) {
+            mSends--;
+        }
+        mMayHaveRun |= outcome.mayHaveRun();
+    }
+
     /**
      * Decides whether a rejected request is sent to the same backend server again; the current send
      * then continues.
@@ -82,7 +104,7 @@
      * @return whether the request is sent again
      */
     public boolean resendToSameBackend(long nowMillis, BooleanSupplier budget) {
-        Invariants.require(mSendInFlight, () -> "request resent without a send in progress");
+        Invariants.require(mSendsInFlight == 1, () -> "request resent without a send in progress");
         return remainingMillis(nowMillis) >= MIN_REMAINING_MILLIS && budget.getAsBoolean();
     }
 
@@ -94,7 +116,7 @@
      * limited.
      */
     public boolean mayResumeOnSameBackend(long nowMillis) {
-        Invariants.require(mSendInFlight, () -> "request resumed without a send in progress");
+        Invariants.require(mSendsInFlight == 1, () -> "request resumed without a send in progress");
         return mLimits.repeatable()
                 && mResumes < MAX_RESUMES_ON_SAME_BACKEND
                 && remainingMillis(nowMillis) >= MIN_REMAINING_MILLIS;
@@ -148,7 +170,7 @@
 
     /** Returns whether a backend server may have run the request, or may be running it. */
     public boolean mayHaveRun() {
-        return mMayHaveRun || mSendInFlight;
+        return mMayHaveRun || mSendsInFlight > 0;
     }
 
     /** Returns the number of sends so far, excluding those that were never sent. */
@@ -165,8 +187,8 @@
      *     retried
      */
     public RetryDecision endSend(SendOutcome outcome, long nowMillis, BooleanSupplier budget) {
-        Invariants.require(mSendInFlight, () -> "send ended that was not started");
-        mSendInFlight = false;
+        Invariants.require(mSendsInFlight == 1, () -> "send ended that was not started");
+        mSendsInFlight = 0;
         if (outcome.unsent()) {
             mSends--;
             mUnsent++;
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
@@ -166,10 +166,10 @@
     public void responsesToOtherRequestsShowThatServerIsAlive() {
         Backend busy = Backends.decode("busy", "a");
         list(busy);
-        assertFalse(mRegistry.respondedSince(busy, 0));
+        assertFalse(mRegistry.voice(busy).heardSince(0));
         mRegistry.recordFirstByte(busy, SIZE, 40, 100);
-        assertTrue(mRegistry.respondedSince(busy, 100));
-        assertFalse(mRegistry.respondedSince(busy, 101));
+        assertTrue(mRegistry.voice(busy).heardSince(100));
+        assertFalse(mRegistry.voice(busy).heardSince(101));
     }
 
     /**
@@ -311,7 +311,7 @@
         Backend decodeEngine = Backends.decode("run", "a");
         Backend prefillEngine = Backends.of("prefill", "a", BackendStage.PREFILL, 1, false);
         list(decodeEngine, prefillEngine);
-        IntStream.range(0, 3).forEach(i -> mRegistry.recordResend(prefillEngine, SIZE));
+        IntStream.range(0, 3).forEach(i -> mRegistry.recordResend(prefillEngine, SIZE, 0));
         select(0);
         mRegistry.recordReport(decodeEngine, reportWith(10), 0);
         assertEquals(
@@ -324,7 +324,7 @@
         Backend decodeEngine = Backends.decode("run", "a");
         Backend prefillEngine = Backends.of("prefill", "a", BackendStage.PREFILL, 1, false);
         list(decodeEngine, prefillEngine);
-        IntStream.range(0, 3).forEach(i -> mRegistry.recordResend(prefillEngine, SIZE));
+        IntStream.range(0, 3).forEach(i -> mRegistry.recordResend(prefillEngine, SIZE, 0));
         select(0);
         mRegistry.recordReport(decodeEngine, reportWith(0), 0);
         assertEquals(mRegistry.selectPrefillEngine(decodeEngine, SIZE, 0), Optional.empty());
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/buffer/RequestBytes.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/buffer/RequestBytes.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.routing.buffer;
 
-import java.util.Optional;
+import java.util.HashSet;
+import java.util.Set;
 import org.cyclamenpaddle.core.id.BackendId;
 
 /**
@@ -36,7 +37,7 @@
     private long mUnread;
     private long mPending;
     private long mReadAhead;
-    private Optional<BackendId> mServer = Optional.empty();
+    private final Set<BackendId> mServers = new HashSet<>();
     private boolean mClosed;
 
     RequestBytes(ByteAccount account) {
@@ -79,16 +80,36 @@
      */
     public synchronized boolean trySend(BackendId server) {
         sendEnded();
-        if (!mClosed && mAccount.trySend(server, mBody)) {
-            mServer = Optional.of(server);
+        return trySendBeside(server);
+    }
+
+    /**
+     * Notes that the body is sent to a server, beside those where it is outstanding.
+     *
+     * @return whether it fits at that server
+     */
+    public synchronized boolean trySendBeside(BackendId server) {
+        if (mClosed || mServers.contains(server)) {
+            return !mClosed;
+        }
+        boolean fits = mAccount.trySend(server, mBody);
+        if (fits) {
+            mServers.add(server);
         }
-        return mServer.isPresent();
+        return fits;
     }
 
-    /** Notes that the body is no longer outstanding at a server. */
+    /** Notes that the body is no longer outstanding at any server. */
     public synchronized void sendEnded() {
-        mServer.ifPresent(server -> mAccount.sendEnded(server, mBody));
-        mServer = Optional.empty();
+        mServers.forEach(server -> mAccount.sendEnded(server, mBody));
+        mServers.clear();
+    }
+
+    /** Notes that the body is no longer outstanding at a server. */
+    public synchronized void sendEnded(BackendId server) {
+        if (mServers.remove(server)) {
+            mAccount.sendEnded(server, mBody);
+        }
     }
 
     /** Adds a part of the response that has arrived. */
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/retry/RetryBudget.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/retry/RetryBudget.java
@@ -90,6 +90,11 @@
         return true;
     }
 
+    /** Returns a retry that was acquired and not used, up to the capacity. */
+    public void putBack(ServiceName service, long nowMillis) {
+        refill(service, 1, nowMillis);
+    }
+
     /** Returns the accumulated retries of a service. */
     public double remaining(ServiceName service, long nowMillis) {
         return refill(service, 0, nowMillis);
--- /dev/null
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SilenceLimits.java
@@ -0,0 +1,73 @@
+package org.cyclamenpaddle.routing.silence;
+
+/**
+ * Times after which a server that sends nothing counts as silent for one request.
+ *
+ * @param firstEventMillis limit until its first event or response
+ * @param nextEventMillis limit between the events of a stream
+ */
+public record SilenceLimits(long firstEventMillis, long nextEventMillis) {
+
+    /**
+     * Multiple of the route's target latency. The first event of a request that waits for memory at
+     * an engine takes up to two targets.
+     */
+    private static final double FIRST_EVENT_TARGETS = 2.5;
+
+    /** Share of the time that the caller waits, so that a second server has as much left. */
+    private static final double REMAINING_SHARE = 0.45;
+
+    /** Share of the silence after which callers leave; a second server needs the rest of it. */
+    private static final double NEXT_EVENT_SHARE = 0.4;
+
+    /** Share of a limit after which the decision on a second server is taken again. */
+    private static final double RECHECK_SHARE = 0.2;
+
+    /** Shortest time between two decisions on one request, in milliseconds. */
+    private static final long MIN_RECHECK_MILLIS = 50;
+
+    /** Share of a limit from which another server with work there counts as silent as well. */
+    private static final double OTHER_SHARE = 0.5;
+
+    public SilenceLimits {
+        if (firstEventMillis < 0 || nextEventMillis < 0) {
+            throw new IllegalArgumentException(
+                    "negative limit of a silence: "
+                            + firstEventMillis
+                            + " ms, "
+                            + nextEventMillis
+                            + " ms");
+        }
+    }
+
+    /**
+     * Returns the limits of a request.
+     *
+     * @param targetMillis target latency of its route
+     * @param silenceMillis silence after which its caller leaves
+     * @param remainingMillis time until its timeout
+     */
+    public static SilenceLimits of(long targetMillis, long silenceMillis, long remainingMillis) {
+        return new SilenceLimits(
+                (long)
+                        Math.min(
+                                targetMillis * FIRST_EVENT_TARGETS,
+                                remainingMillis * REMAINING_SHARE),
+                (long) (silenceMillis * NEXT_EVENT_SHARE));
+    }
+
+    /** Returns the limit for a request whose response has begun or has not. */
+    public long millis(boolean begun) {
+        return begun ? nextEventMillis : firstEventMillis;
+    }
+
+    /** Returns the time after which a decision is taken again, in milliseconds. */
+    public static long recheckMillis(long limitMillis) {
+        return Math.max(MIN_RECHECK_MILLIS, (long) (limitMillis * RECHECK_SHARE));
+    }
+
+    /** Returns the time from which another server with work counts as silent, in milliseconds. */
+    public static long otherMillis(long limitMillis) {
+        return (long) (limitMillis * OTHER_SHARE);
+    }
+}
