Hand a stream over beside its silent connection at a host that is cut off

A host that has lost its paths handed streams on silent connections to another host after it had ended the send for its silence. Sends are no longer ended for that, so the hand-over is the second send: begun beside the first where checks show that the host is cut off, and kept when it brings the next event. HandoverAttempt takes any sink of a response; RequestAttempts owns it like an attempt at a server.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -19,7 +19,7 @@
 import org.cyclamenpaddle.relay.wire.PromptHandle;
 
 /** One attempt to run a request on a backend server, up to its typed outcome. */
-final class BackendAttempt implements ExchangeListener {
+final class BackendAttempt implements Attempt, ExchangeListener {
 
     /** Notified once of the outcome, unless the attempt was cancelled or timed out. */
     interface EndListener {
@@ -130,34 +130,32 @@
         mExchange.subscribe();
     }
 
-    /**
-     * Cancels the attempt because the caller disconnected.
-     *
-     * @return how far the attempt had come
-     */
-    SendOutcome cancel() {
+    @Override
+    public SendOutcome cancel() {
         SendOutcome outcome = mExchange.cancel();
-        close(SendOutcome.ABANDONED, "caller disconnected");
+        close(SendOutcome.ABANDONED, "cancelled");
         return outcome;
     }
 
-    /**
-     * Cancels the attempt at the request's timeout.
-     *
-     * @return how far the attempt had come
-     */
-    SendOutcome timeOut() {
+    @Override
+    public SendOutcome timeOut() {
         SendOutcome outcome = silentIfConnected(mExchange.cancel());
         close(mResponseStarted ? SendOutcome.ABANDONED : outcome, "request timed out");
         return outcome;
     }
 
+    @Override
+    public String targetName() {
+        return target().id().value();
+    }
+
     /** Returns the handle of the prompt that was prefilled for this attempt. */
     Optional<PromptHandle> prompt() {
         return mCall.prompt();
     }
 
-    long elapsedMillis() {
+    @Override
+    public long elapsedMillis() {
         return mRelay.clock().millis() - mStartMillis;
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverAttempt.java
@@ -15,7 +15,7 @@
 import org.cyclamenpaddle.routing.handover.HandoverRefusal;
 
 /** One attempt to have another host run a request, up to its typed outcome. */
-final class HandoverAttempt implements ExchangeListener {
+final class HandoverAttempt implements Attempt, ExchangeListener {
 
     /** Notified once of the outcome, unless the attempt was cancelled or timed out. */
     interface EndListener {
@@ -39,7 +39,7 @@
     private final RelayRequest mRequest;
     private final Helper mHelper;
     private final HandoverTerms mTerms;
-    private final CallerResponse mResponse;
+    private final ResponseSink mResponse;
     private final EndListener mEndListener;
     private final long mStartMillis;
     private EventLoop mLoop;
@@ -53,7 +53,7 @@
             RelayRequest request,
             Helper helper,
             HandoverTerms terms,
-            CallerResponse response,
+            ResponseSink response,
             EndListener endListener) {
         mRelay = relay;
         mRequest = request;
@@ -79,21 +79,32 @@
         mExchange.subscribe();
     }
 
-    /**
-     * Closes the connection to the host, which ends the run.
-     *
-     * @return how far the attempt had come
-     */
-    SendOutcome cancel() {
+    /** Closes the connection to the host, which ends the run. */
+    @Override
+    public SendOutcome cancel() {
         SendOutcome outcome = mExchange.cancel();
         mEnded = true;
-        long elapsed = mRelay.clock().millis() - mStartMillis;
-        if (mHead == null && elapsed > mRequest.route().targetMillis() * SLOW_TARGETS) {
+        if (mHead == null && elapsedMillis() > mRequest.route().targetMillis() * SLOW_TARGETS) {
             avoidHost();
         }
         return outcome;
     }
 
+    @Override
+    public SendOutcome timeOut() {
+        return cancel();
+    }
+
+    @Override
+    public String targetName() {
+        return "host " + mHelper.host();
+    }
+
+    @Override
+    public long elapsedMillis() {
+        return mRelay.clock().millis() - mStartMillis;
+    }
+
     private void avoidHost() {
         mRelay.helpers()
                 .refused(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -87,51 +87,80 @@
     void send(Helper helper, boolean counted) {
         HandoverTerms terms = terms(counted);
         mRetryPolicy.beginSend();
-        mAsked.add(helper.host());
-        mRelay.metrics().recordHandover(HandoverEvent.HANDED_OVER);
-        mRelay.log().log(
-                RelayEvent.REQUEST_HANDED_OVER,
-                mRequest.caller().id(),
-                mRequest.route().name(),
-                mRequest.service(),
-                helper.host(),
-                mAsked.size());
         HandoverAttempt attempt =
-                new HandoverAttempt(
-                        mRelay,
-                        mRequest,
+                attempt(
                         helper,
                         terms,
                         mResponse,
-                        new HandoverAttempt.EndListener() {
+                        new Listener() {
                             @Override
                             public void ended(SendOutcome outcome, String cause) {
                                 mAttempt = Optional.empty();
-                                mRun = outcome == SendOutcome.SUCCEEDED;
                                 mListener.ended(outcome, cause);
                             }
 
                             @Override
-                            public void declined(
-                                    HandoverRefusal refusal, Optional<ResponseHeaders> head) {
+                            public void replied(Helper host, ResponseHeaders head) {
                                 mAttempt = Optional.empty();
-                                recordRefusal(helper, refusal, head);
-                                mListener.ended(
-                                        SendOutcome.WITHHELD,
-                                        "host " + helper.host() + " refused: " + refusal);
-                            }
-
-                            @Override
-                            public void replied(ResponseHeaders head) {
-                                mAttempt = Optional.empty();
-                                mListener.replied(helper, head);
+                                mListener.replied(host, head);
                             }
                         });
         mAttempt = Optional.of(attempt);
         attempt.start(mLoop);
     }
 
-    private HandoverTerms terms(boolean counted) {
+    /**
+     * Creates an attempt beside one at a silent server, which the caller of this method owns.
+     *
+     * @param terms terms of the attempt, from before it was counted
+     * @param response takes its response
+     */
+    HandoverAttempt beside(
+            Helper helper, HandoverTerms terms, ResponseSink response, Listener listener) {
+        return attempt(helper, terms, response, listener);
+    }
+
+    private HandoverAttempt attempt(
+            Helper helper, HandoverTerms terms, ResponseSink response, Listener listener) {
+        mAsked.add(helper.host());
+        mRelay.metrics().recordHandover(HandoverEvent.HANDED_OVER);
+        mRelay.log().log(
+                RelayEvent.REQUEST_HANDED_OVER,
+                mRequest.caller().id(),
+                mRequest.route().name(),
+                mRequest.service(),
+                helper.host(),
+                mAsked.size());
+        return new HandoverAttempt(
+                mRelay,
+                mRequest,
+                helper,
+                terms,
+                response,
+                new HandoverAttempt.EndListener() {
+                    @Override
+                    public void ended(SendOutcome outcome, String cause) {
+                        mRun = outcome == SendOutcome.SUCCEEDED;
+                        listener.ended(outcome, cause);
+                    }
+
+                    @Override
+                    public void declined(HandoverRefusal refusal, Optional<ResponseHeaders> head) {
+                        recordRefusal(helper, refusal, head);
+                        listener.ended(
+                                SendOutcome.WITHHELD,
+                                "host " + helper.host() + " refused: " + refusal);
+                    }
+
+                    @Override
+                    public void replied(ResponseHeaders head) {
+                        listener.replied(helper, head);
+                    }
+                });
+    }
+
+    /** Returns the terms of an attempt that is about to begin. */
+    HandoverTerms terms(boolean counted) {
         return new HandoverTerms(
                 mRelay.helpers().self(),
                 mRequest.service(),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.front;
 
+import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
 import java.util.Optional;
@@ -8,6 +9,9 @@
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.handover.HandoverTerms;
+import org.cyclamenpaddle.relay.handover.Helper;
+import org.cyclamenpaddle.relay.retry.CallerReply;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.relay.route.RouteKind;
 import org.cyclamenpaddle.relay.wire.BackendCall;
@@ -25,16 +29,27 @@
 
     /** Notified of the end of the only attempt, unless it was cancelled or timed out. */
     interface Listener {
+
+        /** Called when the attempt was at a server. */
         void ended(BackendAttempt attempt, SendOutcome outcome, String cause);
+
+        /** Called when the attempt went through another host. */
+        void handoverEnded(SendOutcome outcome, String cause);
     }
 
     /** One send; its attempt is set when it is opened. */
     private static final class Send {
-        private final PlacementPhase.Placed mPlaced;
+        private final Optional<PlacementPhase.Placed> mPlaced;
         private final Optional<StagedResponse> mStaged;
-        private BackendAttempt mAttempt;
+        private Attempt mAttempt;
 
-        Send(PlacementPhase.Placed placed, Optional<StagedResponse> staged) {
+        /**
+         * Creates a send without an attempt.
+         *
+         * @param placed server for it; empty if it goes through another host
+         * @param staged its response, if it is the second of two
+         */
+        Send(Optional<PlacementPhase.Placed> placed, Optional<StagedResponse> staged) {
             mPlaced = placed;
             mStaged = staged;
         }
@@ -48,6 +63,7 @@
     private final CrashGuard mCrashGuard;
     private final CallerResponse mResponse;
     private final RequestLog mLog;
+    private final HandoverPhase mHandover;
     private final Listener mListener;
     private final SilenceWatch mWatch;
     private final Set<BackendId> mTried = new HashSet<>();
@@ -65,6 +81,7 @@
             CrashGuard crashGuard,
             CallerResponse response,
             RequestLog log,
+            HandoverPhase handover,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
@@ -74,6 +91,7 @@
         mCrashGuard = crashGuard;
         mResponse = response;
         mLog = log;
+        mHandover = handover;
         mListener = listener;
         mWatch =
                 new SilenceWatch(
@@ -95,6 +113,16 @@
                                 return BytesRefusal.serversToAvoid(mRelay, mRequest, mTried);
                             }
 
+                            @Override
+                            public boolean handsOver() {
+                                return mHandover.isRequired();
+                            }
+
+                            @Override
+                            public boolean handOver() {
+                                return handOverBeside();
+                            }
+
                             @Override
                             public void placed(PlacementPhase.Placed placed) {
                                 openSecond(placed);
@@ -125,12 +153,13 @@
 
     /** Sends the request to a server, while it is in progress at none. */
     void open(PlacementPhase.Placed placed) {
-        Send send = new Send(placed, Optional.empty());
+        Send send = new Send(Optional.of(placed), Optional.empty());
         mFirst = Optional.of(send);
         mPlaced = Optional.of(placed);
-        open(send, mResponse);
+        BackendAttempt attempt = attempt(send, placed, mResponse);
+        attempt.start(mLoop);
         if (mFirst.filter(send::equals).isPresent()) {
-            mWatch.watch(send.mAttempt);
+            mWatch.watch(attempt);
         }
     }
 
@@ -149,18 +178,61 @@
             mRelay.budget().putBack(mRequest.service());
             return;
         }
-        mWatch.stop();
         mTried.add(backend.id());
+        StagedResponse staged = beginSecond();
+        Send send = new Send(Optional.of(placed), Optional.of(staged));
+        mSecond = Optional.of(send);
+        attempt(send, placed, staged).start(mLoop);
+    }
+
+    /** Hands the request over beside a silent server, and returns whether a host is left for it. */
+    private boolean handOverBeside() {
+        Optional<Helper> helper = mHandover.choose();
+        helper.ifPresent(
+                host -> {
+                    HandoverTerms terms = mHandover.terms(true);
+                    StagedResponse staged = beginSecond();
+                    Send send = new Send(Optional.empty(), Optional.of(staged));
+                    HandoverAttempt attempt =
+                            mHandover.beside(host, terms, staged, new HandoverListener(send));
+                    send.mAttempt = attempt;
+                    mSecond = Optional.of(send);
+                    attempt.start(mLoop);
+                });
+        return helper.isPresent();
+    }
+
+    private StagedResponse beginSecond() {
+        mWatch.stop();
         mRetryPolicy.beginSecondSend();
         mEventsBeforeSecond = mResponse.events();
-        StagedResponse staged = new StagedResponse(mResponse, mBytes, this::keepSecond);
-        Send send = new Send(placed, Optional.of(staged));
-        mSecond = Optional.of(send);
-        open(send, staged);
+        return new StagedResponse(mResponse, mBytes, this::keepSecond);
+    }
+
+    private final class HandoverListener implements HandoverPhase.Listener {
+
+        private final Send mSend;
+
+        HandoverListener(Send send) {
+            mSend = send;
+        }
+
+        @Override
+        public void ended(SendOutcome outcome, String cause) {
+            RequestAttempts.this.ended(mSend, outcome, cause);
+        }
+
+        @Override
+        public void replied(Helper helper, ResponseHeaders head) {
+            boolean notRun = CallerReply.isNotRun(head.status().code());
+            RequestAttempts.this.ended(
+                    mSend,
+                    notRun ? SendOutcome.REJECTED : SendOutcome.UNKNOWN,
+                    "refused by host " + helper.host());
+        }
     }
 
-    private void open(Send send, ResponseSink sink) {
-        PlacementPhase.Placed placed = send.mPlaced;
+    private BackendAttempt attempt(Send send, PlacementPhase.Placed placed, ResponseSink sink) {
         BackendCall call =
                 new BackendCall(
                         placed.backend(),
@@ -171,7 +243,7 @@
                         mRequest.teamName(),
                         mRequest.enginePriority(),
                         mResponse.lastEventId());
-        send.mAttempt =
+        BackendAttempt attempt =
                 new BackendAttempt(
                         mRelay,
                         mRequest,
@@ -184,7 +256,8 @@
                                 mRetryPolicy::recordDuplicateSend,
                                 () -> heard(send)),
                         (outcome, cause) -> ended(send, outcome, cause));
-        send.mAttempt.start(mLoop);
+        send.mAttempt = attempt;
+        return attempt;
     }
 
     private BackendAttempt.Connection connection(PlacementPhase.Placed placed) {
@@ -212,7 +285,7 @@
         mSecond = Optional.empty();
         dropped.mStaged.ifPresent(StagedResponse::discard);
         drop(dropped, mFirst.orElseThrow());
-        mWatch.watch(mFirst.orElseThrow().mAttempt);
+        watchFirst();
     }
 
     /** Continues with the second attempt, which has sent the next event, and cancels the first. */
@@ -227,9 +300,16 @@
         Send kept = mSecond.orElseThrow();
         mSecond = Optional.empty();
         mFirst = Optional.of(kept);
-        mPlaced = Optional.of(kept.mPlaced);
+        mPlaced = kept.mPlaced.or(() -> mPlaced);
         kept.mStaged.ifPresent(StagedResponse::keep);
-        mWatch.watch(kept.mAttempt);
+        watchFirst();
+    }
+
+    /** Watches the only attempt. Another host watches the servers that it uses itself. */
+    private void watchFirst() {
+        if (mFirst.orElseThrow().mAttempt instanceof BackendAttempt attempt) {
+            mWatch.watch(attempt);
+        }
     }
 
     private void drop(Send dropped, Send kept) {
@@ -254,8 +334,12 @@
         }
         mWatch.stop();
         mFirst = Optional.empty();
-        send.mPlaced.releaseUnused(mRelay, outcome);
-        mListener.ended(send.mAttempt, outcome, cause);
+        send.mPlaced.ifPresent(placed -> placed.releaseUnused(mRelay, outcome));
+        if (send.mAttempt instanceof BackendAttempt attempt) {
+            mListener.ended(attempt, outcome, cause);
+        } else {
+            mListener.handoverEnded(outcome, cause);
+        }
     }
 
     private void oneOfTwoFailed(Send failed, boolean second, SendOutcome outcome, String cause) {
@@ -264,7 +348,7 @@
         if (second) {
             mSecond = Optional.empty();
             failed.mStaged.ifPresent(StagedResponse::discard);
-            mWatch.watch(mFirst.orElseThrow().mAttempt);
+            watchFirst();
         } else {
             Send kept = mSecond.orElseThrow();
             takeOver();
@@ -309,7 +393,10 @@
 
     /** Releases what is held for a send while the request goes on elsewhere, or ends. */
     private void release(Send send, SendOutcome outcome) {
-        mBytes.sendEnded(send.mPlaced.backend().id());
-        send.mPlaced.releaseUnused(mRelay, outcome);
+        send.mPlaced.ifPresent(
+                placed -> {
+                    mBytes.sendEnded(placed.backend().id());
+                    placed.releaseUnused(mRelay, outcome);
+                });
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -87,26 +87,27 @@
                         mCrashGuard,
                         mRequestLog,
                         new SameServerListener());
-        mAttempts =
-                new RequestAttempts(
+        mHandover =
+                new HandoverPhase(
                         relay,
                         request,
                         loop,
-                        bytes,
                         mRetryPolicy,
                         mCrashGuard,
                         mResponse,
-                        mRequestLog,
-                        this::attemptEnded);
-        mHandover =
-                new HandoverPhase(
+                        new HandoverListener());
+        mAttempts =
+                new RequestAttempts(
                         relay,
                         request,
                         loop,
+                        bytes,
                         mRetryPolicy,
                         mCrashGuard,
                         mResponse,
-                        new HandoverListener());
+                        mRequestLog,
+                        mHandover,
+                        new AttemptListener());
     }
 
     private final class SameServerListener implements SameServerPhase.Listener {
@@ -137,17 +138,34 @@
         }
     }
 
+    private final class AttemptListener implements RequestAttempts.Listener {
+
+        @Override
+        public void ended(BackendAttempt attempt, SendOutcome outcome, String cause) {
+            mSameServer.attemptEnded(attempt, outcome, cause, mAttempts.prefillEngine());
+        }
+
+        @Override
+        public void handoverEnded(SendOutcome outcome, String cause) {
+            RequestExchange.this.handoverEnded(outcome, cause);
+        }
+    }
+
+    private void handoverEnded(SendOutcome outcome, String cause) {
+        // A host that has refused has sent nothing to a server. Any other may have used all
+        // attempts of the request.
+        retryOrFail(
+                outcome,
+                cause,
+                outcome::unsent,
+                decision -> mRequestLog.handoverEnded(outcome, cause, decision));
+    }
+
     private final class HandoverListener implements HandoverPhase.Listener {
 
         @Override
         public void ended(SendOutcome outcome, String cause) {
-            // A host that has refused has sent nothing to a server. Any other may have used all
-            // attempts of the request.
-            retryOrFail(
-                    outcome,
-                    cause,
-                    outcome::unsent,
-                    decision -> mRequestLog.handoverEnded(outcome, cause, decision));
+            handoverEnded(outcome, cause);
         }
 
         @Override
@@ -307,10 +325,6 @@
         }
     }
 
-    private void attemptEnded(BackendAttempt attempt, SendOutcome outcome, String cause) {
-        mSameServer.attemptEnded(attempt, outcome, cause, mAttempts.prefillEngine());
-    }
-
     private void retryOrFail(BackendAttempt attempt, SendOutcome outcome, String cause) {
         retryOrFail(
                 outcome,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -179,16 +179,15 @@
     }
 
     /** Logs the end of one of two attempts in progress. */
-    void oneOfTwoEnded(
-            BackendAttempt attempt, SendOutcome outcome, String cause, BackendAttempt kept) {
+    void oneOfTwoEnded(Attempt attempt, SendOutcome outcome, String cause, Attempt kept) {
         mRelay.log().log(
                 RelayEvent.ONE_OF_TWO_ENDED,
                 mRequest.caller().id(),
-                attempt.target().id().value(),
+                attempt.targetName(),
                 outcome,
                 cause,
                 attempt.elapsedMillis(),
-                kept.target().id().value());
+                kept.targetName());
     }
 
     /** Logs an attempt by another host that ended without a response for the caller. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -12,6 +12,7 @@
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.routing.buffer.RequestBytes;
+import org.cyclamenpaddle.routing.silence.OtherServers;
 import org.cyclamenpaddle.routing.silence.SecondSend;
 import org.cyclamenpaddle.routing.silence.SilenceLimits;
 
@@ -32,6 +33,12 @@
         /** Returns the servers that cannot take the request. */
         Set<BackendId> tried();
 
+        /** Returns whether only another host can run the request now. */
+        boolean handsOver();
+
+        /** Hands the request over beside the send in progress; false if no host is left for it. */
+        boolean handOver();
+
         /** Called when a second server can run the request. */
         void placed(PlacementPhase.Placed placed);
     }
@@ -133,17 +140,27 @@
         if (mPlacement.isPresent()) {
             return;
         }
+        boolean handsOver = mListener.handsOver();
         Set<BackendId> avoid = new HashSet<>(mListener.tried());
-        SecondSend decision =
-                SecondSend.decide(
-                        request(now),
-                        mRelay.registry().otherServers(mListener.query(avoid), otherMillis, now));
+        OtherServers others =
+                handsOver
+                        ? OtherServers.AVAILABLE
+                        : mRelay.registry().otherServers(mListener.query(avoid), otherMillis, now);
+        SecondSend decision = SecondSend.decide(request(now), others);
         if (decision == SecondSend.ALLOWED && !mCrashGuard.mayRun()) {
             decision = SecondSend.QUARANTINED;
         }
         if (decision == SecondSend.ALLOWED && !mRelay.budget().tryTake(mRequest.service())) {
             decision = SecondSend.NO_BUDGET;
         }
+        if (decision == SecondSend.ALLOWED && handsOver) {
+            decided(attempt, quietMillis, decision);
+            if (!mListener.handOver()) {
+                mRelay.budget().putBack(mRequest.service());
+                decided(attempt, quietMillis, SecondSend.NO_OTHER_SERVER);
+            }
+            return;
+        }
         decided(attempt, quietMillis, decision);
         if (decision == SecondSend.ALLOWED) {
             avoid.addAll(mRelay.registry().silentServers(mRequest.service(), otherMillis, now));
