Count second sends among the retries

They take from the retry budget like any other, and were missing in cyclamenpaddle_relay_retries_total.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -205,6 +205,7 @@
     private StagedResponse beginSecond() {
         mWatch.stop();
         mRetryPolicy.beginSecondSend();
+        mRelay.metrics().recordRetry(SendOutcome.SILENT);
         mEventsBeforeSecond = mResponse.events();
         return new StagedResponse(mResponse, mBytes, this::keepSecond);
     }
