Test the decision on a second send and what it counts

The classes behind a second send beside a silent server were covered by the tests of whole processes only, which cannot reach their rare orders: a second send that never leaves the host, one of two sends that fails first, a body that does not fit at the second server, a server that responds to other requests.

RequestBytesTest's random order includes sends beside others.

--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.SoftwareVersion;
+import org.cyclamenpaddle.routing.silence.OtherServers;
 import org.cyclamenpaddle.routing.stream.StreamBinding;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -22,6 +23,7 @@
 public class BackendRegistryTest {
 
     private static final WorkSize SIZE = new WorkSize(5_000, 800);
+    private static final long SILENT_MILLIS = 500;
 
     private BackendRegistry mRegistry;
 
@@ -354,4 +356,89 @@
                                                 "q" + i, 6_000, 10, OptionalInt.empty()))
                         .toList());
     }
+
+    private OtherServers otherServers(Set<BackendId> avoid, long nowMillis) {
+        return mRegistry.otherServers(
+                new BackendQuery(Backends.SERVICE, SIZE, avoid, StreamBinding.ANY),
+                SILENT_MILLIS,
+                nowMillis);
+    }
+
+    /**
+     * A server with work that sends nothing counts as available, or one that has just got its first
+     * work, or responds to other requests, counts as silent.
+     */
+    @Test
+    public void serverIsSilentFromItsWorkOrItsLastResponse() {
+        Backend server = Backends.decode("i-1", "a");
+        list(server);
+        assertEquals(otherServers(Set.of(), 9_000), OtherServers.AVAILABLE, "idle");
+        select(10_000);
+        assertEquals(otherServers(Set.of(), 10_499), OtherServers.AVAILABLE);
+        assertEquals(otherServers(Set.of(), 10_500), OtherServers.SILENT);
+        assertEquals(
+                mRegistry.silentServers(Backends.SERVICE, SILENT_MILLIS, 10_500),
+                Set.of(server.id()));
+        select(10_500);
+        assertEquals(otherServers(Set.of(), 10_600), OtherServers.SILENT, "new work on it");
+        mRegistry.recordHeard(server, 10_700);
+        assertEquals(otherServers(Set.of(), 11_199), OtherServers.AVAILABLE);
+        assertEquals(otherServers(Set.of(), 11_200), OtherServers.SILENT);
+        recordOutcome(server, SendOutcome.SUCCEEDED, 11_300);
+        recordOutcome(server, SendOutcome.SUCCEEDED, 11_300);
+        assertEquals(otherServers(Set.of(), 20_000), OtherServers.AVAILABLE, "without work");
+        assertEquals(mRegistry.silentServers(Backends.SERVICE, SILENT_MILLIS, 20_000), Set.of());
+    }
+
+    /** The silent server itself, a prefill engine or another version counts as another server. */
+    @Test
+    public void onlyServersThatCouldRunTheRequestAreOthers() {
+        Backend server = Backends.ofVersion("i-1", "v1");
+        list(
+                server,
+                Backends.ofVersion("i-2", "v2"),
+                Backends.of("i-3", "a", BackendStage.PREFILL, 1, false),
+                Backends.of("i-4", "a", BackendStage.DECODE, 1, true));
+        assertEquals(otherServers(Set.of(server.id(), new BackendId("i-2")), 0), OtherServers.NONE);
+        assertEquals(otherServers(Set.of(server.id()), 0), OtherServers.AVAILABLE);
+        assertEquals(
+                mRegistry.otherServers(
+                        new BackendQuery(
+                                Backends.SERVICE,
+                                SIZE,
+                                Set.of(server.id()),
+                                StreamBinding.to(new SoftwareVersion("v1"))),
+                        SILENT_MILLIS,
+                        0),
+                OtherServers.NONE);
+    }
+
+    /** Requests go on being sent to a silent server, or its first byte does not bring it back. */
+    @Test
+    public void silentServerIsEjectedUntilItIsHeard() {
+        Backend silent = Backends.decode("near", "a");
+        Backend other = Backends.decode("far", "b");
+        list(silent, other);
+        assertEquals(select(0), Optional.of(silent));
+        assertFalse(mRegistry.recordSilence(silent, SILENT_MILLIS, 1_000), "one request only");
+        assertTrue(mRegistry.recordSilence(silent, SILENT_MILLIS, 1_001));
+        assertEquals(select(1_002), Optional.of(other));
+        assertEquals(select(1_003), Optional.of(other));
+        mRegistry.recordHeard(silent, 1_004);
+        assertEquals(select(1_005), Optional.of(silent));
+    }
+
+    /** A request that waits long ejects a server that responds to others. */
+    @Test
+    public void serverThatRespondsToOthersIsNotEjectedForSilence() {
+        Backend server = Backends.decode("near", "a");
+        Backend loaded = Backends.decode("far", "b");
+        list(server, loaded);
+        IntStream.range(0, 3).forEach(i -> mRegistry.recordResend(loaded, SIZE, 0));
+        select(0);
+        mRegistry.recordHeard(server, 800);
+        assertFalse(mRegistry.recordSilence(server, SILENT_MILLIS, 1_000));
+        assertFalse(mRegistry.recordSilence(server, SILENT_MILLIS, 1_001));
+        assertEquals(select(1_002), Optional.of(server));
+    }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/RetryPolicyTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/RetryPolicyTest.java
@@ -160,4 +160,100 @@
             assertTrue(last.serverResponded(), "forwarded after " + last);
         }
     }
+
+    /** A second send beside the first one exceeds the attempts, or repeats what may run once. */
+    @Test
+    public void secondSendNeedsAnAttemptAndARepeatableRequest() {
+        RetryPolicy single = policy(true, 1);
+        single.beginSend();
+        assertThrows(BrokenInvariantException.class, single::beginSecondSend);
+        RetryPolicy booking = policy(false, 3);
+        booking.beginSend();
+        assertThrows(BrokenInvariantException.class, booking::beginSecondSend);
+        RetryPolicy idle = policy(true, 3);
+        assertThrows(BrokenInvariantException.class, idle::beginSecondSend);
+        RetryPolicy third = policy(true, 3);
+        third.beginSend();
+        third.beginSecondSend();
+        assertThrows(BrokenInvariantException.class, third::beginSecondSend);
+        assertThrows(BrokenInvariantException.class, third::beginSend);
+    }
+
+    /** The end of one of two sends ends the request, or loses that it may have run there. */
+    @Test
+    public void requestGoesOnAfterOneOfTwoSendsHasEnded() {
+        RetryPolicy policy = policy(true, 2);
+        policy.beginSend();
+        assertThrows(BrokenInvariantException.class, () -> policy.endOneOfTwo(SendOutcome.UNKNOWN));
+        policy.beginSecondSend();
+        assertFalse(policy.hasAttemptsLeft());
+        policy.endOneOfTwo(SendOutcome.UNKNOWN);
+        assertTrue(policy.mayHaveRun());
+        assertEquals(policy.endSend(SendOutcome.REJECTED, 10, () -> true), RetryDecision.END);
+        assertEquals(policy.reply(SendOutcome.REJECTED, 10), CallerReply.FAILED);
+    }
+
+    /** A second send that never left this host uses up an attempt. */
+    @Test
+    public void unsentSecondSendLeavesItsAttempt() {
+        RetryPolicy policy = policy(true, 2);
+        policy.beginSend();
+        policy.beginSecondSend();
+        policy.endOneOfTwo(SendOutcome.NOT_SENT);
+        assertEquals(policy.sends(), 1);
+        assertTrue(policy.hasAttemptsLeft());
+        policy.beginSecondSend();
+        policy.endOneOfTwo(SendOutcome.REJECTED);
+        assertEquals(policy.endSend(SendOutcome.REJECTED, 10, () -> true), RetryDecision.END);
+        assertEquals(policy.reply(SendOutcome.REJECTED, 10), CallerReply.NOT_RUN);
+    }
+
+    /**
+     * Random sequences of one and two sends in progress. At no time do more sends count than the
+     * attempts allow, and "not run" is reported only if no send may have run.
+     */
+    @Test
+    public void randomSequencesOfTwoSendsKeepRetryGuarantees() {
+        Random random = new Random(11);
+        IntStream.range(0, RUNS).forEach(run -> randomSequenceOfTwo(random));
+    }
+
+    private static void randomSequenceOfTwo(Random random) {
+        int attempts = 1 + random.nextInt(4);
+        RetryPolicy policy = policy(true, attempts);
+        List<SendOutcome> ended = new ArrayList<>();
+        long now = 0;
+        RetryDecision next = RetryDecision.SEND_AGAIN;
+        while (next == RetryDecision.SEND_AGAIN) {
+            policy.beginSend();
+            // A send beside it may end and be followed by another one, from either of the two.
+            while (policy.hasAttemptsLeft() && random.nextInt(3) > 0) {
+                policy.beginSecondSend();
+                assertTrue(policy.mayHaveRun(), "two sends are in progress");
+                ended.add(outcome(random));
+                policy.endOneOfTwo(ended.get(ended.size() - 1));
+                assertCounted(policy, ended, 1, attempts);
+            }
+            now += random.nextInt(400);
+            ended.add(outcome(random));
+            next = policy.endSend(ended.get(ended.size() - 1), now, random::nextBoolean);
+            assertCounted(policy, ended, 0, attempts);
+        }
+        if (next == RetryDecision.END) {
+            boolean mayHaveRun = ended.stream().anyMatch(SendOutcome::mayHaveRun);
+            CallerReply reply = policy.reply(ended.get(ended.size() - 1), now);
+            assertEquals(reply == CallerReply.NOT_RUN, !mayHaveRun, "replied after " + ended);
+        }
+    }
+
+    private static SendOutcome outcome(Random random) {
+        return SendOutcome.values()[random.nextInt(SendOutcome.values().length)];
+    }
+
+    private static void assertCounted(
+            RetryPolicy policy, List<SendOutcome> ended, int inProgress, int attempts) {
+        long sent = ended.stream().filter(outcome -> !outcome.unsent()).count() + inProgress;
+        assertEquals(policy.sends(), sent, "sends of " + ended);
+        assertTrue(sent <= attempts, sent + " sends of " + attempts + ": " + ended);
+    }
 }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/buffer/RequestBytesTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/buffer/RequestBytesTest.java
@@ -68,6 +68,40 @@
         assertEquals(mAccount.outstanding(OTHER), 0);
     }
 
+    /** Failure: the body is counted once where two servers have it, or goes on counting at both. */
+    @Test
+    public void bodyIsOutstandingAtBothServersUntilOneSendEnds() {
+        RequestBytes request = request(30_000);
+        long held = mAccount.held();
+        assertTrue(request.trySend(SERVER));
+        assertTrue(request.trySendBeside(OTHER));
+        assertEquals(mAccount.held(), held, "the body itself is held once");
+        assertEquals(mAccount.outstanding(SERVER), 30_000);
+        assertEquals(mAccount.outstanding(OTHER), 30_000);
+        request.sendEnded(SERVER);
+        request.sendEnded(SERVER);
+        assertEquals(mAccount.outstanding(SERVER), 0);
+        assertEquals(mAccount.outstanding(OTHER), 30_000);
+        assertTrue(request.trySend(SERVER));
+        assertEquals(mAccount.outstanding(OTHER), 0);
+        request.close();
+        assertEquals(mAccount.outstanding(SERVER), 0);
+        assertFalse(request.trySendBeside(OTHER));
+    }
+
+    /** Failure: a body that does not fit at a second server stops counting at the first one. */
+    @Test
+    public void bodyThatDoesNotFitBesideStaysOutstandingWhereItIs() {
+        RequestBytes other = request(30_000);
+        assertTrue(other.trySend(OTHER));
+        RequestBytes request = request(30_000);
+        assertTrue(request.trySend(SERVER));
+        assertFalse(request.trySendBeside(OTHER));
+        assertTrue(request.trySendBeside(SERVER), "it is outstanding there already");
+        assertEquals(mAccount.outstanding(SERVER), 30_000);
+        assertEquals(mAccount.outstanding(OTHER), 30_000);
+    }
+
     /**
      * Failure: a body longer than a server's part can never be sent, although the host has room.
      */
@@ -168,7 +202,7 @@
                 requests[i].close();
                 requests[i] = null;
             } else if (random.nextInt(4) == 0) {
-                requests[i].trySend(random.nextBoolean() ? SERVER : OTHER);
+                send(requests[i], random);
             } else if (random.nextBoolean() && !unread.get(i).isEmpty()) {
                 requests[i].delivered(unread.get(i).remove());
             } else if (requests[i].tryReadNext()) {
@@ -188,4 +222,16 @@
         assertEquals(account.held(), 0, "seed " + seed);
         assertEquals(account.outstanding(SERVER) + account.outstanding(OTHER), 0, "seed " + seed);
     }
+
+    private static void send(RequestBytes request, Random random) {
+        BackendId server = random.nextBoolean() ? SERVER : OTHER;
+        int choice = random.nextInt(4);
+        if (choice == 0) {
+            request.trySendBeside(server);
+        } else if (choice == 1) {
+            request.sendEnded(server);
+        } else {
+            request.trySend(server);
+        }
+    }
 }
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/retry/RetryBudgetTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/retry/RetryBudgetTest.java
@@ -61,4 +61,18 @@
         budget.adjust(new RetryBudget.Settings(0.1, 0, 2));
         assertEquals(budget.remaining(SERVICE, 0), 2.0);
     }
+
+    /**
+     * Searches for a second server that find none use up the budget, or leave more than it holds.
+     */
+    @Test
+    public void unusedRetryIsPutBackUpToTheCapacity() {
+        RetryBudget budget = new RetryBudget(TENTH);
+        assertTrue(budget.tryAcquire(SERVICE, 0));
+        assertEquals(budget.remaining(SERVICE, 0), 4.0);
+        budget.putBack(SERVICE, 1);
+        assertEquals(budget.remaining(SERVICE, 1), 5.0);
+        budget.putBack(SERVICE, 2);
+        assertEquals(budget.remaining(SERVICE, 2), 5.0);
+    }
 }
