Send beside a silent server only where another one is known to respond

Second sends went to servers that were silent as well: a server without work of the host counted as available, so that in a large fleet each host repeated its requests at servers it had not heard. And servers that had been silent together go on together, but not with the same event: the first event of one of them made requests at all others run again. Where only some were silent, the second send could meet another silent one, and the stream was lost.

OtherServers now asks for evidence: another server is available if it has sent something to this host within half of the limit, at two decisions in a row, and the request is sent to such a one. Without evidence (no work there) the second send waits for 1.6 limits; while new work there is unanswered it waits. A server that responds to other requests again has 0.6 limits to respond to this one. Generations ask an engine for memory first and do not wait for evidence.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -17,6 +18,7 @@
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.core.table.TableOrder;
 import org.cyclamenpaddle.routing.silence.OtherServers;
+import org.cyclamenpaddle.routing.silence.ServerActivity;
 
 /**
  * Registry of the backend servers: their entries, this host's in-flight work and results per
@@ -339,14 +341,23 @@
 
     /** Returns the servers of a service that have left work unanswered for a time. */
     public Set<BackendId> silentServers(ServiceName service, long limitMillis, long nowMillis) {
+        return servers(service, activity -> activity.isSilent(limitMillis), nowMillis);
+    }
+
+    /** Returns the servers of a service from which nothing was received for a time. */
+    public Set<BackendId> unheardServers(ServiceName service, long limitMillis, long nowMillis) {
+        return servers(service, activity -> !activity.isHeard(limitMillis), nowMillis);
+    }
+
+    private Set<BackendId> servers(
+            ServiceName service, Predicate<ServerActivity> filter, long nowMillis) {
         return mTable.read(
                 state ->
                         state.staying(service)
                                 .filter(
                                         server ->
-                                                state.stateOf(server)
-                                                        .activity(nowMillis)
-                                                        .isSilent(limitMillis))
+                                                filter.test(
+                                                        state.stateOf(server).activity(nowMillis)))
                                 .map(Backend::id)
                                 .collect(Collectors.toSet()));
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
@@ -41,7 +41,9 @@
      * @param workSinceMillis time at which this host's oldest uninterrupted work there began
      */
     ServerActivity activity(boolean busy, long workSinceMillis, long nowMillis) {
-        long sinceMillis = Math.max(mHeardMillis, workSinceMillis);
-        return new ServerActivity(busy, busy ? Math.max(0, nowMillis - sinceMillis) : 0);
+        return new ServerActivity(
+                busy,
+                busy ? Math.max(0, nowMillis - workSinceMillis) : 0,
+                Math.max(0, nowMillis - mHeardMillis));
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
@@ -12,6 +13,7 @@
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.retry.RetryPolicy;
 import org.cyclamenpaddle.routing.buffer.RequestBytes;
+import org.cyclamenpaddle.routing.silence.OtherServers;
 import org.cyclamenpaddle.routing.silence.SecondSend;
 import org.cyclamenpaddle.routing.silence.SilenceLimits;
 
@@ -49,6 +51,8 @@
     private Optional<ScheduledFuture<?>> mTimer = Optional.empty();
     private Optional<PlacementPhase> mPlacement = Optional.empty();
     private Optional<SecondSend> mDecision = Optional.empty();
+    private Optional<OtherServers> mOthers = Optional.empty();
+    private OptionalLong mRespondsMillis = OptionalLong.empty();
 
     SilenceWatch(
             RelayContext relay,
@@ -87,7 +91,27 @@
         mTimer = Optional.empty();
         mAttempt = Optional.empty();
         endSearch();
+        forget();
+    }
+
+    /**
+     * Returns whether the server of the request was first found to respond to others so shortly
+     * before that it may not have got to this one yet.
+     */
+    private boolean resumed(BackendAttempt attempt, long limitMillis, long nowMillis) {
+        boolean responds =
+                mRelay.registry()
+                        .voice(attempt.target())
+                        .heardSince(nowMillis - SilenceLimits.otherMillis(limitMillis));
+        long sinceMillis = mRespondsMillis.orElse(nowMillis);
+        mRespondsMillis = responds ? OptionalLong.of(sinceMillis) : OptionalLong.empty();
+        return responds && nowMillis - sinceMillis < SilenceLimits.resumeMillis(limitMillis);
+    }
+
+    private void forget() {
         mDecision = Optional.empty();
+        mOthers = Optional.empty();
+        mRespondsMillis = OptionalLong.empty();
     }
 
     private void schedule(long millis) {
@@ -109,7 +133,7 @@
         long quietMillis = attempt.quietMillis();
         if (quietMillis < limitMillis) {
             endSearch();
-            mDecision = Optional.empty();
+            forget();
             schedule(limitMillis - quietMillis);
             return;
         }
@@ -134,10 +158,18 @@
             return;
         }
         Set<BackendId> avoid = new HashSet<>(mListener.tried());
+        OtherServers others =
+                mRelay.registry().otherServers(mListener.query(avoid), otherMillis, now);
         SecondSend decision =
                 SecondSend.decide(
                         request(now),
-                        mRelay.registry().otherServers(mListener.query(avoid), otherMillis, now));
+                        new SecondSend.Servers(
+                                resumed(attempt, limitMillis, now),
+                                quietMillis >= SilenceLimits.overdueMillis(limitMillis),
+                                asksFirst(),
+                                others,
+                                mOthers));
+        mOthers = Optional.of(others);
         if (decision == SecondSend.ALLOWED && !mCrashGuard.mayRun()) {
             decision = SecondSend.QUARANTINED;
         }
@@ -146,11 +178,20 @@
         }
         decided(attempt, quietMillis, decision);
         if (decision == SecondSend.ALLOWED) {
-            avoid.addAll(mRelay.registry().silentServers(mRequest.service(), otherMillis, now));
+            avoid.addAll(
+                    others == OtherServers.AVAILABLE && !asksFirst()
+                            ? mRelay.registry().unheardServers(mRequest.service(), otherMillis, now)
+                            : mRelay.registry()
+                                    .silentServers(mRequest.service(), otherMillis, now));
             search(attempt, mListener.query(avoid), now);
         }
     }
 
+    /** Returns whether a server is asked for memory before the request is sent to it. */
+    private boolean asksFirst() {
+        return mRequest.engine().isPresent();
+    }
+
     private SecondSend.Request request(long nowMillis) {
         return new SecondSend.Request(
                 mRequest.route().repeatable(),
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/OtherServers.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/OtherServers.java
@@ -4,8 +4,12 @@
 
 /** State of the servers that could run a request beside the one that is silent. */
 public enum OtherServers {
-    /** At least one of them responds, or has nothing to respond to. */
+    /** At least one of them responds. */
     AVAILABLE,
+    /** None responds, and one has got its work so recently that it may still do. */
+    AWAITED,
+    /** None responds, and at least one has nothing to respond to. */
+    UNTRIED,
     /** All of them are silent as well. */
     SILENT,
     /** There is none. */
@@ -21,7 +25,14 @@
         if (others.isEmpty()) {
             return NONE;
         }
-        boolean allSilent = others.stream().allMatch(server -> server.isSilent(limitMillis));
-        return allSilent ? SILENT : AVAILABLE;
+        if (others.stream().anyMatch(server -> server.isHeard(limitMillis))) {
+            return AVAILABLE;
+        }
+        if (others.stream().allMatch(server -> server.isSilent(limitMillis))) {
+            return SILENT;
+        }
+        return others.stream().anyMatch(server -> server.busy() && !server.isSilent(limitMillis))
+                ? AWAITED
+                : UNTRIED;
     }
 }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SecondSend.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SecondSend.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.routing.silence;
 
 import java.util.Locale;
+import java.util.Optional;
 
 /**
  * Decision whether a request whose server is silent is sent to a second server beside it.
@@ -25,6 +26,12 @@
     NO_OTHER_SERVER,
     /** All other servers are silent as well. */
     OTHERS_SILENT,
+    /** Nothing shows yet whether any other server responds. */
+    OTHERS_UNKNOWN,
+    /** Another server responds, but did not at the decision before. */
+    OTHERS_UNCONFIRMED,
+    /** The server responds to other requests, and may respond to this one. */
+    SERVER_RESPONDS,
     /** Servers have ended under the request. */
     QUARANTINED,
     /** The shared retry budget is empty. */
@@ -48,8 +55,34 @@
             long remainingMillis,
             long targetMillis) {}
 
+    /**
+     * What is known of the servers.
+     *
+     * @param resumed whether the server of the request has begun shortly before to respond to
+     *     others
+     * @param overdue whether the request can wait no longer for evidence about other servers
+     * @param asked whether another server is asked for room before the request is sent there
+     * @param others state of the servers that could run the request as well
+     * @param before that state at the decision before; empty at the first one
+     */
+    public record Servers(
+            boolean resumed,
+            boolean overdue,
+            boolean asked,
+            OtherServers others,
+            Optional<OtherServers> before) {
+
+        /**
+         * Servers that were silent together go on together, but not with the same event. Without a
+         * second look, requests are sent again to the server that has gone on first.
+         */
+        private boolean confirmed() {
+            return before.filter(others::equals).isPresent();
+        }
+    }
+
     /** Returns the decision, apart from budget and room, which are taken when it is carried out. */
-    public static SecondSend decide(Request request, OtherServers others) {
+    public static SecondSend decide(Request request, Servers servers) {
         if (!request.repeatable()) {
             return NOT_REPEATABLE;
         }
@@ -62,17 +95,30 @@
         if (request.remainingMillis() < request.targetMillis()) {
             return NO_TIME;
         }
-        return switch (others) {
+        if (servers.resumed()) {
+            return SERVER_RESPONDS;
+        }
+        return switch (servers.others()) {
             case NONE -> NO_OTHER_SERVER;
             case SILENT -> OTHERS_SILENT;
-            case AVAILABLE -> ALLOWED;
+            case AWAITED -> servers.asked() ? ALLOWED : OTHERS_UNKNOWN;
+            case UNTRIED -> servers.asked() || servers.overdue() ? ALLOWED : OTHERS_UNKNOWN;
+            case AVAILABLE -> servers.confirmed() ? ALLOWED : OTHERS_UNCONFIRMED;
         };
     }
 
     /** Returns whether the decision can change while the request runs. */
     public boolean mayChange() {
         return switch (this) {
-            case ALLOWED, NO_OTHER_SERVER, OTHERS_SILENT, NO_BUDGET, NO_ROOM -> true;
+            case ALLOWED,
+                    NO_OTHER_SERVER,
+                    OTHERS_SILENT,
+                    OTHERS_UNKNOWN,
+                    OTHERS_UNCONFIRMED,
+                    SERVER_RESPONDS,
+                    NO_BUDGET,
+                    NO_ROOM ->
+                    true;
             case NOT_REPEATABLE, NO_ATTEMPTS, PARTLY_FORWARDED, NO_TIME, QUARANTINED -> false;
         };
     }
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SilenceLimits.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SilenceLimits.java
@@ -20,6 +20,18 @@
     /** Share of the silence after which callers leave; a second server needs the rest of it. */
     private static final double NEXT_EVENT_SHARE = 0.4;
 
+    /**
+     * Multiple of a limit after which a request is sent to a server that may be silent as well. A
+     * stream then has 0.36 of the silence left that its caller accepts, more than a target latency.
+     */
+    private static final double OVERDUE_LIMITS = 1.6;
+
+    /**
+     * Share of a limit in which a server that responds to some requests again is expected to
+     * respond to all. Servers take up their requests one after the other when they go on.
+     */
+    private static final double RESUME_SHARE = 0.6;
+
     /** Share of a limit after which the decision on a second server is taken again. */
     private static final double RECHECK_SHARE = 0.2;
 
@@ -66,6 +78,16 @@
         return Math.max(MIN_RECHECK_MILLIS, (long) (limitMillis * RECHECK_SHARE));
     }
 
+    /** Returns the time after which a request waits no longer for evidence about other servers. */
+    public static long overdueMillis(long limitMillis) {
+        return (long) (limitMillis * OVERDUE_LIMITS);
+    }
+
+    /** Returns the time in which a server that responds again is expected to respond to all. */
+    public static long resumeMillis(long limitMillis) {
+        return (long) (limitMillis * RESUME_SHARE);
+    }
+
     /** Returns the time from which another server with work counts as silent, in milliseconds. */
     public static long otherMillis(long limitMillis) {
         return (long) (limitMillis * OTHER_SHARE);
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/silence/SilenceLimitsTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/silence/SilenceLimitsTest.java
@@ -35,6 +35,16 @@
         }
     }
 
+    /** A stream waits for evidence until its caller leaves, and another server has no time left. */
+    @Test
+    public void overdueRequestHasATargetLatencyLeft() {
+        SilenceLimits limits = SilenceLimits.of(900, 3_600, 14_000);
+        long stream = SilenceLimits.overdueMillis(limits.millis(true));
+        assertTrue(stream + 900 <= 3_600, "overdue after " + stream + " ms");
+        assertTrue(stream >= 2 * SilenceLimits.otherMillis(limits.millis(true)));
+        assertEquals(SilenceLimits.overdueMillis(limits.millis(false)), 3_600);
+    }
+
     /**
      * A short limit, as that of a request whose time is almost over, makes the event loop decide
      * without a pause.
