Keep an announced shutdown until the new incarnation is checked

The server had started again under its id and announced its shutdown within 0.4 s, before the relay had the listing of the new incarnation.

Cause: a response does not name the process that sent it. The announcement counted for the incarnation that the relay still had listed, and was forgotten with it when the new one was listed. One that arrived after the listing, in a response to a request sent before it, was dropped as well.

Change: an announcement that is known of the previous incarnation, or arrives for it later, applies to the listed one until that is shown to be another process: by a health check that was sent after the announcement had arrived, over a new connection, and is answered with success and without the announcement. Comparing the start time in the entry with the time of the response is not safe, since clocks of machines differ; a fixed time alone would give work to a leaving server that the store does not show as draining, or keep it from a sound one for seconds.

Limits and pauses end with the incarnation as before, see docs/RELAY.md.

The virtual executor of the store's tests is public for the new test.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -39,6 +39,7 @@
 import org.cyclamenpaddle.relay.front.BackendPermits;
 import org.cyclamenpaddle.relay.front.ConfigurationCell;
 import org.cyclamenpaddle.relay.front.HandoverService;
+import org.cyclamenpaddle.relay.front.LeavingCheck;
 import org.cyclamenpaddle.relay.front.RelayContext;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
@@ -158,6 +159,7 @@
         mReachability = reachabilityMonitor(settings.host());
         mRegistry.onSendFailed(mReachability::requestFailed);
         mCalls.onResponse(mReachability::requestResponded);
+        mRegistry.directives().onLeavingUnconfirmed(leavingCheck()::begin);
         RelayContext relay = context(bytes);
         mShutdown = new GracefulShutdown(settings.stop().graceMillis(), mClock);
         mService =
@@ -202,6 +204,20 @@
                 mRandom);
     }
 
+    private LeavingCheck leavingCheck() {
+        return new LeavingCheck(
+                mRegistry.directives(),
+                mCalls,
+                mAdapter.backendMessages(),
+                service ->
+                        mConfiguration
+                                .inForce()
+                                .flatMap(configuration -> configuration.healthPath(service)),
+                mLog,
+                mScheduler,
+                mClock);
+    }
+
     private HelperDirectory helperDirectory(RelaySettings.Host host) {
         return new HelperDirectory(
                 new HostId(host.name()), new FailureDomain(host.domain()), mClock, mRandom);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.cyclamenpaddle.core.table.Table;
 import org.cyclamenpaddle.relay.directive.DirectiveChange;
@@ -24,14 +25,46 @@
     /** Whether any server has sent a directive; until then, requests skip all checks. */
     private volatile boolean mDirectivesSeen;
 
+    private volatile Consumer<Backend> mUnconfirmed = backend -> {};
+
     BackendDirectives(Table<RegistryState> table, DoubleSupplier random) {
         mTable = table;
         mRandom = random;
     }
 
+    /**
+     * Sets what is notified of each server that begins to count as leaving although the
+     * announcement may have been made by its previous incarnation.
+     */
+    public void onLeavingUnconfirmed(Consumer<Backend> listener) {
+        mUnconfirmed = listener;
+    }
+
+    void notifyUnconfirmed(Backend backend) {
+        mUnconfirmed.accept(backend);
+    }
+
+    /** Returns whether it is unknown which incarnation of a server has announced its shutdown. */
+    public boolean leavingUnconfirmed(Backend backend) {
+        return mTable.read(state -> state.stateOf(backend).directives().leavingUnconfirmed());
+    }
+
+    /**
+     * Records that a server has responded without announcing its shutdown.
+     *
+     * @param sentMillis time at which the request was sent
+     * @return whether that shows that its previous incarnation had announced it
+     */
+    public boolean confirmStaying(Backend backend, long sentMillis) {
+        return mTable.read(state -> state.stateOf(backend).directives().confirmStaying(sentMillis));
+    }
+
     /**
      * Records what a server asks of its callers in the head of a response.
      *
+     * <p>A shutdown that is announced in a response to a request to an earlier incarnation counts
+     * for the listed one as well, until it is known which of them responded.
+     *
      * @param backend the server
      * @param directives directives in the head
      * @param sentMillis time at which the request was sent
@@ -49,9 +82,23 @@
         if (!changes.isEmpty()) {
             mDirectivesSeen = true;
         }
+        if (directives.leaving()) {
+            suspectSuccessor(backend, nowMillis).ifPresent(this::notifyUnconfirmed);
+        }
         return changes;
     }
 
+    private Optional<Backend> suspectSuccessor(Backend backend, long nowMillis) {
+        return mTable.read(
+                state ->
+                        state.successor(backend)
+                                .filter(
+                                        listed ->
+                                                state.stateOf(listed)
+                                                        .directives()
+                                                        .suspectLeaving(nowMillis)));
+    }
+
     /**
      * Returns the servers of a service that limit their calls and for which this host holds too few
      * permits for a request, in random order.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -61,16 +61,27 @@
 
     /** Replaces all entries with a complete listing; see {@link BackendDirectory#applyListing}. */
     public void applyListing(Map<BackendId, Backend> listed, long nowMillis) {
-        mTable.write(
-                state -> {
-                    state.directory().applyListing(listed, nowMillis);
-                    state.removeUnused(nowMillis);
-                });
+        List<Backend> unconfirmed =
+                mTable.read(
+                        state -> {
+                            state.directory().applyListing(listed, nowMillis);
+                            state.removeUnused(nowMillis);
+                            return listed.keySet().stream()
+                                    .flatMap(id -> state.inheritLeaving(id, nowMillis).stream())
+                                    .toList();
+                        });
+        unconfirmed.forEach(mDirectives::notifyUnconfirmed);
     }
 
     /** Applies a change of one entry; see {@link BackendDirectory#applyChange}. */
     public void applyChange(BackendId id, Optional<Backend> entry, long nowMillis) {
-        mTable.write(state -> state.directory().applyChange(id, entry, nowMillis));
+        Optional<Backend> unconfirmed =
+                mTable.read(
+                        state -> {
+                            state.directory().applyChange(id, entry, nowMillis);
+                            return state.inheritLeaving(id, nowMillis);
+                        });
+        unconfirmed.ifPresent(mDirectives::notifyUnconfirmed);
     }
 
     /** Returns the servers of a service that are not about to shut down. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.FailureDomain;
@@ -60,8 +61,9 @@
      * Returns the state of a server.
      *
      * <p>A restarted server begins with fresh state: the in-flight work, failures, waits and
-     * directives of its previous incarnation do not apply. What arrives late about the previous
-     * incarnation is recorded in a state of its own, which nothing else reads.
+     * directives of its previous incarnation do not apply, except for an announced shutdown ({@link
+     * #inheritLeaving}). What arrives late about the previous incarnation is recorded in a state of
+     * its own, which nothing else reads.
      */
     BackendState stateOf(Backend backend) {
         BackendState known = mStates.get(backend.id());
@@ -75,6 +77,30 @@
         return fresh;
     }
 
+    /**
+     * Applies the shutdown that a server's previous incarnation has announced to the listed one: a
+     * response does not name its process, and that of the new incarnation may have sent it before
+     * the store listed it.
+     *
+     * @return the listed incarnation if that has begun to count as leaving
+     */
+    Optional<Backend> inheritLeaving(BackendId id, long nowMillis) {
+        Optional<BackendState> previous = Optional.ofNullable(mStates.get(id));
+        return mDirectory
+                .find(id)
+                .filter(listed -> previous.map(state -> precedes(state, listed)).orElse(false))
+                .filter(listed -> stateOf(listed).directives().suspectLeaving(nowMillis));
+    }
+
+    private static boolean precedes(BackendState state, Backend listed) {
+        return state.startedMillis() != listed.startedMillis() && state.directives().leaving();
+    }
+
+    /** Returns the listed incarnation of a server if it is another one. */
+    Optional<Backend> successor(Backend backend) {
+        return mDirectory.find(backend.id()).filter(listed -> !listed.sameIncarnation(backend));
+    }
+
     BackendDirectory directory() {
         return mDirectory;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/directive/DirectiveState.java
@@ -25,6 +25,10 @@
     private long mNamedMillis;
     private long mAppliedMillis;
     private boolean mLeaving;
+
+    /** When an announcement arrived that may concern this or the previous incarnation. */
+    private OptionalLong mUnconfirmedMillis = OptionalLong.empty();
+
     private long mPausedUntilMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -42,6 +46,7 @@
         applyLimit(directives, sentMillis, nowMillis).ifPresent(changes::add);
         if (directives.leaving() && !mLeaving) {
             mLeaving = true;
+            mUnconfirmedMillis = OptionalLong.empty();
             changes.add(new DirectiveChange(DirectiveKind.LEAVING, "true"));
         }
         return changes;
@@ -83,12 +88,51 @@
      * leaves still accepts calls that release what this host holds there.
      */
     public boolean acceptsWork(long nowMillis) {
-        return acceptsCalls(nowMillis) && !mLeaving;
+        return acceptsCalls(nowMillis) && !leaving();
     }
 
-    /** Returns whether the server has announced its shutdown, which nothing takes back. */
+    /**
+     * Returns whether the server has announced its shutdown, which nothing takes back, or may have
+     * done so.
+     */
     public boolean leaving() {
-        return mLeaving;
+        return mLeaving || mUnconfirmedMillis.isPresent();
+    }
+
+    /**
+     * Records that a process with this server's id has announced its shutdown, and that nothing
+     * tells whether it was this incarnation or the previous one. It counts as this one's until
+     * {@link #confirmStaying}.
+     *
+     * @return whether that has changed anything
+     */
+    public boolean suspectLeaving(long nowMillis) {
+        boolean changed = !leaving();
+        if (!mLeaving) {
+            mUnconfirmedMillis = OptionalLong.of(nowMillis);
+            mAppliedMillis = nowMillis;
+        }
+        return changed;
+    }
+
+    /** Returns whether it is unknown which incarnation has announced its shutdown. */
+    public boolean leavingUnconfirmed() {
+        return mUnconfirmedMillis.isPresent();
+    }
+
+    /**
+     * Records that this incarnation has responded without the announcement. It has no effect if an
+     * announcement has arrived since the request was sent.
+     *
+     * @param sentMillis time at which the request was sent
+     * @return whether the server no longer counts as leaving for that reason
+     */
+    public boolean confirmStaying(long sentMillis) {
+        boolean confirmed = leavingUnconfirmed() && sentMillis >= mUnconfirmedMillis.getAsLong();
+        if (confirmed) {
+            mUnconfirmedMillis = OptionalLong.empty();
+        }
+        return confirmed;
     }
 
     /** Returns whether the server asks for fewer calls, so that calls which can be left out are. */
@@ -106,7 +150,7 @@
     /** Returns whether directives are in force that must outlast a missing entry of the server. */
     public boolean retained(long nowMillis) {
         return !acceptsCalls(nowMillis)
-                || (mLimit.isPresent() || mLeaving)
+                || (mLimit.isPresent() || leaving())
                         && nowMillis - mAppliedMillis < RETENTION_MILLIS;
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/route/RelayConfiguration.java
@@ -122,4 +122,9 @@
     public Optional<EngineProfile> engineProfile(ServiceName service) {
         return Optional.ofNullable(mServices.get(service)).flatMap(ServicePolicy::engine);
     }
+
+    /** Returns the path of the health check of a service's servers. */
+    public Optional<String> healthPath(ServiceName service) {
+        return Optional.ofNullable(mServices.get(service)).flatMap(ServicePolicy::healthPath);
+    }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCaller.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCaller.java
@@ -14,7 +14,9 @@
         /** New work, which a server that shuts down does not accept. */
         WORK,
         /** Release of what this host holds at the server. */
-        RELEASE
+        RELEASE,
+        /** Check whether the server shuts down. */
+        CHECK
     }
 
     /**
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendCallsTest.java
@@ -69,6 +69,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public RequestHeaders healthCheck(Backend target, String path) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public BackendResponse response(ResponseHeaders headers) {
             return new BackendResponse(headers, Optional.empty(), true, false);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
+import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.directive.Directives;
 import org.cyclamenpaddle.relay.wire.BackendCall;
@@ -36,6 +37,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public RequestHeaders healthCheck(Backend target, String path) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public BackendResponse response(ResponseHeaders headers) {
             return new BackendResponse(headers, Optional.of("r1"), true, false);
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/VirtualExecutor.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/VirtualExecutor.java
@@ -18,7 +18,8 @@
  * Single-threaded executor in virtual time: advancing the time runs due tasks in order of their
  * times.
  */
-final class VirtualExecutor extends AbstractExecutorService implements ScheduledExecutorService {
+public final class VirtualExecutor extends AbstractExecutorService
+        implements ScheduledExecutorService {
 
     private final class Task<V> extends FutureTask<V> implements RunnableScheduledFuture<V> {
 
@@ -55,12 +56,12 @@
                             .thenComparingLong(task -> task.mSequence));
     private long mTasks;
 
-    VirtualExecutor(VirtualClock clock) {
+    public VirtualExecutor(VirtualClock clock) {
         mClock = clock;
     }
 
     /** Advances the time and runs the tasks that become due. */
-    void advance(long millis) {
+    public void advance(long millis) {
         long until = mClock.millis() + millis;
         while (!mQueue.isEmpty() && mQueue.peek().mDueMillis <= until) {
             Task<?> task = mQueue.poll();
