Take a retry for the prefill of a request that was sent before

A request that was sent again was prefilled remotely a second time without a retry from the shared budget, though its prefill engine counts the call as a further arrival: only the first call that has the prompt read is not extra. Where many sends end together, prefill engines got more arrivals than the budget allows.

PlacementPhase takes a retry for such a prefill. Without one the decode engine prefills the prompt itself, as part of the send that is paid for. It does not know whether the first prompt was prefilled remotely, so that a first remote prefill of a second send takes one as well.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -112,6 +112,7 @@
     private Optional<BackendSearch> mSearch = Optional.empty();
     private Optional<PrefillExchange> mPrefill = Optional.empty();
     private Optional<Placed> mReserved = Optional.empty();
+    private boolean mPrefillCounted;
 
     /**
      * Creates the phase; {@link #start} starts it.
@@ -211,7 +212,7 @@
                         Optional.empty(),
                         OptionalLong.of(now));
         // A quarantine may have begun during the search.
-        if (placed.prefillEngine().isEmpty() || !mCrashGuard.mayRun()) {
+        if (placed.prefillEngine().isEmpty() || !mCrashGuard.mayRun() || !mayPrefill()) {
             placed.prefillEngine().ifPresent(this::releasePrefillEngine);
             mListener.placed(placed);
             return;
@@ -228,6 +229,16 @@
         prefill.start(mLoop, Math.max(0, timeoutMillis - now));
     }
 
+    /**
+     * Takes a retry for the prefill of a request that was sent before, which its engine counts as a
+     * further arrival, and returns whether there was one. Without one the decode engine prefills
+     * the prompt itself, as part of a send that is paid for.
+     */
+    private boolean mayPrefill() {
+        mPrefillCounted = mSentBefore;
+        return !mSentBefore || mRetryBudget.getAsBoolean();
+    }
+
     /**
      * Returns whether the body fits at a prefill engine. If it does not, the decode engine prefills
      * the prompt itself.
@@ -256,7 +267,7 @@
         Placed placed = mReserved.orElseThrow();
         mPrefill = Optional.empty();
         mReserved = Optional.empty();
-        if (rejected && !mRetryBudget.getAsBoolean()) {
+        if (rejected && !mPrefillCounted && !mRetryBudget.getAsBoolean()) {
             placed.release(mRelay, mRequest);
             mListener.notPlaced("prefill engine full, retry budget empty");
             return;
