Ask further engines beside one that does not grant or refuse in time

Callers got 503 "no engine was reached" while all engines of a service were paused for a second. A reservation call ended after 300 ms, its engine counted as unreachable, also for its whole failure domain, and the next one was asked. A grant that the engine gave when it went on was lost, and its memory stayed reserved until it expired.

A call now stays pending while its engine is silent. After 300 ms the next engine is asked beside it, three at most; the first grant is used and the others are cancelled as they arrive. The engine counts as silent until it is heard, and the host makes no further call there while one is pending: requests that wait look every 50 ms whether it responds again. While no engine has responded a search waits for 0.75 of the silence that callers accept, which leaves one target latency at least. If engines are full it only waits for calls of its own, so that a pause of one engine does not prolong the search of all requests. A late grant of an engine that leaves or asks for no work is not used. A refused connection is handled as before, and a host without paths hands over at once.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -351,6 +351,19 @@
                                 .collect(Collectors.toSet()));
     }
 
+    /**
+     * Returns the silent servers that could run a request and at which a call of this host is
+     * pending, which will show when they respond again.
+     */
+    public Set<BackendId> awaitedServers(BackendQuery query) {
+        return mTable.read(
+                state ->
+                        matching(state, query)
+                                .filter(server -> state.stateOf(server).voice().awaitsResponse())
+                                .map(Backend::id)
+                                .collect(Collectors.toSet()));
+    }
+
     private static Stream<Backend> matching(RegistryState state, BackendQuery query) {
         return state.staying(query.service())
                 .filter(query::matches)
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.backend;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cyclamenpaddle.routing.silence.ServerActivity;
 
 /**
@@ -10,6 +11,7 @@
 
     private volatile long mHeardMillis = Long.MIN_VALUE / 2;
     private volatile boolean mSuspected;
+    private final AtomicInteger mPendingCalls = new AtomicInteger();
 
     ServerVoice() {}
 
@@ -35,6 +37,24 @@
         mSuspected = true;
     }
 
+    /** Records that a call was sent to the server, which responds at once unless it is silent. */
+    public void callSent() {
+        mPendingCalls.incrementAndGet();
+    }
+
+    /** Records that a call has ended, with a response or without. */
+    public void callEnded() {
+        mPendingCalls.decrementAndGet();
+    }
+
+    /**
+     * Returns whether the server counts as silent and a pending call will show when it responds
+     * again. Further calls would only wait there as well.
+     */
+    boolean awaitsResponse() {
+        return mSuspected && mPendingCalls.get() > 0;
+    }
+
     /**
      * Returns the activity of the server.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationSearch.java
@@ -1,7 +1,10 @@
 package org.cyclamenpaddle.relay.front;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -9,7 +12,6 @@
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
-import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.WorkSize;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.routing.reservation.ReservationWait;
@@ -23,6 +25,11 @@
  * prompt had been prefilled was often rejected by an engine that appeared to have capacity, and the
  * prefill was wasted. A reservation is therefore requested from the engine itself. When all engines
  * are full, the search is retried as {@link ReservationWait} determines, and then fails.
+ *
+ * <p>An engine that does not respond in time is often only paused. Its call stays pending while
+ * others are asked beside it; the first grant is used and the other calls are cancelled. A search
+ * whose engines are all silent waits for them, and makes no call at an engine at which one of this
+ * host is pending.
  */
 final class ReservationSearch implements BackendSearch {
 
@@ -39,16 +46,32 @@
      */
     record Placement(Backend backend, Optional<String> reservation) {}
 
+    /** Maximum number of engines that are asked at a time while they are silent. */
+    private static final int MAX_PENDING = 3;
+
+    /**
+     * Share of the silence that callers accept for which a search waits for silent engines. The
+     * rest is at least one target latency, since callers leave after four at the earliest, and
+     * suffices for prefill and the first event.
+     */
+    private static final double SILENCE_WAIT_SHARE = 0.75;
+
+    /** Interval in which a search looks whether silent engines respond again, in milliseconds. */
+    private static final long SILENCE_PAUSE_MILLIS = 50;
+
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
+    private final long mStartMillis;
     private final Set<BackendId> mAvoid;
     private final BackendQuery mQuery;
     private final Listener mListener;
     private final ReservationWait mReservationWait;
     private final ReservePacing mReservePacing = new ReservePacing();
     private final GrowthCapacity mGrowthCapacity;
-    private Optional<Backend> mPending = Optional.empty();
+    private final Map<BackendId, ReservationAttempt> mPending = new LinkedHashMap<>();
+    private Optional<ScheduledFuture<?>> mNextFind = Optional.empty();
+    private boolean mOnlyPending;
     private int mRejects;
     private int mUnreached;
     private boolean mPermitRequested;
@@ -70,6 +93,7 @@
         mListener = listener;
         mGrowthCapacity = new GrowthCapacity(relay, request, loop);
         long now = relay.clock().millis();
+        mStartMillis = now;
         // A caller that has events of a stream waits for it as for one that was sent before.
         RetryStage stage = stage(relay, request, sentBefore || query.binding().binds(), now);
         mReservationWait =
@@ -99,21 +123,20 @@
     }
 
     /**
-     * Tries the best engine that has not just reported that it is full, or schedules the next try.
+     * Tries the best engine that has not just reported that it is full and is not silent, or
+     * schedules the next try.
      */
     @Override
     public void find() {
         long now = mRelay.clock().millis();
         boolean noneLeft = mQuery.binding().binds() && !mRelay.registry().mayServe(mQuery, now);
-        if (noneLeft || mUnreached > 0 && mRelay.reachability().isCutOff(mRequest.service())) {
-            close();
-            mListener.found(Optional.empty());
+        Set<BackendId> awaited = mRelay.registry().awaitedServers(mQuery);
+        boolean noResponse = mUnreached > 0 || !mPending.isEmpty() || !awaited.isEmpty();
+        if (noneLeft || noResponse && mRelay.reachability().isCutOff(mRequest.service())) {
+            refuse();
             return;
         }
-        Optional<Backend> selected =
-                mReservePacing.pauseIsDue()
-                        ? Optional.empty()
-                        : mRelay.registry().select(mQuery, now);
+        Optional<Backend> selected = select(awaited, now);
         if (selected.isPresent()) {
             mRelay.permits().requestInAdvance(mRequest.service(), size());
             reserve(selected.get());
@@ -122,16 +145,53 @@
         OptionalLong directiveWait = mRelay.registry().directives().waitMillis(mQuery, now);
         if (mayObtainPermit(directiveWait)) {
             mRelay.permits().request(mQuery, mLoop, granted -> findAgain());
-        } else if (!mReservationWait.mayRetry(now + directiveWait.orElse(0))) {
-            close();
-            mListener.found(Optional.empty());
-        } else {
+        } else if (mReservationWait.mayRetry(now + directiveWait.orElse(0))) {
+            waitForVersion();
+            findAfter(mReservePacing.pauseMillis(mReservationWait, now));
+        } else if (mayAwaitSilent(awaited, now)) {
+            mOnlyPending = mRejects > 0;
             waitForVersion();
-            long pause = mReservePacing.pauseMillis(mReservationWait, now);
-            mLoop.schedule(this::findAgain, pause, TimeUnit.MILLISECONDS);
+            findAfter(SILENCE_PAUSE_MILLIS);
+        } else {
+            mUnreached += mRejects > 0 ? 0 : awaited.size();
+            refuse();
         }
     }
 
+    private Optional<Backend> select(Set<BackendId> awaited, long nowMillis) {
+        if (mOnlyPending || mPending.size() >= MAX_PENDING || mReservePacing.pauseIsDue()) {
+            return Optional.empty();
+        }
+        Set<BackendId> avoid = new HashSet<>(mAvoid);
+        avoid.addAll(awaited);
+        avoid.addAll(mPending.keySet());
+        return mRelay.registry().select(mQuery.avoiding(avoid), nowMillis);
+    }
+
+    /**
+     * Returns whether the search goes on for the sake of silent engines. If an engine is full, it
+     * only waits for its own calls: the pause of one engine does not prolong the search of every
+     * request that the others have no room for.
+     */
+    private boolean mayAwaitSilent(Set<BackendId> awaited, long nowMillis) {
+        long silenceMillis = mRequest.route().silenceMillis();
+        boolean inTime = nowMillis - mStartMillis < silenceMillis * SILENCE_WAIT_SHARE;
+        return inTime && (!mPending.isEmpty() || mRejects == 0 && !awaited.isEmpty());
+    }
+
+    private void refuse() {
+        mPending.values()
+                .forEach(
+                        attempt ->
+                                logFailure(
+                                        attempt.engine(),
+                                        "no response in "
+                                                + (mRelay.clock().millis() - mStartMillis)
+                                                + " ms of the search"));
+        close();
+        mListener.found(Optional.empty());
+    }
+
     /** Returns whether only limits of engines prevent a reservation, and permits are requested. */
     private boolean mayObtainPermit(OptionalLong directiveWait) {
         boolean mayObtain =
@@ -143,8 +203,6 @@
     @Override
     public void cancel() {
         close();
-        mPending.ifPresent(engine -> release(engine, SendOutcome.ABANDONED));
-        mPending = Optional.empty();
     }
 
     @Override
@@ -159,6 +217,9 @@
 
     private void close() {
         mClosed = true;
+        mNextFind.ifPresent(next -> next.cancel(false));
+        mPending.values().forEach(ReservationAttempt::cancel);
+        mPending.clear();
         if (mWaiting) {
             mWaiting = false;
             mRelay.registry().recordWaitEnded(mQuery);
@@ -172,6 +233,12 @@
         }
     }
 
+    private void findAfter(long pauseMillis) {
+        mNextFind.ifPresent(next -> next.cancel(false));
+        mNextFind =
+                Optional.of(mLoop.schedule(this::findAgain, pauseMillis, TimeUnit.MILLISECONDS));
+    }
+
     private void findAgain() {
         if (!mClosed) {
             find();
@@ -179,75 +246,52 @@
     }
 
     private void reserve(Backend engine) {
-        mPending = Optional.of(engine);
-        ReserveCall.reserve(mRelay, mRequest, mLoop, engine, result -> reserved(engine, result));
+        ReservationAttempt attempt =
+                new ReservationAttempt(
+                        mRelay,
+                        mRequest,
+                        mLoop,
+                        engine,
+                        mGrowthCapacity,
+                        mReservationWait,
+                        new AttemptListener());
+        mPending.put(engine.id(), attempt);
+        attempt.start();
     }
 
-    private void reserved(Backend engine, ReserveCall.Result result) {
-        if (mClosed) {
-            result.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, engine, name));
-        } else if (result.granted()) {
-            mGrowthCapacity.requiredTokens(
-                    engine, mReservationWait, tokens -> probe(engine, result, tokens));
-        } else {
-            rejected(engine, result);
-        }
-    }
+    private final class AttemptListener implements ReservationAttempt.Listener {
 
-    /** Checks for free memory to grow, beyond a reservation that was granted. */
-    private void probe(Backend engine, ReserveCall.Result granted, OptionalLong tokens) {
-        if (mClosed || tokens.isEmpty()) {
-            probed(engine, granted, ReserveCall.NO_CAPACITY);
-        } else if (tokens.getAsLong() == 0) {
-            probed(engine, granted, granted);
-        } else {
-            ReserveCall.probe(
-                    mRelay,
-                    mRequest,
-                    mLoop,
-                    engine,
-                    tokens.getAsLong(),
-                    growth -> probed(engine, granted, growth));
+        @Override
+        public void granted(ReservationAttempt attempt, Optional<String> reservation) {
+            mPending.remove(attempt.engine().id());
+            close();
+            mListener.found(Optional.of(new Placement(attempt.engine(), reservation)));
         }
-    }
 
-    private void probed(Backend engine, ReserveCall.Result granted, ReserveCall.Result growth) {
-        if (mClosed || !growth.granted()) {
-            granted.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, engine, name));
-        }
-        if (mClosed) {
-            return;
-        }
-        if (!growth.granted()) {
-            rejected(engine, growth);
-            return;
+        @Override
+        public void rejected(ReservationAttempt attempt, ReserveCall.Result result) {
+            Backend engine = attempt.engine();
+            mPending.remove(engine.id());
+            if (result.full()) {
+                mRelay.registry().recordFull(engine, mRelay.clock().millis());
+                mReservePacing.rejected();
+                mRejects++;
+            } else {
+                mUnreached++;
+                mAvoid.add(engine.id());
+                logFailure(engine, result.cause());
+            }
+            find();
         }
-        close();
-        mPending = Optional.empty();
-        mListener.found(Optional.of(new Placement(engine, granted.reservation())));
-    }
 
-    private void rejected(Backend engine, ReserveCall.Result result) {
-        mPending = Optional.empty();
-        release(engine, result.outcome());
-        if (result.full()) {
-            mRelay.registry().recordFull(engine, mRelay.clock().millis());
-            mReservePacing.rejected();
-            mRejects++;
-        } else {
-            mUnreached++;
-            mAvoid.add(engine.id());
-            mRelay.log().log(
-                    RelayEvent.RESERVATION_FAILED,
-                    mRequest.caller().id(),
-                    engine.id(),
-                    result.cause());
+        @Override
+        public void silent(ReservationAttempt attempt) {
+            find();
         }
-        find();
     }
 
-    private void release(Backend engine, SendOutcome outcome) {
-        mRelay.registry().recordOutcome(engine, size(), false, outcome, mRelay.clock().millis());
+    private void logFailure(Backend engine, String cause) {
+        mRelay.log().log(RelayEvent.RESERVATION_FAILED, mRequest.caller().id(), engine.id(), cause);
     }
 
     private WorkSize size() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.front;
 
+import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
@@ -7,11 +8,13 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cyclamenpaddle.engine.http.CallFailure;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
+import org.cyclamenpaddle.relay.backend.ServerVoice;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.wire.BackendCaller;
 import org.cyclamenpaddle.relay.wire.Reservation;
@@ -46,32 +49,73 @@
     /** Result that stands for an engine with too little free memory. */
     static final Result NO_CAPACITY = new Result(Optional.empty(), SendOutcome.ABANDONED, "none");
 
-    /** Timeout of a call, in milliseconds; typical calls take under 10. */
-    private static final long CALL_TIMEOUT_MILLIS = 300;
+    /** Result that stands for an engine that has not responded in time. */
+    private static final Result NO_RESPONSE =
+            new Result(Optional.empty(), SendOutcome.SILENT, "no response in time");
+
+    /**
+     * Time without a response after which an engine counts as silent, in milliseconds; typical
+     * calls take under 10.
+     */
+    static final long RESPONSE_MILLIS = 300;
 
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
-    private final EventLoop mLoop;
     private final Backend mEngine;
+    private final ServerVoice mVoice;
 
-    private ReserveCall(RelayContext relay, RelayRequest request, EventLoop loop, Backend engine) {
+    private ReserveCall(RelayContext relay, RelayRequest request, Backend engine) {
         mRelay = relay;
         mRequest = request;
-        mLoop = loop;
         mEngine = engine;
+        mVoice = relay.registry().voice(engine);
     }
 
-    /** Reserves memory for a request; {@code done} is called on the event loop. */
+    /**
+     * Reserves memory for a request if the engine responds in time; {@code done} is called on the
+     * event loop. A reservation that is granted later is cancelled.
+     */
     static void reserve(
             RelayContext relay,
             RelayRequest request,
             EventLoop loop,
             Backend engine,
             Consumer<Result> done) {
-        ReserveCall call = new ReserveCall(relay, request, loop, engine);
+        CompletableFuture<Result> pending = send(relay, request, engine);
+        CompletableFuture<Result> inTime =
+                pending.copy()
+                        .completeOnTimeout(NO_RESPONSE, RESPONSE_MILLIS, TimeUnit.MILLISECONDS);
+        inTime.thenAcceptAsync(done, loop);
+        pending.thenAccept(
+                result -> {
+                    if (inTime.getNow(result) == NO_RESPONSE) {
+                        result.reservation().ifPresent(name -> cancel(relay, engine, name));
+                    }
+                });
+    }
+
+    /**
+     * Reserves memory for a request, however long the engine is silent.
+     *
+     * <p>A call that is ended earlier leaves memory reserved at an engine that is only paused: it
+     * grants the reservation when it goes on, and nobody cancels it.
+     *
+     * @param done called on the event loop, also if the request has ended meanwhile
+     */
+    static void reserveWhenResponding(
+            RelayContext relay,
+            RelayRequest request,
+            EventLoop loop,
+            Backend engine,
+            Consumer<Result> done) {
+        send(relay, request, engine).thenAcceptAsync(done, loop);
+    }
+
+    private static CompletableFuture<Result> send(
+            RelayContext relay, RelayRequest request, Backend engine) {
         long tokens = request.caller().size().memoryTokens();
         long holdMillis = request.engine().orElseThrow().maxReservationMillis();
-        call.requestReservation(tokens, holdMillis, true).thenAcceptAsync(done, loop);
+        return new ReserveCall(relay, request, engine).sendCounted(tokens, holdMillis);
     }
 
     /**
@@ -87,8 +131,8 @@
             Backend engine,
             long tokens,
             Consumer<Result> done) {
-        ReserveCall call = new ReserveCall(relay, request, loop, engine);
-        call.requestReservation(tokens, CALL_TIMEOUT_MILLIS, true)
+        new ReserveCall(relay, request, engine)
+                .sendCounted(tokens, RESPONSE_MILLIS)
                 .thenAcceptAsync(
                         response -> {
                             response.reservation().ifPresent(name -> cancel(relay, engine, name));
@@ -114,7 +158,8 @@
         relay.calls()
                 .call(
                         backend,
-                        options(true, BackendCaller.Purpose.RELEASE, "release"),
+                        new BackendCaller.Options(
+                                true, RESPONSE_MILLIS, BackendCaller.Purpose.RELEASE, "release"),
                         HttpRequest.of(call))
                 .exceptionally(
                         failure -> {
@@ -123,42 +168,51 @@
                         });
     }
 
+    private CompletableFuture<Result> sendCounted(long tokens, long millis) {
+        mVoice.callSent();
+        return requestReservation(tokens, millis, true)
+                .whenComplete((result, failure) -> mVoice.callEnded());
+    }
+
     private CompletableFuture<Result> requestReservation(long tokens, long millis, boolean pooled) {
         long startMillis = mRelay.clock().millis();
         return mRelay.calls()
                 .call(
                         mEngine,
-                        options(pooled, BackendCaller.Purpose.WORK, mRequest.caller().id()),
+                        new BackendCaller.Options(
+                                pooled,
+                                timeoutMillis(),
+                                BackendCaller.Purpose.WORK,
+                                mRequest.caller().id()),
                         mRelay.engineMessages().reserve(mEngine, tokens, millis).toHttpRequest())
                 .handle(
                         (response, failure) -> {
-                            long spent = mRelay.clock().millis() - startMillis;
+                            long now = mRelay.clock().millis();
                             // A pooled connection may have been closed while it was idle.
                             boolean mayResend =
-                                    pooled && failure != null && spent < CALL_TIMEOUT_MILLIS;
+                                    pooled
+                                            && failure != null
+                                            && now - startMillis < RESPONSE_MILLIS;
                             return mayResend
                                             && mRelay.registry()
                                                     .directives()
-                                                    .tryCall(mEngine, 1, mRelay.clock().millis())
+                                                    .tryCall(mEngine, 1, now)
                                     ? requestReservation(tokens, millis, false)
                                     : CompletableFuture.completedFuture(result(response, failure));
                         })
                 .thenCompose(Function.identity());
     }
 
-    private static BackendCaller.Options options(
-            boolean keepAlive, BackendCaller.Purpose purpose, String cause) {
-        return new BackendCaller.Options(keepAlive, CALL_TIMEOUT_MILLIS, purpose, cause);
+    /** No caller waits longer for an engine that sends nothing. */
+    private long timeoutMillis() {
+        return Math.max(RESPONSE_MILLIS, mRequest.route().silenceMillis());
     }
 
     private Result result(AggregatedHttpResponse response, Throwable failure) {
         if (failure != null) {
-            boolean withheld = CallWithheldException.causes(CallFailure.cause(failure));
-            return new Result(
-                    Optional.empty(),
-                    withheld ? SendOutcome.WITHHELD : SendOutcome.NOT_SENT,
-                    String.valueOf(failure));
+            return new Result(Optional.empty(), outcome(failure), String.valueOf(failure));
         }
+        mRelay.registry().recordHeard(mEngine, mRelay.clock().millis());
         if (response.status().equals(HttpStatus.MISDIRECTED_REQUEST)) {
             return new Result(
                     Optional.empty(), SendOutcome.MISDIRECTED, "response of another engine");
@@ -170,6 +224,16 @@
                         this::granted);
     }
 
+    private static SendOutcome outcome(Throwable failure) {
+        Throwable cause = CallFailure.cause(failure);
+        if (CallWithheldException.causes(cause)) {
+            return SendOutcome.WITHHELD;
+        }
+        return cause instanceof ResponseTimeoutException
+                ? SendOutcome.SILENT
+                : SendOutcome.NOT_SENT;
+    }
+
     /** An engine that has started again under its id may run another software version. */
     private Result granted(Reservation reservation) {
         if (reservation.isFrom(mEngine)) {
