End a prefill for a silence only while its replacement responds

A prefill ended after 0.25 of the silence that callers accept if its engine had sent nothing else, was reported as UNKNOWN, and its engine was ejected at once. Where the decode engine was paused as well, the prompt was read again by an engine that could not begin either; where the prefill engine only worked on one long prompt, its work was wasted.

After the same time the host now asks the prefill engine for its report, unless a call of the host is pending there, and the decode engine, unless it was heard in the last 100 ms. Each of these checks stays pending until it is answered. An engine that answers has until 0.6 of the silence, as one that responds to other requests. A silent one is replaced while the decode engine responds. While neither does, the prefill goes on, and once the decode engine is back the prefill has a tenth of the silence: engines that are paused together go on together. The silence counts once, through recordSilence, is logged as SILENT, and ends with the first byte.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/ServerVoice.java
@@ -55,6 +55,11 @@
         return mSuspected && mPendingCalls.get() > 0;
     }
 
+    /** Returns whether the server counts as silent and no call will show when it responds again. */
+    public boolean needsCall() {
+        return mSuspected && mPendingCalls.get() <= 0;
+    }
+
     /**
      * Returns the activity of the server.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -222,6 +222,7 @@
                         mRelay,
                         mRequest,
                         placed.prefillEngine().get(),
+                        engine,
                         mCrashGuard,
                         this::prefillEnded);
         mPrefill = Optional.of(prefill);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -17,6 +17,7 @@
 import org.cyclamenpaddle.relay.wire.BackendCaller;
 import org.cyclamenpaddle.relay.wire.BackendResponse;
 import org.cyclamenpaddle.relay.wire.PromptHandle;
+import org.cyclamenpaddle.routing.silence.SilenceLimits;
 
 /**
  * Runs the prefill of one prompt on a prefill engine. A failure here never means that the request
@@ -26,28 +27,43 @@
 
     /**
      * Share of the route's silence limit after which a prefill on an engine that responds to no
-     * request times out.
+     * request may be replaced.
      *
      * <p>Safeguard: an engine that has become unreachable would hold the request until its timeout.
      * With a smaller share, prompts that are merely queued would be prefilled a second time on
      * decode engines, where that interrupts the streams running there. With this share, prefill on
      * the decode engine still ends before the caller disconnects.
      */
-    private static final double SILENCE_TIMEOUT_SHARE = 0.25;
+    private static final double SILENCE_SHARE = 0.25;
 
     /**
      * Share of the route's silence limit after which a prefill on an engine that responds to other
-     * requests times out.
+     * requests may be replaced.
      *
      * <p>Safeguard: after a power loss all hosts forward their callers' requests at once, and
-     * prompts queue for a second on healthy engines. A time-out would waste the prefill done so far
-     * and retry it on decode engines, where it delays generations.
+     * prompts queue for a second on healthy engines. Ending it earlier would waste the prefill done
+     * so far and retry it on decode engines, where it delays generations.
      */
-    private static final double QUEUE_TIMEOUT_SHARE = 0.6;
+    private static final double QUEUE_SHARE = 0.6;
+
+    /**
+     * Share of the route's silence limit that the prefill engine has once the decode engine
+     * responds again. Engines that were paused together go on together, and the prefill is then
+     * nearer its end than a new one would be.
+     */
+    private static final double RESUME_SHARE = 0.1;
+
+    /**
+     * Number of checks without a response from which the decode engine counts as silent; one that
+     * is busy responds within two.
+     */
+    private static final int MAX_UNANSWERED_CHECKS = 2;
 
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final Backend mEngine;
+    private final EngineCheck mEngineCheck;
+    private final EngineCheck mDecodeEngine;
     private final CrashGuard mCrashGuard;
     private final Consumer<Optional<PromptHandle>> mDone;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
@@ -56,15 +72,19 @@
     private EventLoop mLoop;
     private long mRemainingMillis;
     private boolean mPooled;
-    private ScheduledFuture<?> mSilenceTimeout;
+    private ScheduledFuture<?> mSilenceCheck;
     private BackendExchange mExchange;
     private BackendResponse mResponse;
     private boolean mEnded;
     private boolean mRejected;
+    private boolean mSilenceRecorded;
+    private int mUnansweredChecks;
+    private long mResumedMillis;
 
     /**
      * Creates the exchange.
      *
+     * @param decodeEngine engine that prefills the prompt itself if this prefill fails
      * @param crashGuard decides whether the request may be sent
      * @param done called with the handle, or empty if the prefill failed; not called after a cancel
      */
@@ -72,21 +92,24 @@
             RelayContext relay,
             RelayRequest request,
             Backend engine,
+            Backend decodeEngine,
             CrashGuard crashGuard,
             Consumer<Optional<PromptHandle>> done) {
         mRelay = relay;
         mRequest = request;
         mEngine = engine;
+        mEngineCheck = new EngineCheck(relay, engine, request.route().silenceMillis());
+        mDecodeEngine = new EngineCheck(relay, decodeEngine, request.route().silenceMillis());
         mCrashGuard = crashGuard;
         mDone = done;
         mStartMillis = relay.clock().millis();
+        mResumedMillis = mStartMillis;
     }
 
     void start(EventLoop loop, long remainingMillis) {
         mLoop = loop;
         mRemainingMillis = remainingMillis;
-        mSilenceTimeout =
-                loop.schedule(this::silenceTimedOut, silenceTimeoutMillis(), TimeUnit.MILLISECONDS);
+        checkAfter(silenceMillis(SILENCE_SHARE));
         open(true);
     }
 
@@ -132,12 +155,14 @@
     @Override
     public void head(BackendResponse response) {
         mResponse = response;
+        heard();
         mRelay.calls().recordHead(mEngine, mRequest.caller().id(), response.headers(), mSentMillis);
         mExchange.requestMore();
     }
 
     @Override
     public void data(HttpData data) {
+        heard();
         mBody.writeBytes(data.array());
         mExchange.requestMore();
     }
@@ -202,33 +227,78 @@
         }
     }
 
-    private long silenceTimeoutMillis() {
-        return (long) (mRequest.route().silenceMillis() * SILENCE_TIMEOUT_SHARE);
+    private void heard() {
+        mRelay.registry().recordHeard(mEngine, mRelay.clock().millis());
+    }
+
+    private long silenceMillis(double share) {
+        return (long) (mRequest.route().silenceMillis() * share);
+    }
+
+    private void checkAfter(long millis) {
+        mSilenceCheck = mLoop.schedule(this::checkSilence, millis, TimeUnit.MILLISECONDS);
     }
 
-    private void silenceTimedOut() {
+    /**
+     * Ends the prefill if the engine is silent and the decode engine, which would prefill the
+     * prompt instead, responds. While neither responds, the prefill goes on: a server that sends
+     * nothing is usually paused, and nothing else could begin the stream earlier.
+     */
+    private void checkSilence() {
         if (mEnded) {
             return;
         }
         long now = mRelay.clock().millis();
-        long timeoutMillis = silenceTimeoutMillis();
-        long maxMillis = (long) (mRequest.route().silenceMillis() * QUEUE_TIMEOUT_SHARE);
-        long remainingMillis = mStartMillis + maxMillis - now;
-        boolean engineResponds = mRelay.registry().voice(mEngine).heardSince(mStartMillis);
-        if (engineResponds && remainingMillis > 0) {
-            mSilenceTimeout =
-                    mLoop.schedule(
-                            this::silenceTimedOut,
-                            Math.min(timeoutMillis, remainingMillis),
-                            TimeUnit.MILLISECONDS);
+        long endMillis =
+                Math.max(
+                        mStartMillis + silenceMillis(QUEUE_SHARE),
+                        mResumedMillis + silenceMillis(SILENCE_SHARE));
+        if (now < endMillis && mRelay.registry().voice(mEngine).heardSince(mResumedMillis)) {
+            checkAfter(Math.min(silenceMillis(SILENCE_SHARE), endMillis - now));
+            return;
+        }
+        if (!mSilenceRecorded) {
+            recordSilence(now);
+            // An engine at which the prompt only waits answers before the next check.
+            mEngineCheck.askIfSilent();
+            mDecodeEngine.responds();
+            checkAfter(EngineCheck.RECENT_MILLIS / 2);
+        } else if (!mDecodeEngine.responds()) {
+            mUnansweredChecks++;
+            checkAfter(EngineCheck.RECENT_MILLIS / 2);
+        } else if (mUnansweredChecks > MAX_UNANSWERED_CHECKS) {
+            mUnansweredChecks = 0;
+            mResumedMillis = now - EngineCheck.RECENT_MILLIS;
+            checkAfter(silenceMillis(RESUME_SHARE));
         } else {
-            mExchange.cancel();
-            fail(SendOutcome.UNKNOWN, "no answer in " + (now - mStartMillis) + " ms");
+            SendOutcome cancelled = mExchange.cancel();
+            boolean connected = cancelled == SendOutcome.UNKNOWN;
+            // The silence has been recorded.
+            end(connected ? SendOutcome.ABANDONED : cancelled);
+            reportFailure(
+                    connected ? SendOutcome.SILENT : cancelled,
+                    "no response in " + (now - mStartMillis) + " ms");
+        }
+    }
+
+    private void recordSilence(long nowMillis) {
+        mSilenceRecorded = true;
+        long limitMillis = SilenceLimits.otherMillis(silenceMillis(SILENCE_SHARE));
+        if (mRelay.registry().recordSilence(mEngine, limitMillis, nowMillis)) {
+            mRelay.log().log(
+                    RelayEvent.BACKEND_EJECTED,
+                    mEngine.id(),
+                    SendOutcome.SILENT,
+                    "no response to a prefill in " + (nowMillis - mStartMillis) + " ms");
         }
     }
 
     private void fail(SendOutcome outcome, String cause) {
         end(outcome);
+        reportFailure(outcome, cause);
+    }
+
+    private void reportFailure(SendOutcome outcome, String cause) {
         mRelay.log().log(
                 RelayEvent.PREFILL_FAILED,
                 mRequest.caller().id(),
@@ -241,7 +311,7 @@
 
     private void end(SendOutcome outcome) {
         mEnded = true;
-        mSilenceTimeout.cancel(false);
+        mSilenceCheck.cancel(false);
         long now = mRelay.clock().millis();
         mRelay.registry().recordOutcome(mEngine, mRequest.caller().size(), false, outcome, now);
     }
