Cancel sends whose connection is not open yet

Cause: BackendExchange.cancel() asked the log of the request for its channel. The log throws while no connection is open. A second send that was cancelled in that state raised the exception while the response of the first server was being completed (CP2007, RequestLogAvailabilityException: SESSION), and again for the second response ("send ended that was not started"), so neither reached the caller.

The channel is asked for only once the log has it, and after the abort, so that "not sent" is not said of a request that may still be written.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -108,11 +108,15 @@
      *     SendOutcome#NOT_SENT}
      */
     SendOutcome cancel() {
-        boolean connected = mContext.log().partial().channel() != null;
         if (!mClosed) {
             mClosed = true;
             mResponse.abort();
         }
+        // The log throws while it has no connection. Asked after the abort, which prevents a write
+        // on a connection that opens later.
+        boolean connected =
+                mContext.log().isAvailable(RequestLogProperty.SESSION)
+                        && mContext.log().partial().channel() != null;
         return connected ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
     }
 
