Refuse calls late in a stop that a silent server would have cut

Callers of a stopping relay had their connections closed 5.4 s after SIGTERM, at a grace period of 6 s, while their servers were silent and would have answered within the callers' deadline.

Cause: calls on connections that are kept were accepted up to 2 s before the end of the grace period. The process ends 0.6 s before it, so that a call at a server that was silent for 1.4 s was cut. Only requests sent up to 3 s after the signal may be in progress then.

Calls are refused in the last 5 s of the grace period now, and accepted for 2.9 s after the signal in any case, like streams. GracefulShutdownTest passes as it was. The price of the refusals was not measured.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
@@ -41,8 +41,11 @@
 
     /**
      * Time before the end of the grace period during which new calls are refused, in milliseconds.
+     *
+     * <p>A server that is silent for seconds still responds to a call in that time. A call that is
+     * accepted later would be cut off when the process ends.
      */
-    static final long REFUSE_CALLS_MILLIS = 2_000;
+    static final long REFUSE_CALLS_MILLIS = 5_000;
 
     private static final long POLL_MILLIS = 50;
 
@@ -68,7 +71,8 @@
             return true;
         }
         long spent = mClock.millis() - mStartMillis;
-        return spent < (streams ? ACCEPT_STREAMS_MILLIS : mGraceMillis - REFUSE_CALLS_MILLIS);
+        return spent < ACCEPT_STREAMS_MILLIS
+                || !streams && spent < mGraceMillis - REFUSE_CALLS_MILLIS;
     }
 
     /** Updates the grace period, after which the process is killed. */
