Cancel an attempt whose connection is still being opened

Callers saw a stream or a call end at its timeout (504, 503 or a truncated stream) although its server had gone on after a silence. The second server was ejected with RequestLogAvailabilityException or NoSuchElementException.

BackendExchange.cancel read the channel from a log that has none until the connection is open, and threw. The second attempt then stayed in progress beside the records of the request, and the first one was taken for failed. The abort now comes first, and the channel is read only if the log has it. The client writes nothing to a connection that it obtains after the abort.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -104,16 +104,23 @@
     /**
      * Cancels the exchange and closes its connection.
      *
+     * <p>The connection is examined after the abort: the client writes nothing to one that it
+     * obtains later.
+     *
      * @return {@link SendOutcome#UNKNOWN} if a connection was open, else {@link
      *     SendOutcome#NOT_SENT}
      */
     SendOutcome cancel() {
-        boolean connected = mContext.log().partial().channel() != null;
         if (!mClosed) {
             mClosed = true;
             mResponse.abort();
         }
-        return connected ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
+        return isConnected() ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
+    }
+
+    private boolean isConnected() {
+        return mContext.log().isAvailable(RequestLogProperty.SESSION)
+                && mContext.log().partial().channel() != null;
     }
 
     @Override
