Drop a second server that was found after the first went on

The search for a second engine takes a reservation and a prefill. If the first engine began the stream meanwhile, the second run was begun all the same, at the version for which the search was made. A stream that began at one version during the search could go on at another one.

The second run is begun only if the first server is still silent; else the reservation, the prompt and the retry are released. streamThatBeginsDuringTheSearchStaysAtItsVersion failed before (one run at the other version) and passes after.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -183,7 +183,7 @@
                             @Override
                             public void placed(PlacementPhase.Placed placed) {
                                 mPlacement = Optional.empty();
-                                mListener.placed(placed);
+                                found(attempt, placed);
                             }
 
                             @Override
@@ -197,6 +197,19 @@
         placement.start(nowMillis + mRetryPolicy.remainingMillis(nowMillis));
     }
 
+    /**
+     * Begins the second send, unless the first server has gone on during the search: a stream that
+     * has begun meanwhile may be bound to another version than that of the server found.
+     */
+    private void found(BackendAttempt attempt, PlacementPhase.Placed placed) {
+        if (attempt.quietMillis() < mLimits.millis(attempt.begun())) {
+            placed.release(mRelay, mRequest);
+            mRelay.budget().putBack(mRequest.service());
+        } else {
+            mListener.placed(placed);
+        }
+    }
+
     private void endSearch() {
         mPlacement.ifPresent(
                 placement -> {
