Keep the response of which a part was forwarded

Callers of an idempotent route got a 200 whose body was joined from the responses of two servers, with the length of one. Plain responses are forwarded once 64 KiB have arrived. If the second server completed its response after that, or the first one broke off, the rest came from the second server.

The second attempt is now cancelled when part of the first server's plain response has been forwarded, as it is at the next event of a stream. largeResponseThatHasBegunIsNotContinuedByAnother and largeResponseThatBreaksOffIsNotCompletedByAnother failed before and pass after the change.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -196,13 +196,14 @@
                 : BackendAttempt.Connection.NEW;
     }
 
-    /** Cancels the second attempt if the first one has sent the next event. */
+    /**
+     * Cancels the second attempt if the first one has sent the next event, or so much of a plain
+     * response that part of it was forwarded, which no other response can continue.
+     */
     private void heard(Send send) {
         boolean firstGoesOn =
-                mFirst.filter(send::equals).isPresent()
-                        && mSecond.isPresent()
-                        && mResponse.events() > mEventsBeforeSecond;
-        if (firstGoesOn) {
+                mResponse.events() > mEventsBeforeSecond || mResponse.isForwardingPlain();
+        if (firstGoesOn && mSecond.isPresent() && mFirst.filter(send::equals).isPresent()) {
             dropSecond();
         }
     }
