Open a connection for the second send of an idempotent call

An idempotent call whose server is silent was sent to the second server on a pooled connection. When kept connections are lost without notice, as after a power loss of a device between the hosts, both sends went to lost ones and the call timed out, while new connections worked.

The second send opens its own connection; first sends keep using the pool. idempotentRequestIsServedWhileKeptConnectionsAreSilent failed before and passes after.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -179,7 +179,7 @@
                         sink,
                         new BackendAttempt.Terms(
                                 placed.prefillEngine().isPresent(),
-                                connection(placed),
+                                connection(send),
                                 mCrashGuard,
                                 mRetryPolicy::recordDuplicateSend,
                                 () -> heard(send)),
@@ -187,11 +187,13 @@
         send.mAttempt.start(mLoop);
     }
 
-    private BackendAttempt.Connection connection(PlacementPhase.Placed placed) {
-        if (placed.reservation().isPresent()) {
+    private BackendAttempt.Connection connection(Send send) {
+        if (send.mPlaced.reservation().isPresent()) {
             return BackendAttempt.Connection.RECENTLY_USED;
         }
-        return mRequest.route().kind() == RouteKind.IDEMPOTENT
+        // The first send may be on a pooled connection that was lost without notice. Others may be
+        // lost with it, so the second one opens its own.
+        return mRequest.route().kind() == RouteKind.IDEMPOTENT && send.mStaged.isEmpty()
                 ? BackendAttempt.Connection.POOLED
                 : BackendAttempt.Connection.NEW;
     }
