--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -104,6 +104,9 @@
     /**
      * Cancels the exchange and closes its connection.
      *
+     * <p>The connection is examined after the abort: the client writes nothing to one that it
+     * obtains later.
+     *
      * @return {@link SendOutcome#UNKNOWN} if a connection was open, else {@link
      *     SendOutcome#NOT_SENT}
      */
@@ -112,12 +115,12 @@
             mClosed = true;
             mResponse.abort();
         }
-        // The log throws while it has no connection. Asked after the abort, which prevents a write
-        // on a connection that opens later.
-        boolean connected =
-                mContext.log().isAvailable(RequestLogProperty.SESSION)
-                        && mContext.log().partial().channel() != null;
-        return connected ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
+        return isConnected() ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
+    }
+
+    private boolean isConnected() {
+        return mContext.log().isAvailable(RequestLogProperty.SESSION)
+                && mContext.log().partial().channel() != null;
     }
 
     @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -252,7 +252,7 @@
                         sink,
                         new BackendAttempt.Terms(
                                 placed.prefillEngine().isPresent(),
-                                connection(placed),
+                                connection(send, placed),
                                 mCrashGuard,
                                 mRetryPolicy::recordDuplicateSend,
                                 () -> heard(send)),
@@ -261,22 +261,25 @@
         return attempt;
     }
 
-    private BackendAttempt.Connection connection(PlacementPhase.Placed placed) {
+    private BackendAttempt.Connection connection(Send send, PlacementPhase.Placed placed) {
         if (placed.reservation().isPresent()) {
             return BackendAttempt.Connection.RECENTLY_USED;
         }
-        return mRequest.route().kind() == RouteKind.IDEMPOTENT
+        // The first send may be on a pooled connection that was lost without notice. Others may be
+        // lost with it, so the second one opens its own.
+        return mRequest.route().kind() == RouteKind.IDEMPOTENT && send.mStaged.isEmpty()
                 ? BackendAttempt.Connection.POOLED
                 : BackendAttempt.Connection.NEW;
     }
 
-    /** Cancels the second attempt if the first one has sent the next event. */
+    /**
+     * Cancels the second attempt if the first one has sent the next event, or so much of a plain
+     * response that part of it was forwarded, which no other response can continue.
+     */
     private void heard(Send send) {
         boolean firstGoesOn =
-                mFirst.filter(send::equals).isPresent()
-                        && mSecond.isPresent()
-                        && mResponse.events() > mEventsBeforeSecond;
-        if (firstGoesOn) {
+                mResponse.events() > mEventsBeforeSecond || mResponse.isForwardingPlain();
+        if (firstGoesOn && mSecond.isPresent() && mFirst.filter(send::equals).isPresent()) {
             dropSecond();
         }
     }
