Accept calls in a stop only if they end before the process

Calls were refused in the last five seconds of the grace period, so that none is cut at a silent server: three seconds earlier than before, also where the route's timeout ends them in time. The host decides by the time after which a call has ended in any case, the shorter one of the route's timeout and the caller's.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
@@ -41,11 +41,8 @@
 
     /**
      * Time before the end of the grace period during which new calls are refused, in milliseconds.
-     *
-     * <p>A server that is silent for seconds still responds to a call in that time. A call that is
-     * accepted later would be cut off when the process ends.
      */
-    static final long REFUSE_CALLS_MILLIS = 5_000;
+    static final long REFUSE_CALLS_MILLIS = 2_000;
 
     private static final long POLL_MILLIS = 50;
 
@@ -66,13 +63,14 @@
     }
 
     @Override
-    public boolean accepts(boolean streams) {
+    public boolean accepts(boolean streams, long maxMillis) {
         if (!mStopping) {
             return true;
         }
         long spent = mClock.millis() - mStartMillis;
+        boolean endsBeforeTheProcess = maxMillis <= mGraceMillis - EXIT_MARGIN_MILLIS - spent;
         return spent < ACCEPT_STREAMS_MILLIS
-                || !streams && spent < mGraceMillis - REFUSE_CALLS_MILLIS;
+                || !streams && endsBeforeTheProcess && spent < mGraceMillis - REFUSE_CALLS_MILLIS;
     }
 
     /** Updates the grace period, after which the process is killed. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/DrainState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/DrainState.java
@@ -11,10 +11,11 @@
      *
      * <p>Safeguard: a load balancer without a better host keeps sending requests, and callers keep
      * their connections open. A generation that starts late in the grace period would be cut off at
-     * its end, so it is refused while its caller can still go to another host. Plain calls are
-     * short and are accepted for longer.
+     * its end, so it is refused while its caller can still go to another host. A plain call is
+     * accepted for longer if it ends before that in any case, also at a silent server.
      *
      * @param streams whether the response is a stream
+     * @param maxMillis time after which the request has ended in any case, in milliseconds
      */
-    boolean accepts(boolean streams);
+    boolean accepts(boolean streams, long maxMillis);
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
@@ -87,7 +87,7 @@
                     HttpStatus.UNAUTHORIZED,
                     caller.key().isPresent() ? "unknown API key" : "no usable API key");
         }
-        if (!mDrainState.accepts(route.get().kind().streams())) {
+        if (!accepts(route.get(), caller)) {
             return Either.left(
                     new Rejected(
                             HttpStatus.SERVICE_UNAVAILABLE,
@@ -98,6 +98,12 @@
                 new Admitted(configuration, route.get(), caller, team, Optional.empty()));
     }
 
+    private boolean accepts(Route route, CallerRequest caller) {
+        long callerMillis = caller.callerTimeoutMillis().orElse(Long.MAX_VALUE);
+        return mDrainState.accepts(
+                route.kind().streams(), Math.min(route.timeoutMillis(), callerMillis));
+    }
+
     /**
      * Decides about a request that another host has admitted.
      *
@@ -127,7 +133,7 @@
         if (!fits) {
             return Either.left(HandoverRefusal.OUTDATED);
         }
-        if (!mDrainState.accepts(route.get().kind().streams())) {
+        if (!accepts(route.get(), caller.get())) {
             return Either.left(HandoverRefusal.STOPPING);
         }
         return Either.right(
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
@@ -18,6 +18,12 @@
     private static final long GRACE = 8_000;
     private static final long STEP = 10;
 
+    /** Longest duration of a call that ends before the process wherever it is accepted. */
+    private static final long SHORT_CALL = 800;
+
+    /** Longest duration of a call that may end after the process. */
+    private static final long LONG_CALL = 3_500;
+
     private final AtomicLong mNow = new AtomicLong();
     private final Clock mClock = () -> mNow.addAndGet(STEP);
 
@@ -58,19 +64,35 @@
     @Test
     public void lateStreamsAreRefusedAndCallsAreTakenForLonger() {
         GracefulShutdown stop = stop();
-        assertTrue(stop.accepts(true));
+        assertTrue(stop.accepts(true, SHORT_CALL));
         long[] lastStream = {0};
         long[] lastCall = {0};
         run(
                 stop,
                 now -> {
-                    lastStream[0] = stop.accepts(true) ? now : lastStream[0];
-                    lastCall[0] = stop.accepts(false) ? now : lastCall[0];
+                    lastStream[0] = stop.accepts(true, SHORT_CALL) ? now : lastStream[0];
+                    lastCall[0] = stop.accepts(false, SHORT_CALL) ? now : lastCall[0];
                     return 1;
                 });
         assertEquals(lastStream[0] / 100, GracefulShutdown.ACCEPT_STREAMS_MILLIS / 100 - 1);
         assertEquals(lastCall[0] / 100, (GRACE - GracefulShutdown.REFUSE_CALLS_MILLIS) / 100 - 1);
-        assertFalse(stop.accepts(true));
-        assertFalse(stop.accepts(false));
+        assertFalse(stop.accepts(true, SHORT_CALL));
+        assertFalse(stop.accepts(false, SHORT_CALL));
+    }
+
+    /** A call at a silent server is accepted late in a stop and cut off when the process ends. */
+    @Test
+    public void callThatMayOutliveTheProcessIsRefused() {
+        GracefulShutdown stop = stop();
+        long[] lastCall = {0};
+        run(
+                stop,
+                now -> {
+                    lastCall[0] = stop.accepts(false, LONG_CALL) ? now : lastCall[0];
+                    return 1;
+                });
+        long endMillis = GRACE - GracefulShutdown.EXIT_MARGIN_MILLIS;
+        assertTrue(lastCall[0] + LONG_CALL <= endMillis + 100, "accepted at " + lastCall[0]);
+        assertTrue(lastCall[0] + LONG_CALL > endMillis - 200, "accepted at " + lastCall[0]);
     }
 }
