Cancel an exchange that has no connection yet

RelaySilenceTest lost one of 24 streams beside load: the silent server went on before the second send had its connection. The event cancelled the second send, the HTTP library threw for a channel that was not known yet (RequestLogAvailabilityException: SESSION), and the failure was taken for that of the server that had just gone on. The stream had no send left and ended at its timeout.

BackendExchange.cancel asks whether the channel is known, after it has aborted the response, and reports an exchange without one as not sent.

BackendExchangeTest.exchangeWithoutAConnectionIsCancelledAsNotSent fails with that exception before and passes after; no byte reaches the server. RelaySilenceTest was not run again with this change.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -108,11 +108,15 @@
      *     SendOutcome#NOT_SENT}
      */
     SendOutcome cancel() {
-        boolean connected = mContext.log().partial().channel() != null;
         if (!mClosed) {
             mClosed = true;
             mResponse.abort();
         }
+        // Read after the abort, after which no new connection is used. The library throws for a
+        // channel that is not known yet.
+        boolean connected =
+                mContext.log().isAvailable(RequestLogProperty.SESSION)
+                        && mContext.log().partial().channel() != null;
         return connected ? SendOutcome.UNKNOWN : SendOutcome.NOT_SENT;
     }
 
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/front/BackendExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpData;
@@ -12,10 +13,16 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.directive.Directives;
@@ -111,4 +118,57 @@
         events.mEnd.get();
         assertEquals(events.mEvents, List.of("head", "data", "complete"));
     }
+
+    /**
+     * Failure: a stream is broken off by its own next event, since the second send that the event
+     * makes needless has no connection yet and its cancellation throws.
+     */
+    @Test
+    public void exchangeWithoutAConnectionIsCancelledAsNotSent() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                ClientFactory factory = ClientFactory.builder().workerGroup(1).build()) {
+            factory.eventLoopGroup().next().execute(() -> awaitQuietly(blocked));
+            WebClient client =
+                    WebClient.builder("h1c://127.0.0.1:" + server.getLocalPort())
+                            .factory(factory)
+                            .build();
+            EventLoop loop = CommonPools.workerGroup().next();
+            Events events = new Events();
+            BackendExchange exchange =
+                    BackendExchange.send(
+                            client,
+                            RequestHeaders.of(HttpMethod.GET, "/"),
+                            HttpData.empty(),
+                            new Heads(),
+                            loop,
+                            events);
+            try {
+                assertEquals(exchange.cancel(), SendOutcome.NOT_SENT);
+            } finally {
+                blocked.countDown();
+            }
+            assertEquals(received(server), -1, "a byte of a request that counts as not sent");
+            assertEquals(events.mEvents, List.of());
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns the first byte of a connection that arrives shortly; -1 if there is none. */
+    private static int received(ServerSocket server) throws IOException {
+        server.setSoTimeout(500);
+        try (Socket connection = server.accept()) {
+            connection.setSoTimeout(500);
+            return connection.getInputStream().read();
+        } catch (SocketTimeoutException nothing) {
+            return -1;
+        }
+    }
 }
