Leave out of a silence the time in which a response is not read

A caller that reads slowly stops the relay from reading its server. The server then sent nothing for the limit, counted as silent, and a second send could replace a sound one. The time counts only while the relay reads. Found by review; no test shows it.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -81,6 +81,10 @@
     private final Runnable mHeard;
     private final ServerVoice mVoice;
     private long mHeardMillis;
+
+    /** Whether the server may send; false while its response is not read. */
+    private boolean mAwaitsData = true;
+
     private Connection mConnection;
     private boolean mPrefilled;
     private boolean mResponseStarted;
@@ -163,9 +167,12 @@
         return mStartMillis;
     }
 
-    /** Returns the time since the server last sent something, or since the start. */
+    /**
+     * Returns the time since the server last sent something, since its response is read on, or
+     * since the start; 0 while the response is not read because its caller does not take it.
+     */
     long quietMillis() {
-        return mRelay.clock().millis() - mHeardMillis;
+        return mAwaitsData ? mRelay.clock().millis() - mHeardMillis : 0;
     }
 
     /** Returns whether the first event or a plain response has begun to arrive. */
@@ -222,13 +229,14 @@
     @Override
     public void data(HttpData data) {
         heard();
+        mAwaitsData = false;
         if (mRequest.route().kind().streams() && mHead.success()) {
             responseStarted();
         }
         if (mHead.success() || !mResponse.isForwarding()) {
             mResponse.data(data, mRelay.clock().millis(), this::requestMore);
         } else {
-            mExchange.requestMore();
+            readOn();
         }
         mHeard.run();
     }
@@ -283,12 +291,18 @@
 
     private void requestMore() {
         if (mLoop.inEventLoop()) {
-            mExchange.requestMore();
+            readOn();
         } else {
-            mLoop.execute(mExchange::requestMore);
+            mLoop.execute(this::readOn);
         }
     }
 
+    private void readOn() {
+        mAwaitsData = true;
+        mHeardMillis = mRelay.clock().millis();
+        mExchange.requestMore();
+    }
+
     private boolean isResponseToThisRequest(BackendResponse head) {
         boolean idMatches = head.requestId().map(mRequest.caller().id()::equals).orElse(false);
         boolean misleading = NOT_RUN_STATUSES.contains(head.headers().status());
