Put back the retry of a second send that did not leave the host

A second send whose server could not be connected, or that was cancelled before, kept its retry, so that a silent request could use up the budget of its host at servers that refuse connections.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -288,7 +288,7 @@
         Send dropped = mSecond.orElseThrow();
         mSecond = Optional.empty();
         dropped.mStaged.ifPresent(StagedResponse::discard);
-        drop(dropped, mFirst.orElseThrow());
+        putBackIfUnsent(drop(dropped, mFirst.orElseThrow()));
         watchFirst();
     }
 
@@ -316,11 +316,19 @@
         }
     }
 
-    private void drop(Send dropped, Send kept) {
+    private SendOutcome drop(Send dropped, Send kept) {
         SendOutcome outcome = dropped.mAttempt.cancel();
         mRetryPolicy.endOneOfTwo(outcome);
         release(dropped, outcome);
         mLog.oneOfTwoEnded(dropped.mAttempt, outcome, "other server responded", kept.mAttempt);
+        return outcome;
+    }
+
+    /** Returns the retry of a second send of which nothing has left this host. */
+    private void putBackIfUnsent(SendOutcome outcome) {
+        if (outcome.unsent()) {
+            mRelay.budget().putBack(mRequest.service());
+        }
     }
 
     private void ended(Send send, SendOutcome outcome, String cause) {
@@ -352,6 +360,7 @@
         if (second) {
             mSecond = Optional.empty();
             failed.mStaged.ifPresent(StagedResponse::discard);
+            putBackIfUnsent(outcome);
             watchFirst();
         } else {
             Send kept = mSecond.orElseThrow();
