Ask a server over a new connection while all seem to be silent

Streams stayed at connections that had all been lost without notice until their callers left: all servers looked paused, so no second send began, though they accepted new connections.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -22,6 +22,7 @@
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
+import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
@@ -43,6 +44,7 @@
 import org.cyclamenpaddle.relay.front.RelayContext;
 import org.cyclamenpaddle.relay.front.RelayService;
 import org.cyclamenpaddle.relay.front.SharedRetryBudget;
+import org.cyclamenpaddle.relay.front.SilentServerCheck;
 import org.cyclamenpaddle.relay.front.StartupGate;
 import org.cyclamenpaddle.relay.handover.Helper;
 import org.cyclamenpaddle.relay.handover.HelperDirectory;
@@ -196,6 +198,13 @@
                 mReachability,
                 mHelpers,
                 mCalls,
+                new SilentServerCheck(
+                        mRegistry,
+                        mCalls,
+                        mAdapter.backendMessages(),
+                        mAdapter.engineMessages(),
+                        this::healthPath,
+                        mClock),
                 mAdapter.backendMessages(),
                 mAdapter.engineMessages(),
                 mLog,
@@ -209,15 +218,16 @@
                 mRegistry.directives(),
                 mCalls,
                 mAdapter.backendMessages(),
-                service ->
-                        mConfiguration
-                                .inForce()
-                                .flatMap(configuration -> configuration.healthPath(service)),
+                this::healthPath,
                 mLog,
                 mScheduler,
                 mClock);
     }
 
+    private Optional<String> healthPath(ServiceName service) {
+        return mConfiguration.inForce().flatMap(configuration -> configuration.healthPath(service));
+    }
+
     private HelperDirectory helperDirectory(RelaySettings.Host host) {
         return new HelperDirectory(
                 new HostId(host.name()), new FailureDomain(host.domain()), mClock, mRandom);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -386,6 +386,22 @@
                                 .collect(Collectors.toSet()));
     }
 
+    /**
+     * Returns the server that could run a request and from which nothing was received for the
+     * longest time.
+     */
+    public Optional<Backend> longestSilent(BackendQuery query, long nowMillis) {
+        return mTable.read(
+                state ->
+                        matching(state, query)
+                                .max(
+                                        Comparator.comparingLong(
+                                                server ->
+                                                        state.stateOf(server)
+                                                                .activity(nowMillis)
+                                                                .quietMillis())));
+    }
+
     private static Stream<Backend> matching(RegistryState state, BackendQuery query) {
         return state.staying(query.service())
                 .filter(query::matches)
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -34,6 +34,7 @@
  * @param reachability whether this host reaches the servers of a service
  * @param helpers other hosts that take over requests
  * @param calls calls to backend servers beside the requests of callers
+ * @param silenceChecks asks whether servers respond that all seem to be silent
  * @param backendMessages codec of requests to backend servers
  * @param engineMessages codec of calls about engine memory
  * @param log event log
@@ -55,6 +56,7 @@
         ReachabilityMonitor reachability,
         HelperDirectory helpers,
         BackendCalls calls,
+        SilentServerCheck silenceChecks,
         BackendMessages backendMessages,
         EngineMessages engineMessages,
         RelayEventLog log,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -179,6 +179,9 @@
                                 others,
                                 handsOver ? Optional.of(others) : mOthers));
         mOthers = Optional.of(others);
+        if (decision == SecondSend.OTHERS_SILENT) {
+            mRelay.silenceChecks().ask(mListener.query(avoid), asksFirst());
+        }
         if (decision == SecondSend.ALLOWED && !mCrashGuard.mayRun()) {
             decision = SecondSend.QUARANTINED;
         }
