Record and log a silence once while it lasts

A request that lost its second send was counted again as a silence of its server, so that one request could eject it, where two are meant. Each search without room wrote two lines and counted twice. A failed second send was followed by the next one within a millisecond; the decision is now taken again after the usual time.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -57,6 +57,8 @@
     private Optional<ScheduledFuture<?>> mTimer = Optional.empty();
     private Optional<PlacementPhase> mPlacement = Optional.empty();
     private Optional<SecondSend> mDecision = Optional.empty();
+    private Optional<BackendAttempt> mSpell = Optional.empty();
+    private Optional<SecondSend> mLogged = Optional.empty();
     private Optional<OtherServers> mOthers = Optional.empty();
     private OptionalLong mRespondsMillis = OptionalLong.empty();
 
@@ -88,7 +90,15 @@
                         mRequest.route().targetMillis(),
                         mRequest.route().silenceMillis(),
                         mRetryPolicy.remainingMillis(attempt.startMillis()));
-        schedule(mLimits.millis(attempt.begun()) - attempt.quietMillis());
+        if (mSpell.filter(attempt::equals).isEmpty()) {
+            endSpell();
+        }
+        long limitMillis = mLimits.millis(attempt.begun());
+        // An attempt that is silent already has just lost its second one.
+        schedule(
+                Math.max(
+                        limitMillis - attempt.quietMillis(),
+                        SilenceLimits.recheckMillis(limitMillis)));
     }
 
     /** Ends the watch, and the search for a second server. */
@@ -114,6 +124,12 @@
         return responds && nowMillis - sinceMillis < SilenceLimits.resumeMillis(limitMillis);
     }
 
+    /** Ends what is recorded once while a server is silent, however often its send is watched. */
+    private void endSpell() {
+        mSpell = Optional.empty();
+        mLogged = Optional.empty();
+    }
+
     private void forget() {
         mDecision = Optional.empty();
         mOthers = Optional.empty();
@@ -140,6 +156,7 @@
         if (quietMillis < limitMillis) {
             endSearch();
             forget();
+            endSpell();
             schedule(limitMillis - quietMillis);
             return;
         }
@@ -152,8 +169,9 @@
     private void silent(BackendAttempt attempt, long limitMillis, long quietMillis) {
         long now = mRelay.clock().millis();
         long otherMillis = SilenceLimits.otherMillis(limitMillis);
-        if (mDecision.isEmpty()
-                && mRelay.registry().recordSilence(attempt.target(), otherMillis, now)) {
+        boolean begins = mSpell.isEmpty();
+        mSpell = Optional.of(attempt);
+        if (begins && mRelay.registry().recordSilence(attempt.target(), otherMillis, now)) {
             mRelay.log().log(
                     RelayEvent.BACKEND_EJECTED,
                     attempt.target().id(),
@@ -189,11 +207,7 @@
             decision = SecondSend.NO_BUDGET;
         }
         if (decision == SecondSend.ALLOWED && handsOver) {
-            decided(attempt, quietMillis, decision);
-            if (!mListener.handOver()) {
-                mRelay.budget().putBack(mRequest.service());
-                decided(attempt, quietMillis, SecondSend.NO_OTHER_SERVER);
-            }
+            handOver(attempt, quietMillis);
             return;
         }
         decided(attempt, quietMillis, decision);
@@ -207,6 +221,15 @@
         }
     }
 
+    private void handOver(BackendAttempt attempt, long quietMillis) {
+        if (mListener.handOver()) {
+            log(attempt, quietMillis, SecondSend.ALLOWED);
+        } else {
+            mRelay.budget().putBack(mRequest.service());
+            decided(attempt, quietMillis, SecondSend.NO_OTHER_SERVER);
+        }
+    }
+
     /** Returns whether a server is asked for memory before the request is sent to it. */
     private boolean asksFirst() {
         return mRequest.engine().isPresent();
@@ -222,8 +245,16 @@
     }
 
     private void decided(BackendAttempt attempt, long quietMillis, SecondSend decision) {
-        if (mDecision.filter(decision::equals).isEmpty()) {
-            mDecision = Optional.of(decision);
+        mDecision = Optional.of(decision);
+        // A search may show that no server has room.
+        if (decision != SecondSend.ALLOWED) {
+            log(attempt, quietMillis, decision);
+        }
+    }
+
+    private void log(BackendAttempt attempt, long quietMillis, SecondSend decision) {
+        if (mLogged.filter(decision::equals).isEmpty()) {
+            mLogged = Optional.of(decision);
             mLog.serverSilent(attempt, quietMillis, decision);
         }
     }
@@ -267,6 +298,7 @@
             placed.release(mRelay, mRequest);
             mRelay.budget().putBack(mRequest.service());
         } else {
+            log(attempt, attempt.quietMillis(), SecondSend.ALLOWED);
             mListener.placed(placed);
         }
     }
