Suspect a server only after a silence that is long for its route

A request with little time left has a short limit, 0.45 of that time, and was counted as a silence of its server, also where it could not be sent again. Work takes longer than that at sound servers.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -59,6 +59,7 @@
     private Optional<SecondSend> mDecision = Optional.empty();
     private Optional<BackendAttempt> mSpell = Optional.empty();
     private Optional<SecondSend> mLogged = Optional.empty();
+    private boolean mSuspected;
     private Optional<OtherServers> mOthers = Optional.empty();
     private OptionalLong mRespondsMillis = OptionalLong.empty();
 
@@ -128,6 +129,7 @@
     private void endSpell() {
         mSpell = Optional.empty();
         mLogged = Optional.empty();
+        mSuspected = false;
     }
 
     private void forget() {
@@ -169,15 +171,8 @@
     private void silent(BackendAttempt attempt, long limitMillis, long quietMillis) {
         long now = mRelay.clock().millis();
         long otherMillis = SilenceLimits.otherMillis(limitMillis);
-        boolean begins = mSpell.isEmpty();
         mSpell = Optional.of(attempt);
-        if (begins && mRelay.registry().recordSilence(attempt.target(), otherMillis, now)) {
-            mRelay.log().log(
-                    RelayEvent.BACKEND_EJECTED,
-                    attempt.target().id(),
-                    SendOutcome.SILENT,
-                    "silent for " + quietMillis + " ms");
-        }
+        suspect(attempt, quietMillis, now);
         if (mPlacement.isPresent()) {
             return;
         }
@@ -221,6 +216,25 @@
         }
     }
 
+    /**
+     * Records the silence of a server once. A request with little time left has a shorter limit,
+     * which is no evidence: work takes longer than that at sound servers.
+     */
+    private void suspect(BackendAttempt attempt, long quietMillis, long nowMillis) {
+        long limitMillis = mLimits.suspectMillis(attempt.begun());
+        if (mSuspected || quietMillis < limitMillis) {
+            return;
+        }
+        mSuspected = true;
+        if (mRelay.registry().recordSilence(attempt.target(), limitMillis, nowMillis)) {
+            mRelay.log().log(
+                    RelayEvent.BACKEND_EJECTED,
+                    attempt.target().id(),
+                    SendOutcome.SILENT,
+                    "silent for " + quietMillis + " ms");
+        }
+    }
+
     private void handOver(BackendAttempt attempt, long quietMillis) {
         if (mListener.handOver()) {
             log(attempt, quietMillis, SecondSend.ALLOWED);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SilenceLimits.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/silence/SilenceLimits.java
@@ -5,8 +5,10 @@
  *
  * @param firstEventMillis limit until its first event or response
  * @param nextEventMillis limit between the events of a stream
+ * @param suspectMillis limit until its first event or response from which the server is suspect,
+ *     whatever time the request has left
  */
-public record SilenceLimits(long firstEventMillis, long nextEventMillis) {
+public record SilenceLimits(long firstEventMillis, long nextEventMillis, long suspectMillis) {
 
     /**
      * Multiple of the route's target latency. The first event of a request that waits for memory at
@@ -42,12 +44,14 @@
     private static final double OTHER_SHARE = 0.5;
 
     public SilenceLimits {
-        if (firstEventMillis < 0 || nextEventMillis < 0) {
+        if (firstEventMillis < 0 || nextEventMillis < 0 || suspectMillis < 0) {
             throw new IllegalArgumentException(
                     "negative limit of a silence: "
                             + firstEventMillis
                             + " ms, "
                             + nextEventMillis
+                            + " ms, "
+                            + suspectMillis
                             + " ms");
         }
     }
@@ -60,12 +64,16 @@
      * @param remainingMillis time until its timeout
      */
     public static SilenceLimits of(long targetMillis, long silenceMillis, long remainingMillis) {
+        long targetsMillis = (long) (targetMillis * FIRST_EVENT_TARGETS);
         return new SilenceLimits(
-                (long)
-                        Math.min(
-                                targetMillis * FIRST_EVENT_TARGETS,
-                                remainingMillis * REMAINING_SHARE),
-                (long) (silenceMillis * NEXT_EVENT_SHARE));
+                Math.min(targetsMillis, (long) (remainingMillis * REMAINING_SHARE)),
+                (long) (silenceMillis * NEXT_EVENT_SHARE),
+                targetsMillis);
+    }
+
+    /** Returns the limit from which the server is suspect. */
+    public long suspectMillis(boolean begun) {
+        return begun ? nextEventMillis : suspectMillis;
     }
 
     /** Returns the limit for a request whose response has begun or has not. */
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/silence/SilenceLimitsTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/silence/SilenceLimitsTest.java
@@ -58,7 +58,18 @@
 
     @Test
     public void negativeLimitsAreRejected() {
-        assertThrows(IllegalArgumentException.class, () -> new SilenceLimits(-1, 0));
-        assertThrows(IllegalArgumentException.class, () -> new SilenceLimits(0, -1));
+        assertThrows(IllegalArgumentException.class, () -> new SilenceLimits(-1, 0, 0));
+        assertThrows(IllegalArgumentException.class, () -> new SilenceLimits(0, -1, 0));
+        assertThrows(IllegalArgumentException.class, () -> new SilenceLimits(0, 0, -1));
+    }
+
+    /** A sound server counts as silent since a request that was sent there had little time left. */
+    @Test
+    public void serverIsNotSuspectedSoonerByARequestWithLittleTime() {
+        SilenceLimits limits = SilenceLimits.of(400, 3_600, 100);
+        assertTrue(limits.millis(false) < 100);
+        assertEquals(
+                limits.suspectMillis(false), SilenceLimits.of(400, 3_600, 60_000).millis(false));
+        assertEquals(limits.suspectMillis(true), limits.millis(true));
     }
 }
