Poll channels once more before an attempt to connect times out

The HTTP library connects while the event loop handles input. If that takes longer than the timeout, the loop runs the timer of the attempt before it polls its channels, and fails a connection that the server has long accepted. Evidence: attempts ended 477 to 823 ms after they began, by a timer of 300 ms, and the kernel had dropped no connection. Cause: a timer that reads the delay of its own host as the silence of another one.

The timer of each attempt to connect is a PolledTimer now, whose task runs after the loop has polled its channels once more. Nothing waits longer for a server that does not accept.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -5,10 +5,12 @@
 import com.linecorp.armeria.client.Endpoint;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.SessionProtocol;
+import io.netty.channel.ChannelPipeline;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.http.CleartextClients;
+import org.cyclamenpaddle.http.ConnectTimeout;
 
 /**
  * Creates HTTP clients of backend servers, with single-use or keep-alive connections.
@@ -48,14 +50,18 @@
             CleartextClients.factory()
                     .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                     .maxNumRequestsPerConnection(1)
-                    .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ResetWatch::watch)
+                    .option(
+                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                            BackendConnections::prepare)
                     .build();
 
     private final ClientFactory mKeepAlive =
             CleartextClients.factory()
                     .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                     .idleTimeoutMillis(KEEP_ALIVE_IDLE_MILLIS)
-                    .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ResetWatch::watch)
+                    .option(
+                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                            BackendConnections::prepare)
                     .build();
 
     /** Created when a request is handed over first, since it costs processor time. */
@@ -136,7 +142,7 @@
                             .maxNumRequestsPerConnection(1)
                             .option(
                                     ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
-                                    ResetWatch::watch)
+                                    BackendConnections::prepare)
                             .build();
         }
         return mHosts;
@@ -151,6 +157,11 @@
         mKeepAlive.close();
     }
 
+    private static void prepare(ChannelPipeline pipeline) {
+        ConnectTimeout.install(pipeline);
+        ResetWatch.watch(pipeline);
+    }
+
     private static WebClient build(Target target, ClientFactory factory) {
         return WebClient.builder(SessionProtocol.H1C, Endpoint.of(target.address(), target.port()))
                 .factory(factory)
--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ConnectCheck.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/ConnectCheck.java
@@ -1,8 +1,9 @@
 package org.cyclamenpaddle.engine.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
@@ -10,6 +11,7 @@
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
 import java.util.concurrent.CompletableFuture;
+import org.cyclamenpaddle.http.ConnectTimeout;
 
 /**
  * Checks whether a process still listens at an address, by a connection that is closed at once.
@@ -62,7 +64,13 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
-                .handler(new ChannelInboundHandlerAdapter())
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                ConnectTimeout.install(channel.pipeline());
+                            }
+                        })
                 .connect(address, port)
                 .addListener(
                         (ChannelFuture connected) -> {
--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/CleartextClients.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/CleartextClients.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.ClientFactoryBuilder;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.common.TlsKeyPair;
 import com.linecorp.armeria.common.TlsProvider;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
@@ -33,6 +34,7 @@
         return ClientFactory.builder()
                 .tlsProvider(new NoKeys())
                 .meterRegistry(NoopMeterRegistry.get())
+                .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ConnectTimeout::install)
                 .addressResolverGroupFactory(loops -> DefaultAddressResolverGroup.INSTANCE);
     }
 }
