Look for data once more before a server counts as silent

A host whose event loop was late for a second ejected all its sound servers, logged a silence for every request in progress, and sent requests a second time. Callers got duplicated load at their servers, and refusals for lack of servers, from a delay of the host itself.

Cause: as with attempts to connect, a timer runs after a delay before the data that waits on the connections is read. The timers of silences within streams and calls, of prefills and of reservations are PolledTimers now, so that the data is read first.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -3,13 +3,12 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.util.SafeCloseable;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -72,7 +71,7 @@
     private EventLoop mLoop;
     private long mRemainingMillis;
     private boolean mPooled;
-    private ScheduledFuture<?> mSilenceCheck;
+    private PolledTimer mSilenceCheck;
     private BackendExchange mExchange;
     private BackendResponse mResponse;
     private boolean mEnded;
@@ -236,7 +235,7 @@
     }
 
     private void checkAfter(long millis) {
-        mSilenceCheck = mLoop.schedule(this::checkSilence, millis, TimeUnit.MILLISECONDS);
+        mSilenceCheck = PolledTimer.start(mLoop, this::checkSilence, millis);
     }
 
     /**
@@ -311,7 +310,7 @@
 
     private void end(SendOutcome outcome) {
         mEnded = true;
-        mSilenceCheck.cancel(false);
+        mSilenceCheck.cancel();
         long now = mRelay.clock().millis();
         mRelay.registry().recordOutcome(mEngine, mRequest.caller().size(), false, outcome, now);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReservationAttempt.java
@@ -1,10 +1,9 @@
 package org.cyclamenpaddle.relay.front;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -40,7 +39,7 @@
     private final GrowthCapacity mGrowthCapacity;
     private final ReservationWait mWait;
     private final Listener mListener;
-    private Optional<ScheduledFuture<?>> mTimer = Optional.empty();
+    private Optional<PolledTimer> mTimer = Optional.empty();
     private Optional<String> mReservation = Optional.empty();
     private boolean mEnded;
 
@@ -139,7 +138,7 @@
 
     private void end() {
         mEnded = true;
-        mTimer.ifPresent(timer -> timer.cancel(false));
+        mTimer.ifPresent(PolledTimer::cancel);
     }
 
     private void cancelReservation() {
@@ -154,13 +153,10 @@
     }
 
     private void awaitResponse() {
-        mTimer.ifPresent(timer -> timer.cancel(false));
+        mTimer.ifPresent(PolledTimer::cancel);
         mTimer =
                 Optional.of(
-                        mLoop.schedule(
-                                this::noResponse,
-                                ReserveCall.RESPONSE_MILLIS,
-                                TimeUnit.MILLISECONDS));
+                        PolledTimer.start(mLoop, this::noResponse, ReserveCall.RESPONSE_MILLIS));
     }
 
     private void noResponse() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -1,13 +1,12 @@
 package org.cyclamenpaddle.relay.front;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.cyclamenpaddle.core.id.BackendId;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.log.RelayEvent;
@@ -54,7 +53,7 @@
     private final Listener mListener;
     private SilenceLimits mLimits;
     private Optional<BackendAttempt> mAttempt = Optional.empty();
-    private Optional<ScheduledFuture<?>> mTimer = Optional.empty();
+    private Optional<PolledTimer> mTimer = Optional.empty();
     private Optional<PlacementPhase> mPlacement = Optional.empty();
     private Optional<SecondSend> mDecision = Optional.empty();
     private Optional<BackendAttempt> mSpell = Optional.empty();
@@ -104,7 +103,7 @@
 
     /** Ends the watch, and the search for a second server. */
     void stop() {
-        mTimer.ifPresent(timer -> timer.cancel(false));
+        mTimer.ifPresent(PolledTimer::cancel);
         mTimer = Optional.empty();
         mAttempt = Optional.empty();
         endSearch();
@@ -139,9 +138,7 @@
     }
 
     private void schedule(long millis) {
-        mTimer =
-                Optional.of(
-                        mLoop.schedule(this::check, Math.max(1, millis), TimeUnit.MILLISECONDS));
+        mTimer = Optional.of(PolledTimer.start(mLoop, this::check, Math.max(1, millis)));
     }
 
     private void check() {
