Log how late a decision on a silent server is taken

The record of a silence (CP2223) did not tell a silent server from a host that was late itself: "silent for 2193 ms" was written for servers that had sent events all the time. The line has lateMillis now, the time since the timer of the decision was due.

--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/PolledTimer.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/PolledTimer.java
@@ -18,11 +18,13 @@
 
     private final EventExecutor mLoop;
     private final Runnable mTask;
+    private final long mDueNanos;
     private Future<?> mScheduled;
 
-    private PolledTimer(EventExecutor loop, Runnable task) {
+    private PolledTimer(EventExecutor loop, Runnable task, long millis) {
         mLoop = loop;
         mTask = task;
+        mDueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
     /**
@@ -34,7 +36,7 @@
      * @param millis time, in milliseconds
      */
     public static PolledTimer start(EventExecutor loop, Runnable task, long millis) {
-        PolledTimer timer = new PolledTimer(loop, task);
+        PolledTimer timer = new PolledTimer(loop, task, millis);
         timer.mScheduled = loop.schedule(timer::poll, millis, TimeUnit.MILLISECONDS);
         return timer;
     }
@@ -43,6 +45,11 @@
         mScheduled = mLoop.schedule(mTask, NEXT_ITERATION_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns how long ago the timer was due, in milliseconds; 0 before. */
+    public long lateMillis() {
+        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mDueNanos));
+    }
+
     /** Stops the timer, on its event loop. */
     public void cancel() {
         mScheduled.cancel(false);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -166,8 +166,13 @@
                 barrier(next));
     }
 
-    /** Logs that the server of an attempt has sent nothing for a time, and what follows. */
-    void serverSilent(BackendAttempt attempt, long quietMillis, SecondSend decision) {
+    /**
+     * Logs that the server of an attempt has sent nothing for a time, and what follows.
+     *
+     * @param lateMillis time since the timer of the decision was due
+     */
+    void serverSilent(
+            BackendAttempt attempt, long quietMillis, SecondSend decision, long lateMillis) {
         mRelay.metrics().recordSilence(decision);
         mRelay.log().log(
                 RelayEvent.SERVER_SILENT,
@@ -175,7 +180,8 @@
                 attempt.target().id().value(),
                 quietMillis,
                 mResponse.lastEventId().orElse(NONE),
-                decision.text());
+                decision.text(),
+                lateMillis);
     }
 
     /** Logs the end of one of two attempts in progress. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -266,7 +266,8 @@
     private void log(BackendAttempt attempt, long quietMillis, SecondSend decision) {
         if (mLogged.filter(decision::equals).isEmpty()) {
             mLogged = Optional.of(decision);
-            mLog.serverSilent(attempt, quietMillis, decision);
+            mLog.serverSilent(
+                    attempt, quietMillis, decision, mTimer.map(PolledTimer::lateMillis).orElse(0L));
         }
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -224,7 +224,7 @@
             2223,
             Priority.DIAGNOSTIC,
             "no data from a backend server for a time",
-            List.of("request", "backend", "quietMillis", "lastEvent", "second")),
+            List.of("request", "backend", "quietMillis", "lastEvent", "second", "lateMillis")),
     ONE_OF_TWO_ENDED(
             2224,
             Priority.DIAGNOSTIC,
