Ask silent servers in turn whether they respond

One server was paused for good; the open connections to the other two had been lost without notice. While all servers seem to be silent, the host asked the one that was silent for the longest time, which was always the paused one, 11 times.

A server that has not answered is left out now until all were asked.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilentServerCheck.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilentServerCheck.java
@@ -3,10 +3,12 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.RequestHeaders;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -39,6 +41,9 @@
     private final Clock mClock;
     private final Set<ServiceName> mPending = ConcurrentHashMap.newKeySet();
 
+    /** Servers that were asked and did not respond, until all of their service were asked. */
+    private final Set<BackendId> mUnanswered = ConcurrentHashMap.newKeySet();
+
     /**
      * Creates the check.
      *
@@ -60,15 +65,15 @@
     }
 
     /**
-     * Asks the server of a service from which nothing was received for the longest time, unless a
-     * call is pending. Its response shows that it may take requests.
+     * Asks the servers of a service in turn, unless a call is pending, beginning with the one from
+     * which nothing was received for the longest time. A response shows that a server may take
+     * requests.
      *
      * @param engines whether the servers are engines, which report without a health check
      */
     void ask(BackendQuery query, boolean engines) {
         Optional<Backend> server =
-                mRegistry
-                        .longestSilent(query, mClock.millis())
+                next(query)
                         .filter(each -> !mRegistry.directives().restricts(each, mClock.millis()));
         Optional<RequestHeaders> call = server.flatMap(each -> message(each, engines));
         if (call.isPresent() && mPending.add(query.service())) {
@@ -76,6 +81,18 @@
         }
     }
 
+    private Optional<Backend> next(BackendQuery query) {
+        Set<BackendId> avoid = new HashSet<>(query.avoid());
+        avoid.addAll(mUnanswered);
+        Optional<Backend> next = mRegistry.longestSilent(query.avoiding(avoid), mClock.millis());
+        if (next.isPresent()) {
+            return next;
+        }
+        // All were asked once; a server that has gone on since responds in the next turn.
+        mUnanswered.clear();
+        return mRegistry.longestSilent(query, mClock.millis());
+    }
+
     private Optional<RequestHeaders> message(Backend server, boolean engines) {
         return engines
                 ? Optional.of(mEngineMessages.report(server))
@@ -97,7 +114,10 @@
                                             && !response.status()
                                                     .equals(HttpStatus.MISDIRECTED_REQUEST);
                             if (responds) {
+                                mUnanswered.remove(server.id());
                                 mRegistry.recordHeard(server, mClock.millis());
+                            } else {
+                                mUnanswered.add(server.id());
                             }
                             mPending.remove(server.service());
                         });
