Drop a second send when the first response begins with a comment

While a second send at a server of another version was in progress, the first server sent a comment, which is no event. It was forwarded, which bound the stream to the first version, and the second send went on with terms that did not hold any more.

A second send for a response that had not begun is dropped as soon as the first server has begun it. The first server responds, so nothing is lost; if it falls silent again, the next second send has the terms of the stream.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -296,11 +296,6 @@
         return mRetryPolicy.isForwarding();
     }
 
-    /** Returns whether the caller has received part of a response that is no event stream. */
-    boolean isForwardingPlain() {
-        return mRetryPolicy.isForwarding() && !isEventStream(mHead);
-    }
-
     int status() {
         return mStatus;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -71,6 +71,7 @@
     private Optional<Send> mSecond = Optional.empty();
     private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
     private long mEventsBeforeSecond;
+    private boolean mForwardingBeforeSecond;
 
     RequestAttempts(
             RelayContext relay,
@@ -207,6 +208,7 @@
         mRetryPolicy.beginSecondSend();
         mRelay.metrics().recordRetry(SendOutcome.SILENT);
         mEventsBeforeSecond = mResponse.events();
+        mForwardingBeforeSecond = mResponse.isForwarding();
         return new StagedResponse(mResponse, mBytes, this::keepSecond);
     }
 
@@ -273,12 +275,14 @@
     }
 
     /**
-     * Cancels the second attempt if the first one has sent the next event, or so much of a plain
-     * response that part of it was forwarded, which no other response can continue.
+     * Cancels the second attempt if the first one has sent the next event, or anything that was
+     * forwarded as the beginning of the response. The second server was chosen for a response that
+     * had not begun, and may have another version or another type of response.
      */
     private void heard(Send send) {
         boolean firstGoesOn =
-                mResponse.events() > mEventsBeforeSecond || mResponse.isForwardingPlain();
+                mResponse.events() > mEventsBeforeSecond
+                        || mResponse.isForwarding() && !mForwardingBeforeSecond;
         if (firstGoesOn && mSecond.isPresent() && mFirst.filter(send::equals).isPresent()) {
             dropSecond();
         }
