Deliver responses that arrived before a request timed out

A host whose event loop was late refused requests with 504 whose responses had arrived in time, and ejected their servers: the requests counted as silent sends. With each of the servers ejected, the following requests went to whichever was left.

Cause: the timer of a request's timeout runs after a delay before the responses that wait on the connections are read. In RelayBusyLoopTest, calls with a timeout of 900 ms were answered after 300 ms, while the loop was busy for 1,500 ms: 12 of 12 callers got 504 after 1,618 to 2,019 ms, with CP2108 "request timed out" for 3 of 3 servers, in two runs.

The timeout is a PolledTimer now, as is the one for a caller that does not take its response, so that connections are read and written once more first.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -3,14 +3,13 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -44,7 +43,7 @@
     private final SameServerPhase mSameServer;
     private final RequestAttempts mAttempts;
     private final long mStartMillis;
-    private ScheduledFuture<?> mTimeout;
+    private PolledTimer mTimeout;
     private Optional<PlacementPhase> mPlacement = Optional.empty();
     private OptionalLong mReservedMillis = OptionalLong.empty();
     private boolean mCounted;
@@ -186,7 +185,7 @@
             mCounted = true;
         }
         long remainingMillis = mRetryPolicy.remainingMillis(mStartMillis);
-        mTimeout = mLoop.schedule(this::timeOut, remainingMillis, TimeUnit.MILLISECONDS);
+        mTimeout = PolledTimer.start(mLoop, this::timeOut, remainingMillis);
         // A request that is refused in any case is no demand for engines.
         if (mRequest.engine().isPresent() && !handOver && mCrashGuard.mayRun()) {
             mRelay.demand().recordStart(mRequest.service(), mRequest.caller().size());
@@ -410,7 +409,7 @@
         }
         long remaining = mStartMillis + callerMillis.getAsLong() - mRelay.clock().millis();
         if (remaining > 0) {
-            mTimeout = mLoop.schedule(this::timeOut, remaining, TimeUnit.MILLISECONDS);
+            mTimeout = PolledTimer.start(mLoop, this::timeOut, remaining);
         } else {
             mResponse.abortDelivery();
             mRequestLog.truncated(mAttempts.backend(), "caller did not take the response in time");
@@ -473,7 +472,7 @@
         mEnded = true;
         mStream.cancel();
         mBytes.sendEnded();
-        mResponse.whenDelivered(() -> mTimeout.cancel(false));
+        mResponse.whenDelivered(() -> mTimeout.cancel());
         mPlacement.ifPresent(PlacementPhase::cancel);
         mPlacement = Optional.empty();
         mEndListener.ended(mRetryPolicy.mayHaveRun());
