Read responses of other hosts before their requests time out

A host whose event loop was late for 200 ms took the hosts that own permits, quotas and streams for silent, although their responses had arrived: it left them out for 0.5 to 4 s, and closed the connections to them, with which all other requests that had been written there failed. Callers wait for another owner, or are refused if there is none.

Cause: the network between the hosts shares the event loops of the callers. After a delay the timer of a request runs before the responses that wait on the connections are read; nothing seems to have arrived since the request was written, so that its connection counts as silent.

ConnectionFaultsTest: one host handles input for 1,000 ms while a request with a timeout of 200 ms is answered. The timers of requests and of liveness checks are PolledTimers now; the request gets its response, the other request on the connection too, and the connection is kept.

--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingPeer.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingPeer.java
@@ -16,6 +16,7 @@
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
 import org.cyclamenpaddle.core.time.Clock;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.peer.codec.Frame;
 import org.cyclamenpaddle.peer.codec.FrameError;
 
@@ -23,6 +24,9 @@
  * Sends messages to one host: holds its queue, its single connection and its pending requests.
  *
  * <p>Any thread may enqueue; all else is confined to one event loop and needs no lock.
+ *
+ * <p>What ends for lack of a response ends by a {@link PolledTimer}: after a delay of the event
+ * loop, responses that have arrived are read first.
  */
 final class OutgoingPeer implements OutgoingLink.Listener {
 
@@ -74,12 +78,7 @@
         CompletableFuture<Either<PeerError, PeerMessage>> response =
                 mPendingRequests.add(correlation);
         enqueue(correlation, message).ifPresent(error -> mPendingRequests.fail(correlation, error));
-        executeOnLoop(
-                () ->
-                        mLoop.schedule(
-                                () -> onTimeout(correlation),
-                                timeoutMillis,
-                                TimeUnit.MILLISECONDS));
+        executeOnLoop(() -> PolledTimer.start(mLoop, () -> onTimeout(correlation), timeoutMillis));
         return response;
     }
 
@@ -240,7 +239,7 @@
     }
 
     private void scheduleCheck(OutgoingLink link) {
-        mLoop.schedule(() -> check(link), mSettings.silentMillis(), TimeUnit.MILLISECONDS);
+        PolledTimer.start(mLoop, () -> check(link), mSettings.silentMillis());
     }
 
     private void check(OutgoingLink link) {
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
@@ -88,6 +88,50 @@
         }
     }
 
+    @Test
+    public void responsesThatArrivedDuringADelayOfTheEventLoopAreReceived() throws Exception {
+        // The event loop of a host handles input for longer than a request may take. Its response
+        // has arrived by then and is read next. If the request timed out instead, its owner would
+        // count as silent, and the connection would be closed with all requests on it.
+        RecordingPeerCounters counters = new RecordingPeerCounters();
+        Map<String, CompletableFuture<Optional<PeerMessage>>> responses =
+                Map.of("short", new CompletableFuture<>(), "long", new CompletableFuture<>());
+        BlockingQueue<String> requested = new LinkedBlockingQueue<>();
+        PeerListener responding =
+                (from, message) -> {
+                    requested.add(((ClaimRequest) message).key());
+                    return responses.get(((ClaimRequest) message).key());
+                };
+        PeerListener busy =
+                (from, message) -> {
+                    responses.get("short").complete(Optional.of(ran("short")));
+                    sleep(5 * SHORT_TIMEOUT_MILLIS);
+                    return CompletableFuture.completedFuture(Optional.empty());
+                };
+        try (Node a = node("a", busy, TestHosts.NO_LIVENESS_CHECKS, counters);
+                Node b = node("b", responding)) {
+            CompletableFuture<Either<PeerError, PeerMessage>> longResponse =
+                    a.network().request(b.host(), claimRequest("long"), TIMEOUT_MILLIS);
+            requested.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            CompletableFuture<Either<PeerError, PeerMessage>> shortResponse =
+                    a.network().request(b.host(), claimRequest("short"), SHORT_TIMEOUT_MILLIS);
+            requested.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            b.network().send(a.host(), RELEASE);
+            assertEquals(shortResponse.get(), Either.right(ran("short")));
+            responses.get("long").complete(Optional.of(ran("long")));
+            assertEquals(longResponse.get(), Either.right(ran("long")));
+            assertTrue(counters.isEmpty(), "a connection was replaced");
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
     @Test
     public void lateResponseCompletesNoOtherRequest() throws Exception {
         // A request times out on a connection that stays open because it is in use. Its late
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/RecordingPeerCounters.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/RecordingPeerCounters.java
@@ -33,6 +33,11 @@
         mRecorded.add("replaced");
     }
 
+    /** Returns whether there is no record left. */
+    boolean isEmpty() {
+        return mRecorded.isEmpty();
+    }
+
     String next() throws InterruptedException {
         return String.valueOf(mRecorded.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
     }
