Read the Hello of another host before a connection to it fails

A host whose event loop was late for the 500 ms of an attempt to connect gave up connections that the other host had accepted. All requests that waited for the connection failed, and no other was opened until the end of the backoff, after at most 400 ms.

Cause: after a delay both timers of the attempt, of the library and of OutgoingPeer, run before the Hello that has arrived is read.

ConnectionFaultsTest: a host handles input for 1,000 ms while another one accepts its connection and says Hello, at a timeout of 500 ms. Before, the request failed in one run of one; it gets its response now. OutgoingPeer ends the attempt by a PolledTimer, and the timer of the library is off: both users of Dialer close the channel when their own time has passed.

--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/Dialer.java
@@ -10,17 +10,20 @@
 import java.util.function.Supplier;
 import org.cyclamenpaddle.core.message.HostRecord;
 
-/** Opens outgoing connections to other hosts. */
+/**
+ * Opens outgoing connections to other hosts.
+ *
+ * <p>An attempt has no timeout of its own: the one of the library ends connections that were opened
+ * during a delay of the event loop. Whoever dials closes the channel when no {@code Hello} arrives.
+ */
 final class Dialer {
 
     private final FrameTransport mTransport;
     private final Supplier<HostRecord> mSelf;
-    private final PeerSettings mSettings;
 
-    Dialer(FrameTransport transport, Supplier<HostRecord> self, PeerSettings settings) {
+    Dialer(FrameTransport transport, Supplier<HostRecord> self) {
         mTransport = transport;
         mSelf = self;
-        mSettings = settings;
     }
 
     ChannelFuture dial(HostRecord target, EventLoop loop, OutgoingConnection.Events events) {
@@ -31,9 +34,7 @@
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(
-                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        Math.toIntExact(mSettings.connectMillis()))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(
                         new ChannelInitializer<Channel>() {
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingPeer.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/OutgoingPeer.java
@@ -228,14 +228,14 @@
                         link.onClosed();
                     }
                 });
-        mLoop.schedule(
+        PolledTimer.start(
+                mLoop,
                 () -> {
                     if (!link.ready()) {
                         link.closeAsFailed();
                     }
                 },
-                mSettings.connectMillis(),
-                TimeUnit.MILLISECONDS);
+                mSettings.connectMillis());
     }
 
     private void scheduleCheck(OutgoingLink link) {
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/net/PeerNetwork.java
@@ -112,7 +112,7 @@
         mSettings = settings;
         mClock = clock;
         mTransport = new FrameTransport(counters);
-        mDialer = new Dialer(mTransport, self, settings);
+        mDialer = new Dialer(mTransport, self);
         mEventLoops = eventLoops;
         mOwnsEventLoops = ownsEventLoops;
     }
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
@@ -22,6 +22,7 @@
 import org.cyclamenpaddle.core.message.GrantRelease;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.time.MonotonicClock;
 import org.cyclamenpaddle.core.time.VirtualClock;
 import org.cyclamenpaddle.peer.net.TestHosts.Node;
 import org.testng.annotations.Test;
@@ -29,6 +30,7 @@
 public class ConnectionFaultsTest {
 
     private static final long SHORT_TIMEOUT_MILLIS = 200;
+    private static final long CONNECT_MILLIS = 500;
     private static final long TIMEOUT_MILLIS = 20_000;
 
     private static final GrantRelease RELEASE =
@@ -124,6 +126,49 @@
         }
     }
 
+    @Test
+    public void connectionOpenedDuringADelayOfTheEventLoopIsUsed() throws Exception {
+        // The event loop of a host handles input for longer than an attempt to connect may take.
+        // The Hello of the other host has arrived by then. If the attempt failed instead, all
+        // messages to that host would fail, and the next attempt would wait for the backoff.
+        PeerSettings settings =
+                new PeerSettings(1, CONNECT_MILLIS, 60_000, 60_000, 60_000, 60_000, 64, 20_000, 16);
+        BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+        PeerListener busyAtRelease =
+                (from, message) -> {
+                    received.add(message);
+                    if (message.equals(RELEASE)) {
+                        sleep(2 * CONNECT_MILLIS);
+                    }
+                    return CompletableFuture.completedFuture(Optional.empty());
+                };
+        PeerListener responding =
+                (from, message) -> CompletableFuture.completedFuture(Optional.of(ran("yes")));
+        try (Node a = node("a", busyAtRelease, settings, PeerCounters.NONE);
+                Node c = node("c", NO_RESPONSE);
+                PeerNetwork b =
+                        new PeerNetwork(
+                                () -> {
+                                    // Host b says Hello when host a has become busy.
+                                    c.network().send(a.host(), RELEASE);
+                                    while (!received.contains(RELEASE)) {
+                                        sleep(1);
+                                    }
+                                    return host("b", 0);
+                                },
+                                responding,
+                                TestHosts.NO_LIVENESS_CHECKS,
+                                new MonotonicClock(),
+                                PeerCounters.NONE)) {
+            HostRecord target = host("b", b.start(TestHosts.LOOPBACK, 0).get());
+            c.network().send(a.host(), claimRequest("opens the connection"));
+            received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertEquals(
+                    a.network().request(target, claimRequest("key"), TIMEOUT_MILLIS).get(),
+                    Either.right(ran("yes")));
+        }
+    }
+
     private static void sleep(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
