Read the grant of an engine before a broken stream is resumed elsewhere

A host whose event loop was late for 300 ms did not resume a broken stream at the engine that holds its KV cache, although the engine had granted the reservation. Callers got a truncated stream where no other engine of the version was available, and waited for another prefill otherwise.

Cause: a timer outside the event loop decided that the engine was silent, however late the loop was, and the response was read only afterwards.

RelayBusyLoopTest: an engine breaks a stream off and grants the reservation for its resumption after 150 ms, while the loop is busy for 1,000 ms.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -8,10 +8,10 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cyclamenpaddle.engine.http.CallFailure;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.backend.ServerVoice;
@@ -82,10 +82,15 @@
             Backend engine,
             Consumer<Result> done) {
         CompletableFuture<Result> pending = send(relay, request, engine);
-        CompletableFuture<Result> inTime =
-                pending.copy()
-                        .completeOnTimeout(NO_RESPONSE, RESPONSE_MILLIS, TimeUnit.MILLISECONDS);
-        inTime.thenAcceptAsync(done, loop);
+        CompletableFuture<Result> inTime = pending.copy();
+        PolledTimer timer =
+                PolledTimer.start(loop, () -> inTime.complete(NO_RESPONSE), RESPONSE_MILLIS);
+        inTime.thenAcceptAsync(
+                result -> {
+                    timer.cancel();
+                    done.accept(result);
+                },
+                loop);
         pending.thenAccept(
                 result -> {
                     if (inTime.getNow(result) == NO_RESPONSE) {
