--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/net/ConnectionFaultsTest.java
@@ -22,6 +22,7 @@
 import org.cyclamenpaddle.core.message.GrantRelease;
 import org.cyclamenpaddle.core.message.HostRecord;
 import org.cyclamenpaddle.core.message.PeerMessage;
+import org.cyclamenpaddle.core.time.MonotonicClock;
 import org.cyclamenpaddle.core.time.VirtualClock;
 import org.cyclamenpaddle.peer.net.TestHosts.Node;
 import org.testng.annotations.Test;
@@ -29,6 +30,7 @@
 public class ConnectionFaultsTest {
 
     private static final long SHORT_TIMEOUT_MILLIS = 200;
+    private static final long CONNECT_MILLIS = 500;
     private static final long TIMEOUT_MILLIS = 20_000;
 
     private static final GrantRelease RELEASE =
@@ -88,6 +90,93 @@
         }
     }
 
+    @Test
+    public void responsesThatArrivedDuringADelayOfTheEventLoopAreReceived() throws Exception {
+        // The event loop of a host handles input for longer than a request may take. Its response
+        // has arrived by then and is read next. If the request timed out instead, its owner would
+        // count as silent, and the connection would be closed with all requests on it.
+        RecordingPeerCounters counters = new RecordingPeerCounters();
+        Map<String, CompletableFuture<Optional<PeerMessage>>> responses =
+                Map.of("short", new CompletableFuture<>(), "long", new CompletableFuture<>());
+        BlockingQueue<String> requested = new LinkedBlockingQueue<>();
+        PeerListener responding =
+                (from, message) -> {
+                    requested.add(((ClaimRequest) message).key());
+                    return responses.get(((ClaimRequest) message).key());
+                };
+        PeerListener busy =
+                (from, message) -> {
+                    responses.get("short").complete(Optional.of(ran("short")));
+                    sleep(5 * SHORT_TIMEOUT_MILLIS);
+                    return CompletableFuture.completedFuture(Optional.empty());
+                };
+        try (Node a = node("a", busy, TestHosts.NO_LIVENESS_CHECKS, counters);
+                Node b = node("b", responding)) {
+            CompletableFuture<Either<PeerError, PeerMessage>> longResponse =
+                    a.network().request(b.host(), claimRequest("long"), TIMEOUT_MILLIS);
+            requested.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            CompletableFuture<Either<PeerError, PeerMessage>> shortResponse =
+                    a.network().request(b.host(), claimRequest("short"), SHORT_TIMEOUT_MILLIS);
+            requested.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            b.network().send(a.host(), RELEASE);
+            assertEquals(shortResponse.get(), Either.right(ran("short")));
+            responses.get("long").complete(Optional.of(ran("long")));
+            assertEquals(longResponse.get(), Either.right(ran("long")));
+            assertTrue(counters.isEmpty(), "a connection was replaced");
+        }
+    }
+
+    @Test
+    public void connectionOpenedDuringADelayOfTheEventLoopIsUsed() throws Exception {
+        // The event loop of a host handles input for longer than an attempt to connect may take.
+        // The Hello of the other host has arrived by then. If the attempt failed instead, all
+        // messages to that host would fail, and the next attempt would wait for the backoff.
+        PeerSettings settings =
+                new PeerSettings(1, CONNECT_MILLIS, 60_000, 60_000, 60_000, 60_000, 64, 20_000, 16);
+        BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+        PeerListener busyAtRelease =
+                (from, message) -> {
+                    received.add(message);
+                    if (message.equals(RELEASE)) {
+                        sleep(2 * CONNECT_MILLIS);
+                    }
+                    return CompletableFuture.completedFuture(Optional.empty());
+                };
+        PeerListener responding =
+                (from, message) -> CompletableFuture.completedFuture(Optional.of(ran("yes")));
+        try (Node a = node("a", busyAtRelease, settings, PeerCounters.NONE);
+                Node c = node("c", NO_RESPONSE);
+                PeerNetwork b =
+                        new PeerNetwork(
+                                () -> {
+                                    // Host b says Hello when host a has become busy.
+                                    c.network().send(a.host(), RELEASE);
+                                    while (!received.contains(RELEASE)) {
+                                        sleep(1);
+                                    }
+                                    return host("b", 0);
+                                },
+                                responding,
+                                TestHosts.NO_LIVENESS_CHECKS,
+                                new MonotonicClock(),
+                                PeerCounters.NONE)) {
+            HostRecord target = host("b", b.start(TestHosts.LOOPBACK, 0).get());
+            c.network().send(a.host(), claimRequest("opens the connection"));
+            received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertEquals(
+                    a.network().request(target, claimRequest("key"), TIMEOUT_MILLIS).get(),
+                    Either.right(ran("yes")));
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
     @Test
     public void lateResponseCompletesNoOtherRequest() throws Exception {
         // A request times out on a connection that stays open because it is in use. Its late
