Check paths before a request that reached no server is given up

Callers of a host whose connections to all servers were reset got truncated streams and refusals (503), although another host reached the servers.

Cause: a service to which a connection had been opened within 1.5 s was not checked, whatever failed since, so the host did not learn that it was cut off. The request ended meanwhile in one of three ways: after four sends that reached nothing, when no server was left to try, or when no server of the version of its stream was left.

Change: HandoverPhase.decide asks ReachabilityMonitor before such a request ends, unless the answer is known. New checks are made at any time then; only those begun after the question answer it. The request goes on behind another host if its host is cut off. It ends if a server was reached, and after a second at the latest. A connection opened by a request refutes checks that had failed before, so that ended servers do not make a sound host count as cut off. What may not be repeated is still ended before this decision.

BackendReachabilityTest and RetryPolicyTest get new cases.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/HandoverPhase.java
@@ -45,6 +45,7 @@
     private final Set<HostId> mAsked = new HashSet<>();
     private Optional<HandoverAttempt> mAttempt = Optional.empty();
     private boolean mRun;
+    private boolean mDeciding;
 
     HandoverPhase(
             RelayContext relay,
@@ -70,6 +71,44 @@
                 && mRelay.helpers().hasHelpers();
     }
 
+    /**
+     * Decides whether another host is to go on with a request that no server is left for. If none
+     * was reached and it is not known yet whether this host is cut off, new checks show it.
+     *
+     * <p>Calls one of the parameters, later on the event loop if checks are needed, and none once
+     * {@link #cancel} was called.
+     *
+     * @param handOver called if another host is to go on with it; {@link #isRequired} holds then
+     * @param end called if the request ends
+     */
+    void decide(Runnable handOver, Runnable end) {
+        boolean helped = mRequest.handover().isEmpty() && mRelay.helpers().hasHelpers();
+        if (!helped || isRequired() || !mRetryPolicy.serverUnreached()) {
+            decided(handOver, end);
+            return;
+        }
+        mDeciding = true;
+        mRelay.reachability()
+                .inquire(mRequest.service())
+                .thenAccept(
+                        cutOff ->
+                                mLoop.execute(
+                                        () -> {
+                                            if (mDeciding) {
+                                                mDeciding = false;
+                                                decided(handOver, end);
+                                            }
+                                        }));
+    }
+
+    private void decided(Runnable handOver, Runnable end) {
+        if (isRequired()) {
+            handOver.run();
+        } else {
+            end.run();
+        }
+    }
+
     /** Returns the host that the request is to be sent to; empty if none is left. */
     Optional<Helper> choose() {
         Optional<Helper> helper = mRelay.helpers().choose(mRequest.service(), mAsked);
@@ -198,11 +237,12 @@
     }
 
     /**
-     * Cancels the attempt in progress.
+     * Cancels the attempt or decision in progress.
      *
-     * @return how far it had come; empty if there is none
+     * @return how far the attempt had come; empty if there is none
      */
     Optional<SendOutcome> cancel() {
+        mDeciding = false;
         Optional<SendOutcome> outcome = mAttempt.map(HandoverAttempt::cancel);
         mAttempt = Optional.empty();
         return outcome;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -235,7 +235,7 @@
         BackendQuery query =
                 mAttempts.query(BytesRefusal.serversToAvoid(mRelay, mRequest, mAttempts.tried()));
         if (query.binding().binds() && !mRelay.registry().mayServe(query, now)) {
-            fail(StreamPhase.Refusal.VERSION_GONE);
+            mHandover.decide(this::selectBackend, () -> fail(StreamPhase.Refusal.VERSION_GONE));
             return;
         }
         PlacementPhase placement =
@@ -259,11 +259,9 @@
                             @Override
                             public void notPlaced(String reason) {
                                 mPlacement = Optional.empty();
-                                if (mHandover.isRequired()) {
-                                    handOver();
-                                } else {
-                                    fail(SendOutcome.NOT_SENT, reason);
-                                }
+                                mHandover.decide(
+                                        RequestExchange.this::selectBackend,
+                                        () -> fail(SendOutcome.NOT_SENT, reason));
                             }
                         });
         mPlacement = Optional.of(placement);
@@ -344,17 +342,21 @@
             return;
         }
         logger.accept(decision);
-        // Nothing has left this host, and it may know by now that it has no path.
-        boolean handOver = outcome.unsent() && mRetryPolicy.sends() == 0 && mHandover.isRequired();
-        if (decision == RetryDecision.SEND_AGAIN || handOver) {
-            mRelay.metrics().recordRetry(outcome);
-            mResponse.discardPartial();
-            selectBackend();
+        if (decision == RetryDecision.SEND_AGAIN) {
+            sendAgain(outcome);
+        } else if (mRetryPolicy.endsUnsent()) {
+            mHandover.decide(() -> sendAgain(outcome), () -> fail(outcome, cause));
         } else {
             fail(outcome, cause);
         }
     }
 
+    private void sendAgain(SendOutcome outcome) {
+        mRelay.metrics().recordRetry(outcome);
+        mResponse.discardPartial();
+        selectBackend();
+    }
+
     /**
      * Takes a retry, unless part of a plain response was forwarded. Another response could only be
      * appended to it; a stream continues after its last event instead.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/handover/ReachabilityMonitor.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.handover;
 
 import com.linecorp.armeria.common.CommonPools;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,16 @@
 
     private static final long INTERVAL_MILLIS = 250;
 
+    /**
+     * Maximum time until an inquiry is answered, in milliseconds. One check and then several
+     * together take 300 ms on silent paths; the rest is for a busy host.
+     */
+    private static final long INQUIRY_MILLIS = 1_000;
+
+    /** An inquiry that only checks begun since then can answer. */
+    private record Inquiry(
+            ServiceName service, long sinceMillis, CompletableFuture<Boolean> cutOff) {}
+
     private final BackendRegistry mRegistry;
     private final String mOwnDomain;
     private final Check mCheck;
@@ -65,6 +76,7 @@
     private final Table<BackendReachability> mReachability;
     private final AtomicBoolean mRoundScheduled = new AtomicBoolean();
     private final Map<ServiceName, Long> mCutOffSince = new HashMap<>();
+    private final List<Inquiry> mInquiries = new ArrayList<>();
     private volatile Set<ServiceName> mCutOff = Set.of();
 
     /**
@@ -117,6 +129,29 @@
         return mCutOff.contains(service);
     }
 
+    /**
+     * Finds out whether this host has lost its paths to the servers of a service, after none of
+     * those that a request was sent to was reached.
+     *
+     * @return completes with true if it has, and with false if a server was reached or the checks
+     *     showed nothing in time; never exceptionally
+     */
+    public CompletableFuture<Boolean> inquire(ServiceName service) {
+        CompletableFuture<Boolean> cutOff = new CompletableFuture<>();
+        Inquiry inquiry = new Inquiry(service, mClock.millis(), cutOff);
+        try {
+            mExecutor.execute(
+                    () -> {
+                        mInquiries.add(inquiry);
+                        mReachability.write(state -> state.noneReached(service));
+                        scheduleRound();
+                    });
+        } catch (RejectedExecutionException stopping) {
+            cutOff.complete(false);
+        }
+        return cutOff.completeOnTimeout(false, INQUIRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Records that a request could not be sent to a server, or got no response. */
     public void requestFailed(Backend backend) {
         long now = mClock.millis();
@@ -170,6 +205,28 @@
                 .flatMap(List::stream)
                 .filter(backend -> due.contains(backend.id()))
                 .forEach(backend -> check(backend, now));
+        answerInquiries();
+    }
+
+    /** Runs on the executor's thread only. */
+    private void answerInquiries() {
+        mInquiries.removeIf(
+                inquiry -> {
+                    ServiceName service = inquiry.service();
+                    if (!mReachability.read(state -> state.isUndecided(service))) {
+                        inquiry.cutOff().complete(isCutOff(service));
+                    }
+                    return inquiry.cutOff().isDone();
+                });
+    }
+
+    /** Keeps the inquiries open that arrived after the start of a check that has succeeded. */
+    private void keepLaterInquiries(long startMillis) {
+        mInquiries.stream()
+                .filter(inquiry -> startMillis < inquiry.sinceMillis())
+                .map(Inquiry::service)
+                .distinct()
+                .forEach(service -> mReachability.write(state -> state.noneReached(service)));
     }
 
     private List<CheckTarget> targets(List<Backend> backends) {
@@ -186,7 +243,7 @@
                 .thenAcceptAsync(
                         result -> {
                             long now = mClock.millis();
-                            checked(backend, result(result, now - startMillis), now);
+                            checked(backend, result(result, now - startMillis), startMillis, now);
                         },
                         mExecutor);
     }
@@ -202,7 +259,7 @@
         };
     }
 
-    private void checked(Backend backend, CheckResult result, long nowMillis) {
+    private void checked(Backend backend, CheckResult result, long startMillis, long nowMillis) {
         Map<ServiceName, BackendReachability.Change> changes =
                 mReachability.read(
                         reachability -> {
@@ -212,7 +269,11 @@
                             return changed;
                         });
         changes.forEach((service, change) -> changed(service, change, nowMillis));
-        if (result != CheckResult.CONNECTED) {
+        if (result == CheckResult.CONNECTED) {
+            keepLaterInquiries(startMillis);
+        }
+        answerInquiries();
+        if (result != CheckResult.CONNECTED || !mInquiries.isEmpty()) {
             scheduleRound();
         }
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/RetryPolicy.java
@@ -37,6 +37,7 @@
     private boolean mMayHaveRun;
     private boolean mForwarding;
     private boolean mEnded;
+    private boolean mServerUnreached;
     private RetryBarrier mBarrier = RetryBarrier.NONE;
 
     /**
@@ -194,6 +195,7 @@
             mUnsent++;
         }
         mMayHaveRun |= outcome.mayHaveRun();
+        mServerUnreached = outcome.serverSuspect();
         mBarrier = RetryBarrier.NONE;
         if (outcome == SendOutcome.SUCCEEDED) {
             return RetryDecision.PASS_ON;
@@ -207,6 +209,19 @@
                 : RetryDecision.END;
     }
 
+    /**
+     * Returns whether the request ends only because too many sends could not leave this host.
+     * Another host may then run it.
+     */
+    public boolean endsUnsent() {
+        return mBarrier == RetryBarrier.UNSENT;
+    }
+
+    /** Returns whether the server of the last completed send may have crashed or be unreachable. */
+    public boolean serverUnreached() {
+        return mServerUnreached;
+    }
+
     /** Returns what prevented another send after the last completed one. */
     public RetryBarrier barrier() {
         return mBarrier;
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/RetryPolicyTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/RetryPolicyTest.java
@@ -62,6 +62,23 @@
         assertEquals(unsent.sends(), 0);
     }
 
+    /** A request is given up, or repeated against its route, when no server is reached. */
+    @Test
+    public void onlyARequestThatMayRunElsewhereEndsUnsent() {
+        for (boolean repeatable : List.of(true, false)) {
+            RetryPolicy policy = policy(repeatable, 2);
+            policy.beginSend();
+            policy.endSend(SendOutcome.UNKNOWN, 10, () -> true);
+            for (int i = 0; repeatable && i < RetryPolicy.MAX_UNSENT_SENDS; i++) {
+                assertFalse(policy.endsUnsent());
+                policy.beginSend();
+                policy.endSend(SendOutcome.NOT_SENT, 10, () -> true);
+                assertTrue(policy.serverUnreached());
+            }
+            assertEquals(policy.endsUnsent(), repeatable);
+        }
+    }
+
     @Test
     public void resumeOnSameBackendUsesNoAttemptAndMayHaveRun() {
         RetryPolicy policy = policy(true, 1);
--- a/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
+++ b/cyclamenpaddle-routing/src/main/java/org/cyclamenpaddle/routing/connectivity/BackendReachability.java
@@ -91,14 +91,36 @@
         }
     }
 
+    /**
+     * Records that a request is about to end because none of the servers that it was sent to was
+     * reached. It causes checks even shortly after a successful one, since a path can be lost at
+     * any time: at most one for each such request while servers are reached.
+     */
+    public void noneReached(ServiceName service) {
+        evidence(service).mSuspected = true;
+    }
+
+    /** Returns whether checks are to show whether this host has lost its paths to a service. */
+    public boolean isUndecided(ServiceName service) {
+        Evidence evidence = mServices.get(service);
+        return evidence != null && evidence.mSuspected && !isCutOff(service);
+    }
+
     /**
      * Records that a request has opened a connection to a server of a service, which makes checks
-     * needless for a time.
+     * needless for a time, and refutes those that had failed before.
      *
      * @param sentMillis time at which the connection was requested
      */
     public void requestConnected(ServiceName service, long sentMillis) {
         mVerifiedMillis.merge(service, sentMillis, Math::max);
+        Optional.ofNullable(mServices.get(service))
+                .filter(evidence -> !evidence.mCutOff)
+                .ifPresent(
+                        evidence ->
+                                evidence.mFailedMillis
+                                        .values()
+                                        .removeIf(failed -> failed < sentMillis));
         mLastContactMillis = Math.max(mLastContactMillis, sentMillis);
     }
 
--- a/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/connectivity/BackendReachabilityTest.java
+++ b/cyclamenpaddle-routing/src/test/java/org/cyclamenpaddle/routing/connectivity/BackendReachabilityTest.java
@@ -146,6 +146,45 @@
         assertTrue(mChecks <= 6 * seconds, mChecks + " checks in " + seconds + " s");
     }
 
+    /** A request ends unserved because no check is made shortly after a successful one. */
+    @Test
+    public void requestThatReachesNoServerCausesChecksAtAnyTime() {
+        mState.requestConnected(BOOK, mNow);
+        mState.requestFailed(BOOK, mNow);
+        round(server -> false);
+        assertFalse(mState.isCutOff(BOOK) || mState.isUndecided(BOOK));
+        mState.noneReached(BOOK);
+        assertTrue(mState.isUndecided(BOOK));
+        round(server -> false);
+        assertTrue(mState.isCutOff(BOOK));
+        assertFalse(mState.isUndecided(BOOK));
+    }
+
+    /** Requests whose servers have ended cause many connections, or a cut of a sound host. */
+    @Test
+    public void requestThatReachesNoServerCausesOneCheckBesideSoundServers() {
+        for (int i = 0; i < 100; i++) {
+            mState.noneReached(BOOK);
+            mState.noneReached(BOOK);
+            round(server -> true);
+            assertFalse(mState.isCutOff(BOOK) || mState.isUndecided(BOOK));
+        }
+        assertEquals(mChecks, 100);
+    }
+
+    /** Checks of ended servers make a host count as cut off whose requests reach another one. */
+    @Test
+    public void connectionOfARequestRefutesEarlierChecks() {
+        mState.noneReached(BOOK);
+        mState.dueChecks(mListed, mNow)
+                .forEach(server -> mState.checked(server, CheckResult.FAILED, mNow));
+        List<BackendId> others = mState.dueChecks(mListed, mNow);
+        assertEquals(others.size(), 3);
+        mState.requestConnected(BOOK, mNow + 1);
+        others.forEach(server -> mState.checked(server, CheckResult.FAILED, mNow + 2));
+        assertFalse(mState.isCutOff(BOOK));
+    }
+
     /** A cut causes connections to all servers, which are lost as well. */
     @Test
     public void checksAreFewDuringACutAndSpreadOverTheServers() {
