--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -3,14 +3,13 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeaders;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
+import org.cyclamenpaddle.http.PolledTimer;
 import org.cyclamenpaddle.relay.backend.Backend;
 import org.cyclamenpaddle.relay.backend.BackendQuery;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
@@ -44,7 +43,7 @@
     private final SameServerPhase mSameServer;
     private final RequestAttempts mAttempts;
     private final long mStartMillis;
-    private ScheduledFuture<?> mTimeout;
+    private PolledTimer mTimeout;
     private Optional<PlacementPhase> mPlacement = Optional.empty();
     private OptionalLong mReservedMillis = OptionalLong.empty();
     private boolean mCounted;
@@ -186,7 +185,7 @@
             mCounted = true;
         }
         long remainingMillis = mRetryPolicy.remainingMillis(mStartMillis);
-        mTimeout = mLoop.schedule(this::timeOut, remainingMillis, TimeUnit.MILLISECONDS);
+        mTimeout = PolledTimer.start(mLoop, this::timeOut, remainingMillis);
         // A request that is refused in any case is no demand for engines.
         if (mRequest.engine().isPresent() && !handOver && mCrashGuard.mayRun()) {
             mRelay.demand().recordStart(mRequest.service(), mRequest.caller().size());
@@ -235,7 +234,7 @@
         BackendQuery query =
                 mAttempts.query(BytesRefusal.serversToAvoid(mRelay, mRequest, mAttempts.tried()));
         if (query.binding().binds() && !mRelay.registry().mayServe(query, now)) {
-            fail(StreamPhase.Refusal.VERSION_GONE);
+            mHandover.decide(this::selectBackend, () -> fail(StreamPhase.Refusal.VERSION_GONE));
             return;
         }
         PlacementPhase placement =
@@ -259,11 +258,9 @@
                             @Override
                             public void notPlaced(String reason) {
                                 mPlacement = Optional.empty();
-                                if (mHandover.isRequired()) {
-                                    handOver();
-                                } else {
-                                    fail(SendOutcome.NOT_SENT, reason);
-                                }
+                                mHandover.decide(
+                                        RequestExchange.this::selectBackend,
+                                        () -> fail(SendOutcome.NOT_SENT, reason));
                             }
                         });
         mPlacement = Optional.of(placement);
@@ -344,17 +341,21 @@
             return;
         }
         logger.accept(decision);
-        // Nothing has left this host, and it may know by now that it has no path.
-        boolean handOver = outcome.unsent() && mRetryPolicy.sends() == 0 && mHandover.isRequired();
-        if (decision == RetryDecision.SEND_AGAIN || handOver) {
-            mRelay.metrics().recordRetry(outcome);
-            mResponse.discardPartial();
-            selectBackend();
+        if (decision == RetryDecision.SEND_AGAIN) {
+            sendAgain(outcome);
+        } else if (mRetryPolicy.endsUnsent()) {
+            mHandover.decide(() -> sendAgain(outcome), () -> fail(outcome, cause));
         } else {
             fail(outcome, cause);
         }
     }
 
+    private void sendAgain(SendOutcome outcome) {
+        mRelay.metrics().recordRetry(outcome);
+        mResponse.discardPartial();
+        selectBackend();
+    }
+
     /**
      * Takes a retry, unless part of a plain response was forwarded. Another response could only be
      * appended to it; a stream continues after its last event instead.
@@ -410,7 +411,7 @@
         }
         long remaining = mStartMillis + callerMillis.getAsLong() - mRelay.clock().millis();
         if (remaining > 0) {
-            mTimeout = mLoop.schedule(this::timeOut, remaining, TimeUnit.MILLISECONDS);
+            mTimeout = PolledTimer.start(mLoop, this::timeOut, remaining);
         } else {
             mResponse.abortDelivery();
             mRequestLog.truncated(mAttempts.backend(), "caller did not take the response in time");
@@ -473,7 +474,7 @@
         mEnded = true;
         mStream.cancel();
         mBytes.sendEnded();
-        mResponse.whenDelivered(() -> mTimeout.cancel(false));
+        mResponse.whenDelivered(() -> mTimeout.cancel());
         mPlacement.ifPresent(PlacementPhase::cancel);
         mPlacement = Optional.empty();
         mEndListener.ended(mRetryPolicy.mayHaveRun());
