review: case 3, a spoiled prompt handle leaves a request without an answer

One wrong byte in the answer of a prefill server puts a character into a handle that no header may have. The exception leaves the request half way; it gets no answer, also not at the timeout of its route.

--- a/review/src/Scenario.java
+++ b/review/src/Scenario.java
@@ -12,6 +12,7 @@
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Record record;
+    long timeoutMillis = 14_000;
     Store store;
     Path folder;
     final List<AutoCloseable> opened = new ArrayList<>();
@@ -80,7 +81,7 @@
                 + "'target_latency_ms':100,'priority':2,'service':'wuno96b','max_attempts':2},"
                 + "{'name':'r-book','host':'ficu95.example','path_prefix':'/puxa403/','route_kind':'unsafe','timeout_ms':1500,"
                 + "'target_latency_ms':100,'priority':2,'service':'wuno96b','max_attempts':1},"
-                + "{'name':'r-gen','host':'ficu95.example','path_prefix':'/lohu930/','route_kind':'streaming','timeout_ms':14000,"
+                + "{'name':'r-gen','host':'ficu95.example','path_prefix':'/lohu930/','route_kind':'streaming','timeout_ms':" + timeoutMillis + ","
                 + "'target_latency_ms':" + targetMillis + ",'priority':1,'service':'huvo11a','max_attempts':2,'sticky':true,"
                 + "'resumable':" + resumable + ",'target_gap_ms':300}],"
                 + "'services':[{'name':'huvo11a','health_path':'/health','max_connections':360,'protocol':'h1','tls':false,"
