review: case 5, a part of prompts that ends all servers reaches them again

All decode servers end within about a second; when they are back, more than three requests with the part reach them later than 3 s after the fifth end.

--- a/review/src/Relay.java
+++ b/review/src/Relay.java
@@ -6,9 +6,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -19,22 +22,23 @@
     private static final Pattern SECTION = Pattern.compile("(?s)\\{\\{#([a-z_.]+)}}\n?(.*?)\\{\\{/\\1}}\n?");
     private static final Pattern PLACE = Pattern.compile("\\{\\{([a-z_.0-9]+)}}");
 
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> USED = new HashSet<>();
+
     final String name;
     final int front;
     final int ready;
     private final Path mSettings;
     private final Path mLog;
-    private final Map<String, String> mEnvironment;
     private Process mProcess;
 
-    Relay(String name, int storePort, Path folder, Map<String, String> environment) throws IOException {
+    Relay(String name, int storePort, Path folder, String zone) throws IOException {
         this.name = name;
         front = freePort();
         ready = freePort();
-        mEnvironment = environment;
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("node_name", name);
-        fields.put("zone", "z1");
+        fields.put("zone", zone);
         fields.put("ip", "127.0.0.1");
         fields.put("listen.front", "127.0.0.1:" + front);
         fields.put("listen.ready_addr", "127.0.0.1:" + ready);
@@ -54,10 +58,19 @@
         Files.writeString(mSettings, text);
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            int port = 15_000 + RANDOM.nextInt(15_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                if (USED.add(port)) {
+                    return port;
+                }
+            } catch (IOException inUse) {
+                // Another one is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 
     void start() throws IOException {
@@ -66,7 +79,6 @@
         List<String> words = new ArrayList<>(List.of(run.group(1).split(" ")));
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().put("CYCLAMENPADDLE_SETTINGS", mSettings.toString());
-        builder.environment().putAll(mEnvironment);
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(mLog.toFile()));
         mProcess = builder.start();
--- a/review/src/Runner.java
+++ b/review/src/Runner.java
@@ -8,7 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Stand-in of a runner on plain sockets; a script decides what it answers. */
 class Runner implements AutoCloseable {
@@ -53,7 +55,9 @@
 
     final String id;
     final ServerSocket server;
+    private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     volatile Script script;
+    String zone = "z1";
     /** Whether the runner says in all its answers that it leaves. */
     volatile boolean leaving;
 
@@ -71,7 +75,7 @@
 
     /** Returns the store's entry of this runner. */
     String entry(String service, String state, String stage) {
-        return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port() + "\",\"zone\":\"z1\",\"version\":\"v1\","
+        return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\","
                 + "\"slots\":64,\"state\":\"" + state + "\",\"cold_remaining_ms\":0,"
                 + (stage.isEmpty() ? "" : "\"stage\":\"" + stage + "\",")
                 + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":4,\"born\":1700000000000}";
@@ -102,6 +106,7 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                mSockets.add(socket);
                 Thread thread = new Thread(() -> serve(socket));
                 thread.setDaemon(true);
                 thread.start();
@@ -133,6 +138,17 @@
             }
         } catch (Exception broken) {
             // The caller has closed the connection.
+        } finally {
+            mSockets.remove(socket);
+        }
+    }
+
+    /** Ends like a process that crashes: the port is closed and all connections are reset. */
+    void crash() throws IOException {
+        server.close();
+        for (Socket socket : mSockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
         }
     }
 
--- a/review/src/Scenario.java
+++ b/review/src/Scenario.java
@@ -2,7 +2,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 /** Base of the scenarios: store, relays, record, and the exit code. */
 abstract class Scenario {
@@ -65,11 +64,11 @@
     }
 
     Relay relay(String name) throws Exception {
-        return relay(name, Map.of());
+        return relay(name, "z1");
     }
 
-    Relay relay(String name, Map<String, String> environment) throws Exception {
-        Relay relay = keep(new Relay(name, store.port(), folder, environment));
+    Relay relay(String name, String zone) throws Exception {
+        Relay relay = keep(new Relay(name, store.port(), folder, zone));
         relay.start();
         return relay;
     }
