Use entries that disappear only after an outage of the store

Cause: an entry that disappeared was used for two more seconds where its service had no other server, counted from the notice. That is meant for entries that expire while the store is away, and nothing looked whether it had been. Ruled out: a late notice. Found as well: an engine that leaves during the prefill of a prompt got the generation, since only announcements in responses were checked.

Change: what is missing ends at once, but for the two seconds after an outage of the store. A host that got no answers asks four others whether the store has answered them meanwhile; if so it was cut off alone, and nothing has expired. Everything that leaves for a server asks whether its entry still accepts work.

The test of the fallback removed entries without an outage, which is the fault; it has the outage now, its bounds count from the return, and four tests stand beside it.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
@@ -19,6 +19,8 @@
                 ProbeRequest,
                 QuotaRequest,
                 QuotaResponse,
+                StoreAnswerRequest,
+                StoreAnswerResponse,
                 StreamNotice,
                 StreamRequest,
                 StreamResponse {}
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -24,5 +24,6 @@
     REACHABILITY,
     HELPERS,
     STREAMS,
+    STORE_ANSWERS,
     CONNECTIONS
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
@@ -30,6 +30,8 @@
 import org.cyclamenpaddle.core.message.ProbeResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StoreAnswerRequest;
+import org.cyclamenpaddle.core.message.StoreAnswerResponse;
 import org.cyclamenpaddle.core.message.StreamNotice;
 import org.cyclamenpaddle.core.message.StreamRequest;
 import org.cyclamenpaddle.core.message.StreamResponse;
@@ -210,7 +212,20 @@
                             in.number(),
                             in.set(() -> new BackendId(in.text())),
                             in.number(),
-                            in.number()));
+                            in.number())),
+    STORE_ANSWER_REQUEST(
+            25,
+            StoreAnswerRequest.class,
+            (out, m) -> {
+                out.number(m.fromMillis());
+                out.number(m.toMillis());
+            },
+            in -> new StoreAnswerRequest(in.number(), in.number())),
+    STORE_ANSWER_RESPONSE(
+            26,
+            StoreAnswerResponse.class,
+            (out, m) -> out.flag(m.answered()),
+            in -> new StoreAnswerResponse(in.flag()));
 
     private final int mCode;
     private final Class<? extends PeerMessage> mType;
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
@@ -42,6 +42,8 @@
 import org.cyclamenpaddle.core.message.ProbeResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StoreAnswerRequest;
+import org.cyclamenpaddle.core.message.StoreAnswerResponse;
 import org.cyclamenpaddle.core.message.StreamBeginning;
 import org.cyclamenpaddle.core.message.StreamNotice;
 import org.cyclamenpaddle.core.message.StreamRequest;
@@ -118,6 +120,8 @@
                                             new StreamKey(Long.MAX_VALUE),
                                             SoftwareVersion.UNSPECIFIED,
                                             28_000))),
+                    new StoreAnswerRequest(6_000, 2_000),
+                    new StoreAnswerResponse(true),
                     new StreamRequest(new StreamKey(Long.MIN_VALUE)),
                     new StreamResponse(Optional.of(new SoftwareVersion("v1"))),
                     new StreamResponse(Optional.empty()),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -69,6 +69,7 @@
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.relay.settings.RelaySettings;
 import org.cyclamenpaddle.relay.store.Follower;
+import org.cyclamenpaddle.relay.store.StoreAnswers;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamQuota;
 import org.cyclamenpaddle.routing.buffer.ByteAccount;
@@ -99,6 +100,7 @@
     private final PartTracker mParts;
     private final StreamMemory mStreams;
     private final CrashDetector mCrashes;
+    private final StoreAnswers mStoreAnswers = new StoreAnswers();
     private final BackendCalls mCalls;
     private final StartupGate mStartupGate = new StartupGate();
     private final StateUpdater mUpdater;
@@ -153,6 +155,7 @@
                         mConfiguration,
                         mRegistry,
                         mCrashes,
+                        storeOutages(),
                         mClock,
                         mStartupGate,
                         this::logReady);
@@ -190,6 +193,11 @@
         registerGauges(bytes);
     }
 
+    private StoreOutages storeOutages() {
+        return new StoreOutages(
+                mRegistry, mStoreAnswers, mQuotas.storePeers(), mLog, mScheduler, mClock);
+    }
+
     private PartTracker partTracker() {
         return new PartTracker(
                 mQuotas.strikePeers(),
@@ -279,6 +287,7 @@
                 this::teamsWithQuota,
                 message -> mParts.received(message),
                 new ReportedStreams(),
+                mStoreAnswers,
                 new LostFrames(mMetrics),
                 mLog,
                 mScheduler,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -28,6 +28,7 @@
     private final ConfigurationCell mConfiguration;
     private final BackendRegistry mRegistry;
     private final CrashDetector mCrashes;
+    private final StoreOutages mOutages;
     private final Clock mClock;
     private final StartupGate mStartupGate;
     private final Runnable mOnComplete;
@@ -45,6 +46,7 @@
             ConfigurationCell configuration,
             BackendRegistry registry,
             CrashDetector crashes,
+            StoreOutages outages,
             Clock clock,
             StartupGate startupGate,
             Runnable onComplete) {
@@ -54,6 +56,7 @@
         mConfiguration = configuration;
         mRegistry = registry;
         mCrashes = crashes;
+        mOutages = outages;
         mClock = clock;
     }
 
@@ -110,8 +113,14 @@
             }
         }
 
+        @Override
+        public void onStoreAnswer(long sentMillis) {
+            mOutages.answered(sentMillis);
+        }
+
         @Override
         public void onStoreUnavailable(StoreFailure failure) {
+            mOutages.begun();
             mStartupGate.open();
             mConfiguration.confirmed(false);
             mLog.log(RelayEvent.STORE_UNAVAILABLE, "configuration", failure);
@@ -119,6 +128,7 @@
 
         @Override
         public void onStoreAvailable(long unavailableMillis) {
+            mOutages.ended(unavailableMillis);
             mConfiguration.confirmed(true);
             mLog.log(RelayEvent.STORE_AVAILABLE, "configuration", unavailableMillis);
         }
@@ -161,14 +171,21 @@
             }
         }
 
+        @Override
+        public void onStoreAnswer(long sentMillis) {
+            mOutages.answered(sentMillis);
+        }
+
         @Override
         public void onStoreUnavailable(StoreFailure failure) {
+            mOutages.begun();
             mStartupGate.open();
             mLog.log(RelayEvent.STORE_UNAVAILABLE, "backends", failure);
         }
 
         @Override
         public void onStoreAvailable(long unavailableMillis) {
+            mOutages.ended(unavailableMillis);
             mLog.log(RelayEvent.STORE_AVAILABLE, "backends", unavailableMillis);
         }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectives.java
@@ -215,7 +215,7 @@
 
     /**
      * Returns whether a server still accepts work for which permits were used before; it may have
-     * asked for none since.
+     * asked for none since, or left.
      */
     public boolean acceptsWork(Backend backend, long nowMillis) {
         return mTable.read(state -> state.acceptsWork(backend, nowMillis));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
@@ -18,7 +18,8 @@
 public final class BackendDirectory {
 
     /**
-     * Time for which a removed entry stays available as a fallback, in milliseconds.
+     * Time after the return of the store for which entries that have expired in its outage stay
+     * available as a fallback, in milliseconds.
      *
      * <p>Safeguard: while the store is unavailable, the entries of running servers can expire, and
      * all of them disappear at once when the store recovers. Requests would then be rejected
@@ -28,11 +29,39 @@
      */
     public static final long LAPSED_RETENTION_MILLIS = 2_000;
 
-    private record LapsedEntry(Backend backend, long untilMillis) {}
-
     private final Map<BackendId, Backend> mEntries = new HashMap<>();
     private final Set<ServiceName> mVersioned = new HashSet<>();
-    private final Map<BackendId, LapsedEntry> mLapsed = new HashMap<>();
+    private final Map<BackendId, Backend> mLapsed = new HashMap<>();
+    private long mLapsedUntilMillis = Long.MIN_VALUE;
+
+    /** Keeps the entries that have lapsed until the store returns from another outage. */
+    public void recordOutage(long nowMillis) {
+        expireLapsed(nowMillis);
+        if (!mLapsed.isEmpty()) {
+            mLapsedUntilMillis = Long.MAX_VALUE;
+        }
+    }
+
+    /** Records that the store has returned from an outage, in which entries may have expired. */
+    public void recordReturn(long nowMillis) {
+        expireLapsed(nowMillis);
+        mLapsedUntilMillis = nowMillis + LAPSED_RETENTION_MILLIS;
+    }
+
+    /**
+     * Records that there was no outage: this host alone had lost the store, and the entries that
+     * were missing afterwards were removed.
+     */
+    public void recordOwnOutage() {
+        mLapsedUntilMillis = Long.MIN_VALUE;
+        mLapsed.clear();
+    }
+
+    private void expireLapsed(long nowMillis) {
+        if (nowMillis >= mLapsedUntilMillis) {
+            mLapsed.clear();
+        }
+    }
 
     /**
      * Replaces all entries with a complete listing.
@@ -64,8 +93,8 @@
             return;
         }
         Backend old = mEntries.remove(id);
-        if (old != null && !old.draining()) {
-            mLapsed.put(id, new LapsedEntry(old, nowMillis + LAPSED_RETENTION_MILLIS));
+        if (old != null && !old.draining() && nowMillis < mLapsedUntilMillis) {
+            mLapsed.put(id, old);
         }
     }
 
@@ -79,14 +108,20 @@
         return usable().filter(backend -> backend.service().equals(service));
     }
 
-    /**
-     * Returns the servers of a service whose entries lapsed recently without being drained first.
-     */
+    /** Returns the servers of a service whose entries have lapsed in an outage of the store. */
     public Stream<Backend> lapsed(ServiceName service, long nowMillis) {
-        mLapsed.values().removeIf(lapsed -> lapsed.untilMillis() <= nowMillis);
-        return mLapsed.values().stream()
-                .map(LapsedEntry::backend)
-                .filter(backend -> backend.service().equals(service));
+        expireLapsed(nowMillis);
+        return mLapsed.values().stream().filter(backend -> backend.service().equals(service));
+    }
+
+    /** Returns whether a server is listed, or has lapsed, and accepts new requests. */
+    public boolean accepts(Backend backend, long nowMillis) {
+        expireLapsed(nowMillis);
+        return find(backend.id())
+                .or(() -> Optional.ofNullable(mLapsed.get(backend.id())))
+                .filter(backend::sameIncarnation)
+                .filter(entry -> !entry.draining())
+                .isPresent();
     }
 
     /** Returns whether any server of a service has ever reported its software version. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -86,6 +86,21 @@
         unconfirmed.ifPresent(mDirectives::notifyUnconfirmed);
     }
 
+    /** Records that calls to the store have begun to fail. */
+    public void recordStoreOutage(long nowMillis) {
+        mTable.write(state -> state.directory().recordOutage(nowMillis));
+    }
+
+    /** Records that calls to the store succeed again; see {@link BackendDirectory#recordReturn}. */
+    public void recordStoreReturn(long nowMillis) {
+        mTable.write(state -> state.directory().recordReturn(nowMillis));
+    }
+
+    /** Records that only this host had lost the store. */
+    public void recordOwnOutage() {
+        mTable.write(state -> state.directory().recordOwnOutage());
+    }
+
     /** Returns the servers of a service that are not about to shut down. */
     public List<Backend> usable(ServiceName service) {
         return mTable.read(state -> state.staying(service).toList());
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/RegistryState.java
@@ -34,8 +34,10 @@
                 && connectivity(backend).admits(nowMillis);
     }
 
+    /** Returns whether neither the store nor the server's responses rule out new work there. */
     boolean acceptsWork(Backend backend, long nowMillis) {
-        return stateOf(backend).directives().acceptsWork(nowMillis);
+        return mDirectory.accepts(backend, nowMillis)
+                && stateOf(backend).directives().acceptsWork(nowMillis);
     }
 
     Stream<Backend> staying() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -102,6 +102,8 @@
             Priority.STATE,
             "quarantine of a part rejected, since it has run well here",
             List.of("service", "part")),
+    STORE_LOST_ALONE(
+            2123, Priority.STATE, "only this host had lost the store", List.of("awayMillis")),
     LEASE_CHANGED(2109, Priority.STATE, "lease on orders changed", List.of("holder", "reason")),
     ORDER_ENDED(
             2110,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Try;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,8 @@
 import org.cyclamenpaddle.core.message.PermitResponse;
 import org.cyclamenpaddle.core.message.QuotaRequest;
 import org.cyclamenpaddle.core.message.QuotaResponse;
+import org.cyclamenpaddle.core.message.StoreAnswerRequest;
+import org.cyclamenpaddle.core.message.StoreAnswerResponse;
 import org.cyclamenpaddle.core.message.StreamBeginning;
 import org.cyclamenpaddle.core.message.StreamNotice;
 import org.cyclamenpaddle.core.message.StreamRequest;
@@ -47,6 +50,8 @@
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.resume.StreamPeers;
 import org.cyclamenpaddle.relay.settings.Endpoint;
+import org.cyclamenpaddle.relay.store.StoreAnswers;
+import org.cyclamenpaddle.relay.store.StorePeers;
 import org.cyclamenpaddle.routing.limit.OwnerChoice;
 import org.cyclamenpaddle.routing.limit.QuotaBounds;
 import org.cyclamenpaddle.routing.limit.QuotaLimit;
@@ -67,6 +72,9 @@
     private static final PeerSettings PEERS =
             new PeerSettings(1, 500, 50, 400, 2_000, 30_000, 64, 200, 2_048);
 
+    /** Number of hosts that are asked whether the store has answered them. */
+    private static final int STORE_WITNESSES = 4;
+
     /** Maximum number of streams in one message. */
     private static final int MAX_BEGINNINGS = 256;
 
@@ -79,6 +87,7 @@
     private final ScheduledExecutorService mExecutor;
     private final Supplier<Set<TeamName>> mLimited;
     private final StreamPeers.Listener mStreams;
+    private final StoreAnswers mStoreAnswers;
     private volatile QuotaMembers mMembers;
 
     /**
@@ -89,6 +98,7 @@
      * @param limits limits in force; empty for a team without one
      * @param strikes receives what other hosts send about crashing requests
      * @param streams receives what other hosts send about streams
+     * @param storeAnswers answers of the store to this host, for others that got none
      * @param limited teams that have a quota in the configuration in force; this host reports on
      *     their shards only
      * @param counters counters of frames and connections
@@ -103,6 +113,7 @@
             Supplier<Set<TeamName>> limited,
             Consumer<CrashMessage> strikes,
             StreamPeers.Listener streams,
+            StoreAnswers storeAnswers,
             PeerCounters counters,
             RelayEventLog log,
             ScheduledExecutorService executor,
@@ -111,6 +122,7 @@
         mExecutor = executor;
         mLimited = limited;
         mStreams = streams;
+        mStoreAnswers = storeAnswers;
         mClock = clock;
         mMembers = QuotaMembers.unknown(self);
         // Incarnations are compared for the same host only; none is compared here.
@@ -127,8 +139,7 @@
         mNetwork =
                 PeerNetwork.onSharedLoops(
                         () -> mSelf,
-                        (from, message) ->
-                                respond(lender, permits, strikes, streams, from, message),
+                        (from, message) -> respond(lender, permits, strikes, from, message),
                         PEERS,
                         clock,
                         counters,
@@ -227,6 +238,33 @@
         };
     }
 
+    /** Returns the way to ask other hosts whether the store has answered them. */
+    public StorePeers storePeers() {
+        return (fromMillis, toMillis) -> {
+            QuotaMembers members = mMembers;
+            List<HostId> others =
+                    new ArrayList<>(
+                            members.hosts().stream()
+                                    .filter(host -> !host.equals(members.self()))
+                                    .toList());
+            Collections.shuffle(others, ThreadLocalRandom.current());
+            StoreAnswerRequest request = new StoreAnswerRequest(fromMillis, toMillis);
+            return others.stream()
+                    .limit(STORE_WITNESSES)
+                    .flatMap(host -> members.find(host).stream())
+                    .map(host -> ask(host, request))
+                    .reduce(
+                            CompletableFuture.completedFuture(false),
+                            (one, other) -> one.thenCombine(other, Boolean::logicalOr));
+        };
+    }
+
+    private CompletableFuture<Boolean> ask(HostRecord to, StoreAnswerRequest request) {
+        return request(to, request, QuotaTiming.TIMEOUT_MILLIS, StoreAnswerResponse.class)
+                .thenApply(
+                        response -> response.map(StoreAnswerResponse::answered).getOrElse(false));
+    }
+
     /** Sends beginnings to the owners of their shards, all that a host is to get at once. */
     private void send(
             QuotaMembers members,
@@ -354,11 +392,10 @@
         };
     }
 
-    private static CompletableFuture<Optional<PeerMessage>> respond(
+    private CompletableFuture<Optional<PeerMessage>> respond(
             QuotaLender lender,
             PermitLender permits,
             Consumer<CrashMessage> strikes,
-            StreamPeers.Listener streams,
             HostRecord from,
             PeerMessage message) {
         Optional<? extends PeerMessage> response = Optional.empty();
@@ -369,9 +406,16 @@
         } else if (message instanceof CrashMessage crash) {
             strikes.accept(crash);
         } else if (message instanceof StreamNotice notice) {
-            streams.reported(notice.beginnings());
+            mStreams.reported(notice.beginnings());
         } else if (message instanceof StreamRequest request) {
-            response = Optional.of(new StreamResponse(streams.known(request.stream())));
+            response = Optional.of(new StreamResponse(mStreams.known(request.stream())));
+        } else if (message instanceof StoreAnswerRequest request) {
+            long now = mClock.millis();
+            response =
+                    Optional.of(
+                            new StoreAnswerResponse(
+                                    mStoreAnswers.answered(
+                                            now - request.fromMillis(), now - request.toMillis())));
         }
         return CompletableFuture.completedFuture(response.map(PeerMessage.class::cast));
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryListener.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryListener.java
@@ -15,6 +15,13 @@
     /** Called with one changed object. */
     void onChange(StoreEntry<T> entry);
 
+    /**
+     * Called when the store has answered a call, before the result is delivered.
+     *
+     * @param sentMillis time at which the call was sent
+     */
+    default void onStoreAnswer(long sentMillis) {}
+
     /** Called when store calls begin to fail. */
     void onStoreUnavailable(StoreFailure failure);
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
@@ -154,15 +154,19 @@
     /** Checks the watch with the given sequence number if it is still waiting. */
     private void check(long sequence) {
         if (sequence == mSequence) {
+            long sentMillis = mClock.millis();
             mSource.recentChanges(mRevision)
-                    .thenAcceptAsync(result -> handleCheckResult(sequence, result), mExecutor);
+                    .thenAcceptAsync(
+                            result -> handleCheckResult(sequence, sentMillis, result), mExecutor);
         }
     }
 
-    private void handleCheckResult(long sequence, Either<StoreFailure, EntryPage<T>> result) {
+    private void handleCheckResult(
+            long sequence, long sentMillis, Either<StoreFailure, EntryPage<T>> result) {
         if (sequence != mSequence) {
             return;
         }
+        result.peek(page -> mListener.onStoreAnswer(sentMillis));
         if (result.isLeft()) {
             mSequence++;
             recordFailure(result.getLeft());
@@ -187,13 +191,18 @@
             Consumer<EntryPage<T>> success,
             Consumer<StoreFailure> failure) {
         long sequence = ++mSequence;
+        long sentMillis = mClock.millis();
         call.thenAcceptAsync(
                 result -> {
                     if (sequence != mSequence) {
                         return;
                     }
                     result.peekLeft(this::recordFailure);
-                    result.peek(page -> recordSuccess());
+                    result.peek(
+                            page -> {
+                                mListener.onStoreAnswer(sentMillis);
+                                recordSuccess();
+                            });
                     if (result.isRight()) {
                         success.accept(result.get());
                     } else {
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/backend/BackendRegistryTest.java
@@ -205,11 +205,80 @@
         Backend first = Backends.decode("first", "a");
         Backend second = Backends.decode("second", "b");
         list(first, second);
+        mRegistry.recordStoreOutage(20);
+        mRegistry.recordStoreReturn(90);
         mRegistry.applyChange(first.id(), Optional.empty(), 100);
         assertEquals(select(110), Optional.of(second));
         mRegistry.applyChange(second.id(), Optional.empty(), 120);
         assertTrue(select(130).isPresent());
-        assertTrue(select(120 + BackendDirectory.LAPSED_RETENTION_MILLIS).isEmpty());
+        assertTrue(select(89 + BackendDirectory.LAPSED_RETENTION_MILLIS).isPresent());
+        assertTrue(select(90 + BackendDirectory.LAPSED_RETENTION_MILLIS).isEmpty());
+    }
+
+    /**
+     * Failure: a server that is removed while the store is available gets requests because its
+     * service has no other one.
+     */
+    @Test
+    public void removedServerIsNotUsedAlthoughNoOtherExists() {
+        Backend only = Backends.decode("only", "a");
+        list(only);
+        mRegistry.applyChange(only.id(), Optional.empty(), 100);
+        assertTrue(select(100).isEmpty());
+        list(only);
+        mRegistry.recordStoreReturn(200);
+        assertTrue(select(199 + BackendDirectory.LAPSED_RETENTION_MILLIS).isPresent());
+        mRegistry.applyChange(
+                only.id(), Optional.empty(), 200 + BackendDirectory.LAPSED_RETENTION_MILLIS);
+        assertTrue(select(200 + BackendDirectory.LAPSED_RETENTION_MILLIS).isEmpty());
+    }
+
+    /** Failure: entries that lapsed are given up because the store is away once more. */
+    @Test
+    public void lapsedEntriesAreUsedThroughASecondOutage() {
+        Backend only = Backends.decode("only", "a");
+        list(only);
+        mRegistry.recordStoreReturn(0);
+        mRegistry.applyChange(only.id(), Optional.empty(), 10);
+        mRegistry.recordStoreOutage(1_000);
+        assertTrue(select(1_000 + 2 * BackendDirectory.LAPSED_RETENTION_MILLIS).isPresent());
+        mRegistry.recordStoreReturn(9_000);
+        assertTrue(select(8_999 + BackendDirectory.LAPSED_RETENTION_MILLIS).isPresent());
+        assertTrue(select(9_000 + BackendDirectory.LAPSED_RETENTION_MILLIS).isEmpty());
+    }
+
+    /** Failure: entries that were removed while this host had lost the store are used. */
+    @Test
+    public void removedServerIsNotUsedAfterAnOutageOfThisHostAlone() {
+        Backend only = Backends.decode("only", "a");
+        list(only);
+        mRegistry.recordStoreReturn(0);
+        mRegistry.applyChange(only.id(), Optional.empty(), 10);
+        assertTrue(select(20).isPresent());
+        mRegistry.recordOwnOutage();
+        assertTrue(select(30).isEmpty());
+    }
+
+    /**
+     * Failure: a request that was placed earlier is sent to a server that has left, been removed or
+     * replaced since. Every send, second send, resumption and reservation asks first.
+     */
+    @Test
+    public void serverAcceptsNoFurtherWorkOnceItLeaves() {
+        Backend known = Backends.decode("one", "a");
+        list(known);
+        assertTrue(mRegistry.directives().acceptsWork(known, 0));
+        assertTrue(mRegistry.directives().tryCall(known, 1, 0));
+        list(Backends.of("one", "a", BackendStage.DECODE, 1, true));
+        assertFalse(mRegistry.directives().acceptsWork(known, 10));
+        assertFalse(mRegistry.directives().tryCall(known, 1, 10));
+        list(known);
+        assertTrue(mRegistry.directives().acceptsWork(known, 20));
+        mRegistry.applyChange(known.id(), Optional.empty(), 30);
+        assertFalse(mRegistry.directives().acceptsWork(known, 30));
+        list(Backends.of("one", "a", BackendStage.DECODE, 2, false));
+        assertFalse(mRegistry.directives().acceptsWork(known, 40));
+        assertTrue(mRegistry.directives().acceptsRelease(known, 40));
     }
 
     @Test
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/quota/QuotaControllerTest.java
@@ -27,6 +27,7 @@
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.resume.StreamPeers;
 import org.cyclamenpaddle.relay.settings.Endpoint;
+import org.cyclamenpaddle.relay.store.StoreAnswers;
 import org.cyclamenpaddle.relay.team.QuotaUnit;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamQuota;
@@ -84,6 +85,7 @@
                             () -> Set.of(TEAM.name()),
                             notice -> {},
                             NO_STREAMS,
+                            new StoreAnswers(),
                             PeerCounters.NONE,
                             new RelayEventLog(OutputStream.nullOutputStream(), "h", Instant::now),
                             mExecutor,
