Read a listing to its end past a page without names

A page of a listing none of whose entries has a name ended the listing early, and all entries of later pages counted as removed: their servers got no requests, and hosts counted as gone.

Cause: the end of a listing was concluded from an empty page, although the page said that more follows.

FollowerTest.pageWithoutNamesDoesNotEndTheListing failed before: the watch began after the second of four pages.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryPage.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryPage.java
@@ -1,6 +1,7 @@
 package org.cyclamenpaddle.relay.store;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Page of a listing, or the changes that a watch returned.
@@ -12,6 +13,13 @@
  */
 public record EntryPage<T>(List<StoreEntry<T>> entries, long revision, boolean more) {
 
+    /** Returns the name after which the listing continues; empty if no entry has one. */
+    public Optional<String> lastName() {
+        return entries.isEmpty()
+                ? Optional.empty()
+                : Optional.of(entries.get(entries.size() - 1).name());
+    }
+
     public EntryPage {
         entries = List.copyOf(entries);
         if (revision < 0) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
@@ -114,8 +114,13 @@
             mRevision = page.revision();
         }
         mListing.addAll(page.entries());
-        if (page.more() && !page.entries().isEmpty()) {
-            list(Optional.of(page.entries().get(page.entries().size() - 1).name()));
+        if (page.more() && page.lastName().isEmpty()) {
+            // What follows cannot be read. Ended here, the listing would remove all of it.
+            schedule(this::list, CHECK_INTERVAL_MILLIS);
+            return;
+        }
+        if (page.more()) {
+            list(page.lastName());
             return;
         }
         mListener.onListing(List.copyOf(mListing));
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
@@ -119,6 +119,23 @@
         assertEquals(mEvents, List.of("listed 3"));
     }
 
+    /**
+     * Failure: none of the entries on a page has a name, and the entries of all later pages count
+     * as removed.
+     */
+    @Test
+    public void pageWithoutNamesDoesNotEndTheListing() throws InterruptedException {
+        assertEquals(
+                follow(
+                        List.of(
+                                Either.right(page(5, true, "a")),
+                                Either.right(page(6, true)),
+                                Either.right(page(7, true, "a")),
+                                Either.right(page(8, false, "b")))),
+                List.of("list -", "list a", "list -", "list a", "watch 7"));
+        assertEquals(mEvents, List.of("listed 2"));
+    }
+
     @Test
     public void watchResumesFromTheLastRevision() throws InterruptedException {
         assertEquals(
