Ask where a stream began whatever the listing shows

Cause: "no entry of this service has ever had a version here" counted as proof that the stream had begun at a server without one, before any other host was asked; and nothing was remembered then. A listing says nothing of servers that have left it or are not in it yet.

Change: beginnings are recorded and asked for in any case. A stream whose beginning no host knows is refused, and begins anew.

RelayVersionProofTest: two of six cases failed before (20 of 40 mixed each), none now; streams of servers without versions go on as before (RelayVersionTest, 12 of 12). No call is added for services with versions.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendDirectory.java
@@ -8,7 +8,6 @@
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.BackendId;
 import org.cyclamenpaddle.core.id.ServiceName;
-import org.cyclamenpaddle.core.id.SoftwareVersion;
 
 /**
  * Holds the backend server entries in the store, and those that have recently disappeared from it.
@@ -30,7 +29,6 @@
     public static final long LAPSED_RETENTION_MILLIS = 2_000;
 
     private final Map<BackendId, Backend> mEntries = new HashMap<>();
-    private final Set<ServiceName> mVersioned = new HashSet<>();
     private final Map<BackendId, Backend> mLapsed = new HashMap<>();
     private long mLapsedUntilMillis = Long.MIN_VALUE;
 
@@ -86,9 +84,6 @@
     public void applyChange(BackendId id, Optional<Backend> entry, long nowMillis) {
         if (entry.isPresent()) {
             mEntries.put(id, entry.get());
-            if (!entry.get().version().equals(SoftwareVersion.UNSPECIFIED)) {
-                mVersioned.add(entry.get().service());
-            }
             mLapsed.remove(id);
             return;
         }
@@ -124,11 +119,6 @@
                 .isPresent();
     }
 
-    /** Returns whether any server of a service has ever reported its software version. */
-    public boolean reportsVersions(ServiceName service) {
-        return mVersioned.contains(service);
-    }
-
     /** Returns the number of current entries, including draining servers. */
     public int size() {
         return mEntries.size();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/BackendRegistry.java
@@ -112,11 +112,6 @@
                 state -> state.staying().collect(Collectors.groupingBy(Backend::service)));
     }
 
-    /** Returns whether any server of a service has ever reported its software version. */
-    public boolean reportsVersions(ServiceName service) {
-        return mTable.read(state -> state.directory().reportsVersions(service));
-    }
-
     /**
      * Records that a stream waits for a server of its version. Requests that other servers can take
      * leave those to it, until {@link #recordWaitEnded}.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/StreamPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/StreamPhase.java
@@ -85,10 +85,6 @@
      */
     void find(Listener listener) {
         long startMillis = mRelay.clock().millis();
-        if (!mRelay.registry().reportsVersions(mRequest.service())) {
-            listener.found(StreamBinding.to(SoftwareVersion.UNSPECIFIED), 0);
-            return;
-        }
         Optional<StreamKey> stream = mRequest.streamKey();
         if (stream.isEmpty()) {
             found(Optional.empty(), startMillis, listener);
@@ -123,7 +119,7 @@
 
     private void record() {
         boolean mayBeTakenUp = mRequest.ofOwnCaller() && mRequest.route().repeatable();
-        if (!mayBeTakenUp || !mRelay.registry().reportsVersions(mRequest.service())) {
+        if (!mayBeTakenUp) {
             return;
         }
         long retentionMillis = RETENTION_TIMEOUTS * mRequest.route().timeoutMillis();
