Trust a plain server's version only while its listing is recent

Callers whose streams broke off near a host that had lost the store got texts joined from two versions where a plain server had started again under its id with other software: 37 of 40 within an answer on.

Cause: events counted as of the version of the entry by which their server was addressed, however old that entry was. An engine says with its reservation which process it is; a plain server says nothing, and its id stays the same.

Change: without a confirmation by the store in the last five seconds (two checks and the timeout of a call), or after the host stood still, which the two clocks show, a stream at a plain server is of no certain version. It begins as ever, is resumed nowhere, and one that is taken up is refused at once. Nothing is asked on the way of requests; engines are not affected.

RelayVersionProofTest.streamDoesNotGoOnWhereTheListingIsOutdated: 37 of 40 joined before, none now, neither over tries at both relays; the relay in step resumes as before. RelayVersionTest (12), RelayVersionHandoverTest (2) and the other cases of RelayVersionProofTest (6) pass.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -69,6 +69,7 @@
 import org.cyclamenpaddle.relay.settings.Endpoint;
 import org.cyclamenpaddle.relay.settings.RelaySettings;
 import org.cyclamenpaddle.relay.store.Follower;
+import org.cyclamenpaddle.relay.store.ListingAge;
 import org.cyclamenpaddle.relay.store.StoreAnswers;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamQuota;
@@ -101,6 +102,7 @@
     private final StreamMemory mStreams;
     private final CrashDetector mCrashes;
     private final StoreAnswers mStoreAnswers = new StoreAnswers();
+    private final ListingAge mListing = new ListingAge(mClock, System::currentTimeMillis);
     private final BackendCalls mCalls;
     private final StartupGate mStartupGate = new StartupGate();
     private final StateUpdater mUpdater;
@@ -156,6 +158,7 @@
                         mRegistry,
                         mCrashes,
                         storeOutages(),
+                        mListing,
                         mClock,
                         mStartupGate,
                         this::logReady);
@@ -226,6 +229,7 @@
                 mCrashes,
                 mQuarantine,
                 mParts,
+                mListing,
                 mStreams,
                 mReachability,
                 mHelpers,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -15,6 +15,7 @@
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.store.EntryListener;
+import org.cyclamenpaddle.relay.store.ListingAge;
 import org.cyclamenpaddle.relay.store.StoreEntry;
 import org.cyclamenpaddle.relay.store.StoreFailure;
 
@@ -29,6 +30,7 @@
     private final BackendRegistry mRegistry;
     private final CrashDetector mCrashes;
     private final StoreOutages mOutages;
+    private final ListingAge mListing;
     private final Clock mClock;
     private final StartupGate mStartupGate;
     private final Runnable mOnComplete;
@@ -47,6 +49,7 @@
             BackendRegistry registry,
             CrashDetector crashes,
             StoreOutages outages,
+            ListingAge listing,
             Clock clock,
             StartupGate startupGate,
             Runnable onComplete) {
@@ -57,6 +60,7 @@
         mRegistry = registry;
         mCrashes = crashes;
         mOutages = outages;
+        mListing = listing;
         mClock = clock;
     }
 
@@ -174,6 +178,7 @@
         @Override
         public void onStoreAnswer(long sentMillis) {
             mOutages.answered(sentMillis);
+            mListing.confirm();
         }
 
         @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cyclamenpaddle.core.id.SoftwareVersion;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.engine.http.TruncatedResponseException;
 import org.cyclamenpaddle.relay.backend.Backend;
@@ -213,7 +214,7 @@
             end(SendOutcome.UNKNOWN, "resumed stream is no event stream");
         } else {
             mRelay.crashes().responded(target(), mSentMillis);
-            mResponse.head(head, Optional.of(target().version()));
+            mResponse.head(head, provedVersion());
             if (!mRequest.route().kind().streams()) {
                 responseStarted();
             }
@@ -221,6 +222,19 @@
         }
     }
 
+    /**
+     * Returns the software version of the process that responds; empty if it is not certain.
+     *
+     * <p>A server may have started again under its id since its entry was read. An engine has said
+     * with its reservation which process it is.
+     */
+    private Optional<SoftwareVersion> provedVersion() {
+        boolean reserved = mRequest.engine().isPresent() && target().startedMillis() != 0;
+        return reserved || mRelay.listing().isRecent()
+                ? Optional.of(target().version())
+                : Optional.empty();
+    }
+
     private void heard() {
         mHeardMillis = mRelay.clock().millis();
         if (mVoice.heard(mHeardMillis)) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlainSearch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlainSearch.java
@@ -39,6 +39,11 @@
             return;
         }
         long now = mRelay.clock().millis();
+        if (mQuery.binding().binds() && !mRelay.listing().isRecent()) {
+            mClosed = true;
+            mListener.found(Optional.empty());
+            return;
+        }
         Optional<Backend> backend = mRelay.registry().select(mQuery, now);
         if (backend.isEmpty() && mayObtainPermit(now)) {
             mPermitRequested = true;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayContext.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.relay.metric.RelayMetrics;
 import org.cyclamenpaddle.relay.resume.StreamMemory;
 import org.cyclamenpaddle.relay.role.DemandMeter;
+import org.cyclamenpaddle.relay.store.ListingAge;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.cyclamenpaddle.relay.wire.EngineMessages;
 import org.cyclamenpaddle.routing.buffer.ByteAccount;
@@ -32,6 +33,7 @@
  * @param crashes detects backend servers that have ended
  * @param quarantine requests that end each server that runs them
  * @param parts parts of prompts under which servers end
+ * @param listing whether the entries of the servers are recent
  * @param streams where the streams began that callers may take up
  * @param reachability whether this host reaches the servers of a service
  * @param helpers other hosts that take over requests
@@ -55,6 +57,7 @@
         CrashDetector crashes,
         RequestQuarantine quarantine,
         PartTracker parts,
+        ListingAge listing,
         StreamMemory streams,
         ReachabilityMonitor reachability,
         HelperDirectory helpers,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -241,6 +241,10 @@
             handOver();
             return;
         }
+        if (mResponse.binding().binds() && !mStream.showsVersions()) {
+            fail(StreamPhase.Refusal.VERSION_UNPROVED);
+            return;
+        }
         long now = mRelay.clock().millis();
         BackendQuery query =
                 mAttempts.query(BytesRefusal.serversToAvoid(mRelay, mRequest, mAttempts.tried()));
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/StreamPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/StreamPhase.java
@@ -23,7 +23,9 @@
     enum Refusal {
         VERSION_UNKNOWN(StreamEvent.VERSION_UNKNOWN, "software version of the stream is not known"),
         VERSION_GONE(
-                StreamEvent.VERSION_GONE, "no other server of the software version of the stream");
+                StreamEvent.VERSION_GONE, "no other server of the software version of the stream"),
+        VERSION_UNPROVED(
+                StreamEvent.VERSION_UNPROVED, "software versions of the servers are not certain");
 
         private final StreamEvent mEvent;
         private final String mReason;
@@ -103,13 +105,20 @@
         }
     }
 
-    /** Records that the caller gets events of a version from now on. */
+    /**
+     * Returns whether it is certain of which software version a server is that is chosen now: an
+     * engine says with its reservation which process it is, all else follows from the listing.
+     */
+    boolean showsVersions() {
+        return mRequest.engine().isPresent() || mRelay.listing().isRecent();
+    }
+
+    /** Records that the caller gets events from now on, of a version that may not be certain. */
     void began(StreamBinding binding) {
         mBegan = binding.version();
-        if (mBegan.isPresent()) {
-            mRelay.metrics().recordStream(StreamEvent.BEGUN);
-            record();
-        }
+        mRelay.metrics()
+                .recordStream(mBegan.isPresent() ? StreamEvent.BEGUN : StreamEvent.BEGUN_UNPROVED);
+        record();
     }
 
     /** Tells other hosts once more, before the caller comes back to one of them. */
