Read each entry of the store by itself

Cause: a listing was read as one document, within limits of the JSON library that nobody had chosen (CP2101 TURNED_AWAY on each call, in all six cases). Raised, they only move: 20,000 levels end a recursive reader by its stack.

Change: a response is split by its quotes and brackets alone, and each value is read by itself, within 1 MiB, 64 levels and 64 characters a number. What cannot be read, or throws while it is decoded, is one unusable entry, logged once a revision (CP2124) and counted. The same for configuration, hosts and the lease, which is taken over. Numbers beyond their type are no longer truncated; a host with an odd name no longer ends the registration of those that read it.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/ListedHosts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/ListedHosts.java
@@ -1,5 +1,6 @@
 package org.cyclamenpaddle.relay.assembly;
 
+import io.vavr.control.Try;
 import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.relay.handover.Helper;
@@ -15,27 +16,21 @@
     /** Returns where a host takes over requests; empty if it does not. */
     static Stream<Helper> helper(LiveHost host) {
         HostEntry entry = host.entry();
-        return entry
-                .domain()
-                .flatMap(
-                        domain ->
-                                entry.requests()
-                                        .map(
-                                                requests ->
-                                                        new Helper(
-                                                                new HostId(host.name()),
-                                                                domain,
-                                                                requests)))
-                .stream();
+        return entry.domain().isPresent() && entry.requests().isPresent()
+                ? id(host).map(id -> new Helper(id, entry.domain().get(), entry.requests().get()))
+                : Stream.empty();
+    }
+
+    /** Another writer may have named an entry like no host. */
+    private static Stream<HostId> id(LiveHost host) {
+        return Try.of(() -> new HostId(host.name())).toJavaStream();
     }
 
     /** Returns where a host receives messages; empty for one of an older build. */
     static Stream<PeerAddress> peer(LiveHost host) {
         HostEntry entry = host.entry();
         return entry.domain().isPresent() && entry.peers().isPresent()
-                ? Stream.of(
-                        new PeerAddress(
-                                new HostId(host.name()), entry.domain().get(), entry.peers().get()))
+                ? id(host).map(id -> new PeerAddress(id, entry.domain().get(), entry.peers().get()))
                 : Stream.empty();
     }
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -71,6 +71,7 @@
 import org.cyclamenpaddle.relay.store.Follower;
 import org.cyclamenpaddle.relay.store.ListingAge;
 import org.cyclamenpaddle.relay.store.StoreAnswers;
+import org.cyclamenpaddle.relay.store.UnusableEntries;
 import org.cyclamenpaddle.relay.team.Team;
 import org.cyclamenpaddle.relay.team.TeamQuota;
 import org.cyclamenpaddle.routing.buffer.ByteAccount;
@@ -159,6 +160,7 @@
                         mCrashes,
                         storeOutages(),
                         mListing,
+                        mMetrics,
                         mClock,
                         mStartupGate,
                         this::logReady);
@@ -467,6 +469,7 @@
                 mAdapter.hosts(),
                 earlier -> mQuarantine.recordRead(earlier.quarantined()),
                 this::updateHosts,
+                new UnusableEntries("hosts", mLog, mMetrics),
                 mLog,
                 mScheduler,
                 mClock,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -13,11 +13,13 @@
 import org.cyclamenpaddle.relay.front.StartupGate;
 import org.cyclamenpaddle.relay.log.RelayEvent;
 import org.cyclamenpaddle.relay.log.RelayEventLog;
+import org.cyclamenpaddle.relay.metric.RelayMetrics;
 import org.cyclamenpaddle.relay.route.RelayConfiguration;
 import org.cyclamenpaddle.relay.store.EntryListener;
 import org.cyclamenpaddle.relay.store.ListingAge;
 import org.cyclamenpaddle.relay.store.StoreEntry;
 import org.cyclamenpaddle.relay.store.StoreFailure;
+import org.cyclamenpaddle.relay.store.UnusableEntries;
 
 /**
  * Applies changes from the store to the configuration and the backend registry, and logs each of
@@ -31,6 +33,8 @@
     private final CrashDetector mCrashes;
     private final StoreOutages mOutages;
     private final ListingAge mListing;
+    private final UnusableEntries mUnusableConfigurations;
+    private final UnusableEntries mUnusableBackends;
     private final Clock mClock;
     private final StartupGate mStartupGate;
     private final Runnable mOnComplete;
@@ -50,6 +54,7 @@
             CrashDetector crashes,
             StoreOutages outages,
             ListingAge listing,
+            RelayMetrics metrics,
             Clock clock,
             StartupGate startupGate,
             Runnable onComplete) {
@@ -61,6 +66,8 @@
         mCrashes = crashes;
         mOutages = outages;
         mListing = listing;
+        mUnusableConfigurations = new UnusableEntries("configuration", log, metrics);
+        mUnusableBackends = new UnusableEntries("backends", log, metrics);
         mClock = clock;
     }
 
@@ -100,6 +107,7 @@
 
         @Override
         public void onChange(StoreEntry<RelayConfiguration> entry) {
+            mUnusableConfigurations.report(entry);
             long previousVersion = mConfiguration.version();
             if (entry.value().isLeft()) {
                 mLog.log(
@@ -142,6 +150,7 @@
 
         @Override
         public void onListing(List<StoreEntry<Backend>> entries) {
+            entries.forEach(mUnusableBackends::report);
             Map<BackendId, Backend> named = new HashMap<>();
             entries.forEach(
                     entry -> entry.value().forEach(backend -> named.put(backend.id(), backend)));
@@ -154,6 +163,7 @@
 
         @Override
         public void onChange(StoreEntry<Backend> entry) {
+            mUnusableBackends.report(entry);
             Optional<Backend> backend = entry.value().toJavaOptional();
             backendId(entry.name())
                     .ifPresent(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/host/HostRegistry.java
@@ -14,6 +14,7 @@
 import org.cyclamenpaddle.relay.log.RelayEventLog;
 import org.cyclamenpaddle.relay.store.StoreEntry;
 import org.cyclamenpaddle.relay.store.StoreFailure;
+import org.cyclamenpaddle.relay.store.UnusableEntries;
 
 /**
  * Controller that registers this host in the store and counts the other hosts.
@@ -46,6 +47,7 @@
     private final LongFunction<HostEntry> mSelf;
     private final Consumer<List<LiveHost>> mListener;
     private final Consumer<HostEntry> mEarlierEntry;
+    private final UnusableEntries mUnusable;
     private final RelayEventLog mLog;
     private final ScheduledExecutorService mExecutor;
     private final Clock mClock;
@@ -64,6 +66,7 @@
      * @param store store of the entries
      * @param earlierEntry receives each entry before this host replaces its own one
      * @param listener receives the live hosts after each listing
+     * @param unusable reports entries that cannot be used
      * @param log event log
      * @param executor a single thread
      * @param clock steady clock
@@ -75,6 +78,7 @@
             HostStore store,
             Consumer<HostEntry> earlierEntry,
             Consumer<List<LiveHost>> listener,
+            UnusableEntries unusable,
             RelayEventLog log,
             ScheduledExecutorService executor,
             Clock clock,
@@ -84,6 +88,7 @@
         mStore = store;
         mEarlierEntry = earlierEntry;
         mListener = listener;
+        mUnusable = unusable;
         mLog = log;
         mExecutor = executor;
         mClock = clock;
@@ -149,6 +154,7 @@
     }
 
     private void applyListing(List<StoreEntry<HostEntry>> entries) {
+        entries.forEach(mUnusable::report);
         long now = mClock.millis();
         mCount.applyListing(entries, now).forEach(mStore::remove);
         List<LiveHost> liveHosts = mCount.liveHosts(now);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -104,6 +104,11 @@
             List.of("service", "part")),
     STORE_LOST_ALONE(
             2123, Priority.STATE, "only this host had lost the store", List.of("awayMillis")),
+    ENTRY_UNUSABLE(
+            2124,
+            Priority.STATE,
+            "store entry cannot be used",
+            List.of("kind", "name", "revision", "reason")),
     LEASE_CHANGED(2109, Priority.STATE, "lease on orders changed", List.of("holder", "reason")),
     ORDER_ENDED(
             2110,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -98,6 +98,11 @@
         counter("bytes_refused", REASON, tag(reason)).increment();
     }
 
+    /** Records an entry of the store that cannot be used. */
+    public void recordUnusableEntry(String kind) {
+        counter("entries_unusable", "kind", kind).increment();
+    }
+
     /** Records how the response of a backend server ended. */
     public void recordResponseEnd(Enum<?> end) {
         counter("response_ends", "end", tag(end)).increment();
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/LeaseRecord.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/role/LeaseRecord.java
@@ -9,8 +9,12 @@
  */
 public record LeaseRecord(String holder, long fence, long beat) {
 
+    /** Maximum fencing token and heartbeat, beyond any that hosts can reach by counting. */
+    private static final long MAX_COUNT = 1L << 53;
+
     public LeaseRecord {
-        if (holder == null || holder.isEmpty() || fence < 1 || beat < 0) {
+        boolean inRange = fence >= 1 && fence <= MAX_COUNT && beat >= 0 && beat <= MAX_COUNT;
+        if (holder == null || holder.isEmpty() || !inRange) {
             throw new IllegalArgumentException(
                     "lease of "
                             + holder
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/LeaseTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/role/LeaseTest.java
@@ -16,6 +16,17 @@
 /** Tests that two hosts never issue orders within the conflict interval of the engines. */
 public class LeaseTest {
 
+    /** Failure: a lease that another writer has spoilt is never taken over. */
+    @Test
+    public void unreadableLeaseIsTakenOverWithAHigherToken() {
+        Lease lease = new Lease("h");
+        lease.observe(Optional.of(StoredLease.unreadable(40)), 0);
+        assertTrue(lease.nextWrite(Lease.TAKEOVER_MILLIS - 1).isEmpty());
+        Lease.LeaseWrite write = lease.nextWrite(Lease.TAKEOVER_MILLIS).orElseThrow();
+        assertEquals(write.revision(), OptionalLong.of(40));
+        assertEquals(write.record().fence(), 41);
+    }
+
     /** Engines treat two holders as conflicting if their orders alternate within this time. */
     private static final long MIN_ORDER_GAP_MILLIS = 3_000;
 
--- a/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/http/PlatformConnection.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/http/PlatformConnection.java
@@ -15,6 +15,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.SessionProtocol;
 import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
@@ -65,7 +66,8 @@
      * @param request the request
      * @param extraMillis time added to the response timeout, in milliseconds, for calls that the
      *     platform holds open
-     * @param read converts the response, whatever its status
+     * @param read converts the response, whatever its status; one for which it throws counts as
+     *     {@link #rejected}
      */
     public <T> CompletableFuture<Either<PlatformError, T>> call(
             HttpRequest request,
@@ -84,7 +86,8 @@
             return aggregated.handle(
                     (response, failure) ->
                             failure == null
-                                    ? read.apply(response)
+                                    ? Try.of(() -> read.apply(response))
+                                            .getOrElse(() -> Either.left(rejected(response)))
                                     : Either.left(error(context, failure, timeoutMillis)));
         }
     }
