Compare the id of a response before anything in it is used

Cause: an attempt examined "not executed" and 421 before the id, a prefill recorded directives and rejections before it, and calls without an id took any response.

Change: one method decides, first thing in each head. A response with another id, none or several leaves the outcome unknown, closes the connection and records neither directives nor health. Calls without an id accept only responses without one.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/SendOutcome.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/backend/SendOutcome.java
@@ -19,6 +19,11 @@
      * running.
      */
     UNKNOWN(true, true),
+    /**
+     * The connection carried a response to another request; this one may have run. That shows
+     * nothing of the health of the server.
+     */
+    MISMATCHED(true, false),
     /** Bytes were sent and no response arrived before the timeout; the request may have run. */
     SILENT(true, false),
     /** The caller disconnected first; the outcome is no evidence about the server. */
@@ -44,7 +49,12 @@
 
     /** Returns whether the outcome shows anything about the health of the server. */
     public boolean concernsHealth() {
-        return this != ABANDONED && this != WITHHELD;
+        return this != ABANDONED && this != WITHHELD && this != MISMATCHED;
+    }
+
+    /** Returns whether the connection ended before the response did. */
+    public boolean connectionLost() {
+        return this == UNKNOWN || this == MISMATCHED;
     }
 
     /** Returns whether the server has responded. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -190,7 +190,17 @@
         if (mExchange.openedConnection()) {
             mRelay.reachability().requestConnected(target(), mSentMillis);
         }
-        if (head.notRun() || isResponseToThisRequest(head)) {
+        if (!head.answers(Optional.of(mRequest.caller().id()))) {
+            mExchange.cancel();
+            end(
+                    SendOutcome.MISMATCHED,
+                    "response with status "
+                            + head.headers().status().code()
+                            + " for request id "
+                            + head.requestId().orElse("none"));
+            return;
+        }
+        if (head.notRun() || isServersResponse(head)) {
             mRelay.calls()
                     .recordHead(target(), mRequest.caller().id(), head.headers(), mSentMillis);
         }
@@ -199,16 +209,14 @@
             end(
                     head.misdirected() ? SendOutcome.MISDIRECTED : SendOutcome.REJECTED,
                     "status " + head.headers().status().code());
-        } else if (!isResponseToThisRequest(head)) {
-            // The connection carries the response to another request, or bytes that no server sent.
-            // Neither may reach the caller, and whether the request ran is unknown.
+        } else if (!isServersResponse(head)) {
+            // Bytes that no server sent may not reach the caller, and whether the request ran is
+            // unknown.
             mExchange.cancel();
             end(
                     SendOutcome.UNKNOWN,
-                    "response with status "
-                            + head.headers().status().code()
-                            + " for request id "
-                            + head.requestId().orElse("none"));
+                    "unsigned or misleading response with status "
+                            + head.headers().status().code());
         } else if (!mResponse.mayContinueWith(head)) {
             mExchange.cancel();
             end(SendOutcome.UNKNOWN, "resumed stream is no event stream");
@@ -332,10 +340,8 @@
         mExchange.requestMore();
     }
 
-    private boolean isResponseToThisRequest(BackendResponse head) {
-        boolean idMatches = head.requestId().map(mRequest.caller().id()::equals).orElse(false);
-        boolean misleading = NOT_RUN_STATUSES.contains(head.headers().status());
-        return idMatches && head.signed() && !misleading;
+    private static boolean isServersResponse(BackendResponse head) {
+        return head.signed() && !NOT_RUN_STATUSES.contains(head.headers().status());
     }
 
     private void responseStarted() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -1,5 +1,7 @@
 package org.cyclamenpaddle.relay.front;
 
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.ClientRequestContextCaptor;
 import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.client.WebClient;
@@ -10,6 +12,8 @@
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.logging.RequestLogProperty;
 import com.linecorp.armeria.common.util.SafeCloseable;
+import io.netty.channel.Channel;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import org.cyclamenpaddle.core.time.Clock;
@@ -62,19 +66,36 @@
     public CompletableFuture<AggregatedHttpResponse> call(
             Backend target, Options options, HttpRequest request) {
         long sentMillis = mClock.millis();
-        return execute(target, options, request)
-                .aggregate()
-                .thenApply(
-                        response -> {
-                            ResponseHeaders head = response.headers();
-                            record(
-                                    target,
-                                    options.cause(),
-                                    head,
-                                    mMessages.directives(head).withoutLiftingLimits(),
-                                    sentMillis);
-                            return response;
-                        });
+        ClientRequestContext context;
+        CompletableFuture<AggregatedHttpResponse> call;
+        try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
+            call = execute(target, options, request).aggregate();
+            context = captor.get();
+        }
+        return call.thenApply(
+                response -> {
+                    ResponseHeaders head = response.headers();
+                    // Calls bear no id, and their responses none.
+                    if (!mMessages.response(head).answers(Optional.empty())) {
+                        close(context);
+                        throw new MismatchedResponseException(target.id().value());
+                    }
+                    record(
+                            target,
+                            options.cause(),
+                            head,
+                            mMessages.directives(head).withoutLiftingLimits(),
+                            sentMillis);
+                    return response;
+                });
+    }
+
+    /** Closes the connection of a call, on which the responses to others may follow. */
+    private static void close(ClientRequestContext context) {
+        Channel channel = context.log().partial().channel();
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     private HttpResponse execute(Backend target, Options options, HttpRequest request) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -155,6 +155,14 @@
     public void head(BackendResponse response) {
         mResponse = response;
         heard();
+        if (!response.answers(Optional.of(mRequest.caller().id()))) {
+            // Its handle would make this request continue from the prompt of another one.
+            mExchange.cancel();
+            fail(
+                    SendOutcome.MISMATCHED,
+                    "response for request id " + response.requestId().orElse("none"));
+            return;
+        }
         mRelay.calls().recordHead(mEngine, mRequest.caller().id(), response.headers(), mSentMillis);
         mExchange.requestMore();
     }
@@ -178,15 +186,6 @@
                     "status " + mResponse.headers().status().code());
             return;
         }
-        if (!mResponse.requestId().map(mRequest.caller().id()::equals).orElse(false)) {
-            // On a pooled connection this may be a late second response to the previous request.
-            // Its handle would make this request continue from the prompt of another one.
-            mExchange.cancel();
-            fail(
-                    SendOutcome.UNKNOWN,
-                    "response for request id " + mResponse.requestId().orElse("none"));
-            return;
-        }
         Either<String, PromptHandle> handle =
                 mRelay.engineMessages().promptHandle(mEngine, mBody.toByteArray());
         if (handle.isLeft()) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/ReserveCall.java
@@ -234,6 +234,9 @@
         if (CallWithheldException.causes(cause)) {
             return SendOutcome.WITHHELD;
         }
+        if (cause instanceof MismatchedResponseException) {
+            return SendOutcome.MISMATCHED;
+        }
         return cause instanceof ResponseTimeoutException
                 ? SendOutcome.SILENT
                 : SendOutcome.NOT_SENT;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SameServerPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SameServerPhase.java
@@ -81,8 +81,8 @@
         }
         if (outcome == SendOutcome.REJECTED && attempt.prompt().isPresent()) {
             prefillResultLost(attempt, cause, prefillEngine);
-        } else if (outcome == SendOutcome.UNKNOWN && mayResumeOn(attempt.target())) {
-            resume(attempt, cause);
+        } else if (outcome.connectionLost() && mayResumeOn(attempt.target())) {
+            resume(attempt, outcome, cause);
         } else {
             mListener.sendElsewhere(attempt, outcome, cause);
         }
@@ -118,7 +118,7 @@
      * engine would have to prefill the prompt again, which takes longer than callers accept. An
      * engine that has crashed refuses the call at once, and the stream then resumes on another one.
      */
-    private void resume(BackendAttempt attempt, String cause) {
+    private void resume(BackendAttempt attempt, SendOutcome outcome, String cause) {
         mReserving = true;
         ReserveCall.reserve(
                 mRelay,
@@ -127,19 +127,20 @@
                 attempt.target(),
                 result -> {
                     mReserving = false;
-                    reserved(attempt, cause, result);
+                    reserved(attempt, outcome, cause, result);
                 });
     }
 
-    private void reserved(BackendAttempt attempt, String cause, ReserveCall.Result result) {
+    private void reserved(
+            BackendAttempt attempt, SendOutcome outcome, String cause, ReserveCall.Result result) {
         boolean resumes =
                 !mListener.ended()
                         && result.granted()
                         && mCrashGuard.mayRun()
                         && mRetryPolicy.resumeOnSameBackend(mListener::takeRetry);
         if (resumes) {
-            mLog.attemptEnded(attempt, SendOutcome.UNKNOWN, cause, RetryDecision.SEND_AGAIN);
-            mRelay.metrics().recordRetry(SendOutcome.UNKNOWN);
+            mLog.attemptEnded(attempt, outcome, cause, RetryDecision.SEND_AGAIN);
+            mRelay.metrics().recordRetry(outcome);
             mListener.resumes();
             mRelay.registry().recordAlive(attempt.target());
             mRelay.registry()
@@ -150,7 +151,7 @@
         }
         result.reservation().ifPresent(name -> ReserveCall.cancel(mRelay, attempt.target(), name));
         if (!mListener.ended()) {
-            mListener.sendElsewhere(attempt, SendOutcome.UNKNOWN, cause);
+            mListener.sendElsewhere(attempt, outcome, cause);
         }
     }
 
