--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineCheck.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/EngineCheck.java
@@ -69,7 +69,7 @@
                 .call(
                         mEngine,
                         new BackendCaller.Options(
-                                true, mTimeoutMillis, BackendCaller.Purpose.WORK, "report"),
+                                true, mTimeoutMillis, BackendCaller.Purpose.CHECK, "report"),
                         HttpRequest.of(mRelay.engineMessages().report(mEngine)))
                 .whenComplete(
                         (response, failure) -> {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCaller.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/wire/BackendCaller.java
@@ -15,7 +15,7 @@
         WORK,
         /** Release of what this host holds at the server. */
         RELEASE,
-        /** Check whether the server shuts down. */
+        /** Check of a server, which also runs earlier requests while it shuts down. */
         CHECK
     }
 
