Record nothing of a server from a response to another request

A response whose id is another one's still counted as a sign of life, which ends an ejection. Nothing in such a response, nor its arrival, is recorded now.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -186,7 +186,6 @@
     @Override
     public void head(BackendResponse head) {
         mHead = head;
-        heard();
         if (mExchange.openedConnection()) {
             mRelay.reachability().requestConnected(target(), mSentMillis);
         }
@@ -200,6 +199,7 @@
                             + head.requestId().orElse("none"));
             return;
         }
+        heard();
         if (head.notRun() || isServersResponse(head)) {
             mRelay.calls()
                     .recordHead(target(), mRequest.caller().id(), head.headers(), mSentMillis);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -154,7 +154,6 @@
     @Override
     public void head(BackendResponse response) {
         mResponse = response;
-        heard();
         if (!response.answers(Optional.of(mRequest.caller().id()))) {
             // Its handle would make this request continue from the prompt of another one.
             mExchange.cancel();
@@ -163,6 +162,7 @@
                     "response for request id " + response.requestId().orElse("none"));
             return;
         }
+        heard();
         mRelay.calls().recordHead(mEngine, mRequest.caller().id(), response.headers(), mSentMillis);
         mExchange.requestMore();
     }
