--- a/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/http/JsonSlice.java
+++ b/cyclamenpaddle-store/src/main/java/org/cyclamenpaddle/store/http/JsonSlice.java
@@ -139,10 +139,14 @@
         return read().exists(JsonNode::booleanValue);
     }
 
-    /** Returns the position after an opening bracket and space; the end if there is none. */
+    /**
+     * Returns the position after an opening bracket and space; the end if there is none, or if no
+     * bracket closes it, as in a truncated document.
+     */
     private int open(char bracket) {
         int at = skipSpace(mFrom);
-        return at < mTo && mBytes[at] == bracket ? skipSpace(at + 1) : mTo;
+        boolean closed = at < mTo && mBytes[at] == bracket && end(at) != NONE;
+        return closed ? skipSpace(at + 1) : mTo;
     }
 
     /** Returns the position after the comma that follows a value; the end if there is none. */
--- a/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/http/JsonSliceTest.java
+++ b/cyclamenpaddle-store/src/test/java/org/cyclamenpaddle/store/http/JsonSliceTest.java
@@ -70,6 +70,7 @@
     @Test
     public void documentWithoutAnEndHasNoMembersAndElements() {
         assertEquals(slice("{\"a\":[1,2").member("a"), Optional.empty());
+        assertEquals(slice("{\"a\":[1,2]").member("a"), Optional.empty());
         assertEquals(slice("[1,{\"a\":\"").elements(), Optional.empty());
         assertEquals(slice("").elements(), Optional.empty());
         assertEquals(slice("7").member("a"), Optional.empty());
