Log connections of attempts, and bytes that answer no request

Callers got successes in place of failures of servers that send responses twice. The logs could not tell the hypotheses apart: no line named the connection of an attempt, nor what had come on it before.

CP2201 and CP2205 name the connection and the number of the request on it. ResponseCheck observes each client connection to backend servers: bytes that arrive while no request waits for a response, and heads that contain the status line of another response, are logged (CP2225) and counted (cyclamenpaddle_relay_foreign_bytes_total). Nothing else changes.

--- a/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
+++ b/cyclamenpaddle-engine/src/main/java/org/cyclamenpaddle/engine/http/BackendConnections.java
@@ -11,6 +11,8 @@
 import org.cyclamenpaddle.core.config.BackendSpec;
 import org.cyclamenpaddle.http.CleartextClients;
 import org.cyclamenpaddle.http.ConnectTimeout;
+import org.cyclamenpaddle.http.ForeignBytes;
+import org.cyclamenpaddle.http.ResponseCheck;
 
 /**
  * Creates HTTP clients of backend servers, with single-use or keep-alive connections.
@@ -50,26 +52,29 @@
             CleartextClients.factory()
                     .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                     .maxNumRequestsPerConnection(1)
-                    .option(
-                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
-                            BackendConnections::prepare)
+                    .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, this::prepare)
                     .build();
 
     private final ClientFactory mKeepAlive =
             CleartextClients.factory()
                     .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                     .idleTimeoutMillis(KEEP_ALIVE_IDLE_MILLIS)
-                    .option(
-                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
-                            BackendConnections::prepare)
+                    .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, this::prepare)
                     .build();
 
     /** Created when a request is handed over first, since it costs processor time. */
     private ClientFactory mHosts;
 
+    private volatile ForeignBytes.Listener mForeignBytes = bytes -> {};
+
     // Building a client costs more processor time than sending a call with it.
     private final Map<Target, WebClient> mClients = new ConcurrentHashMap<>();
 
+    /** Sets what is notified of bytes that are not the response to the request on a connection. */
+    public void onForeignBytes(ForeignBytes.Listener listener) {
+        mForeignBytes = listener;
+    }
+
     /**
      * Returns a client that opens a new connection for each call.
      *
@@ -140,9 +145,7 @@
                     CleartextClients.factory()
                             .connectTimeoutMillis(HOST_CONNECT_TIMEOUT_MILLIS)
                             .maxNumRequestsPerConnection(1)
-                            .option(
-                                    ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
-                                    BackendConnections::prepare)
+                            .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, this::prepare)
                             .build();
         }
         return mHosts;
@@ -157,7 +160,8 @@
         mKeepAlive.close();
     }
 
-    private static void prepare(ChannelPipeline pipeline) {
+    private void prepare(ChannelPipeline pipeline) {
+        ResponseCheck.install(pipeline, bytes -> mForeignBytes.found(bytes));
         ConnectTimeout.install(pipeline);
         ResetWatch.watch(pipeline);
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -33,6 +33,7 @@
 import org.cyclamenpaddle.core.time.Clock;
 import org.cyclamenpaddle.core.time.MonotonicClock;
 import org.cyclamenpaddle.engine.http.BackendConnections;
+import org.cyclamenpaddle.http.ForeignBytes;
 import org.cyclamenpaddle.relay.backend.BackendRegistry;
 import org.cyclamenpaddle.relay.backend.CostSettings;
 import org.cyclamenpaddle.relay.crash.CrashDetector;
@@ -174,6 +175,7 @@
         mReachability = reachabilityMonitor(settings.host());
         mRegistry.onSendFailed(mReachability::requestFailed);
         mCalls.onResponse(mReachability::requestResponded);
+        mConnections.onForeignBytes(this::logForeignBytes);
         mRegistry.directives().onLeavingUnconfirmed(leavingCheck()::begin);
         RelayContext relay = context(bytes);
         mShutdown = new GracefulShutdown(settings.stop().graceMillis(), mClock);
@@ -546,6 +548,12 @@
         return HttpResponse.of(MediaType.PLAIN_TEXT_UTF_8, mMetrics.text());
     }
 
+    private void logForeignBytes(ForeignBytes bytes) {
+        mMetrics.recordForeignBytes(bytes.kind());
+        mLog.log(
+                RelayEvent.FOREIGN_BYTES, bytes.address(), bytes.connection(), bytes.kind().text());
+    }
+
     private void logReady() {
         mLog.log(
                 RelayEvent.READY,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -92,6 +92,7 @@
     private boolean mPrefilled;
     private boolean mResponseStarted;
     private boolean mEnded;
+    private String mConnectionName = "none";
 
     BackendAttempt(
             RelayContext relay,
@@ -178,6 +179,11 @@
         return mAwaitsData ? mRelay.clock().millis() - mHeardMillis : 0;
     }
 
+    /** Returns the connection of the last send and the number of the request on it, for logs. */
+    String connection() {
+        return mConnectionName;
+    }
+
     /** Returns whether the first event or a plain response has begun to arrive. */
     boolean begun() {
         return mResponseStarted;
@@ -186,6 +192,7 @@
     @Override
     public void head(BackendResponse head) {
         mHead = head;
+        mConnectionName = mExchange.connection();
         if (mExchange.openedConnection()) {
             mRelay.reachability().requestConnected(target(), mSentMillis);
         }
@@ -286,6 +293,7 @@
 
     @Override
     public void failed(SendOutcome outcome, Throwable cause) {
+        mConnectionName = mHead == null ? mExchange.connection() : mConnectionName;
         mCrashGuard.sendFailed(
                 target(), outcome, cause, respondingMillis(), () -> resendOrEnd(outcome, cause));
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -18,6 +18,7 @@
 import org.cyclamenpaddle.engine.http.CallFailure;
 import org.cyclamenpaddle.engine.http.ResponseEnd;
 import org.cyclamenpaddle.engine.http.TruncatedResponseException;
+import org.cyclamenpaddle.http.ResponseCheck;
 import org.cyclamenpaddle.relay.backend.SendOutcome;
 import org.cyclamenpaddle.relay.wire.BackendMessages;
 import org.reactivestreams.Subscriber;
@@ -109,6 +110,14 @@
         return timings != null && timings.socketConnectDurationNanos() >= 0;
     }
 
+    /**
+     * Returns the connection of the request and its number there, for logs; the number may be that
+     * of a later request once the response is complete.
+     */
+    String connection() {
+        return isConnected() ? ResponseCheck.describe(mContext.log().partial().channel()) : "none";
+    }
+
     /**
      * Cancels the exchange and closes its connection.
      *
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -72,6 +72,7 @@
     private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
     private long mEventsBeforeSecond;
     private boolean mForwardingBeforeSecond;
+    private String mConnection = "none";
 
     RequestAttempts(
             RelayContext relay,
@@ -147,6 +148,11 @@
         return mPlaced.map(PlacementPhase.Placed::backend);
     }
 
+    /** Returns the connection of the attempt that ended last, for logs. */
+    String connection() {
+        return mConnection;
+    }
+
     /** Returns the engine that was to prefill the prompt for that attempt. */
     Optional<Backend> prefillEngine() {
         return mPlaced.flatMap(PlacementPhase.Placed::prefillEngine);
@@ -352,6 +358,7 @@
         mFirst = Optional.empty();
         send.mPlaced.ifPresent(placed -> placed.releaseUnused(mRelay, outcome));
         if (send.mAttempt instanceof BackendAttempt attempt) {
+            mConnection = attempt.connection();
             mListener.ended(attempt, outcome, cause);
         } else {
             mListener.handoverEnded(outcome, cause);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -405,7 +405,8 @@
                 mAttempts.backend(),
                 mAttempts.prefillEngine(),
                 mReservedMillis.isPresent() ? mReservedMillis.getAsLong() - mStartMillis : -1,
-                mCrashGuard.partsIfTracked());
+                mCrashGuard.partsIfTracked(),
+                mAttempts.connection());
         end();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestLog.java
@@ -88,12 +88,14 @@
      * @param prefillEngine prefill engine, if the prompt was prefilled separately
      * @param reservationMillis time until a reservation was granted; -1 if none was needed
      * @param parts fingerprints of the parts of its prompt, if they are needed
+     * @param connection connection of the response and the number of the request on it
      */
     void completed(
             Optional<Backend> backend,
             Optional<Backend> prefillEngine,
             long reservationMillis,
-            List<Long> parts) {
+            List<Long> parts,
+            String connection) {
         mRelay.log().log(
                 RelayEvent.REQUEST_ENDED,
                 mRequest.caller().id(),
@@ -119,7 +121,8 @@
                 mSearch.waitMillis(),
                 mSearch.rejects(),
                 mSearch.leftTokens(),
-                PartFingerprint.text(parts));
+                PartFingerprint.text(parts),
+                connection);
     }
 
     /** Logs that the response to the caller was truncated. */
@@ -170,7 +173,8 @@
                 cause,
                 attempt.elapsedMillis(),
                 next,
-                barrier(next));
+                barrier(next),
+                attempt.connection());
     }
 
     /**
@@ -214,7 +218,8 @@
                 cause,
                 elapsedMillis(),
                 next,
-                barrier(next));
+                barrier(next),
+                NONE);
     }
 
     private String barrier(RetryDecision next) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -144,7 +144,8 @@
                     "waitLimit",
                     "rejects",
                     "leftFree",
-                    "parts")),
+                    "parts",
+                    "connection")),
     REQUEST_FAILED(
             2202,
             Priority.DIAGNOSTIC,
@@ -196,7 +197,8 @@
                     "cause",
                     "millis",
                     "next",
-                    "barrier")),
+                    "barrier",
+                    "connection")),
     PREFILL_FAILED(
             2206,
             Priority.DIAGNOSTIC,
@@ -261,6 +263,11 @@
             Priority.DIAGNOSTIC,
             "one of two attempts ended",
             List.of("request", "backend", "outcome", "cause", "millis", "kept")),
+    FOREIGN_BYTES(
+            2225,
+            Priority.DIAGNOSTIC,
+            "bytes of a backend server that answer no request",
+            List.of("address", "connection", "reason")),
     REQUEST_REFUSED(
             2207,
             Priority.DIAGNOSTIC,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/metric/RelayMetrics.java
@@ -108,6 +108,11 @@
         counter("response_ends", "end", tag(end)).increment();
     }
 
+    /** Records bytes on a connection to a backend server that answer no request. */
+    public void recordForeignBytes(Enum<?> kind) {
+        counter("foreign_bytes", "kind", tag(kind)).increment();
+    }
+
     /** Records a decision on a request whose server is silent. */
     public void recordSilence(Enum<?> decision) {
         counter("silences", "decision", tag(decision)).increment();
