Reject bytes that answer no request

Cause: a part of a second response that ends within its head stays in the decoder of a kept connection without notice. The next response is parsed as its continuation: a status line may stand in a reason phrase or in the value of a header, and the id that is compared is that of the next response. Names with such a line were rejected by the decoder already.

Change: ResponseCheck closes a connection on which bytes arrive while no request waits for a response, before any request is written to it, and fails a response whose head contains a second status line.

--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
@@ -1,11 +1,13 @@
 package org.cyclamenpaddle.http;
 
+import com.linecorp.armeria.common.ProtocolViolationException;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,14 +15,15 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.NetUtil;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
- * Channel handler that recognises bytes which are not the response to the request on their
- * connection.
+ * Channel handler that rejects bytes which are not the response to the request on their connection,
+ * and closes the connection.
  *
  * <p>A faulty server may send a response twice, or a part of it. Arriving between two requests,
  * such bytes stay unnoticed in the decoder if they are no complete head, and the next response is
@@ -41,6 +44,7 @@
 
     private boolean mAwaitsResponse;
     private boolean mInterim;
+    private boolean mClosed;
 
     private ResponseCheck(ForeignBytes.Listener listener) {
         mListener = listener;
@@ -77,10 +81,21 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (!mAwaitsResponse && message instanceof ByteBuf) {
+        if (mAwaitsResponse || !(message instanceof ByteBuf)) {
+            context.fireChannelRead(message);
+        } else {
+            closeUnrequested(context, message);
+        }
+    }
+
+    /** Closes the connection, so that no request is written to it any more. */
+    private void closeUnrequested(ChannelHandlerContext context, Object message) {
+        ReferenceCountUtil.release(message);
+        if (!mClosed) {
+            mClosed = true;
             report(context, ForeignBytes.Kind.UNREQUESTED);
+            context.close();
         }
-        context.fireChannelRead(message);
     }
 
     private void requestWritten() {
@@ -114,10 +129,18 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!mAwaitsResponse) {
+                closeUnrequested(context, message);
+                return;
+            }
             if (message instanceof HttpResponse head) {
                 mInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
                 if (head.decoderResult().isSuccess() && isJoined(head)) {
                     report(context, ForeignBytes.Kind.JOINED_HEADS);
+                    // The client ends the request and closes the connection.
+                    head.setDecoderResult(
+                            DecoderResult.failure(
+                                    new ProtocolViolationException("two response heads joined")));
                 }
             }
             if (message instanceof LastHttpContent && !mInterim) {
