Send a request once over the kept connections of a server

All sends of a request bear its caller's id. A late copy of the response to a first send therefore passes for the response to a second one on the same connection: the result of an earlier prefill, whose handle is spent, was used for the next prefill of a request at the same engine.

Evidence: RelayLateCopyTest showed handle k1 twice in place of k1 and k2. Decode sends and plain calls never reach a server twice: with one server and one engine that fail the first send, no second one came.

Change: ReachedServers of each request; every later send or prefill at a server uses a new connection. First sends are as before, so that only repeated ones cost a connection.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PlacementPhase.java
@@ -107,6 +107,7 @@
     private final boolean mSentBefore;
     private final BooleanSupplier mRetryBudget;
     private final CrashGuard mCrashGuard;
+    private final ReachedServers mReached;
     private final Consumer<SearchInputs> mSearched;
     private final Listener mListener;
     private Optional<BackendSearch> mSearch = Optional.empty();
@@ -122,6 +123,7 @@
      * @param sentBefore whether the request was sent to a server before
      * @param retryBudget takes one retry from the shared budget; false if there is none left
      * @param crashGuard decides whether the request may be sent
+     * @param reached servers to which the request was sent
      * @param searched gets the inputs of a search for engine memory when it has ended
      */
     PlacementPhase(
@@ -133,6 +135,7 @@
             boolean sentBefore,
             BooleanSupplier retryBudget,
             CrashGuard crashGuard,
+            ReachedServers reached,
             Consumer<SearchInputs> searched,
             Listener listener) {
         mRelay = relay;
@@ -143,6 +146,7 @@
         mSentBefore = sentBefore;
         mRetryBudget = retryBudget;
         mCrashGuard = crashGuard;
+        mReached = reached;
         mSearched = searched;
         mListener = listener;
     }
@@ -224,6 +228,7 @@
                         placed.prefillEngine().get(),
                         engine,
                         mCrashGuard,
+                        mReached,
                         this::prefillEnded);
         mPrefill = Optional.of(prefill);
         mReserved = Optional.of(placed);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -64,6 +64,7 @@
     private final EngineCheck mEngineCheck;
     private final EngineCheck mDecodeEngine;
     private final CrashGuard mCrashGuard;
+    private final ReachedServers mReached;
     private final Consumer<Optional<PromptHandle>> mDone;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final long mStartMillis;
@@ -85,6 +86,7 @@
      *
      * @param decodeEngine engine that prefills the prompt itself if this prefill fails
      * @param crashGuard decides whether the request may be sent
+     * @param reached servers to which the request was sent
      * @param done called with the handle, or empty if the prefill failed; not called after a cancel
      */
     PrefillExchange(
@@ -93,6 +95,7 @@
             Backend engine,
             Backend decodeEngine,
             CrashGuard crashGuard,
+            ReachedServers reached,
             Consumer<Optional<PromptHandle>> done) {
         mRelay = relay;
         mRequest = request;
@@ -100,6 +103,7 @@
         mEngineCheck = new EngineCheck(relay, engine, request.route().silenceMillis());
         mDecodeEngine = new EngineCheck(relay, decodeEngine, request.route().silenceMillis());
         mCrashGuard = crashGuard;
+        mReached = reached;
         mDone = done;
         mStartMillis = relay.clock().millis();
         mResumedMillis = mStartMillis;
@@ -109,7 +113,7 @@
         mLoop = loop;
         mRemainingMillis = remainingMillis;
         checkAfter(silenceMillis(SILENCE_SHARE));
-        open(true);
+        open(mReached.add(mEngine));
     }
 
     private void open(boolean pooled) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -66,6 +66,7 @@
     private final HandoverPhase mHandover;
     private final Listener mListener;
     private final SilenceWatch mWatch;
+    private final ReachedServers mReached;
     private final Set<BackendId> mTried = new HashSet<>();
     private Optional<Send> mFirst = Optional.empty();
     private Optional<Send> mSecond = Optional.empty();
@@ -84,6 +85,7 @@
             CallerResponse response,
             RequestLog log,
             HandoverPhase handover,
+            ReachedServers reached,
             Listener listener) {
         mRelay = relay;
         mRequest = request;
@@ -94,6 +96,7 @@
         mResponse = response;
         mLog = log;
         mHandover = handover;
+        mReached = reached;
         mListener = listener;
         mWatch =
                 new SilenceWatch(
@@ -103,6 +106,7 @@
                         bytes,
                         retryPolicy,
                         crashGuard,
+                        reached,
                         log,
                         new SilenceWatch.Listener() {
                             @Override
@@ -270,6 +274,9 @@
     }
 
     private BackendAttempt.Connection connection(Send send, PlacementPhase.Placed placed) {
+        if (!mReached.add(placed.backend())) {
+            return BackendAttempt.Connection.NEW;
+        }
         if (placed.reservation().isPresent()) {
             return BackendAttempt.Connection.RECENTLY_USED;
         }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -43,6 +43,7 @@
     private final HandoverPhase mHandover;
     private final StreamPhase mStream;
     private final SameServerPhase mSameServer;
+    private final ReachedServers mReached = new ReachedServers();
     private final RequestAttempts mAttempts;
     private final long mStartMillis;
     private PolledTimer mTimeout;
@@ -108,6 +109,7 @@
                         mResponse,
                         mRequestLog,
                         mHandover,
+                        mReached,
                         new AttemptListener());
     }
 
@@ -262,6 +264,7 @@
                         !mAttempts.tried().isEmpty(),
                         this::takeRetry,
                         mCrashGuard,
+                        mReached,
                         mRequestLog::searched,
                         new PlacementPhase.Listener() {
                             @Override
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/SilenceWatch.java
@@ -49,6 +49,7 @@
     private final RequestBytes mBytes;
     private final RetryPolicy mRetryPolicy;
     private final CrashGuard mCrashGuard;
+    private final ReachedServers mReached;
     private final RequestLog mLog;
     private final Listener mListener;
     private SilenceLimits mLimits;
@@ -69,6 +70,7 @@
             RequestBytes bytes,
             RetryPolicy retryPolicy,
             CrashGuard crashGuard,
+            ReachedServers reached,
             RequestLog log,
             Listener listener) {
         mRelay = relay;
@@ -77,6 +79,7 @@
         mBytes = bytes;
         mRetryPolicy = retryPolicy;
         mCrashGuard = crashGuard;
+        mReached = reached;
         mLog = log;
         mListener = listener;
     }
@@ -280,6 +283,7 @@
                         true,
                         () -> mRelay.budget().tryTake(mRequest.service()),
                         mCrashGuard,
+                        mReached,
                         mLog::searched,
                         new PlacementPhase.Listener() {
                             @Override
