Close connections that carried a response to another request

A second response to an earlier request cost the call that met it, also where its route allows repetition: 502, "response for request id ...". If it had arrived completely the library kept the connection, and the true response met the next request.

Change: the connection is closed at once. A request on a kept connection that may be repeated is sent again over a new one, as after a connection that was closed while idle, out of the shared retry budget; prefills too. Joined heads count as MISMATCHED, so that the server is not ejected for them, as for other responses to others.

--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
@@ -1,6 +1,5 @@
 package org.cyclamenpaddle.http;
 
-import com.linecorp.armeria.common.ProtocolViolationException;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -138,9 +137,7 @@
                 if (head.decoderResult().isSuccess() && isJoined(head)) {
                     report(context, ForeignBytes.Kind.JOINED_HEADS);
                     // The client ends the request and closes the connection.
-                    head.setDecoderResult(
-                            DecoderResult.failure(
-                                    new ProtocolViolationException("two response heads joined")));
+                    head.setDecoderResult(DecoderResult.failure(new JoinedHeadsException()));
                 }
             }
             if (message instanceof LastHttpContent && !mInterim) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendAttempt.java
@@ -197,8 +197,8 @@
             mRelay.reachability().requestConnected(target(), mSentMillis);
         }
         if (!head.answers(Optional.of(mRequest.caller().id()))) {
-            mExchange.cancel();
-            end(
+            mExchange.cancelMismatched();
+            resendOrEnd(
                     SendOutcome.MISMATCHED,
                     "response with status "
                             + head.headers().status().code()
@@ -295,7 +295,11 @@
     public void failed(SendOutcome outcome, Throwable cause) {
         mConnectionName = mHead == null ? mExchange.connection() : mConnectionName;
         mCrashGuard.sendFailed(
-                target(), outcome, cause, respondingMillis(), () -> resendOrEnd(outcome, cause));
+                target(),
+                outcome,
+                cause,
+                respondingMillis(),
+                () -> resendOrEnd(outcome, String.valueOf(cause)));
     }
 
     private OptionalLong respondingMillis() {
@@ -304,34 +308,35 @@
                 : mFirstDataMillis;
     }
 
-    private void resendOrEnd(SendOutcome outcome, Throwable cause) {
+    private void resendOrEnd(SendOutcome outcome, String cause) {
         if (mEnded) {
             return;
         }
-        if (mayHaveBeenStale(outcome)
+        if (mayBeConnectionsFault(outcome)
                 && mCrashGuard.mayRunAgainOn(target())
                 && mRelay.registry().directives().tryCall(target(), 1, mRelay.clock().millis())
                 && mRelay.budget().tryTake(mRequest.service())) {
             mConnection = Connection.NEW;
+            mHead = null;
             mBeforeResend.run();
             open();
         } else {
-            end(outcome, String.valueOf(cause));
+            end(outcome, cause);
         }
     }
 
     /**
-     * Returns whether the connection may have been closed before the request was written to it.
+     * Returns whether the connection may have failed for what was on it before the request.
      *
      * <p>Safeguard: servers close idle connections, some without notice, and the next write meets a
-     * reset. Counted as a failure of the server, it would eject a healthy one. A new connection
-     * shows which case it was; only requests that may be retried are sent that way.
+     * reset; or a connection carries a second response to an earlier request. Counted as a failure
+     * of the server, it would eject a healthy one. A new connection shows which case it was; only
+     * requests that may be retried are sent that way.
      */
-    private boolean mayHaveBeenStale(SendOutcome outcome) {
-        return mConnection == Connection.POOLED
-                && mHead == null
-                && outcome == SendOutcome.UNKNOWN
-                && !mExchange.openedConnection();
+    private boolean mayBeConnectionsFault(SendOutcome outcome) {
+        boolean stale =
+                mHead == null && outcome == SendOutcome.UNKNOWN && !mExchange.openedConnection();
+        return mConnection == Connection.POOLED && (stale || outcome == SendOutcome.MISMATCHED);
     }
 
     private void requestMore() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -160,8 +160,8 @@
         mResponse = response;
         if (!response.answers(Optional.of(mRequest.caller().id()))) {
             // Its handle would make this request continue from the prompt of another one.
-            mExchange.cancel();
-            fail(
+            mExchange.cancelMismatched();
+            resendOrFail(
                     SendOutcome.MISMATCHED,
                     "response for request id " + response.requestId().orElse("none"));
             return;
@@ -206,26 +206,29 @@
     @Override
     public void failed(SendOutcome outcome, Throwable cause) {
         if (!mEnded) {
-            mCrashGuard.prefillFailed(mEngine, outcome, cause, () -> resendOrFail(outcome, cause));
+            mCrashGuard.prefillFailed(
+                    mEngine, outcome, cause, () -> resendOrFail(outcome, String.valueOf(cause)));
         }
     }
 
-    private void resendOrFail(SendOutcome outcome, Throwable cause) {
+    private void resendOrFail(SendOutcome outcome, String cause) {
         if (mEnded) {
             return;
         }
-        // A pooled connection may have been closed while it was idle. A prefill may be repeated.
-        boolean mayResend =
-                mPooled
-                        && mResponse == null
+        // A pooled connection may have been closed while it was idle, or carry a second response to
+        // an earlier request. A prefill may be repeated.
+        boolean stale =
+                mResponse == null
                         && outcome == SendOutcome.UNKNOWN
                         && !mExchange.openedConnection();
+        boolean mayResend = mPooled && (stale || outcome == SendOutcome.MISMATCHED);
         if (mayResend
                 && mCrashGuard.mayRunAgainOn(mEngine)
                 && mRelay.registry().directives().tryCall(mEngine, 1, mRelay.clock().millis())) {
+            mResponse = null;
             open(false);
         } else {
-            fail(outcome, String.valueOf(cause));
+            fail(outcome, cause);
         }
     }
 
