Bound the unfinished event of a stream

Callers of a host saw their requests end with the process: a faulty server sent an event without an end, the host kept all of it and ran out of memory.

EventFramer kept an unfinished event up to the 16 MiB of a whole response, and its current line a second time.

An unfinished event of more than 256 KiB now counts as a lost connection: the stream goes on at another server or is broken off. Of a line, only the beginning is kept unless it states an id.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendExchange.java
@@ -170,7 +170,7 @@
             return;
         }
         if (object instanceof HttpData data) {
-            mListener.data(data);
+            deliver(data);
             return;
         }
         boolean interim =
@@ -193,6 +193,17 @@
         requestMore();
     }
 
+    /** Delivers a part of the body; one that is too long ends the exchange as a lost connection. */
+    private void deliver(HttpData data) {
+        try {
+            mListener.data(data);
+        } catch (ResponseTooLongException tooLong) {
+            mClosed = true;
+            mResponse.abort();
+            mListener.failed(SendOutcome.UNKNOWN, tooLong);
+        }
+    }
+
     @Override
     public void onError(Throwable failure) {
         if (mClosed) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/CallerResponse.java
@@ -132,6 +132,9 @@
         mUnqueuedBytes += data.length();
         byte[] forwarded = bytesToForward(data.array());
         if (forwarded.length == 0) {
+            if (mTail.exceedsBound()) {
+                throw new ResponseTooLongException("event without an end");
+            }
             mBytes.readNext();
             next.run();
             return;
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventFramer.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/retry/EventFramer.java
@@ -17,11 +17,21 @@
  */
 public final class EventFramer {
 
+    /**
+     * Maximum number of bytes of an incomplete event. An event of a model holds a few tokens, far
+     * less than this; with the 16 MiB of a whole response as the only bound, a few streams exhaust
+     * the heap of a small host.
+     */
+    static final int MAX_EVENT_BYTES = 256 << 10;
+
     private static final String ID_FIELD = "id:";
     private static final int[] BYTE_ORDER_MARK = {0xef, 0xbb, 0xbf};
 
     private final ByteArrayOutputStream mPartialEvent = new ByteArrayOutputStream();
+
+    /** The beginning of the line, and all of it if it states an id. */
     private final StringBuilder mLine = new StringBuilder();
+
     private Optional<String> mPendingEventId = Optional.empty();
     private Optional<String> mLastEventId;
     private long mEvents;
@@ -86,6 +96,14 @@
         return mInsideEvent || insideMark || mLine.length() > 0;
     }
 
+    /**
+     * Returns whether the incomplete event is longer than any that is accepted. The response must
+     * then be ended, since the event is kept until it is complete.
+     */
+    public boolean exceedsBound() {
+        return mPartialEvent.size() > MAX_EVENT_BYTES;
+    }
+
     /** Returns the id of the last complete event. */
     public Optional<String> lastEventId() {
         return mLastEventId;
@@ -136,7 +154,7 @@
             return;
         }
         if (next != '\n' && next != '\r') {
-            mLine.append((char) (next & 0xff));
+            addToLine((char) (next & 0xff));
         } else if (endLine()) {
             complete.writeBytes(mPartialEvent.toByteArray());
             mPartialEvent.reset();
@@ -144,6 +162,13 @@
         }
     }
 
+    /** Keeps the beginning of a line, and all of one that states an id. */
+    private void addToLine(char next) {
+        if (mLine.length() < ID_FIELD.length() || mLine.indexOf(ID_FIELD) == 0) {
+            mLine.append(next);
+        }
+    }
+
     /** Ends a line and returns whether it is the empty one after an event or after comments. */
     private boolean endLine() {
         String line = mLine.toString();
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/EventFramerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/retry/EventFramerTest.java
@@ -137,4 +137,37 @@
         assertEquals(offer(framer, "\ufeffid: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
         assertEquals(framer.lastEventId(), Optional.of("2"));
     }
+
+    @DataProvider
+    public Object[][] endlessEvents() {
+        return new Object[][] {{"x"}, {"data: x\n"}, {": comment\r\n"}};
+    }
+
+    /** An event without an end is kept for as long as its server sends. */
+    @Test(dataProvider = "endlessEvents")
+    public void endlessEventExceedsTheBound(String repeated) {
+        EventFramer framer = new EventFramer(Optional.empty());
+        assertEquals(offer(framer, "id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n");
+        int sent = 0;
+        for (; !framer.exceedsBound(); sent += repeated.length()) {
+            assertTrue(sent <= EventFramer.MAX_EVENT_BYTES, sent + " bytes are kept");
+            offer(framer, repeated);
+        }
+        assertTrue(sent > EventFramer.MAX_EVENT_BYTES);
+        assertTrue(framer.isInsideEvent() || repeated.startsWith(":"));
+        assertEquals(framer.lastEventId(), Optional.of("1"));
+        framer.discardPartialEvent();
+        assertFalse(framer.exceedsBound());
+    }
+
+    /** Many events are taken for one that is too long. */
+    @Test
+    public void completeEventsDoNotCountTowardsTheBound() {
+        EventFramer framer = new EventFramer(Optional.empty());
+        String event = "data: " + "x".repeat(EventFramer.MAX_EVENT_BYTES / 2) + "\n\n";
+        for (int i = 0; i < 4; i++) {
+            assertEquals(offer(framer, event), event);
+            assertFalse(framer.exceedsBound());
+        }
+    }
 }
