Bound the result of a prefill

An engine that sends a prefill result without an end was read for 16.9 million bytes, all of them kept on the heap of the host (RelayEndlessBytesTest.endlessResponseOfAnEngineIsNotKept[prefill], which failed before). The only bound was that of a whole response, 16 MiB.

A result is a handle and two numbers.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/PrefillExchange.java
@@ -58,6 +58,9 @@
      */
     private static final int MAX_UNANSWERED_CHECKS = 2;
 
+    /** Maximum number of bytes of a result, which is a handle and two numbers. */
+    private static final int MAX_RESULT_BYTES = 64 << 10;
+
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final Backend mEngine;
@@ -174,6 +177,9 @@
     @Override
     public void data(HttpData data) {
         heard();
+        if (mBody.size() + data.length() > MAX_RESULT_BYTES) {
+            throw new ResponseTooLongException("prefill result without an end");
+        }
         mBody.writeBytes(data.array());
         mExchange.requestMore();
     }
