Bound the responses to calls of the relay

An engine that responds to a reservation without an end was read for 16.9 million bytes, all of them kept on the heap of the host (RelayEndlessBytesTest.endlessResponseOfAnEngineIsNotKept[reservation], which failed before). Releases, reports, orders and checks share the code.

Such a response is now bounded by 256 KiB; the longest is a report, with an entry for each run.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/BackendCalls.java
@@ -34,6 +34,12 @@
  */
 public final class BackendCalls implements BackendCaller {
 
+    /**
+     * Maximum number of bytes of a response. A reservation, an order and a check have some hundred;
+     * the longest is a report, with some 60 bytes for each of at most some hundred runs.
+     */
+    private static final long MAX_RESPONSE_BYTES = 256 << 10;
+
     private final BackendConnections mConnections;
     private final BackendRegistry mRegistry;
     private final BackendMessages mMessages;
@@ -106,6 +112,7 @@
                     request,
                     RequestOptions.builder()
                             .responseTimeoutMillis(options.timeoutMillis())
+                            .maxResponseLength(MAX_RESPONSE_BYTES)
                             .build());
         }
     }
