Refuse in a stop what may outlive the process and not be repeated

Callers saw: calls and streams that may not be repeated, sent during the planned stop of a host, were cut with no answer at its end.

Cause: for 2.9 s after the signal everything was accepted, whatever its route's timeout and its caller's deadline.

Evidence: RelayStopTest, a relay with a grace period of 8 s. An unsafe call with a deadline of 15 s, sent right after the signal, was still at its server when the stop had ended.

Change: what may not be repeated is accepted during a stop only if it ends before the process in any case; otherwise it is refused at once with 503 and a Retry-After. Repeatable calls and resumable streams as before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
@@ -63,14 +63,15 @@
     }
 
     @Override
-    public boolean accepts(boolean streams, long maxMillis) {
+    public boolean accepts(boolean streams, boolean repeatable, long maxMillis) {
         if (!mStopping) {
             return true;
         }
         long spent = mClock.millis() - mStartMillis;
         boolean endsBeforeTheProcess = maxMillis <= mGraceMillis - EXIT_MARGIN_MILLIS - spent;
-        return spent < ACCEPT_STREAMS_MILLIS
-                || !streams && endsBeforeTheProcess && spent < mGraceMillis - REFUSE_CALLS_MILLIS;
+        boolean early = spent < ACCEPT_STREAMS_MILLIS;
+        boolean callInTime = !streams && spent < mGraceMillis - REFUSE_CALLS_MILLIS;
+        return endsBeforeTheProcess ? early || callInTime : early && repeatable;
     }
 
     /** Updates the grace period, after which the process is killed. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
@@ -101,7 +101,9 @@
     private boolean accepts(Route route, CallerRequest caller) {
         long callerMillis = caller.callerTimeoutMillis().orElse(Long.MAX_VALUE);
         return mDrainState.accepts(
-                route.kind().streams(), Math.min(route.timeoutMillis(), callerMillis));
+                route.kind().streams(),
+                route.repeatable(),
+                Math.min(route.timeoutMillis(), callerMillis));
     }
 
     /**
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongToIntFunction;
 import org.cyclamenpaddle.core.time.Clock;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -24,6 +25,9 @@
     /** Longest duration of a call that may end after the process. */
     private static final long LONG_CALL = 3_500;
 
+    /** Longest duration of a request that may end after the process also if it arrives early. */
+    private static final long OUTLASTING_CALL = 6_000;
+
     private final AtomicLong mNow = new AtomicLong();
     private final Clock mClock = () -> mNow.addAndGet(STEP);
 
@@ -64,20 +68,20 @@
     @Test
     public void lateStreamsAreRefusedAndCallsAreTakenForLonger() {
         GracefulShutdown stop = stop();
-        assertTrue(stop.accepts(true, SHORT_CALL));
+        assertTrue(stop.accepts(true, true, SHORT_CALL));
         long[] lastStream = {0};
         long[] lastCall = {0};
         run(
                 stop,
                 now -> {
-                    lastStream[0] = stop.accepts(true, SHORT_CALL) ? now : lastStream[0];
-                    lastCall[0] = stop.accepts(false, SHORT_CALL) ? now : lastCall[0];
+                    lastStream[0] = stop.accepts(true, true, SHORT_CALL) ? now : lastStream[0];
+                    lastCall[0] = stop.accepts(false, true, SHORT_CALL) ? now : lastCall[0];
                     return 1;
                 });
         assertEquals(lastStream[0] / 100, GracefulShutdown.ACCEPT_STREAMS_MILLIS / 100 - 1);
         assertEquals(lastCall[0] / 100, (GRACE - GracefulShutdown.REFUSE_CALLS_MILLIS) / 100 - 1);
-        assertFalse(stop.accepts(true, SHORT_CALL));
-        assertFalse(stop.accepts(false, SHORT_CALL));
+        assertFalse(stop.accepts(true, true, SHORT_CALL));
+        assertFalse(stop.accepts(false, true, SHORT_CALL));
     }
 
     /** A call at a silent server is accepted late in a stop and cut off when the process ends. */
@@ -88,11 +92,39 @@
         run(
                 stop,
                 now -> {
-                    lastCall[0] = stop.accepts(false, LONG_CALL) ? now : lastCall[0];
+                    lastCall[0] = stop.accepts(false, true, LONG_CALL) ? now : lastCall[0];
                     return 1;
                 });
         long endMillis = GRACE - GracefulShutdown.EXIT_MARGIN_MILLIS;
         assertTrue(lastCall[0] + LONG_CALL <= endMillis + 100, "accepted at " + lastCall[0]);
         assertTrue(lastCall[0] + LONG_CALL > endMillis - 200, "accepted at " + lastCall[0]);
     }
+
+    /**
+     * Failure: a request that may not be repeated is accepted early in a stop, lasts longer than
+     * the process and is cut off with no answer.
+     */
+    @Test(dataProvider = "kinds")
+    public void whatMayNotBeRepeatedEndsBeforeTheProcess(boolean streams) {
+        GracefulShutdown stop = stop();
+        long[] last = {0};
+        long[] lastRepeatable = {0};
+        run(
+                stop,
+                now -> {
+                    last[0] = stop.accepts(streams, false, OUTLASTING_CALL) ? now : last[0];
+                    lastRepeatable[0] =
+                            stop.accepts(streams, true, OUTLASTING_CALL) ? now : lastRepeatable[0];
+                    return 1;
+                });
+        long endMillis = GRACE - GracefulShutdown.EXIT_MARGIN_MILLIS;
+        assertEquals(lastRepeatable[0] / 100, GracefulShutdown.ACCEPT_STREAMS_MILLIS / 100 - 1);
+        assertTrue(last[0] + OUTLASTING_CALL <= endMillis + 100, "accepted at " + last[0]);
+        assertTrue(last[0] + OUTLASTING_CALL > endMillis - 200, "accepted at " + last[0]);
+    }
+
+    @DataProvider
+    public Object[][] kinds() {
+        return new Object[][] {{true}, {false}};
+    }
 }
