Decide about a stop again before a request is passed on

Callers saw: requests whose bodies came late in a planned stop were passed on and cut at its end.

Cause: whether a stop leaves a request its time was decided when its head arrived, before the signal or after. A body, a quota, a hold and a search for a place come after that.

Evidence: RelayStopTest, an unsafe call and a resumable stream with heads before the signal and bodies 4.5 s after it. Both were passed on with 4 s left, 2.9 s before the end of the process.

Change: StopCheck decides again before a place is searched or another host is chosen, and once more before the request is sent, by the time left to its absolute deadline. A request that no server may have run is answered 503 with a short Retry-After; retries of others go on as before.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -45,6 +45,7 @@
     private final StartupGate mStartupGate;
     private final TeamQuotas mQuotas;
     private final RetryAfter mRetryAfter;
+    private final StopCheck mStopCheck;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
     /**
@@ -71,6 +72,7 @@
         mMessages = messages;
         mConfiguration = configuration;
         mRetryAfter = new RetryAfter(relay.random(), drainState::isStopping);
+        mStopCheck = new StopCheck(drainState, mRetryAfter);
     }
 
     /** Returns the number of requests in flight. */
@@ -266,6 +268,7 @@
                         bytes,
                         writer,
                         mRetryAfter,
+                        mStopCheck,
                         endListener);
         writer.whenComplete()
                 .whenCompleteAsync(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAdmission.java
@@ -91,7 +91,7 @@
             return Either.left(
                     new Rejected(
                             HttpStatus.SERVICE_UNAVAILABLE,
-                            "host is stopping",
+                            StopCheck.REASON,
                             team.map(Team::name)));
         }
         return Either.right(
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestExchange.java
@@ -36,6 +36,7 @@
     private final EventLoop mLoop;
     private final CallerResponse mResponse;
     private final RequestBytes mBytes;
+    private final StopCheck mStopCheck;
     private final RequestEndListener mEndListener;
     private final RetryPolicy mRetryPolicy;
     private final RequestLog mRequestLog;
@@ -59,11 +60,13 @@
             RequestBytes bytes,
             HttpResponseWriter writer,
             RetryAfter retryAfter,
+            StopCheck stopCheck,
             RequestEndListener endListener) {
         mRelay = relay;
         mRequest = request;
         mLoop = loop;
         mBytes = bytes;
+        mStopCheck = stopCheck;
         mEndListener = endListener;
         mCrashGuard = new CrashGuard(relay, request, loop);
         mStartMillis = relay.clock().millis();
@@ -235,6 +238,10 @@
             fail(SendOutcome.NOT_SENT, CrashGuard.HELD_REASON);
             return;
         }
+        if (!mayBePassedOn()) {
+            refuseInStop();
+            return;
+        }
         if (mResponse.binding().kind() == StreamBinding.Kind.UNKNOWN) {
             fail(StreamPhase.Refusal.VERSION_UNKNOWN);
             return;
@@ -325,6 +332,11 @@
             refuseQuarantined();
             return;
         }
+        if (!mayBePassedOn()) {
+            placed.release(mRelay, mRequest);
+            refuseInStop();
+            return;
+        }
         if (!mRelay.registry().directives().acceptsWork(backend, mRelay.clock().millis())
                 || !mBytes.trySend(backend.id())) {
             placeAgain(placed);
@@ -335,6 +347,16 @@
         mAttempts.open(placed);
     }
 
+    /** Returns whether a planned stop lets the request be passed on; retries are not affected. */
+    private boolean mayBePassedOn() {
+        long remainingMillis = mRetryPolicy.remainingMillis(mRelay.clock().millis());
+        return mRetryPolicy.mayHaveRun() || mStopCheck.accepts(mRequest.route(), remainingMillis);
+    }
+
+    private void refuseInStop() {
+        fail(SendOutcome.NOT_SENT, StopCheck.REASON, Optional.of(mStopCheck.refusal()));
+    }
+
     /** Looks for another server after the chosen one has asked for no further work. */
     private void placeAgain(PlacementPhase.Placed placed) {
         placed.release(mRelay, mRequest);
@@ -463,7 +485,8 @@
     /**
      * Ends the request without a complete response of a backend server.
      *
-     * @param refusal refusal of a host to which the request was handed; empty for none
+     * @param refusal refusal of a host to which the request was handed, or because of a planned
+     *     stop; empty for none
      */
     private void fail(SendOutcome outcome, String reason, Optional<ResponseHeaders> refusal) {
         CallerReply reply = mRetryPolicy.reply(outcome, mRelay.clock().millis());
