Refuse requests from the decision to end and look once more

Callers saw: a request that was read just before a planned stop ended was accepted and cut with no answer.

Cause: between the last look at what is in flight and the end of the process requests were still accepted, and nobody waited for them.

Evidence: GracefulShutdownTest on a simulated clock; a request accepted right after the last look was in flight when the stop ended.

Change: from the decision to end, every new request and every one not yet passed on is refused with 503. The stop then looks again, 50 ms later and until nothing is in flight or its time is over. Refusals count as in flight until they are written.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/GracefulShutdown.java
@@ -44,6 +44,12 @@
      */
     static final long REFUSE_CALLS_MILLIS = 2_000;
 
+    /**
+     * Time before the latest end of the process from which every new request is refused, in
+     * milliseconds; enough to write the refusals.
+     */
+    static final long CLOSE_MILLIS = 100;
+
     private static final long POLL_MILLIS = 50;
 
     private volatile long mGraceMillis;
@@ -51,6 +57,7 @@
     private final Runnable mPause;
     private volatile long mStartMillis;
     private volatile boolean mStopping;
+    private volatile boolean mClosed;
 
     GracefulShutdown(long graceMillis, Clock clock) {
         this(graceMillis, clock, GracefulShutdown::pause);
@@ -67,8 +74,11 @@
         if (!mStopping) {
             return true;
         }
+        if (mClosed) {
+            return false;
+        }
         long spent = mClock.millis() - mStartMillis;
-        boolean endsBeforeTheProcess = maxMillis <= mGraceMillis - EXIT_MARGIN_MILLIS - spent;
+        boolean endsBeforeTheProcess = maxMillis <= lifetimeMillis() - spent;
         boolean early = spent < ACCEPT_STREAMS_MILLIS;
         boolean callInTime = !streams && spent < mGraceMillis - REFUSE_CALLS_MILLIS;
         return endsBeforeTheProcess ? early || callInTime : early && repeatable;
@@ -103,12 +113,33 @@
                 lastBusy = now;
             }
         }
+        mClosed = true;
+        return awaitLast(inFlight, start);
+    }
+
+    /**
+     * Waits for the requests that were accepted between the last look and the decision to end, and
+     * for the refusals of all others to be written.
+     *
+     * @return the time since the start of the stop, in milliseconds
+     */
+    private long awaitLast(IntSupplier inFlight, long start) {
+        long now;
+        do {
+            mPause.run();
+            now = mClock.millis();
+        } while (inFlight.getAsInt() > 0 && now - start < lifetimeMillis());
         return now - start;
     }
 
+    /** Returns the maximum time from the signal to the end of the process, in milliseconds. */
+    private long lifetimeMillis() {
+        return mGraceMillis - EXIT_MARGIN_MILLIS;
+    }
+
     private boolean mayEnd(long start, long lastBusy, long now) {
         boolean done = now - start >= MIN_DRAIN_MILLIS && now - lastBusy >= IDLE_MILLIS;
-        return done || now - start >= mGraceMillis - EXIT_MARGIN_MILLIS;
+        return done || now - start >= lifetimeMillis() - CLOSE_MILLIS;
     }
 
     private static void pause() {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -307,10 +307,15 @@
                 status.code(),
                 rejected.reason());
         boolean retryLater = status.equals(HttpStatus.SERVICE_UNAVAILABLE);
-        return HttpResponse.of(
-                retryLater
-                        ? mRetryAfter.retryLater(status.code())
-                        : mRetryAfter.refusal(status.code()));
+        HttpResponse response =
+                HttpResponse.of(
+                        retryLater
+                                ? mRetryAfter.retryLater(status.code())
+                                : mRetryAfter.refusal(status.code()));
+        // The process must not end before the refusal is written.
+        mInFlight.incrementAndGet();
+        response.whenComplete().whenComplete((done, failure) -> mInFlight.decrementAndGet());
+        return response;
     }
 
     private void logRefusal(
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/assembly/GracefulShutdownTest.java
@@ -123,6 +123,33 @@
         assertTrue(last[0] + OUTLASTING_CALL > endMillis - 200, "accepted at " + last[0]);
     }
 
+    /**
+     * Failure: a request that is read between the last look at what is in flight and the end of the
+     * process is accepted and cut off.
+     */
+    @Test
+    public void requestReadAfterTheLastLookIsWaitedForOrRefused() {
+        GracefulShutdown stop = stop();
+        int[] open = {0};
+        long[] endMillis = {0};
+        run(
+                stop,
+                now -> {
+                    open[0] = now < endMillis[0] ? open[0] : 0;
+                    int seen = open[0];
+                    if (now >= GracefulShutdown.MIN_DRAIN_MILLIS + STEP
+                            && endMillis[0] == 0
+                            && stop.accepts(false, false, SHORT_CALL)) {
+                        open[0] = 1;
+                        endMillis[0] = now + SHORT_CALL;
+                    }
+                    return seen;
+                });
+        assertTrue(endMillis[0] > 0, "no request was read late");
+        assertEquals(open[0], 0, "cut at " + mNow.get());
+        assertFalse(stop.accepts(false, true, SHORT_CALL), "accepted after the end");
+    }
+
     @DataProvider
     public Object[][] kinds() {
         return new Object[][] {{true}, {false}};
