--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RelayService.java
@@ -45,6 +45,7 @@
     private final StartupGate mStartupGate;
     private final TeamQuotas mQuotas;
     private final RetryAfter mRetryAfter;
+    private final StopCheck mStopCheck;
     private final AtomicInteger mInFlight = new AtomicInteger();
 
     /**
@@ -71,6 +72,7 @@
         mMessages = messages;
         mConfiguration = configuration;
         mRetryAfter = new RetryAfter(relay.random(), drainState::isStopping);
+        mStopCheck = new StopCheck(drainState, mRetryAfter);
     }
 
     /** Returns the number of requests in flight. */
@@ -266,6 +268,7 @@
                         bytes,
                         writer,
                         mRetryAfter,
+                        mStopCheck,
                         endListener);
         writer.whenComplete()
                 .whenCompleteAsync(
@@ -304,10 +307,15 @@
                 status.code(),
                 rejected.reason());
         boolean retryLater = status.equals(HttpStatus.SERVICE_UNAVAILABLE);
-        return HttpResponse.of(
-                retryLater
-                        ? mRetryAfter.retryLater(status.code())
-                        : mRetryAfter.refusal(status.code()));
+        HttpResponse response =
+                HttpResponse.of(
+                        retryLater
+                                ? mRetryAfter.retryLater(status.code())
+                                : mRetryAfter.refusal(status.code()));
+        // The process must not end before the refusal is written.
+        mInFlight.incrementAndGet();
+        response.whenComplete().whenComplete((done, failure) -> mInFlight.decrementAndGet());
+        return response;
     }
 
     private void logRefusal(
