--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -151,11 +152,17 @@
         }
 
         private void examine(ChannelHandlerContext context, HttpResponse head) {
-            boolean malformed = head.decoderResult().isFailure();
-            if (malformed && mRequests == 1 || !malformed && !isJoined(head)) {
+            Throwable failure = head.decoderResult().cause();
+            boolean malformed = failure != null;
+            // On a kept connection, what came before the head may be what makes it malformed.
+            boolean foreign =
+                    malformed
+                            ? mRequests > 1
+                                    && !(failure instanceof PrematureChannelClosureException)
+                            : isJoined(head);
+            if (!foreign) {
                 return;
             }
-            // On a kept connection, what came before the head may be what makes it malformed.
             mJoined = true;
             report(context, ForeignBytes.Kind.JOINED_HEADS);
             if (!malformed) {
