--- a/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
+++ b/cyclamenpaddle-http/src/main/java/org/cyclamenpaddle/http/ResponseCheck.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -152,25 +151,15 @@
         }
 
         private void examine(ChannelHandlerContext context, HttpResponse head) {
-            Throwable failure = head.decoderResult().cause();
-            boolean malformed = failure != null;
-            // On a kept connection, what came before the head may be what makes it malformed.
-            boolean foreign =
-                    malformed
-                            ? mRequests > 1
-                                    && !(failure instanceof PrematureChannelClosureException)
-                            : isJoined(head);
-            if (!foreign) {
+            if (head.decoderResult().isFailure() || !isJoined(head)) {
                 return;
             }
             mJoined = true;
             report(context, ForeignBytes.Kind.JOINED_HEADS);
-            if (!malformed) {
-                // The client ends the request and closes the connection.
-                head.setDecoderResult(
-                        DecoderResult.failure(
-                                new ProtocolViolationException("two response heads joined")));
-            }
+            // The client ends the request and closes the connection.
+            head.setDecoderResult(
+                    DecoderResult.failure(
+                            new ProtocolViolationException("two response heads joined")));
         }
     }
 
