Name no connection for requests that ended through another host

CP2201 of a request that was handed over after an attempt of its own host named the connection of that attempt, as if it had carried the response. It names none now. Found by reading; RelayPartitionTest, whose requests are handed over, is green.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/front/RequestAttempts.java
@@ -55,6 +55,8 @@
         }
     }
 
+    private static final String NO_CONNECTION = "none";
+
     private final RelayContext mRelay;
     private final RelayRequest mRequest;
     private final EventLoop mLoop;
@@ -73,7 +75,7 @@
     private Optional<PlacementPhase.Placed> mPlaced = Optional.empty();
     private long mEventsBeforeSecond;
     private boolean mForwardingBeforeSecond;
-    private String mConnection = "none";
+    private String mConnection = NO_CONNECTION;
 
     RequestAttempts(
             RelayContext relay,
@@ -368,6 +370,7 @@
             mConnection = attempt.connection();
             mListener.ended(attempt, outcome, cause);
         } else {
+            mConnection = NO_CONNECTION;
             mListener.handoverEnded(outcome, cause);
         }
     }
