--- a/review/src-2/Runner.java
+++ b/review/src-2/Runner.java
@@ -42,7 +42,7 @@
 
     String entry(String state) {
         return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + web.port()
-                + "\",\"zone\":\"z1\",\"version\":\"" + version + "\",\"slots\":16,\"state\":\"" + state
+                + "\",\"zone\":\"z1\",\"version\":\"" + version + "\",\"slots\":64,\"state\":\"" + state
                 + "\",\"cold_remaining_ms\":0,\"seq\":4,\"born\":" + born + "}";
     }
 
--- a/review/src-2/StreamVersions.java
+++ b/review/src-2/StreamVersions.java
@@ -6,8 +6,8 @@
 import java.util.TreeMap;
 
 /**
- * Two runners of a service are started again one after the other, under their ids and at their
- * addresses, with another software version. Meanwhile the store is down for less than four seconds.
+ * Two of eight runners of a service end one after the other and start again at once, under their ids
+ * and at their addresses, with another software version. Meanwhile the store is down.
  */
 final class StreamVersions {
     private static final int EVENTS = 30;
@@ -15,6 +15,10 @@
     /** Tries of a client for one stream; clients retry a few times within their deadline. */
     private static final int MAX_TRIES = 4;
 
+    private static final int RUNNERS = 8;
+    private static final int RESTARTED = 2;
+    private static final int STREAMS = 60;
+
     /** Streams with events of two versions that the rule allows. */
     private static final int ALLOWED = 2;
 
@@ -99,10 +103,16 @@
         }
     }
 
+    private static Runner add(Deployment world, int number) throws IOException {
+        Runner runner = world.runner("i-notes" + number, "notes", 0);
+        runner.behaviour = StreamVersions::stream;
+        return runner;
+    }
+
     private static int run(Deployment world) throws Exception {
         Record record = world.record;
-        for (int i = 1; i <= 2; i++) {
-            world.runner("i-notes" + i, "notes", 0).behaviour = StreamVersions::stream;
+        for (int i = 2; i <= RUNNERS; i++) {
+            add(world, i);
         }
         String route =
                 Deployment.route("notes", "/notes/", "streaming", 14_000, 900, 2, "notes")
@@ -112,22 +122,23 @@
         Thread.sleep(7_000);
         List<Reader> readers = new ArrayList<>();
         List<Thread> threads = new ArrayList<>();
-        for (int i = 0; i < 9; i++) {
+        for (int i = 0; i < STREAMS; i++) {
             Reader reader = new Reader();
             readers.add(reader);
             String name = "note-" + i;
             Relay relay = world.relays.get(i % 3);
             threads.add(Web.daemon(() -> reader.read(world, relay, name)));
         }
+        Thread.sleep(1_000);
+        Runner added = add(world, 1);
         Thread.sleep(1_500);
         world.store.down = Deployment.TROUBLE;
         record.tell("store down: " + world.store.down);
-        Thread.sleep(500);
-        for (int i = 0; i < 2; i++) {
-            Runner old = world.runners.get(i);
+        Thread.sleep(300);
+        for (Runner old : List.of(added, world.runners.get(0))) {
             int port = old.web.port();
             old.close();
-            record.tell(old.id + " has crashed");
+            record.tell(old.id + " ends after " + old.runs + " runs");
             Thread.sleep(400);
             Runner next = new Runner(old.id, "notes", 0, record, port, "v2");
             next.behaviour = StreamVersions::stream;
@@ -136,11 +147,11 @@
                 world.store.put("servers", next.id, next.entry("ready"));
             }
             record.tell(next.id + " has started again with version v2");
-            Thread.sleep(200);
+            Thread.sleep(300);
         }
-        Thread.sleep(2_000);
+        Thread.sleep(1_500);
         world.store.down = false;
-        for (Runner runner : world.runners.subList(2, 4)) {
+        for (Runner runner : world.runners.subList(RUNNERS, RUNNERS + RESTARTED)) {
             world.store.put("servers", runner.id, runner.entry("ready"));
         }
         record.tell("store back");
@@ -149,7 +160,7 @@
             threads.get(i).join(20_000);
             long kinds = readers.get(i).versions.values().stream().distinct().count();
             joined += kinds > 1 ? 1 : 0;
-            record.tell(
+            record.line(
                     "stream " + i + (readers.get(i).complete ? ", complete: " : ", not complete: ")
                             + readers.get(i).versions);
         }
