--- a/review/src-2/Deployment.java
+++ b/review/src-2/Deployment.java
@@ -2,6 +2,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
@@ -55,17 +56,23 @@
                 + "\"protocol\":\"h1\",\"tls\":false}";
     }
 
-    /** Starts relays and waits until they are ready and have listed each other. */
+    /** Starts relays in one zone and waits until they are ready. */
     void startRelays(int count) throws Exception {
-        for (int i = 1; i <= count; i++) {
-            Relay relay = new Relay("relay-" + i, folder, store.web.port());
+        startRelays(Collections.nCopies(count, "z1"));
+    }
+
+    /** Starts a relay in each of the zones given and waits until all are ready. */
+    void startRelays(List<String> zones) throws Exception {
+        for (String zone : zones) {
+            String name = "relay-" + (relays.size() + 1);
+            Relay relay = new Relay(name, zone, folder, store.web.port());
             relays.add(relay);
             relay.start();
         }
         for (Relay relay : relays) {
             relay.awaitReady(25_000);
         }
-        record.line(count + " relays are ready");
+        record.line(zones.size() + " relays are ready");
     }
 
     static String request(String id, int deadlineMillis) {
--- a/review/src-2/Relay.java
+++ b/review/src-2/Relay.java
@@ -18,7 +18,7 @@
     private Process mProcess;
 
     /** Writes the settings of a relay; they are those of deploy/relay.toml.template. */
-    Relay(String name, Path folder, int storePort) throws IOException {
+    Relay(String name, String zone, Path folder, int storePort) throws IOException {
         this.name = name;
         port = freePort();
         checkPort = freePort();
@@ -30,7 +30,7 @@
                         "\n",
                         "[host]",
                         "name = \"" + name + "\"",
-                        "domain = \"z1\"",
+                        "domain = \"" + zone + "\"",
                         "[listen]",
                         "callers = \"127.0.0.1:" + port + "\"",
                         "checks = \"127.0.0.1:" + checkPort + "\"",
--- a/review/src-2/Web.java
+++ b/review/src-2/Web.java
@@ -19,6 +19,7 @@
     /** A request that has arrived completely. */
     record Request(
             String method,
+            String target,
             String path,
             String query,
             Map<String, String> headers,
@@ -191,6 +192,7 @@
         int mark = parts[1].indexOf('?');
         return new Request(
                 parts[0],
+                parts[1],
                 mark < 0 ? parts[1] : parts[1].substring(0, mark),
                 mark < 0 ? "" : parts[1].substring(mark + 1),
                 headers,
