Review: the last runner of a service is used after its removal

A script with three relays, one runner of a service and a store stand-in that closes waiting watches twice.

--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -15,6 +15,8 @@
     final Web web;
     private final List<Change> mHistory = new ArrayList<>();
     private long mRevision = 100;
+    private int mWaiting;
+    private int mCut;
     private final Map<String, TreeMap<String, Change>> mObjects = new LinkedHashMap<>();
 
     /** Age of what a call with allow_stale gets, in milliseconds. */
@@ -28,6 +30,13 @@
         web = new Web(0, this::handle);
     }
 
+    /** Cuts off all watches that are waiting, without an answer; returns their number. */
+    synchronized int cutWatches() {
+        mCut++;
+        notifyAll();
+        return mWaiting;
+    }
+
     private static long now() {
         return System.nanoTime() / 1_000_000;
     }
@@ -140,10 +149,18 @@
         synchronized (this) {
             long end = now() + wait;
             List<String> events = events(request, kind, after);
+            int cut = mCut;
+            mWaiting++;
             while (events.isEmpty() && now() < end && !request.connection().silent && !down) {
                 wait(Math.max(1, Math.min(50, end - now())));
+                if (cut != mCut) {
+                    mWaiting--;
+                    request.connection().end();
+                    return;
+                }
                 events = events(request, kind, after);
             }
+            mWaiting--;
             body = "{\"events\":[" + String.join(",", events) + "],\"as_of\":" + visible(request)
                     + "}";
         }
--- a/review/src-2/Web.java
+++ b/review/src-2/Web.java
@@ -82,6 +82,11 @@
             respond(status, "Content-Type: application/json\r\n", Json.write(body));
         }
 
+        /** Ends the connection in an orderly way. */
+        void end() throws IOException {
+            socket.close();
+        }
+
         /** Ends the connection with a reset. */
         void reset() {
             try {
