--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -Xlint:all -d target/review-2 review/src-2/*.java
+"${JAVA_HOME:+$JAVA_HOME/bin/}javac" -Xlint:all -d target/review-2 review/src-2/*.java
--- a/review/src-2/Relay.java
+++ b/review/src-2/Relay.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,8 +19,8 @@
     /** Writes the settings of a relay; they are those of deploy/relay.toml.template. */
     Relay(String name, String zone, Path folder, int storePort) throws IOException {
         this.name = name;
-        port = freePort();
-        checkPort = freePort();
+        port = Ports.next();
+        checkPort = Ports.next();
         log = folder.resolve(name + ".log");
         mSettings = folder.resolve(name + ".toml");
         Files.writeString(
@@ -34,8 +33,8 @@
                         "[listen]",
                         "callers = \"127.0.0.1:" + port + "\"",
                         "checks = \"127.0.0.1:" + checkPort + "\"",
-                        "peers = \"127.0.0.1:" + freePort() + "\"",
-                        "requests = \"127.0.0.1:" + freePort() + "\"",
+                        "peers = \"127.0.0.1:" + Ports.next() + "\"",
+                        "requests = \"127.0.0.1:" + Ports.next() + "\"",
                         "[store]",
                         "address = \"127.0.0.1:" + storePort + "\"",
                         "[stop]",
@@ -49,12 +48,6 @@
                         ""));
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     /** Returns the words of the run line of the deploy file. */
     private static List<String> command() throws IOException {
         for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
--- a/review/src-2/Web.java
+++ b/review/src-2/Web.java
@@ -105,7 +105,8 @@
     Web(int port, Handler handler) throws IOException {
         mHandler = handler;
         mServer.setReuseAddress(true);
-        mServer.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
+        int chosen = port == 0 ? Ports.next() : port;
+        mServer.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), chosen), 512);
         daemon(this::accept);
     }
 
