Review: bookings of the first case reach all runners before

Each relay has used all runners alike before the disruption, so that its choice among them no longer depends on one slow first request.

--- a/review/src-2/SilentWatch.java
+++ b/review/src-2/SilentWatch.java
@@ -1,3 +1,5 @@
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +19,9 @@
     /** Age of stale reads: the pages say seconds. */
     private static final int STALE_MILLIS = 3_000;
 
+    /** Bookings sent to each relay at once. */
+    private static final int BOOKINGS = 8;
+
     public static void main(String[] args) {
         int exit = 2;
         try (Deployment world = new Deployment(Path.of(args[0]), STALE_MILLIS)) {
@@ -36,12 +41,11 @@
         world.configure(7, book, Deployment.service("desk"));
         world.startRelays(3);
         Thread.sleep(6_000);
-        for (Relay relay : world.relays) {
-            if (!world.call(relay, "POST", "/book/a", "warm-" + relay.name, 1_500)
-                    .startsWith("200")) {
-                record.tell("a request before the disruption failed");
-                return 2;
-            }
+        // Each relay has used all runners alike before.
+        if (!book(world, "before", () -> {}).values().stream()
+                .allMatch(result -> result.startsWith("200"))) {
+            record.tell("a request before the disruption failed");
+            return 2;
         }
         if (Deployment.TROUBLE) {
             record.tell("open connections to the store go silent: " + world.store.web.silenceOpen());
@@ -62,25 +66,17 @@
                     return false;
                 };
         Thread.sleep(DRAIN_MILLIS + 150);
-        Map<String, String> results = new ConcurrentHashMap<>();
-        List<Thread> clients = new ArrayList<>();
-        for (Relay relay : world.relays) {
-            for (int i = 1; i <= 6; i++) {
-                String id = "late-" + relay.name + "-" + i;
-                clients.add(
-                        Web.daemon(
-                                () ->
-                                        results.put(
-                                                id,
-                                                world.call(relay, "POST", "/book/a", id, 1_500))));
-            }
-        }
-        Thread.sleep(350);
-        leaving.close();
-        record.tell(leaving.id + " exits, " + (record.millis() - drained) + " ms after that");
-        for (Thread client : clients) {
-            client.join();
-        }
+        Map<String, String> results =
+                book(
+                        world,
+                        "late",
+                        () -> {
+                            pause(350);
+                            exit(leaving);
+                            record.tell(
+                                    leaving.id + " exits, " + (record.millis() - drained)
+                                            + " ms after that");
+                        });
         long lost =
                 lateRuns.keySet().stream().filter(id -> !results.get(id).startsWith("200")).count();
         lateRuns.forEach(
@@ -98,6 +94,50 @@
         return lateRuns.isEmpty() ? 0 : 1;
     }
 
+    /**
+     * Sends bookings to all relays at once and returns what their clients got.
+     *
+     * @param meanwhile run when they have been sent
+     */
+    private static Map<String, String> book(
+            Deployment world, String name, Runnable meanwhile)
+            throws InterruptedException {
+        Map<String, String> results = new ConcurrentHashMap<>();
+        List<Thread> clients = new ArrayList<>();
+        for (Relay relay : world.relays) {
+            for (int i = 1; i <= BOOKINGS; i++) {
+                String id = name + "-" + relay.name + "-" + i;
+                clients.add(
+                        Web.daemon(
+                                () ->
+                                        results.put(
+                                                id,
+                                                world.call(relay, "POST", "/book/a", id, 1_500))));
+            }
+        }
+        meanwhile.run();
+        for (Thread client : clients) {
+            client.join();
+        }
+        return results;
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void exit(Runner runner) {
+        try {
+            runner.close();
+        } catch (IOException closed) {
+            throw new UncheckedIOException(closed);
+        }
+    }
+
     /** Looks at the configuration as well; this does not decide about the case. */
     private static void newRoute(Deployment world, String book) throws Exception {
         String lots = Deployment.route("lots", "/lots/", "unsafe", 1_500, 600, 1, "desk");
