Tell watches that are cut off from outages of the store

Cause: Follower took each call that failed for an outage of the store, also a watch that was waiting, which the store may cut off at any time. Entries that are missing within two seconds after an outage may have expired in it and are kept as a fallback, and the next outage prolongs that. So cuts in series kept a removed entry in use without a bound.

The other hypothesis, that relays learn of the removal too late, is excluded by CP2107 at the time of the removal (20 ms).

Change: a watch that fails while it waits begins no outage. The next call, which does not wait, decides; it follows within 200 ms as before, so an outage of 300 ms in which entries expire is still noticed.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryListener.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryListener.java
@@ -22,7 +22,11 @@
      */
     default void onStoreAnswer(long sentMillis) {}
 
-    /** Called when store calls begin to fail. */
+    /**
+     * Called when store calls begin to fail; a watch that was cut off while it waited is none.
+     *
+     * @param failure reason of the first failed call
+     */
     void onStoreUnavailable(StoreFailure failure);
 
     /** Called when store calls succeed again, before their results are delivered. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
@@ -69,7 +69,16 @@
     private long mRevision;
     private long mSequence;
     private int mFailures;
-    private Optional<Long> mUnavailableSinceMillis = Optional.empty();
+    private Optional<Failing> mFailing = Optional.empty();
+
+    /**
+     * Calls that have failed since the last successful one.
+     *
+     * @param first reason of the first failure
+     * @param sinceMillis time of the first failure
+     * @param outage whether they show that the store cannot be reached
+     */
+    private record Failing(StoreFailure first, long sinceMillis, boolean outage) {}
 
     /**
      * Creates a follower; {@link #start} starts it.
@@ -104,7 +113,13 @@
     }
 
     private void list(Optional<String> after) {
-        call(mSource.list(after), this::handlePage, failure -> retry(this::list));
+        call(
+                mSource.list(after),
+                this::handlePage,
+                failure -> {
+                    recordFailure(failure, true);
+                    retry(this::list);
+                });
     }
 
     private void handlePage(EntryPage<T> page) {
@@ -129,12 +144,16 @@
     }
 
     private void watch() {
-        boolean unavailable = mUnavailableSinceMillis.isPresent();
-        call(
-                mSource.watch(mRevision, unavailable ? NO_WAIT_MILLIS : WATCH_TIMEOUT_MILLIS),
-                this::handleWatchResult,
-                this::handleWatchFailure);
-        if (!unavailable) {
+        if (mFailing.isPresent()) {
+            call(
+                    mSource.watch(mRevision, NO_WAIT_MILLIS),
+                    this::handleWatchResult,
+                    this::handleWatchFailure);
+        } else {
+            call(
+                    mSource.watch(mRevision, WATCH_TIMEOUT_MILLIS),
+                    this::handleWatchResult,
+                    this::handleWaitFailure);
             scheduleCheck(mSequence);
         }
     }
@@ -148,7 +167,23 @@
         }
     }
 
+    /**
+     * Handles the failure of a watch that was waiting.
+     *
+     * <p>The store may cut off such a watch at any time. Only a further call, which does not wait,
+     * shows whether the store has become unavailable.
+     */
+    private void handleWaitFailure(StoreFailure failure) {
+        recordFailure(failure, false);
+        retryWatch(failure);
+    }
+
     private void handleWatchFailure(StoreFailure failure) {
+        recordFailure(failure, true);
+        retryWatch(failure);
+    }
+
+    private void retryWatch(StoreFailure failure) {
         retry(failure == StoreFailure.HISTORY_GONE ? this::list : this::watch);
     }
 
@@ -174,7 +209,6 @@
         result.peek(page -> mListener.onStoreAnswer(sentMillis));
         if (result.isLeft()) {
             mSequence++;
-            recordFailure(result.getLeft());
             handleWatchFailure(result.getLeft());
         } else if (applyChanges(result.get())) {
             watch();
@@ -202,7 +236,6 @@
                     if (sequence != mSequence) {
                         return;
                     }
-                    result.peekLeft(this::recordFailure);
                     result.peek(
                             page -> {
                                 mListener.onStoreAnswer(sentMillis);
@@ -217,23 +250,29 @@
                 mExecutor);
     }
 
-    private void recordFailure(StoreFailure failure) {
+    private void recordFailure(StoreFailure failure, boolean outage) {
         if (failure == StoreFailure.HISTORY_GONE) {
             recordSuccess();
             return;
         }
         mFailures++;
-        if (mUnavailableSinceMillis.isEmpty()) {
-            mUnavailableSinceMillis = Optional.of(mClock.millis());
-            mListener.onStoreUnavailable(failure);
+        Failing before = mFailing.orElseGet(() -> new Failing(failure, mClock.millis(), false));
+        mFailing =
+                Optional.of(
+                        new Failing(
+                                before.first(), before.sinceMillis(), before.outage() || outage));
+        if (outage && !before.outage()) {
+            mListener.onStoreUnavailable(before.first());
         }
     }
 
     private void recordSuccess() {
         mFailures = 0;
-        Optional<Long> since = mUnavailableSinceMillis;
-        mUnavailableSinceMillis = Optional.empty();
-        since.ifPresent(at -> mListener.onStoreAvailable(mClock.millis() - at));
+        Optional<Failing> failing = mFailing;
+        mFailing = Optional.empty();
+        failing.filter(Failing::outage)
+                .ifPresent(
+                        calls -> mListener.onStoreAvailable(mClock.millis() - calls.sinceMillis()));
     }
 
     /**
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerWatchTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerWatchTest.java
@@ -123,6 +123,13 @@
             }
         }
 
+        /** Ends the watches that wait, without an answer. */
+        void cutWatches() {
+            List<Waiting> waiting = List.copyOf(mWaiting);
+            mWaiting.clear();
+            waiting.forEach(watch -> watch.at().complete(Either.left(StoreFailure.NO_ANSWER)));
+        }
+
         long calls(String call) {
             return mCalls.stream().filter(call::equals).count();
         }
@@ -220,6 +227,36 @@
         assertEquals(mEvents, List.of("listed", "lost", "regained", "meanwhile"));
     }
 
+    /** Failure: a watch that is cut off counts as an outage of the store. */
+    @Test
+    public void watchesThatAreCutOffAreNoOutage() {
+        for (int cut = 0; cut < 6; cut++) {
+            mStore.cutWatches();
+            mExecutor.advance(950);
+            mStore.change("change-" + cut);
+            mExecutor.advance(1_000);
+        }
+        assertEquals(
+                mEvents,
+                List.of(
+                        "listed",
+                        "change-0",
+                        "change-1",
+                        "change-2",
+                        "change-3",
+                        "change-4",
+                        "change-5"));
+    }
+
+    /** Failure: an outage that begins while a watch waits is not noticed for a second. */
+    @Test
+    public void outageThatEndsAWatchIsNoticedByTheNextCall() {
+        mStore.mRefusal = Optional.of(StoreFailure.TURNED_AWAY);
+        mStore.cutWatches();
+        mExecutor.advance(2 * Follower.BASE_BACKOFF_MILLIS);
+        assertEquals(mEvents, List.of("listed", "lost"));
+    }
+
     /**
      * Hosts that are rejected for minutes must not use up the store's rate limit with their
      * retries.
