Replace watches on silent connections to the store within three seconds

Cause: while a watch waited up to 20 s, a check each 2 s asked for changes with a call that allows outdated answers. An answer without changes counted as a sign that the watch works, whatever its age. So changes arrived two seconds and the age of the answer late, until the watch itself timed out. The same outdated answers confirmed the listing (ListingAge) and told other hosts that the store had been available (StoreAnswers).

That the relays cannot reach the store at all is excluded: their checks are answered.

Change: the watch of the servers waits 2.6 s, and one that has not been answered 200 ms after its end is replaced by a call that does not wait, over a new connection; the watch of the configuration is replaced with it. A check is only a hint: without changes it confirms nothing, and with changes it leads to a call that is not outdated. What confirms is recorded as of the earliest time at which the store can have given it.

What remains: if only the configuration's watch becomes silent, changes of it arrive two seconds and the age of an outdated answer late.

The stand-in of FollowerWatchTest answered waiting watches also while the store was silent, which no store does; it lets them time out now. Followers of earlier tests of FollowerTest end with their test.

--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/RelayProcess.java
@@ -429,18 +429,28 @@
     private void startFollowers(PeerAddress self) {
         mScheduler.scheduleWithFixedDelay(
                 this::reloadAndExpire, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
-        new Follower<>(
+        Follower<RelayConfiguration> configurations =
+                new Follower<>(
                         mAdapter.configurations(),
                         mUpdater.configurations(),
+                        Follower.LONG_WATCH_MILLIS,
+                        () -> {},
                         mScheduler,
                         mClock,
-                        mRandom)
-                .start();
+                        mRandom);
+        configurations.start();
         HostRegistry hosts = hostRegistry(self);
         mHosts = Optional.of(hosts);
         hosts.start();
         roleController().start();
-        new Follower<>(mAdapter.backends(), mUpdater.backends(), mScheduler, mClock, mRandom)
+        new Follower<>(
+                        mAdapter.backends(),
+                        mUpdater.backends(),
+                        Follower.SHORT_WATCH_MILLIS,
+                        configurations::renew,
+                        mScheduler,
+                        mClock,
+                        mRandom)
                 .start();
     }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StateUpdater.java
@@ -126,8 +126,8 @@
         }
 
         @Override
-        public void onStoreAnswer(long sentMillis) {
-            mOutages.answered(sentMillis);
+        public void onStoreAnswer(long asOfMillis) {
+            mOutages.answered(asOfMillis);
         }
 
         @Override
@@ -186,8 +186,8 @@
         }
 
         @Override
-        public void onStoreAnswer(long sentMillis) {
-            mOutages.answered(sentMillis);
+        public void onStoreAnswer(long asOfMillis) {
+            mOutages.answered(asOfMillis);
             mListing.confirm();
         }
 
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StoreOutages.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/assembly/StoreOutages.java
@@ -54,9 +54,9 @@
         mClock = clock;
     }
 
-    /** Records an answer of the store to a call that was sent at the given time. */
-    void answered(long sentMillis) {
-        mAnswers.record(sentMillis, mClock.millis());
+    /** Records an answer that the store cannot have given before the given time. */
+    void answered(long asOfMillis) {
+        mAnswers.record(asOfMillis, mClock.millis());
     }
 
     /** Records that store calls begin to fail. */
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryListener.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntryListener.java
@@ -18,9 +18,9 @@
     /**
      * Called when the store has answered a call, before the result is delivered.
      *
-     * @param sentMillis time at which the call was sent
+     * @param asOfMillis earliest time at which the store can have given the answer
      */
-    default void onStoreAnswer(long sentMillis) {}
+    default void onStoreAnswer(long asOfMillis) {}
 
     /**
      * Called when store calls begin to fail; a watch that was cut off while it waited is none.
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntrySource.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/EntrySource.java
@@ -25,7 +25,7 @@
      *
      * @param revision revision after which changes are returned
      * @param waitMillis maximum wait, in milliseconds; the result is empty if nothing has changed
-     *     by then
+     *     by then, and never outdated
      */
     CompletableFuture<Either<StoreFailure, EntryPage<T>>> watch(long revision, long waitMillis);
 
@@ -33,7 +33,7 @@
      * Requests changes without waiting, at a fraction of the cost of {@link #watch}.
      *
      * @param revision revision after which changes are returned
-     * @return changes; those of the last seconds may be missing
+     * @return changes; those of the last seconds may be missing, so that none shows nothing
      */
     CompletableFuture<Either<StoreFailure, EntryPage<T>>> recentChanges(long revision);
 }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/Follower.java
@@ -14,27 +14,40 @@
 /**
  * Follows one kind of objects: a listing first, then watches, each from the last known revision.
  *
- * <p>A watch waits long, so an idle store receives few calls. While it waits, inexpensive checks
- * show whether the store still responds and whether the watch has missed a change. Only the latest
- * call counts: the response of an abandoned watch is ignored, so older state never arrives after
- * newer state. All callbacks run on the given executor, which must be a single thread.
+ * <p>A watch that has not been answered at its end is replaced by a call that does not wait, over a
+ * new connection. While it waits, inexpensive checks show whether the store still responds. They
+ * may be outdated, so they never confirm anything; one that has changes ends the watch early. Only
+ * the latest call counts: the response of an abandoned watch is ignored, so older state never
+ * arrives after newer state. All callbacks run on the given executor, which must be a single
+ * thread.
  *
  * @param <T> type of the objects' content
  */
 public final class Follower<T> {
 
-    /** Maximum wait of one watch, in milliseconds. */
-    static final long WATCH_TIMEOUT_MILLIS = 20_000;
+    /**
+     * Wait of a watch that must show by itself that its connection has become silent, in
+     * milliseconds.
+     *
+     * <p>Safeguard: open connections can become silent without being closed, and no change arrives
+     * until the watch is replaced. Hosts have three seconds for that.
+     */
+    public static final long SHORT_WATCH_MILLIS = 2_600;
+
+    /** Wait of a watch that is also replaced when another one is found silent. */
+    public static final long LONG_WATCH_MILLIS = 20_000;
 
     /**
      * Interval between two checks of a waiting watch, in milliseconds.
      *
-     * <p>Safeguard: the connection of a watch can become permanently silent, and an unresponsive
-     * store still accepts calls. Either is detected within this interval plus the timeout of one
-     * call.
+     * <p>Safeguard: an unresponsive store still accepts calls. It is detected within this interval
+     * plus the timeout of one call.
      */
     static final long CHECK_INTERVAL_MILLIS = 2_000;
 
+    /** Time after the end of its wait at which a watch without an answer is replaced. */
+    static final long OVERDUE_MILLIS = 200;
+
     /**
      * Pause after a response with changes, in milliseconds.
      *
@@ -62,12 +75,15 @@
 
     private final EntrySource<T> mSource;
     private final EntryListener<T> mListener;
+    private final long mWaitMillis;
+    private final Runnable mOnSilence;
     private final ScheduledExecutorService mExecutor;
     private final Clock mClock;
     private final DoubleSupplier mRandom;
     private final List<StoreEntry<T>> mListing = new ArrayList<>();
     private long mRevision;
     private long mSequence;
+    private boolean mWatching;
     private int mFailures;
     private Optional<Failing> mFailing = Optional.empty();
 
@@ -85,6 +101,8 @@
      *
      * @param source source of the objects
      * @param listener receives listings and changes
+     * @param waitMillis maximum wait of one watch, in milliseconds
+     * @param onSilence run when a watch has not been answered at its end
      * @param executor a single thread
      * @param clock clock of this host
      * @param random uniformly distributed values from 0 to 1
@@ -92,11 +110,15 @@
     public Follower(
             EntrySource<T> source,
             EntryListener<T> listener,
+            long waitMillis,
+            Runnable onSilence,
             ScheduledExecutorService executor,
             Clock clock,
             DoubleSupplier random) {
         mSource = source;
         mListener = listener;
+        mWaitMillis = waitMillis;
+        mOnSilence = onSilence;
         mExecutor = executor;
         mClock = clock;
         mRandom = random;
@@ -107,6 +129,16 @@
         mExecutor.execute(this::list);
     }
 
+    /** Replaces the watch that waits, since its connection may have become silent. */
+    public void renew() {
+        mExecutor.execute(
+                () -> {
+                    if (mWatching) {
+                        watchWithoutWait();
+                    }
+                });
+    }
+
     private void list() {
         mListing.clear();
         list(Optional.empty());
@@ -115,6 +147,7 @@
     private void list(Optional<String> after) {
         call(
                 mSource.list(after),
+                NO_WAIT_MILLIS,
                 this::handlePage,
                 failure -> {
                     recordFailure(failure, true);
@@ -145,17 +178,31 @@
 
     private void watch() {
         if (mFailing.isPresent()) {
-            call(
-                    mSource.watch(mRevision, NO_WAIT_MILLIS),
-                    this::handleWatchResult,
-                    this::handleWatchFailure);
-        } else {
-            call(
-                    mSource.watch(mRevision, WATCH_TIMEOUT_MILLIS),
-                    this::handleWatchResult,
-                    this::handleWaitFailure);
-            scheduleCheck(mSequence);
+            watchWithoutWait();
+            return;
         }
+        call(
+                mSource.watch(mRevision, mWaitMillis),
+                mWaitMillis,
+                this::handleWatchResult,
+                this::handleWaitFailure);
+        mWatching = true;
+        long sequence = mSequence;
+        scheduleCheck(sequence);
+        whileLatest(sequence, this::replaceSilent, mWaitMillis + OVERDUE_MILLIS);
+    }
+
+    private void replaceSilent() {
+        watchWithoutWait();
+        mOnSilence.run();
+    }
+
+    private void watchWithoutWait() {
+        call(
+                mSource.watch(mRevision, NO_WAIT_MILLIS),
+                NO_WAIT_MILLIS,
+                this::handleWatchResult,
+                this::handleWatchFailure);
     }
 
     private void handleWatchResult(EntryPage<T> page) {
@@ -188,32 +235,26 @@
     }
 
     private void scheduleCheck(long sequence) {
-        mExecutor.schedule(() -> check(sequence), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        whileLatest(sequence, () -> check(sequence), CHECK_INTERVAL_MILLIS);
     }
 
-    /** Checks the watch with the given sequence number if it is still waiting. */
     private void check(long sequence) {
-        if (sequence == mSequence) {
-            long sentMillis = mClock.millis();
-            mSource.recentChanges(mRevision)
-                    .thenAcceptAsync(
-                            result -> handleCheckResult(sequence, sentMillis, result), mExecutor);
-        }
+        mSource.recentChanges(mRevision)
+                .thenAcceptAsync(result -> handleCheckResult(sequence, result), mExecutor);
     }
 
-    private void handleCheckResult(
-            long sequence, long sentMillis, Either<StoreFailure, EntryPage<T>> result) {
+    private void handleCheckResult(long sequence, Either<StoreFailure, EntryPage<T>> result) {
         if (sequence != mSequence) {
             return;
         }
-        result.peek(page -> mListener.onStoreAnswer(sentMillis));
         if (result.isLeft()) {
             mSequence++;
+            mWatching = false;
             handleWatchFailure(result.getLeft());
-        } else if (applyChanges(result.get())) {
-            watch();
-        } else {
+        } else if (result.get().entries().isEmpty()) {
             scheduleCheck(sequence);
+        } else {
+            watchWithoutWait();
         }
     }
 
@@ -224,12 +265,18 @@
         return !page.entries().isEmpty();
     }
 
-    /** Makes a call that supersedes all earlier ones. */
+    /**
+     * Makes a call that supersedes all earlier ones.
+     *
+     * @param waitMillis time for which the store holds back an answer without entries
+     */
     private void call(
             CompletableFuture<Either<StoreFailure, EntryPage<T>>> call,
+            long waitMillis,
             Consumer<EntryPage<T>> success,
             Consumer<StoreFailure> failure) {
         long sequence = ++mSequence;
+        mWatching = false;
         long sentMillis = mClock.millis();
         call.thenAcceptAsync(
                 result -> {
@@ -238,7 +285,7 @@
                     }
                     result.peek(
                             page -> {
-                                mListener.onStoreAnswer(sentMillis);
+                                mListener.onStoreAnswer(asOfMillis(page, sentMillis, waitMillis));
                                 recordSuccess();
                             });
                     if (result.isRight()) {
@@ -250,6 +297,12 @@
                 mExecutor);
     }
 
+    /** Returns the earliest time at which the store can have given an answer that arrives now. */
+    private long asOfMillis(EntryPage<T> page, long sentMillis, long waitMillis) {
+        boolean heldBack = page.entries().isEmpty() && mClock.millis() - sentMillis >= waitMillis;
+        return heldBack ? sentMillis + waitMillis : sentMillis;
+    }
+
     private void recordFailure(StoreFailure failure, boolean outage) {
         if (failure == StoreFailure.HISTORY_GONE) {
             recordSuccess();
@@ -289,7 +342,11 @@
 
     /** Schedules the next call, unless another call is made before. */
     private void schedule(Runnable work, long millis) {
-        long sequence = ++mSequence;
+        whileLatest(++mSequence, work, millis);
+    }
+
+    /** Runs work later, unless the sequence has gone on by then. */
+    private void whileLatest(long sequence, Runnable work, long millis) {
         mExecutor.schedule(
                 () -> {
                     if (sequence == mSequence) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/ListingAge.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/ListingAge.java
@@ -14,10 +14,10 @@
 public final class ListingAge {
 
     /**
-     * Time for which a listing counts after the store has confirmed it, in milliseconds: two checks
-     * of the store and the timeout of a call, so that one lost check does not matter.
+     * Time for which a listing counts after the store has confirmed it, in milliseconds: a watch,
+     * its replacement and the timeout of a call, so that one lost watch does not matter.
      */
-    public static final long VALID_MILLIS = 2 * Follower.CHECK_INTERVAL_MILLIS + 1_000;
+    public static final long VALID_MILLIS = 5_000;
 
     /**
      * Maximum difference between the steady clock and the wall clock since the confirmation, in
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/StoreAnswers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/store/StoreAnswers.java
@@ -17,7 +17,7 @@
     /** Minimum time between two answers that are remembered, in milliseconds. */
     static final long SPACING_MILLIS = 500;
 
-    private record Answer(long sentMillis, long arrivedMillis) {}
+    private record Answer(long asOfMillis, long arrivedMillis) {}
 
     private final Table<Deque<Answer>> mAnswers =
             new Table<>(TableOrder.STORE_ANSWERS, new ArrayDeque<>());
@@ -25,17 +25,17 @@
     /**
      * Records an answer.
      *
-     * @param sentMillis time at which its call was sent
+     * @param asOfMillis earliest time at which the store can have given it
      * @param arrivedMillis time at which the answer arrived
      */
-    public void record(long sentMillis, long arrivedMillis) {
+    public void record(long asOfMillis, long arrivedMillis) {
         mAnswers.write(
                 answers -> {
                     Answer last = answers.peekLast();
                     if (last != null && arrivedMillis - last.arrivedMillis() < SPACING_MILLIS) {
                         return;
                     }
-                    answers.add(new Answer(sentMillis, arrivedMillis));
+                    answers.add(new Answer(asOfMillis, arrivedMillis));
                     if (answers.size() > MAX_ANSWERS) {
                         answers.remove();
                     }
@@ -47,14 +47,16 @@
         mAnswers.write(Deque::clear);
     }
 
-    /** Returns whether a call was sent and answered within a time, and none has failed since. */
+    /**
+     * Returns whether an answer was given and arrived within a time, and no call has failed since.
+     */
     public boolean answered(long fromMillis, long toMillis) {
         return mAnswers.read(
                 answers ->
                         answers.stream()
                                 .anyMatch(
                                         answer ->
-                                                answer.sentMillis() >= fromMillis
+                                                answer.asOfMillis() >= fromMillis
                                                         && answer.arrivedMillis() <= toMillis));
     }
 }
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerTest.java
@@ -15,15 +15,24 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests how {@link Follower} continues after every kind of store response. */
 public class FollowerTest {
 
-    private final ScheduledExecutorService mExecutor = Executors.newSingleThreadScheduledExecutor();
+    private static final long WAIT_MILLIS = 20_000;
+
+    private ScheduledExecutorService mExecutor;
+
+    @BeforeMethod
+    public void setUp() {
+        mExecutor = Executors.newSingleThreadScheduledExecutor();
+    }
 
     @AfterMethod
     public void cleanUp() {
+        mExecutor.shutdownNow();
         mCalls.clear();
         mEvents.clear();
         mWaits.clear();
@@ -75,7 +84,8 @@
                         return new CompletableFuture<>();
                     }
                 };
-        new Follower<>(source, listener(), mExecutor, () -> 0, () -> 0).start();
+        new Follower<>(source, listener(), WAIT_MILLIS, () -> {}, mExecutor, () -> 0, () -> 0)
+                .start();
         assertEquals(done.await(20, TimeUnit.SECONDS), true, "calls: " + mCalls);
         return mCalls;
     }
@@ -169,10 +179,10 @@
         assertEquals(
                 mWaits,
                 List.of(
-                        Follower.WATCH_TIMEOUT_MILLIS,
+                        WAIT_MILLIS,
                         Follower.NO_WAIT_MILLIS,
                         Follower.NO_WAIT_MILLIS,
-                        Follower.WATCH_TIMEOUT_MILLIS));
+                        WAIT_MILLIS));
     }
 
     @Test
--- a/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerWatchTest.java
+++ b/cyclamenpaddle-relay/src/test/java/org/cyclamenpaddle/relay/store/FollowerWatchTest.java
@@ -19,6 +19,9 @@
 
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
 
+    /** Time after which a host whose connections went silent is in touch again, in milliseconds. */
+    private static final long CONTACT_MILLIS = 3_000;
+
     /** Maximum time until a host receives a change, in milliseconds. */
     private static final long MAX_PROPAGATION_MILLIS = 2_000;
 
@@ -26,6 +29,9 @@
     private VirtualExecutor mExecutor;
     private ScriptedStore mStore;
     private List<String> mEvents;
+    private List<Long> mAsOf;
+    private int mSilences;
+    private Follower<String> mFollower;
 
     private record Page(List<StoreEntry<String>> entries, long revision) {}
 
@@ -38,11 +44,13 @@
 
         private final List<Change> mChanges = new ArrayList<>();
         private final List<Waiting> mWaiting = new ArrayList<>();
+        private final List<Waiting> mSilenced = new ArrayList<>();
         private final List<String> mCalls = new ArrayList<>();
         private long mRevision = 1;
         private long mCompactedBefore;
         private boolean mSilent;
         private boolean mWatchesBroken;
+        private boolean mOutdated;
         private Optional<StoreFailure> mRefusal = Optional.empty();
 
         @Override
@@ -54,23 +62,33 @@
         @Override
         public CompletableFuture<Either<StoreFailure, EntryPage<String>>> watch(
                 long revision, long waitMillis) {
-            if (waitMillis == 0 || mSilent || mRefusal.isPresent() || changedSince(revision)) {
+            if (waitMillis == 0 || mRefusal.isPresent() || changedSince(revision) && !mSilent) {
                 return respond("watch", () -> since(revision));
             }
             mCalls.add("watch");
             Waiting waiting = new Waiting(revision, new CompletableFuture<>());
             mWaiting.add(waiting);
             mExecutor.schedule(
-                    () -> waiting.at().complete(since(revision)),
+                    () -> {
+                        if (!mSilent && !mWatchesBroken && !mSilenced.contains(waiting)) {
+                            waiting.at().complete(since(revision));
+                        }
+                    },
                     waitMillis,
                     TimeUnit.MILLISECONDS);
+            mExecutor.schedule(
+                    () -> waiting.at().complete(Either.left(StoreFailure.NO_ANSWER)),
+                    waitMillis + CALL_TIMEOUT_MILLIS,
+                    TimeUnit.MILLISECONDS);
             return waiting.at().thenApply(ScriptedStore::page);
         }
 
         @Override
         public CompletableFuture<Either<StoreFailure, EntryPage<String>>> recentChanges(
                 long revision) {
-            return respond("check", () -> since(revision));
+            return respond(
+                    "check",
+                    () -> mOutdated ? Either.right(new Page(List.of(), 1)) : since(revision));
         }
 
         private CompletableFuture<Either<StoreFailure, EntryPage<String>>> respond(
@@ -123,6 +141,12 @@
             }
         }
 
+        /** Leaves the watches that wait without any answer, while new ones are answered. */
+        void silenceWatches() {
+            mSilenced.addAll(mWaiting);
+            mWaiting.clear();
+        }
+
         /** Ends the watches that wait, without an answer. */
         void cutWatches() {
             List<Waiting> waiting = List.copyOf(mWaiting);
@@ -137,11 +161,26 @@
 
     @BeforeMethod
     public void start() {
+        start(Follower.LONG_WATCH_MILLIS);
+    }
+
+    private void start(long waitMillis) {
         mClock = new VirtualClock(0);
         mExecutor = new VirtualExecutor(mClock);
         mStore = new ScriptedStore();
         mEvents = new ArrayList<>();
-        new Follower<>(mStore, listener(), mExecutor, mClock, () -> 1).start();
+        mAsOf = new ArrayList<>();
+        mSilences = 0;
+        mFollower =
+                new Follower<>(
+                        mStore,
+                        listener(),
+                        waitMillis,
+                        () -> mSilences++,
+                        mExecutor,
+                        mClock,
+                        () -> 1);
+        mFollower.start();
         mExecutor.advance(10);
     }
 
@@ -157,6 +196,11 @@
                 mEvents.add(entry.name());
             }
 
+            @Override
+            public void onStoreAnswer(long asOfMillis) {
+                mAsOf.add(asOfMillis);
+            }
+
             @Override
             public void onStoreUnavailable(StoreFailure failure) {
                 mEvents.add("lost");
@@ -178,6 +222,16 @@
         assertTrue(mStore.calls("check") <= 30, "calls: " + mStore.mCalls);
     }
 
+    /** Failure: short watches cost more than the detection of silent connections requires. */
+    @Test
+    public void idleMinuteOfShortWatchesTakesOneFullCallEachTwoAndAHalfSeconds() {
+        start(Follower.SHORT_WATCH_MILLIS);
+        mExecutor.advance(60_000);
+        assertTrue(mStore.calls("watch") <= 24, "calls: " + mStore.mCalls);
+        assertEquals(mStore.calls("list"), 1);
+        assertTrue(mStore.calls("check") <= 24, "calls: " + mStore.mCalls);
+    }
+
     /** A starting deployment caused one call by each host for each new server. */
     @Test
     public void changesInQuickSuccessionTakeFewCalls() {
@@ -212,6 +266,56 @@
         assertEquals(mEvents, List.of("listed", "unheard"));
     }
 
+    /**
+     * Failure: the connections of all watches become silent, and changes arrive late although new
+     * connections work, since outdated answers count as a sign that the watch does.
+     */
+    @Test
+    public void watchOnASilentConnectionIsReplacedInTime() {
+        start(Follower.SHORT_WATCH_MILLIS);
+        mStore.mOutdated = true;
+        for (int silence = 1; silence <= 20; silence++) {
+            mExecutor.advance(Follower.COALESCING_PAUSE_MILLIS + 97 * silence);
+            mStore.silenceWatches();
+            mExecutor.advance(CONTACT_MILLIS);
+            mEvents.clear();
+            mStore.change("change");
+            mExecutor.advance(1);
+            assertEquals(mEvents, List.of("change"), "silence " + silence);
+            assertEquals(mSilences, silence);
+        }
+    }
+
+    /** Failure: a watch waits on for long after another one was found silent. */
+    @Test
+    public void longWatchIsReplacedWhenAnotherIsFoundSilent() {
+        mStore.mOutdated = true;
+        mExecutor.advance(500);
+        mStore.silenceWatches();
+        mStore.change("unheard");
+        mExecutor.advance(CONTACT_MILLIS);
+        assertEquals(mEvents, List.of("listed"));
+        mFollower.renew();
+        mExecutor.advance(1);
+        assertEquals(mEvents, List.of("listed", "unheard"));
+    }
+
+    /** Failure: an answer that may be outdated confirms the listing. */
+    @Test
+    public void onlyAnswersThatAreNotOutdatedConfirm() {
+        start(Follower.SHORT_WATCH_MILLIS);
+        mAsOf.clear();
+        mExecutor.advance(Follower.CHECK_INTERVAL_MILLIS);
+        assertEquals(mStore.calls("check"), 1);
+        assertEquals(mAsOf, List.of());
+        mExecutor.advance(Follower.SHORT_WATCH_MILLIS - Follower.CHECK_INTERVAL_MILLIS);
+        assertEquals(mAsOf, List.of(Follower.SHORT_WATCH_MILLIS));
+        mExecutor.advance(100);
+        mStore.change("early");
+        mExecutor.advance(1);
+        assertEquals(mAsOf, List.of(Follower.SHORT_WATCH_MILLIS, Follower.SHORT_WATCH_MILLIS));
+    }
+
     /**
      * A watch started before the store stopped responding hung long after the store had recovered.
      */
@@ -290,7 +394,7 @@
     public void lateResponseOfAbandonedWatchIsIgnored() {
         mStore.mWatchesBroken = true;
         mStore.change("first");
-        mExecutor.advance(MAX_PROPAGATION_MILLIS);
+        mExecutor.advance(Follower.CHECK_INTERVAL_MILLIS + Follower.COALESCING_PAUSE_MILLIS);
         Page old = new Page(List.of(new StoreEntry<>("old", Either.right("old"))), 1);
         mStore.mWaiting.forEach(watch -> watch.at().complete(Either.right(old)));
         mExecutor.advance(1);
