Tell streams again in place of owners that do not confirm them

Callers were refused: after four of six hosts had been lost, the streams that began at a fifth one could not be taken up once that was lost too.

Cause: the owners of a stream are chosen among the listed hosts, which include those that ended up to 80 s ago. Notices were not confirmed, so nobody learned that they had reached no one, and what an owner knew was gone with it.

That no server is left is excluded, since the same servers begin new streams.

Change: notices are confirmed (StreamNoticeResponse). A host that does not confirm owns no streams until it does; the next ones stand in for it, and each host that remembers streams of its shards tells them. Owners of remembered streams are probed each 500 ms, at most ten at a time. The host that is asked asks others in place of silent ones. Silent hosts are no witnesses of outages of the store either.

--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/PeerMessage.java
@@ -22,5 +22,6 @@
                 StoreAnswerRequest,
                 StoreAnswerResponse,
                 StreamNotice,
+                StreamNoticeResponse,
                 StreamRequest,
                 StreamResponse {}
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/StreamNotice.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/message/StreamNotice.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * Reports at which software versions streams have begun.
+ * Reports at which software versions streams have begun; without any, asks whether the host
+ * confirms notices.
  *
  * @param beginnings the streams
  */
--- a/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
+++ b/cyclamenpaddle-core/src/main/java/org/cyclamenpaddle/core/table/TableOrder.java
@@ -24,6 +24,7 @@
     REACHABILITY,
     HELPERS,
     STREAMS,
+    STREAM_OWNERS,
     STORE_ANSWERS,
     CONNECTIONS
 }
--- a/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
+++ b/cyclamenpaddle-peer/src/main/java/org/cyclamenpaddle/peer/codec/MessageType.java
@@ -33,6 +33,7 @@
 import org.cyclamenpaddle.core.message.StoreAnswerRequest;
 import org.cyclamenpaddle.core.message.StoreAnswerResponse;
 import org.cyclamenpaddle.core.message.StreamNotice;
+import org.cyclamenpaddle.core.message.StreamNoticeResponse;
 import org.cyclamenpaddle.core.message.StreamRequest;
 import org.cyclamenpaddle.core.message.StreamResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
@@ -225,7 +226,12 @@
             26,
             StoreAnswerResponse.class,
             (out, m) -> out.flag(m.answered()),
-            in -> new StoreAnswerResponse(in.flag()));
+            in -> new StoreAnswerResponse(in.flag())),
+    STREAM_NOTICE_RESPONSE(
+            27,
+            StreamNoticeResponse.class,
+            (out, m) -> out.number(m.incarnation()),
+            in -> new StreamNoticeResponse(in.number()));
 
     private final int mCode;
     private final Class<? extends PeerMessage> mType;
--- a/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
+++ b/cyclamenpaddle-peer/src/test/java/org/cyclamenpaddle/peer/codec/Samples.java
@@ -46,6 +46,7 @@
 import org.cyclamenpaddle.core.message.StoreAnswerResponse;
 import org.cyclamenpaddle.core.message.StreamBeginning;
 import org.cyclamenpaddle.core.message.StreamNotice;
+import org.cyclamenpaddle.core.message.StreamNoticeResponse;
 import org.cyclamenpaddle.core.message.StreamRequest;
 import org.cyclamenpaddle.core.message.StreamResponse;
 import org.cyclamenpaddle.core.message.StrikeNotice;
@@ -120,6 +121,7 @@
                                             new StreamKey(Long.MAX_VALUE),
                                             SoftwareVersion.UNSPECIFIED,
                                             28_000))),
+                    new StreamNoticeResponse(1_700_000_000_000L),
                     new StoreAnswerRequest(6_000, 2_000),
                     new StoreAnswerResponse(true),
                     new StreamRequest(new StreamKey(Long.MIN_VALUE)),
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/log/RelayEvent.java
@@ -57,6 +57,13 @@
             Priority.ORDINARY,
             "no primary owner of quotas responded in time",
             List.of("shard", "admitted", "denied")),
+    STREAM_OWNER_SILENT(
+            2125,
+            Priority.STATE,
+            "host does not confirm streams",
+            List.of("host", "failure", "toldOthers")),
+    STREAM_OWNER_CONFIRMS(
+            2126, Priority.STATE, "host confirms streams again", List.of("host", "told")),
     DIRECTIVE_CHANGED(
             2114,
             Priority.STATE,
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaController.java
@@ -6,9 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -18,14 +16,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.IntFunction;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
-import org.cyclamenpaddle.core.id.SoftwareVersion;
-import org.cyclamenpaddle.core.id.StreamKey;
 import org.cyclamenpaddle.core.id.TeamName;
 import org.cyclamenpaddle.core.message.CrashMessage;
 import org.cyclamenpaddle.core.message.HostRecord;
@@ -37,8 +30,8 @@
 import org.cyclamenpaddle.core.message.QuotaResponse;
 import org.cyclamenpaddle.core.message.StoreAnswerRequest;
 import org.cyclamenpaddle.core.message.StoreAnswerResponse;
-import org.cyclamenpaddle.core.message.StreamBeginning;
 import org.cyclamenpaddle.core.message.StreamNotice;
+import org.cyclamenpaddle.core.message.StreamNoticeResponse;
 import org.cyclamenpaddle.core.message.StreamRequest;
 import org.cyclamenpaddle.core.message.StreamResponse;
 import org.cyclamenpaddle.core.time.Clock;
@@ -75,9 +68,6 @@
     /** Number of hosts that are asked whether the store has answered them. */
     private static final int STORE_WITNESSES = 4;
 
-    /** Maximum number of streams in one message. */
-    private static final int MAX_BEGINNINGS = 256;
-
     private final PeerAddress mConfigured;
     private final HostRecord mSelf;
     private final PeerNetwork mNetwork;
@@ -87,6 +77,7 @@
     private final ScheduledExecutorService mExecutor;
     private final Supplier<Set<TeamName>> mLimited;
     private final StreamPeers.Listener mStreams;
+    private final StreamOwners mStreamOwners;
     private final StoreAnswers mStoreAnswers;
     private volatile QuotaMembers mMembers;
 
@@ -154,6 +145,7 @@
                         log,
                         clock);
         mPermits = new PermitClient(() -> mMembers, permits, this::send, clock);
+        mStreamOwners = new StreamOwners(() -> mMembers, new PeerStreams(), streams, log, clock);
     }
 
     /**
@@ -167,6 +159,7 @@
                 .map(
                         port -> {
                             scheduleReports();
+                            scheduleProbes();
                             return new PeerAddress(
                                     mConfigured.host(),
                                     mConfigured.domain(),
@@ -213,29 +206,7 @@
 
     /** Returns the way to exchange the beginnings of streams with other hosts. */
     public StreamPeers streamPeers() {
-        return new StreamPeers() {
-            @Override
-            public void report(Collection<StreamBeginning> beginnings) {
-                QuotaMembers members = mMembers;
-                send(members, beginnings, members::streamOwners);
-            }
-
-            @Override
-            public void handOn(Collection<StreamBeginning> beginnings) {
-                QuotaMembers members = mMembers;
-                send(members, beginnings, members::nextStreamOwners);
-            }
-
-            @Override
-            public List<CompletableFuture<Optional<SoftwareVersion>>> ask(StreamKey stream) {
-                QuotaMembers members = mMembers;
-                return members.streamOwners(QuotaMembers.shard(stream)).stream()
-                        .filter(host -> !host.equals(members.self()))
-                        .flatMap(host -> members.find(host).stream())
-                        .map(host -> QuotaController.this.ask(host, stream))
-                        .toList();
-            }
-        };
+        return mStreamOwners;
     }
 
     /** Returns the way to ask other hosts whether the store has answered them. */
@@ -246,6 +217,7 @@
                     new ArrayList<>(
                             members.hosts().stream()
                                     .filter(host -> !host.equals(members.self()))
+                                    .filter(mStreamOwners::confirms)
                                     .toList());
             Collections.shuffle(others, ThreadLocalRandom.current());
             StoreAnswerRequest request = new StoreAnswerRequest(fromMillis, toMillis);
@@ -265,45 +237,6 @@
                         response -> response.map(StoreAnswerResponse::answered).getOrElse(false));
     }
 
-    /** Sends beginnings to the owners of their shards, all that a host is to get at once. */
-    private void send(
-            QuotaMembers members,
-            Collection<StreamBeginning> beginnings,
-            IntFunction<List<HostId>> owners) {
-        Map<HostId, List<StreamBeginning>> byHost = new HashMap<>();
-        beginnings.stream()
-                .collect(Collectors.groupingBy(begun -> QuotaMembers.shard(begun.stream())))
-                .forEach(
-                        (shard, begun) ->
-                                owners.apply(shard).stream()
-                                        .filter(host -> !host.equals(members.self()))
-                                        .forEach(
-                                                host ->
-                                                        byHost.computeIfAbsent(
-                                                                        host,
-                                                                        key -> new ArrayList<>())
-                                                                .addAll(begun)));
-        byHost.forEach((host, begun) -> members.find(host).ifPresent(to -> sendInParts(to, begun)));
-    }
-
-    private void sendInParts(HostRecord to, List<StreamBeginning> beginnings) {
-        Stream.iterate(0, from -> from < beginnings.size(), from -> from + MAX_BEGINNINGS)
-                .map(
-                        from ->
-                                beginnings.subList(
-                                        from, Math.min(beginnings.size(), from + MAX_BEGINNINGS)))
-                .forEach(part -> mNetwork.send(to, new StreamNotice(part)));
-    }
-
-    private CompletableFuture<Optional<SoftwareVersion>> ask(HostRecord to, StreamKey stream) {
-        return request(
-                        to,
-                        new StreamRequest(stream),
-                        QuotaTiming.TIMEOUT_MILLIS,
-                        StreamResponse.class)
-                .thenApply(response -> response.toJavaOptional().flatMap(StreamResponse::version));
-    }
-
     private void send(QuotaMembers members, Collection<HostId> hosts, CrashMessage message) {
         hosts.stream()
                 .filter(host -> !host.equals(members.self()))
@@ -322,8 +255,7 @@
             reportDue();
         }
         if (!updated.hosts().equals(earlier.hosts())) {
-            // Streams that began before have been told to the earlier owners only.
-            send(updated, mStreams.all(), shard -> updated.newStreamOwners(shard, earlier));
+            mStreamOwners.updateMembers(earlier, updated);
         }
     }
 
@@ -342,6 +274,15 @@
                 millis);
     }
 
+    private void scheduleProbes() {
+        schedule(
+                () -> {
+                    mStreamOwners.probe();
+                    scheduleProbes();
+                },
+                StreamOwners.PROBE_INTERVAL_MILLIS);
+    }
+
     private void reportDue() {
         mClient.reportDue(mLimited.get());
     }
@@ -373,6 +314,21 @@
                 .thenApply(Either::toJavaOptional);
     }
 
+    private final class PeerStreams implements StreamTransport {
+
+        @Override
+        public CompletableFuture<Either<OwnerChoice.FailureKind, StreamNoticeResponse>> send(
+                HostRecord to, StreamNotice notice) {
+            return request(to, notice, QuotaTiming.TIMEOUT_MILLIS, StreamNoticeResponse.class);
+        }
+
+        @Override
+        public CompletableFuture<Either<OwnerChoice.FailureKind, StreamResponse>> ask(
+                HostRecord to, StreamRequest request) {
+            return request(to, request, QuotaTiming.TIMEOUT_MILLIS, StreamResponse.class);
+        }
+    }
+
     private <R extends PeerMessage> CompletableFuture<Either<OwnerChoice.FailureKind, R>> request(
             HostRecord to, PeerMessage request, long timeoutMillis, Class<R> response) {
         return mNetwork.request(to, request, timeoutMillis)
@@ -407,6 +363,8 @@
             strikes.accept(crash);
         } else if (message instanceof StreamNotice notice) {
             mStreams.reported(notice.beginnings());
+            mStreamOwners.remember(notice.beginnings());
+            response = Optional.of(new StreamNoticeResponse(mSelf.incarnation().number()));
         } else if (message instanceof StreamRequest request) {
             response = Optional.of(new StreamResponse(mStreams.known(request.stream())));
         } else if (message instanceof StoreAnswerRequest request) {
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/quota/QuotaMembers.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cyclamenpaddle.core.id.FailureDomain;
 import org.cyclamenpaddle.core.id.HostId;
 import org.cyclamenpaddle.core.id.Incarnation;
 import org.cyclamenpaddle.core.id.StreamKey;
@@ -49,9 +50,10 @@
     private final int mHostCount;
     private final boolean mCounted;
     private final long mChangedMillis;
+    private final FailureDomain mDomain;
     private final List<HostRecord> mOwnDomain;
     private final List<List<HostId>> mCandidates;
-    private final AtomicReferenceArray<List<HostId>> mStreamOwners;
+    private final AtomicReferenceArray<List<HostRecord>> mStreamRanks;
 
     private QuotaMembers(
             PeerAddress self,
@@ -59,9 +61,10 @@
             int hostCount,
             boolean counted,
             long changedMillis,
-            AtomicReferenceArray<List<HostId>> streamOwners) {
-        mStreamOwners = streamOwners;
+            AtomicReferenceArray<List<HostRecord>> streamRanks) {
+        mStreamRanks = streamRanks;
         mSelf = self.host();
+        mDomain = self.domain();
         mHosts = hosts;
         mHostCount = hostCount;
         mCounted = counted;
@@ -80,7 +83,7 @@
     /** Returns the view of a host that knows no other one yet. */
     static QuotaMembers unknown(PeerAddress self) {
         return new QuotaMembers(
-                self, Map.of(self.host(), record(self)), ASSUMED_HOSTS, false, 0, noOwners());
+                self, Map.of(self.host(), record(self)), ASSUMED_HOSTS, false, 0, noRanks());
     }
 
     /** Returns the view of a host after its first listing. */
@@ -100,7 +103,7 @@
                 hosts.size(),
                 true,
                 unchanged ? mChangedMillis : nowMillis,
-                unchanged ? mStreamOwners : noOwners());
+                unchanged ? mStreamRanks : noRanks());
     }
 
     /** Returns the shard of a team. */
@@ -131,7 +134,7 @@
                         Rendezvous.top(subject, mOwnDomain, 1).stream()));
     }
 
-    private static AtomicReferenceArray<List<HostId>> noOwners() {
+    private static AtomicReferenceArray<List<HostRecord>> noRanks() {
         return new AtomicReferenceArray<>(STREAM_SHARDS);
     }
 
@@ -144,44 +147,53 @@
      * Returns the hosts that remember the streams of a shard: two of all hosts, in two failure
      * domains if there are several, and one in this host's own.
      *
-     * <p>Computed once for each shard while the hosts stay the same.
+     * @param eligible hosts that can remember streams; the next ones stand in for the others
      */
-    List<HostId> streamOwners(int shard) {
-        return mStreamOwners.updateAndGet(
-                shard, known -> known == null ? computeStreamOwners(shard, host -> true) : known);
-    }
-
-    /** Returns the hosts that remember the streams of a shard and did not in an earlier view. */
-    List<HostId> newStreamOwners(int shard, QuotaMembers earlier) {
-        List<HostId> known = earlier.streamOwners(shard);
-        return streamOwners(shard).stream().filter(host -> !known.contains(host)).toList();
-    }
-
-    /** Returns the hosts that remember the streams of a shard once this host has left. */
-    List<HostId> nextStreamOwners(int shard) {
-        return computeStreamOwners(shard, host -> !host.equals(mSelf));
-    }
-
-    private List<HostId> computeStreamOwners(int shard, Predicate<HostId> eligible) {
-        List<HostRecord> ranked =
-                Rendezvous.top("stream-" + shard, mHosts.values(), mHosts.size()).stream()
-                        .filter(host -> eligible.test(host.incarnation().host()))
-                        .toList();
-        Stream<HostRecord> first = ranked.stream().limit(1);
+    List<HostId> streamOwners(int shard, Predicate<HostId> eligible) {
+        Optional<HostRecord> first = ranked(shard, eligible).findFirst();
         Stream<HostRecord> elsewhere =
-                ranked.stream()
-                        .filter(host -> !host.domain().equals(ranked.get(0).domain()))
+                ranked(shard, eligible)
+                        .filter(host -> !host.domain().equals(first.get().domain()))
                         .limit(1);
-        Stream<HostRecord> second = ranked.stream().skip(1).limit(1);
-        Stream<HostRecord> own = ranked.stream().filter(mOwnDomain::contains).limit(1);
+        Stream<HostRecord> second = ranked(shard, eligible).skip(1).limit(1);
+        Stream<HostRecord> own =
+                ranked(shard, eligible).filter(host -> host.domain().equals(mDomain)).limit(1);
         return names(
                 Stream.concat(
-                        Stream.of(first, elsewhere, second)
+                        Stream.of(first.stream(), elsewhere, second)
                                 .flatMap(hosts -> hosts)
                                 .limit(GLOBAL_OWNERS),
                         own));
     }
 
+    /**
+     * Returns the hosts that may remember the streams of a shard although this host would choose
+     * others, since hosts differ in which of them they can reach.
+     *
+     * @param more number of hosts beyond the owners in this host's view
+     */
+    List<HostId> possibleStreamOwners(int shard, Predicate<HostId> eligible, int more) {
+        return Stream.concat(
+                        streamOwners(shard, eligible).stream(),
+                        names(ranked(shard, eligible).limit(GLOBAL_OWNERS + more)).stream())
+                .distinct()
+                .toList();
+    }
+
+    /** Returns the eligible hosts in the order of a shard, which is computed once. */
+    private Stream<HostRecord> ranked(int shard, Predicate<HostId> eligible) {
+        return mStreamRanks
+                .updateAndGet(
+                        shard,
+                        known ->
+                                known == null
+                                        ? Rendezvous.top(
+                                                "stream-" + shard, mHosts.values(), mHosts.size())
+                                        : known)
+                .stream()
+                .filter(host -> eligible.test(host.incarnation().host()));
+    }
+
     /** Returns whether this host is the owner of the limit of a subject in its own view. */
     boolean isOwner(String subject) {
         return owners(subject).get(0).equals(mSelf);
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamMemory.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamMemory.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.cyclamenpaddle.core.id.SoftwareVersion;
@@ -18,8 +19,8 @@
  * Knows at which software versions the streams began that callers may take up at this host.
  *
  * <p>The host that begins a stream remembers it and tells the stream's owners; the host that a
- * caller comes back to asks them. Nothing waits for a notice: one that is lost leads to a stream
- * that is not resumed, never to one that is resumed elsewhere. Thread-safe.
+ * caller comes back to asks them. Nothing waits for a notice: one that reaches no host leads to a
+ * stream that is not resumed, never to one that is resumed elsewhere. Thread-safe.
  */
 public final class StreamMemory implements StreamPeers.Listener {
 
@@ -29,6 +30,12 @@
     /** Pauses before the owners are asked again: a caller may be faster than a notice. */
     private static final List<Long> RETRY_MILLIS = List.of(40L, 120L);
 
+    /** Maximum number of retries while hosts do not respond; others are asked in their place. */
+    private static final int MAX_RETRIES = 6;
+
+    /** Pause before others are asked in place of hosts that do not respond, in milliseconds. */
+    private static final long REPLACE_MILLIS = 10;
+
     private final Table<StreamBeginnings> mBeginnings =
             new Table<>(TableOrder.STREAMS, new StreamBeginnings(MAX_STREAMS));
     private final StreamPeers mPeers;
@@ -90,32 +97,54 @@
 
     private CompletableFuture<Optional<SoftwareVersion>> ask(
             StreamKey stream, Pause pause, int retries) {
-        return firstKnown(mPeers.ask(stream))
+        List<CompletableFuture<StreamPeers.Reply>> replies = mPeers.ask(stream, retries);
+        return firstKnown(replies)
                 .thenCompose(
                         version -> {
                             // A notice may have arrived here meanwhile.
                             Optional<SoftwareVersion> known = version.or(() -> known(stream));
-                            if (known.isPresent() || retries == RETRY_MILLIS.size()) {
+                            OptionalLong retryMillis =
+                                    known.isPresent()
+                                            ? OptionalLong.empty()
+                                            : retryMillis(replies, retries);
+                            if (retryMillis.isEmpty()) {
                                 return CompletableFuture.completedFuture(known);
                             }
                             return CompletableFuture.supplyAsync(
                                             () -> ask(stream, pause, retries + 1),
-                                            pause.of(RETRY_MILLIS.get(retries)))
+                                            pause.of(retryMillis.getAsLong()))
                                     .thenCompose(next -> next);
                         });
     }
 
+    /** Returns the pause before the next round; empty if there is none. */
+    private static OptionalLong retryMillis(
+            List<CompletableFuture<StreamPeers.Reply>> replies, int retries) {
+        boolean silent =
+                replies.stream()
+                        .anyMatch(reply -> !reply.getNow(StreamPeers.Reply.NONE).responded());
+        if (silent && retries < MAX_RETRIES) {
+            return OptionalLong.of(REPLACE_MILLIS);
+        }
+        return retries < RETRY_MILLIS.size()
+                ? OptionalLong.of(RETRY_MILLIS.get(retries))
+                : OptionalLong.empty();
+    }
+
     /** Completes with the first version that a host knows, or empty when none does. */
     private static CompletableFuture<Optional<SoftwareVersion>> firstKnown(
-            List<CompletableFuture<Optional<SoftwareVersion>>> responses) {
+            List<CompletableFuture<StreamPeers.Reply>> replies) {
         CompletableFuture<Optional<SoftwareVersion>> first = new CompletableFuture<>();
-        responses.forEach(
-                response ->
-                        response.thenAccept(
-                                version ->
-                                        version.ifPresent(
-                                                known -> first.complete(Optional.of(known)))));
-        CompletableFuture.allOf(responses.toArray(CompletableFuture[]::new))
+        replies.forEach(
+                reply ->
+                        reply.thenAccept(
+                                one ->
+                                        one.version()
+                                                .ifPresent(
+                                                        known ->
+                                                                first.complete(
+                                                                        Optional.of(known)))));
+        CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
                 .whenComplete((all, failure) -> first.complete(Optional.empty()));
         return first;
     }
--- a/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamPeers.java
+++ b/cyclamenpaddle-relay/src/main/java/org/cyclamenpaddle/relay/resume/StreamPeers.java
@@ -29,7 +29,28 @@
         Collection<StreamBeginning> all();
     }
 
-    /** Sends beginnings to the owners of their streams, without confirmation. */
+    /**
+     * Reply of a host that was asked for a stream.
+     *
+     * @param responded whether the host responded
+     * @param version the version that began the stream; empty if the host does not know it
+     */
+    record Reply(boolean responded, Optional<SoftwareVersion> version) {
+
+        /** Reply in place of one that did not come. */
+        public static final Reply NONE = new Reply(false, Optional.empty());
+
+        public Reply {
+            if (version == null || !responded && version.isPresent()) {
+                throw new IllegalArgumentException("no reply has a version");
+            }
+        }
+    }
+
+    /**
+     * Sends beginnings to the owners of their streams; other hosts stand in for those that do not
+     * confirm them.
+     */
     void report(Collection<StreamBeginning> beginnings);
 
     /** Sends beginnings to the hosts that own their streams once this host has left. */
@@ -38,7 +59,7 @@
     /**
      * Asks the other owners of a stream at which version it began.
      *
-     * @return one response for each of them, empty if the host does not know it or does not respond
+     * @param round number of earlier rounds; each asks more hosts than the one before
      */
-    List<CompletableFuture<Optional<SoftwareVersion>>> ask(StreamKey stream);
+    List<CompletableFuture<Reply>> ask(StreamKey stream, int round);
 }
